--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of a whole small cell on loopback."""
--- /dev/null
+++ b/src/bluebellyoke/cell/__init__.py
@@ -0,0 +1,1 @@
+"""Aggregates of the cell: tickets, jobs, workers, upstreams and claims."""
--- /dev/null
+++ b/src/bluebellyoke/cell/resources.py
@@ -0,0 +1,57 @@
+"""Amounts of processors, memory and accelerators."""
+
+import msgspec
+
+__all__ = ["Resources"]
+
+
+class Resources(msgspec.Struct, frozen=True, array_like=True):
+    """An amount of each resource that a worker offers or a task needs.
+
+    Attributes:
+        cpu_millis: Processor time, in thousandths of a core.
+        memory_mb: Memory, in MiB.
+        accelerators: Whole accelerators.
+    """
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: "Resources") -> "Resources":
+        return Resources(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def fits_in(self, free: "Resources") -> bool:
+        """Return whether this amount is available in `free`."""
+        return (
+            self.cpu_millis <= free.cpu_millis
+            and self.memory_mb <= free.memory_mb
+            and self.accelerators <= free.accelerators
+        )
+
+    def enlarge_to(self, other: "Resources") -> "Resources":
+        """Return the larger of both amounts, resource by resource."""
+        return Resources(
+            max(self.cpu_millis, other.cpu_millis),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+        )
+
+    def compute_dominant_share(self, total: "Resources") -> float:
+        """Return the largest fraction of `total` that this amount takes."""
+        return max(
+            self.cpu_millis / (total.cpu_millis or 1),
+            self.memory_mb / (total.memory_mb or 1),
+            self.accelerators / (total.accelerators or 1),
+        )
--- /dev/null
+++ b/src/bluebellyoke/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Agreement of the replicas: the log, its storage and its membership."""
--- /dev/null
+++ b/src/bluebellyoke/consensus/storage.py
@@ -0,0 +1,462 @@
+"""Durable log, term, vote and snapshots of one replica in a data folder.
+
+Layout of the folder:
+    * `identity.json`: cell and replica identity, made once by `init`.
+    * `log-<number>.seg`: frames, each one synced batch of records.
+    * `snapshot-<index>.snap`: state of the cell after entry `index`.
+
+A frame is a header of 16 bytes (magic, length, CRC of the body, CRC of the header)
+and a body. A frame that was cut short at the end of the last segment was never
+acknowledged and is removed at the next start. Any other damage stops the replica.
+A sync that failed is never tried again, because the kernel may have dropped the
+data.
+"""
+
+import json
+import os
+import struct
+import zlib
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from bluebellyoke.consensus import messages as m
+from bluebellyoke.consensus.log import EntryLog
+from bluebellyoke.errors import BluebellyokeError
+
+__all__ = [
+    "CorruptFileError",
+    "DiskError",
+    "FolderInUseError",
+    "FolderMissingError",
+    "ForeignFolderError",
+    "Identity",
+    "Storage",
+    "create_identity",
+    "read_identity",
+]
+
+FORMAT_VERSION = 1
+FRAME_MAGIC = 0x62626C79
+FRAME_HEADER = struct.Struct("<IIII")
+MAX_FRAME_BYTES = 256 * 1024 * 1024
+
+
+class FolderMissingError(BluebellyokeError):
+    """The data folder was never initialized."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(
+            f"{folder} holds no replica", remedy="make it once with `bluebellyoke init`"
+        )
+
+
+class FolderInUseError(BluebellyokeError):
+    """The data folder already holds a replica."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(
+            f"{folder} already holds a replica", remedy="choose an empty folder"
+        )
+
+
+class ForeignFolderError(BluebellyokeError):
+    """The data folder belongs to another cell."""
+
+    def __init__(self, folder: Path, found: str, wanted: str) -> None:
+        super().__init__(
+            f"{folder} belongs to cell {found!r} and the settings name {wanted!r}",
+            remedy="correct `cell` in the settings or name another folder",
+        )
+
+
+class CorruptFileError(BluebellyokeError):
+    """A file of the data folder is damaged."""
+
+    def __init__(self, path: Path, offset: int, what: str) -> None:
+        super().__init__(
+            f"{path} is damaged at byte {offset}: {what}",
+            remedy="move the folder away, run `bluebellyoke init` and let the "
+            "replica rejoin",
+        )
+
+
+class DiskError(BluebellyokeError):
+    """The disk refused a write or a sync."""
+
+    def __init__(self, path: Path, error: OSError) -> None:
+        super().__init__(
+            f"cannot write {path}: {error.strerror}",
+            remedy="free space or replace the disk, then start the replica again",
+        )
+
+
+class Identity(msgspec.Struct, frozen=True, kw_only=True):
+    """Identity of a data folder."""
+
+    cell: str
+    replica: str
+    format: int = FORMAT_VERSION
+
+
+class Record(msgspec.Struct, frozen=True, array_like=True):
+    """What one synced batch changed.
+
+    Attributes:
+        base: Snapshot position at the start of a segment.
+        hard_state: New term and vote.
+        truncate_from: First entry that the batch replaces.
+        entries: Entries that it adds.
+    """
+
+    base: m.SnapshotMeta | None = None
+    hard_state: m.HardState | None = None
+    truncate_from: int | None = None
+    entries: tuple[m.Entry, ...] = ()
+
+
+@dataclass(slots=True)
+class Recovered:
+    """What a data folder held at the start."""
+
+    log: EntryLog
+    hard_state: m.HardState
+    state: bytes
+    torn_bytes: int
+
+
+def create_identity(folder: Path, *, cell: str, replica: str) -> Identity:
+    """Make a data folder with a new identity.
+
+    Raises:
+        FolderInUseError: The folder already holds a replica.
+        DiskError: The folder cannot be written.
+    """
+    path = folder / "identity.json"
+    if path.exists():
+        raise FolderInUseError(folder)
+    identity = Identity(cell=cell, replica=replica)
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        _write_synced(path, json.dumps(msgspec.to_builtins(identity)).encode())
+    except OSError as error:
+        raise DiskError(path, error) from error
+    return identity
+
+
+def read_identity(folder: Path, *, cell: str) -> Identity:
+    """Return the identity of a data folder.
+
+    Raises:
+        FolderMissingError: The folder holds no replica.
+        ForeignFolderError: The folder belongs to another cell.
+        CorruptFileError: The identity cannot be read.
+    """
+    path = folder / "identity.json"
+    try:
+        identity = msgspec.json.decode(path.read_bytes(), type=Identity)
+    except FileNotFoundError:
+        raise FolderMissingError(folder) from None
+    except msgspec.DecodeError as error:
+        raise CorruptFileError(path, 0, str(error)) from error
+    if identity.cell != cell:
+        raise ForeignFolderError(folder, identity.cell, cell)
+    return identity
+
+
+class Storage:
+    """Files of one replica.
+
+    Args:
+        folder: Data folder with an identity.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self._failed = False
+        self._file = None
+        self._number = 0
+        self._meta = m.SnapshotMeta()
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Record)
+        self.segment_bytes = 0
+
+    # Start.
+
+    def recover(self) -> Recovered:
+        """Read snapshot and log, and open the last segment for appending.
+
+        Raises:
+            CorruptFileError: A file is damaged other than by a torn last write.
+            DiskError: A file cannot be read or written.
+        """
+        try:
+            return self._recover()
+        except OSError as error:
+            raise DiskError(self.folder, error) from error
+
+    def _recover(self) -> Recovered:
+        for path in self.folder.glob("*.tmp"):
+            path.unlink()
+        meta, state = self._read_latest_snapshot()
+        self._meta = meta
+        log = EntryLog(m.SnapshotMeta())
+        hard_state = m.HardState()
+        torn = 0
+        segments = self._list_segments()
+        for path in segments:
+            records, good_bytes, size = self._read_segment(path, path == segments[-1])
+            torn += size - good_bytes
+            if size > good_bytes:
+                _cut_file(path, good_bytes)
+            for record in records:
+                hard_state = record.hard_state or hard_state
+                _replay(log, record, path)
+        if log.base.index < meta.index:
+            _rebase(log, meta)
+        elif log.base.index > meta.index:
+            raise CorruptFileError(self.folder, 0, "the snapshot of the log is missing")
+        self._open_segment(segments, log, hard_state)
+        return Recovered(log, hard_state, state, torn)
+
+    def _list_segments(self) -> list[Path]:
+        return sorted(self.folder.glob("log-*.seg"))
+
+    def _open_segment(
+        self, segments: list[Path], log: EntryLog, hard_state: m.HardState
+    ) -> None:
+        if segments:
+            self._number = int(segments[-1].stem.split("-")[1])
+            self._file = open(segments[-1], "ab")  # noqa: SIM115
+            self.segment_bytes = segments[-1].stat().st_size
+            return
+        self._start_segment(log, hard_state)
+
+    def _read_segment(self, path: Path, last: bool) -> tuple[list[Record], int, int]:
+        """Return the records, the bytes that hold whole frames, and the file size."""
+        data = path.read_bytes()
+        records: list[Record] = []
+        offset = 0
+        while offset < len(data):
+            body = _read_frame(data, offset)
+            if body is None and last and _is_torn(data, offset):
+                break
+            if body is None:
+                raise CorruptFileError(path, offset, "a frame fails its checksum")
+            try:
+                records.append(self._decoder.decode(body))
+            except msgspec.DecodeError as error:
+                raise CorruptFileError(path, offset, str(error)) from error
+            offset += FRAME_HEADER.size + len(body)
+        return records, offset, len(data)
+
+    # Writing.
+
+    def write(
+        self,
+        *,
+        hard_state: m.HardState | None,
+        truncate_from: int | None,
+        entries: list[m.Entry],
+    ) -> None:
+        """Append one batch and sync it.
+
+        Raises:
+            DiskError: The disk refused; the storage accepts nothing more.
+        """
+        record = Record(None, hard_state, truncate_from, tuple(entries))
+        self._append(record)
+
+    def _append(self, record: Record) -> None:
+        if self._failed:
+            error = OSError(5, "an earlier write failed")
+            raise DiskError(self.folder, error)
+        body = self._encoder.encode(record)
+        frame = _pack_header(body) + body
+        try:
+            self._file.write(frame)
+            self._file.flush()
+            os.fdatasync(self._file.fileno())
+        except OSError as error:
+            self._failed = True
+            raise DiskError(Path(self._file.name), error) from error
+        self.segment_bytes += len(frame)
+
+    def _start_segment(self, log: EntryLog, hard_state: m.HardState) -> None:
+        """Begin a segment with everything that must outlive the earlier ones."""
+        if self._file is not None:
+            self._file.close()
+        self._number += 1
+        path = self.folder / f"log-{self._number:012d}.seg"
+        entries = tuple(log.read_between(log.first_index, log.last_index))
+        body = self._encoder.encode(Record(log.base, hard_state, None, entries))
+        frame = _pack_header(body) + body
+        try:
+            _write_synced(path, frame)
+            self._file = open(path, "ab")  # noqa: SIM115
+        except OSError as error:
+            self._failed = True
+            raise DiskError(path, error) from error
+        self.segment_bytes = len(frame)
+
+    # Snapshots.
+
+    def save_snapshot(self, meta: m.SnapshotMeta, state: bytes) -> None:
+        """Store a snapshot; the log still holds the entries that it covers.
+
+        Raises:
+            DiskError: The disk refused.
+        """
+        head = self._encoder.encode(meta)
+        body = struct.pack("<I", len(head)) + head + state
+        path = self.folder / f"snapshot-{meta.index:020d}.snap"
+        try:
+            _write_synced(path, _pack_header(body) + body)
+        except OSError as error:
+            self._failed = True
+            raise DiskError(path, error) from error
+        self._meta = meta
+
+    def compact(self, log: EntryLog, hard_state: m.HardState) -> None:
+        """Drop the segments and snapshots that the latest snapshot replaces.
+
+        Args:
+            log: Log that begins at the latest snapshot.
+            hard_state: Term and vote to carry over.
+        """
+        old = self._list_segments()
+        self._start_segment(log, hard_state)
+        try:
+            for path in old:
+                path.unlink()
+            for path in self.folder.glob("snapshot-*.snap"):
+                if path != self._snapshot_path():
+                    path.unlink()
+            _sync_folder(self.folder)
+        except OSError as error:
+            raise DiskError(self.folder, error) from error
+
+    def reset(self, meta: m.SnapshotMeta, hard_state: m.HardState) -> None:
+        """Drop the whole log in favour of a stored snapshot."""
+        self.compact(EntryLog(meta), hard_state)
+
+    def read_chunk(self, offset: int, size: int) -> bytes:
+        """Return bytes of the latest snapshot's state."""
+        with open(self._snapshot_path(), "rb") as file:
+            file.seek(FRAME_HEADER.size)
+            (head_size,) = struct.unpack("<I", file.read(4))
+            file.seek(FRAME_HEADER.size + 4 + head_size + offset)
+            return file.read(size)
+
+    def _snapshot_path(self) -> Path:
+        return self.folder / f"snapshot-{self._meta.index:020d}.snap"
+
+    def _read_latest_snapshot(self) -> tuple[m.SnapshotMeta, bytes]:
+        paths = sorted(self.folder.glob("snapshot-*.snap"))
+        if not paths:
+            return m.SnapshotMeta(), b""
+        path = paths[-1]
+        data = path.read_bytes()
+        body = _read_frame(data, 0)
+        if body is None:
+            raise CorruptFileError(path, 0, "the snapshot fails its checksum")
+        (head_size,) = struct.unpack_from("<I", body)
+        head = body[4 : 4 + head_size]
+        meta = msgspec.msgpack.decode(head, type=m.SnapshotMeta)
+        return meta, body[4 + head_size :]
+
+    def close(self) -> None:
+        """Close the files."""
+        if self._file is not None:
+            self._file.close()
+            self._file = None
+
+
+def _replay(log: EntryLog, record: Record, path: Path) -> None:
+    if record.base is not None:
+        log.reset(record.base)
+    if record.truncate_from is not None:
+        log.truncate(record.truncate_from)
+    for entry in record.entries:
+        if entry.index != log.last_index + 1:
+            raise CorruptFileError(path, 0, f"entry {entry.index} leaves a gap")
+        log.append(entry)
+
+
+def _rebase(log: EntryLog, meta: m.SnapshotMeta) -> None:
+    """Move the base of a log up to a snapshot that is newer than its segment."""
+    if log.find_term(meta.index) == meta.term:
+        log.compact(meta)
+    else:
+        log.reset(meta)
+
+
+def _pack_header(body: bytes) -> bytes:
+    fields = struct.pack("<III", FRAME_MAGIC, len(body), zlib.crc32(body))
+    return fields + struct.pack("<I", zlib.crc32(fields))
+
+
+def _read_header(data: bytes, offset: int) -> tuple[int, int] | None:
+    """Return length and CRC of a frame's body, or None if the header is damaged."""
+    if offset + FRAME_HEADER.size > len(data):
+        return None
+    magic, length, body_crc, header_crc = FRAME_HEADER.unpack_from(data, offset)
+    fields = data[offset : offset + FRAME_HEADER.size - 4]
+    if magic != FRAME_MAGIC or zlib.crc32(fields) != header_crc:
+        return None
+    if length > MAX_FRAME_BYTES:
+        return None
+    return length, body_crc
+
+
+def _read_frame(data: bytes, offset: int) -> bytes | None:
+    """Return the body of the frame at `offset`, or None if it is damaged."""
+    header = _read_header(data, offset)
+    if header is None:
+        return None
+    length, body_crc = header
+    start = offset + FRAME_HEADER.size
+    body = data[start : start + length]
+    if len(body) < length or zlib.crc32(body) != body_crc:
+        return None
+    return body
+
+
+def _is_torn(data: bytes, offset: int) -> bool:
+    """Return whether a bad frame is the unfinished last write of a crash.
+
+    A write that was cut short ends the file: its header is incomplete, its body
+    reaches to the end of the file, or the rest of the file was never filled.
+    """
+    if len(data) - offset < FRAME_HEADER.size:
+        return True
+    if not any(data[offset:]):
+        return True
+    header = _read_header(data, offset)
+    return header is not None and offset + FRAME_HEADER.size + header[0] >= len(data)
+
+
+def _cut_file(path: Path, size: int) -> None:
+    with open(path, "r+b") as file:
+        file.truncate(size)
+        os.fsync(file.fileno())
+
+
+def _write_synced(path: Path, data: bytes) -> None:
+    """Write a file under a temporary name, sync it and put it in place."""
+    temporary = path.with_name(path.name + ".tmp")
+    with open(temporary, "wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(temporary, path)
+    _sync_folder(path.parent)
+
+
+def _sync_folder(folder: Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/src/bluebellyoke/instance/__init__.py
@@ -0,0 +1,1 @@
+"""One running instance: application, links, HTTP and replica shells."""
--- /dev/null
+++ b/src/bluebellyoke/instance/border.py
@@ -0,0 +1,236 @@
+"""Validated models of the HTTP bodies, and their commands."""
+
+import hashlib
+import ipaddress
+from typing import Annotated, Any
+
+import msgspec
+import pydantic
+
+from bluebellyoke.cell import commands as c
+from bluebellyoke.cell.resources import Resources
+from bluebellyoke.errors import BluebellyokeError
+from bluebellyoke.instance import wire as w
+
+__all__ = [
+    "HeartbeatBody",
+    "JobBody",
+    "MalformedBodyError",
+    "TicketBody",
+    "UpstreamBody",
+    "parse_body",
+]
+
+Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9._:-]{1,128}$")]
+Amount = Annotated[int, pydantic.Field(ge=0, le=10**9)]
+
+
+class MalformedBodyError(BluebellyokeError):
+    """A request body that breaks the published format.
+
+    Attributes:
+        faults: Every fault, each with its key.
+    """
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("; ".join(faults), remedy="see docs/API.md")
+        self.faults = faults
+
+
+class _Body(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+
+class ResourcesBody(_Body):
+    """An amount of each resource."""
+
+    cpu_millis: Amount = 0
+    memory_mb: Amount = 0
+    accelerators: Amount = 0
+
+    def build(self) -> Resources:
+        """Return the amounts as the cell counts them."""
+        return Resources(self.cpu_millis, self.memory_mb, self.accelerators)
+
+
+class WorkspaceBody(_Body):
+    """A workspace of a ticket."""
+
+    name: Name
+    share: Annotated[float, pydantic.Field(gt=0, le=1e6)] = 1.0
+    quota: ResourcesBody = ResourcesBody()
+
+    def build(self) -> c.WorkspaceSpec:
+        """Return the workspace's whole state."""
+        return c.WorkspaceSpec(
+            name=self.name, share=self.share, quota=self.quota.build()
+        )
+
+
+class ServiceBody(_Body):
+    """A service of a ticket."""
+
+    name: Name
+    deadline_s: Annotated[float, pydantic.Field(gt=0, le=3600)] = 10.0
+    idempotent_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
+    enabled: bool = True
+
+    def build(self) -> c.ServiceSpec:
+        """Return the service's whole state."""
+        return c.ServiceSpec(
+            name=self.name,
+            deadline_s=self.deadline_s,
+            idempotent_methods=tuple(x.upper() for x in self.idempotent_methods),
+            enabled=self.enabled,
+        )
+
+
+class TicketBody(_Body):
+    """Body of `POST /v1/tickets`."""
+
+    number: Annotated[int, pydantic.Field(ge=1, le=2**53)]
+    workspaces: tuple[WorkspaceBody, ...] = ()
+    services: tuple[ServiceBody, ...] = ()
+    removed_workspaces: tuple[Name, ...] = ()
+    removed_services: tuple[Name, ...] = ()
+    drained_workers: tuple[Name, ...] | None = None
+
+    def build(self) -> c.ApplyTicket:
+        """Return the command that puts the ticket in force."""
+        ticket = c.Ticket(
+            number=self.number,
+            workspaces=tuple(item.build() for item in self.workspaces),
+            services=tuple(item.build() for item in self.services),
+            removed_workspaces=self.removed_workspaces,
+            removed_services=self.removed_services,
+            drained_workers=self.drained_workers,
+        )
+        return c.ApplyTicket(ticket=ticket, digest=compute_digest(ticket))
+
+
+class JobBody(_Body):
+    """Body of `POST /v1/jobs`."""
+
+    id: Name
+    workspace: Name
+    kind: c.JobKind = c.JobKind.BATCH
+    tasks: Annotated[int, pydantic.Field(ge=1, le=20_000)] = 1
+    need: ResourcesBody = ResourcesBody(cpu_millis=1000, memory_mb=256)
+    payload: Annotated[str, pydantic.Field(max_length=16_384)] = ""
+    idempotent: bool = False
+    checkpoint: bool = False
+    urgent: bool = False
+    max_attempts: Annotated[int, pydantic.Field(ge=1, le=100)] = 3
+    expected_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
+
+    def build(self) -> c.SubmitJob:
+        """Return the command that takes the job over."""
+        fields = self.model_dump(exclude={"need"})
+        spec = c.JobSpec(need=self.need.build(), **fields)
+        return c.SubmitJob(spec=spec, digest=compute_digest(spec))
+
+
+class UpstreamBody(_Body):
+    """Body of `POST /v1/upstreams`."""
+
+    name: Name
+    incarnation: Name
+    service: Name
+    address: str
+    port: Annotated[int, pydantic.Field(ge=1, le=65535)]
+    slots: Annotated[int, pydantic.Field(ge=0, le=10_000)]
+    connections: Annotated[int, pydantic.Field(ge=0, le=100_000)] = 60
+    data_centre: str = ""
+    leaving: bool = False
+    running: dict[str, int] | None = None
+
+    @pydantic.field_validator("address")
+    @classmethod
+    def _check_address(cls, value: str) -> str:
+        ipaddress.ip_address(value)
+        return value
+
+    def build(self) -> c.AnnounceUpstream:
+        """Return the command that takes the announcement in."""
+        return c.AnnounceUpstream(
+            upstream=self.name,
+            incarnation=self.incarnation,
+            service=self.service,
+            address=self.address,
+            port=self.port,
+            slots=self.slots,
+            connections=self.connections,
+            data_centre=self.data_centre,
+            leaving=self.leaving,
+        )
+
+
+class RunningBody(_Body):
+    """A running task of a heartbeat."""
+
+    job: Name
+    task: Annotated[int, pydantic.Field(ge=0)]
+    epoch: Annotated[int, pydantic.Field(ge=1)]
+    used: ResourcesBody = ResourcesBody()
+
+
+class EndedBody(RunningBody):
+    """An ended task of a heartbeat."""
+
+    outcome: c.TaskOutcome
+    ran_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
+
+
+class HeartbeatBody(_Body):
+    """Body of `POST /v1/workers/heartbeat`."""
+
+    worker: Name
+    session: Name
+    sequence: Annotated[int, pydantic.Field(ge=0)]
+    total: ResourcesBody
+    rack: str = ""
+    data_centre: str = ""
+    running: tuple[RunningBody, ...] = ()
+    ended: tuple[EndedBody, ...] = ()
+    wait_s: Annotated[float, pydantic.Field(ge=0, le=5)] = 0.0
+
+    def build(self) -> w.WorkerHeartbeat:
+        """Return the message for the leader."""
+        return w.WorkerHeartbeat(
+            worker=self.worker,
+            session=self.session,
+            sequence=self.sequence,
+            total=self.total.build(),
+            rack=self.rack,
+            data_centre=self.data_centre,
+            running=tuple(
+                w.RunningTask(x.job, x.task, x.epoch, x.used.build())
+                for x in self.running
+            ),
+            ended=tuple(
+                c.TaskReport(x.job, x.task, x.epoch, x.outcome, x.used.build(), x.ran_s)
+                for x in self.ended
+            ),
+            wait_s=self.wait_s,
+        )
+
+
+def compute_digest(value: Any) -> str:
+    """Return a digest that identifies the content of a command."""
+    return hashlib.sha256(msgspec.msgpack.encode(value)).hexdigest()[:32]
+
+
+def parse_body(model: type[_Body], data: bytes) -> Any:
+    """Return the validated body.
+
+    Raises:
+        MalformedBodyError: The body breaks the format; all faults are named.
+    """
+    try:
+        return model.model_validate_json(data)
+    except pydantic.ValidationError as error:
+        faults = [
+            f"{'.'.join(map(str, item['loc'])) or 'body'}: {item['msg']}"
+            for item in error.errors()
+        ]
+        raise MalformedBodyError(faults) from None
--- /dev/null
+++ b/src/bluebellyoke/instance/entry.py
@@ -0,0 +1,456 @@
+"""Entry duties: callers' requests from arrival to their one final answer.
+
+A request ends in one of three ways. `done` is the upstream's whole answer.
+`not-run` means that nothing reached an upstream. `unknown` means that it may have
+run.
+"""
+
+import itertools
+import logging
+from dataclasses import dataclass, field
+
+import anyio
+from anyio.abc import TaskGroup
+
+from bluebellyoke.cell import commands as c
+from bluebellyoke.clock import Clock
+from bluebellyoke.errors import BluebellyokeError
+from bluebellyoke.instance import wire as w
+from bluebellyoke.instance.exchange import (
+    Answer,
+    ConnectionStore,
+    Exchange,
+    ExchangeRequest,
+    Fate,
+)
+from bluebellyoke.instance.link import Link, NoLeaderError, TooManyCallsError
+from bluebellyoke.metrics import Metrics
+from bluebellyoke.routing.queue import RouteRequest
+from bluebellyoke.routing.router import Dispatch, Refusal, RefusalKind, Router
+
+__all__ = ["CallerRequest", "Entry", "FinalAnswer"]
+
+logger = logging.getLogger("bluebellyoke.routing")
+
+#: Time between two looks at the queues, in seconds.
+ADVANCE_S = 0.02
+
+#: Time after a request's deadline for which an abandoned exchange is drained.
+DRAIN_S = 30.0
+
+#: Longest body that is recorded as the outcome of an idempotency key.
+RECORDED_BODY_BYTES = 16 * 1024
+
+#: Time between two looks at a claim that another request holds, in seconds.
+CLAIM_POLL_S = 0.2
+
+#: Time past a deadline at which a claim without an outcome becomes unknown.
+CLAIM_MARGIN_S = 5.0
+
+#: Longest answer time that a recorded outcome may add, in seconds.
+RECORD_TIMEOUT_S = 2.0
+
+
+@dataclass(slots=True)
+class CallerRequest:
+    """A caller's request.
+
+    Attributes:
+        deadline: Monotonic time by which the caller wants the answer, in seconds.
+        key: Idempotency key, or an empty text.
+        digest: Identifies method, path and body; empty without a key.
+        replayable: Whether the body is held and can be sent again.
+    """
+
+    service: str
+    workspace: str
+    method: str
+    exchange: ExchangeRequest
+    arrived: float
+    deadline: float
+    key: str = ""
+    digest: str = ""
+    replayable: bool = True
+
+
+@dataclass(slots=True)
+class FinalAnswer:
+    """The one answer of a request.
+
+    Attributes:
+        fate: What is known of the request.
+        answer: Upstream's answer, if `fate` is done.
+        exchange: Exchange that still yields chunks of the answer, or None.
+        retry_after_s: Time after which another attempt makes sense.
+    """
+
+    fate: Fate
+    code: str = ""
+    reason: str = ""
+    answer: Answer | None = None
+    exchange: Exchange | None = None
+    retry_after_s: float = 0.0
+    replayed: bool = False
+
+
+@dataclass(slots=True)
+class Waiter:
+    """A request that waits in the router's queue."""
+
+    event: anyio.Event = field(default_factory=anyio.Event)
+    dispatch: Dispatch | None = None
+    refusal: Refusal | None = None
+
+
+class Entry:
+    """Routes callers' requests of one instance.
+
+    Args:
+        router: Decisions.
+        link: Stream to the leader.
+        clock: Source of time.
+        holder: Name and incarnation of the instance.
+        metrics: Histograms and counters.
+    """
+
+    def __init__(
+        self,
+        *,
+        router: Router,
+        link: Link,
+        clock: Clock,
+        holder: str,
+        metrics: Metrics,
+    ) -> None:
+        self.router = router
+        self._link = link
+        self._clock = clock
+        self._holder = holder
+        self._metrics = metrics
+        self._numbers = itertools.count(1)
+        self._waiters: dict[int, Waiter] = {}
+        self._connections = ConnectionStore()
+        self._tasks: TaskGroup | None = None
+        self._renewals: dict[str, w.Renewal] = {}
+        self.open_requests = 0
+
+    async def run(self) -> None:
+        """Look after the queues until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            try:
+                while True:
+                    await anyio.sleep(ADVANCE_S)
+                    self.advance()
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await self._connections.close()
+
+    def advance(self) -> None:
+        """Send and refuse waiting requests by the present state."""
+        for dispatch in self.router.advance(self._clock.monotonic()):
+            waiter = self._waiters.get(dispatch.request.id)
+            if waiter is None:
+                self.router.release(dispatch.slot)
+                continue
+            waiter.dispatch = dispatch
+            waiter.event.set()
+        refused, self.router.refused = self.router.refused, []
+        for request, refusal in refused:
+            waiter = self._waiters.get(request.id)
+            if waiter is not None:
+                waiter.refusal = refusal
+                waiter.event.set()
+
+    def on_leader_message(self, message: w.FromLeader) -> None:
+        """Take a message of the leader and act on what it changes."""
+        self.router.receive(message)
+        self.advance()
+
+    def build_poll(self) -> w.Poll:
+        """Return the next poll, with the renewals since the last one."""
+        renewals = tuple(self._renewals.values())
+        self._renewals.clear()
+        return self.router.build_poll(self._clock.monotonic(), renewals)
+
+    def renew_upstream(
+        self, announcement: c.AnnounceUpstream, renewal: w.Renewal
+    ) -> bool:
+        """Keep a renewal for the next poll if the announcement changes nothing.
+
+        An instance without a lease keeps none, so that the upstream asks elsewhere.
+        """
+        known = self.router.view.upstreams.get(announcement.upstream)
+        if known is None or not self.router.has_lease(self._clock.monotonic()):
+            return False
+        if (known.incarnation, known.slots, known.connections, known.leaving) != (
+            announcement.incarnation,
+            announcement.slots,
+            announcement.connections,
+            announcement.leaving,
+        ):
+            return False
+        self._renewals[announcement.upstream] = renewal
+        return True
+
+    # One request.
+
+    async def handle(self, request: CallerRequest) -> FinalAnswer:
+        """Return the final answer of a request."""
+        self.open_requests += 1
+        try:
+            if request.key:
+                answer = await self._handle_claimed(request)
+            else:
+                answer = await self._attempt(request)
+        finally:
+            self.open_requests -= 1
+        self._metrics.note_request(
+            answer.fate.value, self._clock.monotonic() - request.arrived
+        )
+        return answer
+
+    async def _handle_claimed(self, request: CallerRequest) -> FinalAnswer:
+        """Claim the idempotency key, send the request once, record its outcome."""
+        wall = self._clock.now().timestamp()
+        left = request.deadline - self._clock.monotonic()
+        claim = c.ClaimRequest(
+            key="|".join((request.workspace, request.service, request.key)),
+            digest=request.digest,
+            holder=f"{self._holder}/{next(self._numbers)}",
+            expires=wall + left + CLAIM_MARGIN_S,
+        )
+        while True:
+            result = await self._call(claim, request)
+            if isinstance(result, FinalAnswer):
+                self._spawn_record(claim, c.Outcome(c.ClaimStatus.NOT_RUN))
+                return result
+            if result.accepted:
+                break
+            if result.code != "in-progress":
+                return _answer_from_record(result)
+            if self._clock.monotonic() + CLAIM_POLL_S > request.deadline:
+                return FinalAnswer(
+                    Fate.UNKNOWN,
+                    "in-progress",
+                    "an earlier request with this key has no outcome yet",
+                    retry_after_s=1.0,
+                )
+            await anyio.sleep(CLAIM_POLL_S)
+        answer = await self._attempt(request)
+        await self._record(claim, answer)
+        return answer
+
+    async def _call(
+        self, claim: c.ClaimRequest, request: CallerRequest
+    ) -> c.Result | FinalAnswer:
+        left = request.deadline - self._clock.monotonic()
+        try:
+            if not self.router.has_lease(self._clock.monotonic()):
+                raise NoLeaderError()
+            return await self._link.call(claim, max(left, 0.0))
+        except BluebellyokeError as error:
+            return FinalAnswer(
+                Fate.NOT_RUN, RefusalKind.NO_LEASE, str(error), retry_after_s=1.0
+            )
+
+    async def _record(self, claim: c.ClaimRequest, answer: FinalAnswer) -> None:
+        """Record the outcome before the caller sees it, if the leader is there."""
+        command = c.RecordOutcome(
+            key=claim.key, holder=claim.holder, outcome=_build_outcome(answer)
+        )
+        try:
+            await self._link.call(command, RECORD_TIMEOUT_S)
+        except BluebellyokeError as error:
+            logger.warning(
+                "routing: could not record an outcome", extra={"error": str(error)}
+            )
+
+    def _spawn_record(self, claim: c.ClaimRequest, outcome: c.Outcome) -> None:
+        command = c.RecordOutcome(key=claim.key, holder=claim.holder, outcome=outcome)
+        self._tasks.start_soon(self._record_quietly, command)
+
+    async def _record_quietly(self, command: c.RecordOutcome) -> None:
+        try:
+            await self._link.call(command, DRAIN_S)
+        except (NoLeaderError, TooManyCallsError):
+            # The claim ends as unknown by itself.
+            return
+
+    async def _attempt(self, request: CallerRequest) -> FinalAnswer:
+        """Send a request, and again while that is safe and allowed."""
+        avoid: frozenset[str] = frozenset()
+        while True:
+            dispatch = await self._find_slot(request, avoid)
+            if isinstance(dispatch, Refusal):
+                self._log_refusal(request, dispatch)
+                return FinalAnswer(
+                    Fate.NOT_RUN,
+                    dispatch.kind,
+                    dispatch.reason,
+                    retry_after_s=dispatch.retry_after_s,
+                )
+            self._log_dispatch(request, dispatch)
+            answer = await self._exchange(request, dispatch)
+            if not self._may_retry(request, answer):
+                return answer
+            avoid |= {dispatch.target.name}
+
+    def _may_retry(self, request: CallerRequest, answer: FinalAnswer) -> bool:
+        if answer.fate is Fate.DONE or not request.replayable:
+            return False
+        if answer.fate is Fate.UNKNOWN and not self._is_idempotent(request):
+            return False
+        if self._clock.monotonic() >= request.deadline:
+            return False
+        return self.router.take_retry()
+
+    def _is_idempotent(self, request: CallerRequest) -> bool:
+        service = self.router.view.services.get(request.service)
+        return service is not None and request.method in service.idempotent_methods
+
+    async def _find_slot(
+        self, request: CallerRequest, avoid: frozenset[str]
+    ) -> Dispatch | Refusal:
+        now = self._clock.monotonic()
+        routed = RouteRequest(
+            next(self._numbers),
+            request.service,
+            request.workspace,
+            now,
+            request.deadline,
+            avoid,
+        )
+        decision = self.router.submit(routed, now)
+        if decision is not None:
+            return decision
+        waiter = self._waiters[routed.id] = Waiter()
+        self._link.poll_soon()
+        try:
+            await waiter.event.wait()
+        except BaseException:
+            self.router.cancel(routed)
+            if waiter.dispatch is not None:
+                self.router.release(waiter.dispatch.slot)
+            raise
+        finally:
+            del self._waiters[routed.id]
+        return waiter.dispatch or waiter.refusal
+
+    async def _exchange(
+        self, request: CallerRequest, dispatch: Dispatch
+    ) -> FinalAnswer:
+        number = f"{self._holder}/{dispatch.request.id}".encode()
+        left = request.deadline - self._clock.monotonic()
+        request.exchange.headers = _replace_headers(
+            request.exchange.headers, self._holder, number, left
+        )
+        exchange = Exchange(dispatch.target, request.exchange, number)
+        self._tasks.start_soon(self._run_exchange, exchange, dispatch, left + DRAIN_S)
+        with anyio.move_on_after(max(left, 0.0)):
+            await exchange.head.wait()
+        if exchange.answer is not None and exchange.chunks is not None:
+            return FinalAnswer(Fate.DONE, answer=exchange.answer, exchange=exchange)
+        if not exchange.finished.is_set():
+            return FinalAnswer(
+                Fate.UNKNOWN, "timeout", "the upstream did not answer in time"
+            )
+        if exchange.fate is Fate.DONE:
+            return FinalAnswer(Fate.DONE, answer=exchange.answer)
+        return FinalAnswer(
+            exchange.fate, "upstream-failed", exchange.error, retry_after_s=1.0
+        )
+
+    async def _run_exchange(
+        self, exchange: Exchange, dispatch: Dispatch, limit_s: float
+    ) -> None:
+        """Run an exchange to its end and free the slot."""
+        sent = self._clock.monotonic()
+        try:
+            await exchange.run(self._connections, limit_s)
+        finally:
+            now = self._clock.monotonic()
+            self.router.release(dispatch.slot)
+            failed = exchange.fate is not Fate.DONE or exchange.answer.status >= 500
+            if not failed:
+                self.router.note_answer(dispatch, sent, now)
+            elif self.router.note_failure(dispatch, now):
+                logger.warning(
+                    "routing: shuts out an upstream",
+                    extra={"upstream": dispatch.target.name, "error": exchange.error},
+                )
+            self.advance()
+
+    # Logs.
+
+    def _log_dispatch(self, request: CallerRequest, dispatch: Dispatch) -> None:
+        now = self._clock.monotonic()
+        self._metrics.note_wait(now - request.arrived)
+        logger.info(
+            "routing: sends a request",
+            extra={
+                "service": request.service,
+                "workspace": request.workspace,
+                "upstream": dispatch.target.name,
+                "reason": dispatch.reason,
+                "waited_s": round(now - request.arrived, 4),
+            },
+        )
+
+    def _log_refusal(self, request: CallerRequest, refusal: Refusal) -> None:
+        logger.info(
+            "routing: refuses a request",
+            extra={
+                "service": request.service,
+                "workspace": request.workspace,
+                "kind": refusal.kind,
+                "reason": refusal.reason,
+                "retry_after_s": round(refusal.retry_after_s, 3),
+            },
+        )
+
+
+def _replace_headers(
+    headers: list[tuple[bytes, bytes]], holder: str, number: bytes, left_s: float
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers with the ones that each attempt sets anew."""
+    own = {
+        b"bluebellyoke-instance": holder.encode(),
+        b"bluebellyoke-request": number,
+        b"bluebellyoke-deadline-ms": str(max(int(left_s * 1000), 0)).encode(),
+    }
+    kept = [item for item in headers if item[0].lower() not in own]
+    return kept + list(own.items())
+
+
+def _build_outcome(answer: FinalAnswer) -> c.Outcome:
+    if answer.fate is Fate.NOT_RUN:
+        return c.Outcome(c.ClaimStatus.NOT_RUN)
+    body = answer.answer.body if answer.answer is not None else None
+    if answer.fate is Fate.UNKNOWN or body is None or len(body) > RECORDED_BODY_BYTES:
+        return c.Outcome(c.ClaimStatus.UNKNOWN)
+    headers = tuple(
+        (key.decode("latin-1"), value.decode("latin-1"))
+        for key, value in answer.answer.headers
+    )
+    return c.Outcome(c.ClaimStatus.DONE, answer.answer.status, headers, body)
+
+
+def _answer_from_record(result: c.Result) -> FinalAnswer:
+    """Return the answer of a request whose key was claimed before."""
+    outcome = result.outcome
+    if outcome is None:
+        return FinalAnswer(Fate.NOT_RUN, result.code, result.reason, retry_after_s=0.0)
+    if outcome.status is not c.ClaimStatus.DONE:
+        return FinalAnswer(
+            Fate.UNKNOWN,
+            "outcome-unknown",
+            "an earlier request with this key may have run",
+            replayed=True,
+        )
+    headers = [
+        (key.encode("latin-1"), value.encode("latin-1"))
+        for key, value in outcome.headers
+    ]
+    answer = Answer(outcome.code, headers, outcome.body)
+    return FinalAnswer(Fate.DONE, answer=answer, replayed=True)
--- /dev/null
+++ b/src/bluebellyoke/instance/link.py
@@ -0,0 +1,245 @@
+"""An instance's stream to the leader, with its reconnection.
+
+Calls wait until the leader answers or the caller's time is over. When the stream
+breaks, the waiting calls are sent again to the next leader; every command is safe
+to send again.
+"""
+
+import itertools
+import logging
+import random
+from collections.abc import Callable, Iterable
+
+import anyio
+
+from bluebellyoke.clock import Clock
+from bluebellyoke.errors import BluebellyokeError
+from bluebellyoke.instance import wire as w
+from bluebellyoke.instance.codec import LINK_METHOD
+from bluebellyoke.instance.streams import (
+    CONNECTION_ERRORS,
+    StreamClosedError,
+    open_stream,
+)
+
+__all__ = ["Link", "NoLeaderError", "TooManyCallsError"]
+
+logger = logging.getLogger("bluebellyoke.link")
+
+#: Time without any message of the leader after which another is sought, in seconds.
+SILENCE_S = 1.0
+
+#: Wait between two attempts to find the leader, in seconds.
+RETRY_MIN_S = 0.05
+RETRY_MAX_S = 0.25
+
+#: Calls that wait for the leader, at most.
+CALLS_LIMIT = 10_000
+
+
+class NoLeaderError(BluebellyokeError):
+    """No leader answered in time."""
+
+    def __init__(self) -> None:
+        super().__init__("no leader answered in time", remedy="try again in a second")
+
+
+class TooManyCallsError(BluebellyokeError):
+    """The instance already waits for too many answers."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            "too many calls wait for the leader", remedy="try again in a second"
+        )
+
+
+class _PendingCall:
+    """A call that waits for its answer."""
+
+    __slots__ = ("answer", "body", "done")
+
+    def __init__(self, body) -> None:
+        self.body = body
+        self.done = anyio.Event()
+        self.answer = None
+
+
+class Link:
+    """The instance's stream to the leader.
+
+    Args:
+        hello: First message of each stream.
+        seeds: Addresses of replicas to begin with.
+        clock: Source of time.
+        begin_stream: Called when a new stream begins.
+        build_poll: Returns the next poll.
+        on_message: Called with each poll reply, grant and recall.
+        poll_interval_s: Longest time between two polls, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        hello: w.Hello,
+        seeds: Iterable[str],
+        clock: Clock,
+        begin_stream: Callable[[], None],
+        build_poll: Callable[[], w.Poll],
+        on_message: Callable[[w.FromLeader], None],
+        poll_interval_s: float,
+    ) -> None:
+        self._hello = hello
+        self._seeds = tuple(seeds)
+        self._peers: tuple[str, ...] = ()
+        self._clock = clock
+        self._begin_stream = begin_stream
+        self._build_poll = build_poll
+        self._on_message = on_message
+        self._poll_interval_s = poll_interval_s
+        self._numbers = itertools.count(1)
+        self._calls: dict[int, _PendingCall] = {}
+        self._outbox: list[w.FromInstance] = []
+        self._wake = anyio.Event()
+        self._poll_wanted = False
+        self._leader = ""
+        self._attempts = 0
+        self.connected = False
+
+    # What others use.
+
+    async def call(self, body, timeout_s: float):
+        """Send a call to the leader and return its answer.
+
+        Raises:
+            NoLeaderError: No answer came within `timeout_s`; the call may have worked.
+            TooManyCallsError: Too many calls wait already; this one was not sent.
+        """
+        if len(self._calls) >= CALLS_LIMIT:
+            raise TooManyCallsError()
+        number = next(self._numbers)
+        pending = self._calls[number] = _PendingCall(body)
+        self._outbox.append(w.Call(number, body))
+        self._wake.set()
+        try:
+            with anyio.move_on_after(timeout_s):
+                await pending.done.wait()
+        finally:
+            del self._calls[number]
+        if pending.answer is None:
+            raise NoLeaderError()
+        return pending.answer
+
+    def poll_soon(self) -> None:
+        """Send the next poll without waiting for its time."""
+        self._poll_wanted = True
+        self._wake.set()
+
+    async def say_bye(self) -> None:
+        """Tell the leader that this instance holds nothing and leaves."""
+        self._outbox.append(w.Bye())
+        self._wake.set()
+        with anyio.move_on_after(SILENCE_S):
+            while self._outbox:
+                await anyio.sleep(0.01)
+
+    async def run(self) -> None:
+        """Keep a stream to the leader until cancelled."""
+        while True:
+            address = self._choose_address()
+            try:
+                await self._serve(address)
+            except* CONNECTION_ERRORS as errors:
+                logger.debug(
+                    "link: lost a stream",
+                    extra={"peer": address, "error": str(errors.exceptions[0])},
+                )
+            finally:
+                self.connected = False
+            await anyio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
+
+    def _choose_address(self) -> str:
+        """Return the known leader, or the members and seeds in turn."""
+        leader, self._leader = self._leader, ""
+        if leader:
+            return leader
+        known = list(dict.fromkeys((*self._peers, *self._seeds)))
+        self._attempts += 1
+        return known[self._attempts % len(known)]
+
+    # One stream.
+
+    async def _serve(self, address: str) -> None:
+        with anyio.fail_after(SILENCE_S) as scope:
+            async with open_stream(
+                address, LINK_METHOD, "FromInstance", "FromLeader"
+            ) as stream:
+                await stream.send_message(self._hello)
+                first = await stream.recv_message()
+                if not isinstance(first, w.Welcome):
+                    self._follow_redirect(first)
+                    return
+                scope.deadline = float("inf")
+                self._leader = address
+                self.connected = True
+                self._begin_stream()
+                logger.info("link: reached the leader", extra={"leader": first.leader})
+                self._outbox = [
+                    w.Call(number, item.body) for number, item in self._calls.items()
+                ]
+                self._poll_wanted = True
+                heard = [self._clock.monotonic()]
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._send, stream)
+                    tasks.start_soon(self._watch, heard)
+                    await self._receive(stream, heard)
+                    raise StreamClosedError()
+
+    def _follow_redirect(self, message: w.FromLeader | None) -> None:
+        if isinstance(message, w.Redirect):
+            self._leader = message.address
+            self._peers = message.peers or self._peers
+
+    async def _send(self, stream) -> None:
+        due = self._clock.monotonic()
+        while True:
+            outbox, self._outbox = self._outbox, []
+            for message in outbox:
+                await stream.send_message(message)
+            now = self._clock.monotonic()
+            if self._poll_wanted or now >= due:
+                self._poll_wanted = False
+                due = now + self._poll_interval_s
+                await stream.send_message(self._build_poll())
+            self._wake = anyio.Event()
+            if self._outbox or self._poll_wanted:
+                continue
+            with anyio.move_on_after(max(due - now, 0.0)):
+                await self._wake.wait()
+
+    async def _receive(self, stream, heard: list[float]) -> None:
+        async for message in stream:
+            heard[0] = self._clock.monotonic()
+            if isinstance(message, w.Reply):
+                self._finish_call(message)
+            elif isinstance(message, w.Redirect):
+                self._leader = ""
+                self._follow_redirect(message)
+                return
+            else:
+                if isinstance(message, w.PollReply):
+                    self._peers = message.peers or self._peers
+                self._on_message(message)
+
+    def _finish_call(self, reply: w.Reply) -> None:
+        pending = self._calls.get(reply.id)
+        if pending is not None:
+            pending.answer = reply.body
+            pending.done.set()
+
+    async def _watch(self, heard: list[float]) -> None:
+        """End the stream when the leader has been silent."""
+        while True:
+            await anyio.sleep(SILENCE_S / 4)
+            if self._clock.monotonic() - heard[0] > SILENCE_S:
+                self._leader = ""
+                raise StreamClosedError()
--- /dev/null
+++ b/src/bluebellyoke/instance/replica.py
@@ -0,0 +1,477 @@
+"""Shell of a replica: one task that owns the core, the log and the state.
+
+Inputs arrive in one queue. The task feeds all that have arrived to the core, syncs
+what the core asks for in one write, sends the messages, applies what is committed
+and lets the director act if this replica leads.
+"""
+
+import logging
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import anyio
+
+from bluebellyoke.cell import commands as c
+from bluebellyoke.cell.snapshot import dump_state, load_state
+from bluebellyoke.cell.state import CellState
+from bluebellyoke.clock import Clock
+from bluebellyoke.consensus import messages as m
+from bluebellyoke.consensus.core import Core, Effects, Timing
+from bluebellyoke.consensus.repair import RepairOptions, plan_membership
+from bluebellyoke.consensus.storage import Storage, read_identity
+from bluebellyoke.instance import wire as w
+from bluebellyoke.leader.director import Director, Proposal
+from bluebellyoke.logs import PlacementLog
+from bluebellyoke.metrics import Metrics
+
+__all__ = ["Replica", "ReplicaOptions", "SessionClosed", "SessionInput"]
+
+logger = logging.getLogger("bluebellyoke.replica")
+
+#: Time between two looks at the clock, in seconds.
+TICK_S = 0.02
+
+#: Inputs taken in one turn, and inputs kept waiting, at most.
+TURN_INPUTS = 2_000
+INBOX_INPUTS = 20_000
+
+#: Commands of one log entry, at most.
+COMMANDS_PER_ENTRY = 2_000
+
+#: Proposals that wait for a commit, at most.
+PENDING_LIMIT = 20_000
+
+#: Time for which an offer to join is remembered, in seconds.
+OFFER_S = 5.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ReplicaOptions:
+    """Settings of a replica.
+
+    Attributes:
+        cell: Name of the cell.
+        folder: Data folder.
+        instance: Name, address, port and data centre of the instance.
+        seeds: Addresses of peers to offer to, before a membership is known.
+        snapshot_bytes: Log size after which a snapshot is taken.
+    """
+
+    cell: str
+    folder: Path
+    name: str
+    address: str
+    port: int
+    data_centre: str
+    timing: Timing = field(default_factory=Timing)
+    repair: RepairOptions = field(default_factory=RepairOptions)
+    snapshot_bytes: int = 16 * 1024 * 1024
+    seeds: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class SessionInput:
+    """A message of an instance's stream."""
+
+    session: int
+    message: w.FromInstance
+    send: Callable[[w.FromLeader | None], None]
+
+
+@dataclass(frozen=True, slots=True)
+class SessionClosed:
+    """The end of an instance's stream."""
+
+    session: int
+
+
+@dataclass(slots=True)
+class PendingEntry:
+    """Proposals of one log entry that wait for its commit."""
+
+    term: int
+    proposals: list[Proposal]
+
+
+class Replica:
+    """One replica of the cell's state.
+
+    Args:
+        options: Settings.
+        director: Decisions of the leader.
+        clock: Source of time.
+        metrics: Histograms and counters.
+        send: Called with the address of a peer and an envelope for it.
+    """
+
+    def __init__(
+        self,
+        *,
+        options: ReplicaOptions,
+        director: Director,
+        clock: Clock,
+        metrics: Metrics,
+        send: Callable[[str, m.Envelope], None],
+    ) -> None:
+        self.options = options
+        self._director = director
+        self._clock = clock
+        self._metrics = metrics
+        self._send_peer = send
+        self._inbox_send, self._inbox = anyio.create_memory_object_stream(INBOX_INPUTS)
+        self._identity = read_identity(options.folder, cell=options.cell)
+        self._storage = Storage(options.folder)
+        recovered = self._storage.recover()
+        if recovered.torn_bytes:
+            logger.warning("storage: cut %d torn bytes", recovered.torn_bytes)
+        self.state = load_state(recovered.state) if recovered.state else CellState()
+        self.core = Core(
+            replica=self._identity.replica,
+            log=recovered.log,
+            hard_state=recovered.hard_state,
+            timing=options.timing,
+            snapshots=self._storage,
+            random_source=random.Random(self._identity.replica),
+            now=clock.monotonic(),
+        )
+        self._applied = recovered.log.base.index
+        self._hard_state = recovered.hard_state
+        self._pending: dict[int, PendingEntry] = {}
+        self._offers: dict[str, tuple[float, m.Member]] = {}
+        self._offer_due = 0.0
+        self._origins: dict[str, str] = {}
+        self._senders: dict[int, Callable[[w.FromLeader | None], None]] = {}
+        self._waiting: list[SessionInput] = []
+        self._placement_log = PlacementLog()
+        self._was_leader = False
+        self._stopping = False
+
+    # What others use.
+
+    def post(self, item: m.Envelope | SessionInput | SessionClosed) -> bool:
+        """Queue an input; return whether there was room."""
+        try:
+            self._inbox_send.send_nowait(item)
+        except anyio.WouldBlock:
+            return False
+        return True
+
+    @property
+    def leader_address(self) -> str:
+        """Address of the leader as far as this replica knows, or an empty text."""
+        member = self.core.membership.members.get(self.core.leader)
+        return f"{member.address}:{member.port}" if member is not None else ""
+
+    @property
+    def peers(self) -> tuple[str, ...]:
+        """Addresses of all members."""
+        members = self.core.membership.members.values()
+        return tuple(f"{item.address}:{item.port}" for item in members)
+
+    def describe(self) -> dict:
+        """Return this replica's part in the agreement, for status reports."""
+        core = self.core
+        return {
+            "replica": core.replica,
+            "role": core.role.value,
+            "term": core.term,
+            "commit": core.commit,
+            "applied": self._applied,
+            "leader": self.leader_address,
+            "voters": sorted(x.name for x in core.membership.voters.values()),
+            "learners": sorted(x.name for x in core.membership.learners.values()),
+            "serving": self.is_serving(),
+        }
+
+    def is_serving(self) -> bool:
+        """Return whether this replica acts as leader now."""
+        now = self._clock.monotonic()
+        enough = len(self.core.membership.voters) >= self.options.repair.target_voters
+        return enough and self.core.is_lease_valid(now)
+
+    # The task.
+
+    async def run(self) -> None:
+        """Run until cancelled or `hand_over` has finished."""
+        try:
+            while True:
+                inputs = await self._collect()
+                now = self._clock.monotonic()
+                self._feed(inputs, now)
+                self.core.tick(now)
+                self._offer_to_join(now)
+                self._direct(now)
+                await self._perform()
+                await self._take_snapshot_if_due()
+        finally:
+            self._storage.close()
+
+    async def hand_over(self) -> None:
+        """Pass the lead to another voter, if this replica leads."""
+        self._stopping = True
+        with anyio.move_on_after(self.options.timing.election_max * 2):
+            while self.core.is_leader:
+                await anyio.sleep(TICK_S)
+
+    async def _collect(self) -> list:
+        """Wait for inputs until the next tick and return all that arrived."""
+        inputs = []
+        with anyio.move_on_after(TICK_S):
+            inputs.append(await self._inbox.receive())
+        while inputs and len(inputs) < TURN_INPUTS:
+            try:
+                inputs.append(self._inbox.receive_nowait())
+            except anyio.WouldBlock:
+                break
+        return inputs
+
+    def _feed(self, inputs: list, now: float) -> None:
+        for item in inputs:
+            if isinstance(item, m.Envelope):
+                self._receive_envelope(item, now)
+            elif isinstance(item, SessionInput):
+                self._receive_session(item)
+            else:
+                self._senders.pop(item.session, None)
+                self._director.close_session(item.session)
+
+    def _receive_envelope(self, envelope: m.Envelope, now: float) -> None:
+        if envelope.cell != self.options.cell:
+            return
+        if isinstance(envelope.message, m.JoinRequest):
+            member = envelope.message.member
+            self._offers[member.replica] = (now, member)
+        elif envelope.target == self.core.replica:
+            self._origins[envelope.source] = envelope.origin
+            self.core.receive(envelope.source, envelope.message, now)
+
+    def _receive_session(self, item: SessionInput) -> None:
+        if not self.core.is_leader:
+            item.send(w.Redirect(self.leader_address, self.peers))
+            item.send(None)
+            return
+        self._senders[item.session] = item.send
+        self._waiting.append(item)
+
+    # Leading.
+
+    def _direct(self, now: float) -> None:
+        leads = self.core.is_leader
+        if self._was_leader and not leads:
+            self._stop_directing()
+        self._was_leader = leads
+        if not leads or not self.core.is_lease_valid(now):
+            return
+        self._change_membership(now)
+        if not self.is_serving() or not self._begin_directing(now):
+            return
+        wall = self._clock.now().timestamp()
+        self._director.set_peers(self.peers)
+        waiting, self._waiting = self._waiting, []
+        for item in waiting:
+            self._hand_to_director(item, now, wall)
+        self._director.tick(now, wall)
+        self._log_decisions()
+        if self._stopping:
+            self._transfer_lead(now)
+
+    def _begin_directing(self, now: float) -> bool:
+        """Start the director once everything committed is applied."""
+        if not self._director.active and self._applied >= self.core.commit:
+            logger.info(
+                "replica: leads", extra={"term": self.core.term, "index": self._applied}
+            )
+            self._director.begin(self.state, now)
+        return self._director.active
+
+    def _hand_to_director(self, item: SessionInput, now: float, wall: float) -> None:
+        if isinstance(item.message, w.Hello):
+            if item.message.cell != self.options.cell:
+                item.send(None)
+                return
+            self._director.open_session(item.session, item.message, item.send)
+            item.send(w.Welcome(self.options.name, self.core.term))
+        else:
+            self._director.receive(item.session, item.message, now, wall)
+
+    def _stop_directing(self) -> None:
+        logger.info("replica: leads no more", extra={"term": self.core.term})
+        self._director.end()
+        self._pending.clear()
+        self._waiting.clear()
+        redirect = w.Redirect(self.leader_address, self.peers)
+        for send in self._senders.values():
+            send(redirect)
+            send(None)
+        self._senders.clear()
+
+    def _transfer_lead(self, now: float) -> None:
+        followers = sorted(self.core.progress.items(), key=lambda item: -item[1].match)
+        for replica, _ in followers:
+            if self.core.transfer(replica, now):
+                return
+
+    def _change_membership(self, now: float) -> None:
+        self._offers = {
+            replica: offer
+            for replica, offer in self._offers.items()
+            if now - offer[0] < OFFER_S and replica not in self.core.membership.members
+        }
+        candidates = {replica: offer[1] for replica, offer in self._offers.items()}
+        membership = plan_membership(self.core, candidates, now, self.options.repair)
+        if membership is not None:
+            logger.info(
+                "replica: changes the membership",
+                extra={
+                    "voters": [item.name for item in membership.voters.values()],
+                    "learners": [item.name for item in membership.learners.values()],
+                },
+            )
+            self.core.propose_membership(membership, now)
+
+    def _propose_commands(self, now: float) -> None:
+        """Put the director's commands into log entries."""
+        if not self._director.active:
+            return
+        proposals = self._director.take_proposals()
+        for start in range(0, len(proposals), COMMANDS_PER_ENTRY):
+            part = proposals[start : start + COMMANDS_PER_ENTRY]
+            payload = c.encode_commands(tuple(item.command for item in part))
+            index = self.core.propose(payload, now)
+            self._pending[index] = PendingEntry(self.core.term, part)
+
+    def _log_decisions(self) -> None:
+        for decision in self._director.decisions:
+            self._placement_log.write(decision)
+            if decision.action == "place":
+                self._metrics.note_start(decision.job_class, decision.waited_s)
+        self._director.decisions.clear()
+        for change in self._director.allocations:
+            self._placement_log.write_grant(change)
+        self._director.allocations.clear()
+
+    # Effects.
+
+    async def _perform(self) -> None:
+        while True:
+            self._propose_commands(self._clock.monotonic())
+            effects = self.core.take_effects()
+            if not _has_work(effects):
+                return
+            self._send_all(effects.early_messages)
+            await self._store(effects)
+            self._send_all(effects.messages)
+            self._apply_all(effects.committed)
+
+    async def _store(self, effects: Effects) -> None:
+        if effects.snapshot is not None:
+            await self._install(*effects.snapshot)
+        if effects.hard_state is not None:
+            self._hard_state = effects.hard_state
+        if not (
+            effects.hard_state or effects.entries or effects.truncate_from is not None
+        ):
+            return
+        await anyio.to_thread.run_sync(
+            lambda: self._storage.write(
+                hard_state=effects.hard_state,
+                truncate_from=effects.truncate_from,
+                entries=effects.entries,
+            )
+        )
+        if effects.entries:
+            self.core.acknowledge_sync(effects.entries[-1].index)
+
+    async def _install(self, meta: m.SnapshotMeta, data: bytes) -> None:
+        """Store and restore a snapshot of the leader."""
+        self.state = load_state(data)
+        self._applied = meta.index
+        await anyio.to_thread.run_sync(self._storage.save_snapshot, meta, data)
+        await anyio.to_thread.run_sync(self._storage.reset, meta, self._hard_state)
+        logger.info("replica: restored a snapshot", extra={"index": meta.index})
+
+    def _send_all(self, messages: list[tuple[str, m.Message]]) -> None:
+        members = self.core.membership.members
+        for target, message in messages:
+            member = members.get(target)
+            address = (
+                f"{member.address}:{member.port}"
+                if member is not None
+                else self._origins.get(target)
+            )
+            if address is not None:
+                self._send_peer(address, self._wrap(target, message))
+
+    def _wrap(self, target: str, message: m.Message) -> m.Envelope:
+        own = self.options
+        origin = f"{own.address}:{own.port}"
+        return m.Envelope(own.cell, self.core.replica, origin, target, message)
+
+    def _apply_all(self, entries: list[m.Entry]) -> None:
+        for entry in entries:
+            self._applied = entry.index
+            if entry.kind is not m.EntryKind.COMMANDS:
+                continue
+            pending = self._pending.pop(entry.index, None)
+            commands = c.decode_commands(entry.payload)
+            results = [self.state.apply(command) for command in commands]
+            if pending is None or pending.term != entry.term:
+                continue
+            if self._director.active:
+                for proposal, result in zip(pending.proposals, results, strict=True):
+                    if proposal.on_result is not None:
+                        proposal.on_result(result)
+        if self._director.active:
+            self._director.after_apply()
+        else:
+            self.state.book.touched_workers.clear()
+            self.state.book.resized_workers.clear()
+
+    # Joining and snapshots.
+
+    def _offer_to_join(self, now: float) -> None:
+        """Offer to become a member while in none."""
+        if now < self._offer_due or self.core.replica in self.core.membership.members:
+            return
+        self._offer_due = now + 1.0
+        member = m.Member(
+            self.core.replica,
+            self.options.name,
+            self.options.address,
+            self.options.port,
+            self.options.data_centre,
+        )
+        envelope = self._wrap("", m.JoinRequest(0, member))
+        for address in {*self.options.seeds, *self.peers}:
+            self._send_peer(address, envelope)
+
+    async def _take_snapshot_if_due(self) -> None:
+        if self._storage.segment_bytes < self.options.snapshot_bytes:
+            return
+        term = self.core.log.find_term(self._applied)
+        data = dump_state(self.state)
+        meta = m.SnapshotMeta(
+            self._applied, term, self.core.find_membership_at(self._applied), len(data)
+        )
+        await anyio.to_thread.run_sync(self._storage.save_snapshot, meta, data)
+        self.core.compact(meta)
+        await anyio.to_thread.run_sync(
+            self._storage.compact, self.core.log, self._hard_state
+        )
+        logger.info(
+            "replica: took a snapshot", extra={"index": meta.index, "bytes": len(data)}
+        )
+
+
+def _has_work(effects: Effects) -> bool:
+    return bool(
+        effects.snapshot
+        or effects.hard_state
+        or effects.entries
+        or effects.truncate_from is not None
+        or effects.early_messages
+        or effects.messages
+        or effects.committed
+    )
--- /dev/null
+++ b/src/bluebellyoke/leader/reports.py
@@ -0,0 +1,181 @@
+"""Answers to questions about the cell: status, jobs, tickets and explanations."""
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from bluebellyoke.cell.jobs import Job, Task, TaskState
+from bluebellyoke.instance import wire as w
+
+if TYPE_CHECKING:
+    from bluebellyoke.leader.director import Director
+
+__all__ = ["answer"]
+
+#: Tasks that one answer lists, at most.
+LISTED_TASKS = 100
+
+
+def answer(
+    director: "Director", query: w.Query, now: float, wall: float
+) -> w.QueryReply:
+    """Return the answer to a query, as JSON."""
+    build = _TOPICS.get(query.topic)
+    report = build(director, query.subject, now, wall) if build else None
+    if report is None:
+        missing = {"reason": f"nothing is known of {query.topic} {query.subject!r}"}
+        return w.QueryReply(False, msgspec.json.encode(missing))
+    return w.QueryReply(True, msgspec.json.encode(report))
+
+
+def report_status(director: "Director", subject: str, now: float, wall: float) -> dict:
+    """Return the cell at a glance, and which instance has which view in force."""
+    state = director.state
+    book = state.book
+    counts = [0] * len(TaskState)
+    for job in book.jobs.values():
+        for task_state, count in enumerate(job.counts):
+            counts[task_state] += count
+    return {
+        "ticket": state.tickets.last_number,
+        "version": state.version,
+        "instances": {
+            session.instance: {
+                "version": session.view_version,
+                "in_force": session.view_version == state.version,
+                "live": director.instance_leases.is_live(session.holder, now),
+                "draining": session.draining,
+                "data_centre": session.data_centre,
+            }
+            for session in director.sessions.values()
+        },
+        "workers": {
+            "live": sum(worker.alive for worker in book.workers.values()),
+            "set_aside": sorted(
+                worker.name
+                for worker in book.workers.values()
+                if worker.alive and worker.set_aside_until > wall
+            ),
+            "total": book.total,
+        },
+        "tasks": {item.name.lower(): counts[item] for item in TaskState},
+        "jobs": len(book.jobs),
+        "workspaces": {
+            name: {"used": item.used, "unfinished_jobs": item.unfinished_jobs}
+            for name, item in book.workspaces.items()
+        },
+        "upstreams": {
+            item.name: {
+                "service": item.service,
+                "slots": item.slots,
+                "held": item.held,
+                "leaving": item.leaving,
+            }
+            for item in state.slots.upstreams.values()
+        },
+    }
+
+
+def report_job(
+    director: "Director", subject: str, now: float, wall: float
+) -> dict | None:
+    """Return a job and the tasks that have not simply ended."""
+    job = director.state.book.jobs.get(subject)
+    if job is None:
+        return None
+    return {
+        "id": job.spec.id,
+        "workspace": job.spec.workspace,
+        "kind": job.spec.kind,
+        "state": job.describe(),
+        "tasks": {item.name.lower(): job.counts[item] for item in TaskState},
+        "reason": job.reason,
+        "submitted_at": job.submitted_at,
+        "first_start_at": job.first_start_at,
+        "finished_at": job.finished_at,
+        "places": [_describe_task(task) for task in job.tasks[:LISTED_TASKS]],
+    }
+
+
+def _describe_task(task: Task) -> dict:
+    return {
+        "index": task.index,
+        "state": task.state.name.lower(),
+        "epoch": task.epoch,
+        "worker": task.worker.name if task.worker is not None else "",
+        "since": task.since,
+    }
+
+
+def report_explanation(
+    director: "Director", subject: str, now: float, wall: float
+) -> dict | None:
+    """Return why the tasks of a job wait, or where they went."""
+    job = director.state.book.jobs.get(subject)
+    if job is None:
+        return None
+    return {
+        "id": subject,
+        "state": job.describe(),
+        "why": _explain(director, job, wall),
+        "need": job.need,
+        "declared_need": job.spec.need,
+        "expected_s": job.expected_s,
+        "failed_on": sorted(job.failed_on),
+        "places": [_describe_task(task) for task in job.tasks[:LISTED_TASKS]],
+    }
+
+
+def _explain(director: "Director", job: Job, wall: float) -> str:
+    if job.finished_at:
+        return job.reason or f"it has finished: {job.describe()}"
+    if job.counts[TaskState.BACKOFF]:
+        return "a task failed and waits before its next start"
+    if not job.waiting:
+        return "every task has a place"
+    obstacle = director.engine.obstacles.get(job.spec.id)
+    if obstacle:
+        return f"waits: {obstacle}"
+    if not director.state.book.total.cpu_millis:
+        return "waits: no worker is in the cell"
+    return "waits for its turn by the fair order of the workspaces"
+
+
+def report_ticket(
+    director: "Director", subject: str, now: float, wall: float
+) -> dict | None:
+    """Return the outcome of a ticket, or the objects in force without a number."""
+    state = director.state
+    if subject:
+        record = state.tickets.records.get(int(subject)) if subject.isdigit() else None
+        if record is None:
+            return None
+        waiting = sorted(
+            session.instance
+            for session in director.sessions.values()
+            if session.view_version < record.version
+        )
+        return {
+            "number": int(subject),
+            "digest": record.digest,
+            "accepted_at": record.accepted_at,
+            "version": record.version,
+            "in_force": not waiting,
+            "waiting_for": waiting,
+        }
+    return {
+        "last_number": state.tickets.last_number,
+        "next_number": state.tickets.last_number + 1,
+        "version": state.version,
+        "services": list(state.services.values()),
+        "workspaces": [item.spec for item in state.book.workspaces.values()],
+        "drained_workers": state.drained_workers,
+    }
+
+
+_TOPICS = {
+    "status": report_status,
+    "job": report_job,
+    "explain": report_explanation,
+    "ticket": report_ticket,
+}
--- /dev/null
+++ b/src/bluebellyoke/metrics.py
@@ -0,0 +1,57 @@
+"""Waiting times and counters of an instance."""
+
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["Metrics"]
+
+#: Range and precision of the histograms: 1 µs to 10 minutes, two digits.
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+DIGITS = 2
+
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class Metrics:
+    """Histograms in microseconds, and counters by name."""
+
+    def __init__(self) -> None:
+        self._histograms: dict[str, HdrHistogram] = {}
+        self._counters: Counter[tuple[str, str]] = Counter()
+
+    def note_wait(self, seconds: float) -> None:
+        """Record the time from a request's arrival to its sending."""
+        self._record("request_wait_seconds", seconds)
+
+    def note_request(self, outcome: str, seconds: float) -> None:
+        """Record a request's final answer."""
+        self._counters["requests_total", outcome] += 1
+        self._record("request_seconds", seconds)
+
+    def note_start(self, job_class: str, seconds: float) -> None:
+        """Record the time from a task's submission to its placement."""
+        self._record(f"task_wait_seconds_{job_class}", seconds)
+
+    def _record(self, name: str, seconds: float) -> None:
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+            self._histograms[name] = histogram
+        value = min(max(int(seconds * 1e6), LOWEST_US), HIGHEST_US)
+        histogram.record_value(value)
+
+    def render(self) -> str:
+        """Return all figures in the Prometheus text format."""
+        lines = []
+        for name, histogram in sorted(self._histograms.items()):
+            full = f"bluebellyoke_{name}"
+            lines.append(f"# TYPE {full} summary")
+            for quantile in QUANTILES:
+                value = histogram.get_value_at_percentile(quantile) / 1e6
+                lines.append(f'{full}{{quantile="{quantile / 100:g}"}} {value:g}')
+            lines.append(f"{full}_count {histogram.get_total_count()}")
+        for (name, label), count in sorted(self._counters.items()):
+            lines.append(f'bluebellyoke_{name}{{outcome="{label}"}} {count}')
+        return "\n".join(lines) + "\n"
--- /dev/null
+++ b/src/bluebellyoke/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of tasks on workers."""
--- /dev/null
+++ b/src/bluebellyoke/placement/candidates.py
@@ -0,0 +1,201 @@
+"""Index of workers by free resources, for decisions without a full scan.
+
+Workers are kept in buckets by the binary logarithm of their free room: free
+processor time, or free memory converted at the cell's own ratio of both, whichever
+is scarcer. A worker of a bucket above that of a task holds the task for certain. A
+decision looks at a bounded number of workers a bucket, so that its cost does not
+grow with the cell; in a cell of that size or less the search is exhaustive.
+"""
+
+import random
+from collections.abc import Iterable, Iterator
+
+from bluebellyoke.cell.jobbook import JobBook
+from bluebellyoke.cell.resources import Resources
+from bluebellyoke.cell.workers import Worker
+
+__all__ = ["Candidate", "CandidateIndex"]
+
+#: Buckets, enough for workers of a thousand cores.
+BUCKETS = 22
+
+#: Workers of one bucket that a search looks at, at most.
+PROBES_PER_BUCKET = 64
+
+
+class Candidate:
+    """A worker with its free resources less what the current round has planned.
+
+    Attributes:
+        bucket: Bucket that holds the candidate, or -1.
+        position: Place inside the bucket.
+        reserved_for: Job for which the worker is kept free, or an empty text.
+    """
+
+    __slots__ = (
+        "accelerators",
+        "bucket",
+        "cpu_millis",
+        "memory_mb",
+        "position",
+        "reserved_for",
+        "worker",
+    )
+
+    def __init__(self, worker: Worker) -> None:
+        self.worker = worker
+        self.bucket = -1
+        self.position = 0
+        self.reserved_for = ""
+        self.sync()
+
+    def sync(self) -> None:
+        """Take over the worker's free resources."""
+        self.cpu_millis = self.worker.free_cpu
+        self.memory_mb = self.worker.free_memory
+        self.accelerators = self.worker.free_accelerators
+
+    def can_hold(self, need: Resources) -> bool:
+        """Return whether the unplanned free resources cover `need`."""
+        return (
+            need.cpu_millis <= self.cpu_millis
+            and need.memory_mb <= self.memory_mb
+            and need.accelerators <= self.accelerators
+        )
+
+    def plan(self, need: Resources) -> None:
+        """Set resources aside for a planned task."""
+        self.cpu_millis -= need.cpu_millis
+        self.memory_mb -= need.memory_mb
+        self.accelerators -= need.accelerators
+
+    def cancel_plan(self, need: Resources) -> None:
+        """Return the resources of a planned task."""
+        self.cpu_millis += need.cpu_millis
+        self.memory_mb += need.memory_mb
+        self.accelerators += need.accelerators
+
+
+class CandidateIndex:
+    """Live workers in buckets by free room, with and without accelerators apart.
+
+    Args:
+        random_source: Source of the sampling offsets.
+    """
+
+    def __init__(self, random_source: random.Random) -> None:
+        self.candidates: dict[str, Candidate] = {}
+        self._groups = _create_groups()
+        self._random = random_source
+        self._planned: set[str] = set()
+        self._memory_ratio = 1.0
+
+    def rebuild(self, book: JobBook) -> None:
+        """Index every worker anew."""
+        self.candidates.clear()
+        self._groups = _create_groups()
+        self._planned.clear()
+        self._memory_ratio = book.total.cpu_millis / (book.total.memory_mb or 1)
+        book.resized_workers = set()
+        self._refresh(book, book.workers)
+
+    def refresh(self, book: JobBook) -> None:
+        """Take over the workers that changed since the last round."""
+        ratio = book.total.cpu_millis / (book.total.memory_mb or 1)
+        if not 0.8 * self._memory_ratio <= ratio <= 1.25 * self._memory_ratio:
+            self.rebuild(book)
+            return
+        names = book.resized_workers | self._planned
+        book.resized_workers = set()
+        self._planned = set()
+        self._refresh(book, names)
+
+    def _refresh(self, book: JobBook, names: Iterable[str]) -> None:
+        for name in names:
+            worker = book.workers.get(name)
+            candidate = self.candidates.get(name)
+            if candidate is not None and candidate.worker is not worker:
+                self._remove(candidate)
+                del self.candidates[name]
+                candidate = None
+            if worker is None or not worker.alive:
+                if candidate is not None:
+                    self._remove(candidate)
+                    del self.candidates[name]
+                continue
+            if candidate is None:
+                candidate = self.candidates[name] = Candidate(worker)
+            candidate.sync()
+            self._file(candidate)
+
+    def plan(self, candidate: Candidate, need: Resources) -> None:
+        """Set resources of a candidate aside for the current round."""
+        candidate.plan(need)
+        self._planned.add(candidate.worker.name)
+        self._file(candidate)
+
+    def cancel_plan(self, candidate: Candidate, need: Resources) -> None:
+        """Return resources that were set aside in the current round."""
+        candidate.cancel_plan(need)
+        self._file(candidate)
+
+    def _find_bucket(self, room: float) -> int:
+        return min(max(int(room), 0).bit_length(), BUCKETS - 1)
+
+    def _file(self, candidate: Candidate) -> None:
+        memory = candidate.memory_mb * self._memory_ratio
+        bucket = self._find_bucket(min(candidate.cpu_millis, memory))
+        if bucket == candidate.bucket:
+            return
+        self._remove(candidate)
+        row = self._find_group(candidate)[bucket]
+        candidate.bucket = bucket
+        candidate.position = len(row)
+        row.append(candidate)
+
+    def _find_group(self, candidate: Candidate) -> list[list[Candidate]]:
+        return self._groups[candidate.worker.total.accelerators > 0]
+
+    def _remove(self, candidate: Candidate) -> None:
+        if candidate.bucket < 0:
+            return
+        row = self._find_group(candidate)[candidate.bucket]
+        last = row.pop()
+        if last is not candidate:
+            row[candidate.position] = last
+            last.position = candidate.position
+        candidate.bucket = -1
+
+    def search(
+        self, need: Resources, *, accelerated: bool, fullest_first: bool
+    ) -> Iterator[Candidate]:
+        """Yield workers whose room may cover `need`.
+
+        Args:
+            need: Resources of the task.
+            accelerated: Whether to search the workers with accelerators.
+            fullest_first: Whether to begin with the workers that have least room.
+        """
+        memory = need.memory_mb * self._memory_ratio
+        lowest = self._find_bucket(min(need.cpu_millis, memory))
+        order = range(lowest, BUCKETS)
+        group = self._groups[accelerated]
+        for bucket in order if fullest_first else reversed(order):
+            row = group[bucket]
+            size = len(row)
+            if not size:
+                continue
+            start = self._random.randrange(size)
+            for step in range(min(size, PROBES_PER_BUCKET)):
+                yield row[(start + step) % size]
+
+    def sample(self, count: int) -> list[Candidate]:
+        """Return up to `count` random workers, whatever they have free."""
+        everyone = list(self.candidates.values())
+        if len(everyone) <= count:
+            return everyone
+        return self._random.sample(everyone, count)
+
+
+def _create_groups() -> dict[bool, list[list[Candidate]]]:
+    return {flag: [[] for _ in range(BUCKETS)] for flag in (False, True)}
--- /dev/null
+++ b/src/bluebellyoke/placement/engine.py
@@ -0,0 +1,404 @@
+"""Planning rounds: which waiting tasks start where.
+
+A round serves urgent jobs first, then the workspaces in the order of their fair
+rank, a few tasks a turn. It reads the job book and returns placements to commit; it
+changes nothing but its own index and notes.
+
+Rules:
+    * A gang is planned whole or not at all.
+    * A job that finds no room lets others pass. After a while workers are reserved
+      for it, and others pass only where they end before the reservation is due.
+    * An urgent job that finds no room stops the cheapest restartable tasks of one
+      worker.
+    * A workspace below its due share that finds no room gets room back from the one
+      that is furthest above its own.
+    * Tasks that must not run twice are never stopped for others.
+"""
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from bluebellyoke.cell.commands import JobKind, Placement
+from bluebellyoke.cell.jobbook import JobBook
+from bluebellyoke.cell.jobs import Job, JobClass, Task
+from bluebellyoke.cell.resources import Resources
+from bluebellyoke.placement.candidates import Candidate, CandidateIndex
+from bluebellyoke.placement.fairness import FairShares
+from bluebellyoke.placement.policies import SAME_RACK_PENALTY, PlacementPolicy
+from bluebellyoke.placement.preemption import PreemptionPlanner
+from bluebellyoke.placement.reservations import Reservations
+
+__all__ = ["Decision", "PlacementEngine", "Round"]
+
+#: Placements of one round, at most.
+ROUND_LIMIT = 512
+
+#: Jobs of one queue that a round tries in vain before it leaves the queue.
+TRIED_JOBS_LIMIT = 64
+
+#: Workers of the cell for each task that a workspace may plan in one turn.
+WORKERS_PER_TURN_TASK = 64
+TURN_TASKS_LIMIT = 16
+
+#: Score of a worker on which a task of the same job failed.
+FAILED_HERE_PENALTY = 100.0
+
+#: Sizes remembered as finding no room in a round, at most.
+FULL_SIZES_LIMIT = 8
+
+#: Notes on waiting jobs kept for `explain`, at most.
+OBSTACLES_LIMIT = 20_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Decision:
+    """One placement decision, for the log and for `explain`."""
+
+    action: str
+    job_id: str
+    index: int
+    worker: str
+    reason: str
+    job_class: JobClass
+    waited_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Round:
+    """What a planning round decided."""
+
+    placements: list[Placement] = field(default_factory=list)
+    preemptions: list[tuple[str, int, int]] = field(default_factory=list)
+    decisions: list[Decision] = field(default_factory=list)
+
+
+class PlacementEngine:
+    """Plans rounds over a job book.
+
+    Args:
+        policy: Choices that differ between operators.
+        random_source: Source of sampling.
+        day_hours: First and last hour of the day on which services go first.
+        utc_offset_hours: Offset of the operator's local time.
+    """
+
+    def __init__(
+        self,
+        *,
+        policy: PlacementPolicy,
+        random_source: random.Random,
+        day_hours: tuple[int, int] = (6, 18),
+        utc_offset_hours: int = 0,
+    ) -> None:
+        self.policy = policy
+        self.obstacles: dict[str, str] = {}
+        self._index = CandidateIndex(random_source)
+        self._shares = FairShares()
+        self._reservations = Reservations(self._index)
+        self._preemption = PreemptionPlanner(self._index, self._shares)
+        self._day_hours = day_hours
+        self._utc_offset_hours = utc_offset_hours
+        self._full_sizes: list[Resources] = []
+        self._blocked: set[str] = set()
+        self._racks: dict[str, Counter] = {}
+        self._planned: dict[str, int] = {}
+        self._cursors: dict[str, Iterator[int]] = {}
+
+    def rebuild(self, book: JobBook) -> None:
+        """Begin anew with a book, as after a change of leader."""
+        self._index.rebuild(book)
+        self._reservations.clear()
+        self._preemption.clear()
+
+    def plan(self, book: JobBook, now: float, limit: int = ROUND_LIMIT) -> Round:
+        """Plan one round.
+
+        Args:
+            book: Jobs, workers and workspaces.
+            now: Wall-clock time, in seconds.
+            limit: Placements, at most.
+        """
+        self._index.refresh(book)
+        self._shares.begin_round(book, now)
+        self._reservations.refresh(book, now)
+        self._preemption.refresh(book, now)
+        self._full_sizes.clear()
+        self._blocked.clear()
+        self._racks.clear()
+        self._planned.clear()
+        self._cursors.clear()
+        result = Round()
+        self._plan_urgent(book, now, limit, result)
+        self._plan_fairly(book, now, limit, result)
+        return result
+
+    # Order of jobs.
+
+    def _plan_urgent(
+        self, book: JobBook, now: float, limit: int, result: Round
+    ) -> None:
+        jobs = [
+            job
+            for name in book.workspaces
+            for job in book.queues.get((name, JobClass.URGENT), {}).values()
+        ]
+        jobs.sort(key=lambda job: job.submitted_at)
+        for job in jobs:
+            while self._count_left(job) and len(result.placements) < limit:
+                if not self._plan_job(book, job, now, result):
+                    self._preempt_for(book, job, now, result)
+                    break
+
+    def _plan_fairly(
+        self, book: JobBook, now: float, limit: int, result: Round
+    ) -> None:
+        heap = [
+            (self._shares.rank(name, item.spec.share), name)
+            for name, item in book.workspaces.items()
+            if self._has_work(book, name)
+        ]
+        heapq.heapify(heap)
+        turn = min(
+            max(len(self._index.candidates) // WORKERS_PER_TURN_TASK, 1),
+            TURN_TASKS_LIMIT,
+        )
+        while heap and len(result.placements) < limit:
+            _, name = heapq.heappop(heap)
+            if self._take_turn(book, name, now, turn, result):
+                rank = self._shares.rank(name, book.workspaces[name].spec.share)
+                heapq.heappush(heap, (rank, name))
+
+    def _has_work(self, book: JobBook, workspace: str) -> bool:
+        return (workspace, JobClass.SERVICE) in book.queues or (
+            workspace,
+            JobClass.BATCH,
+        ) in book.queues
+
+    def _take_turn(
+        self,
+        book: JobBook,
+        workspace: str,
+        now: float,
+        turn: int,
+        result: Round,
+    ) -> bool:
+        """Plan a few tasks of a workspace; return whether any found room."""
+        for job in self._list_jobs(book, workspace, now):
+            planned = 0
+            while planned < turn and self._count_left(job):
+                if not self._plan_job(book, job, now, result):
+                    self._handle_blocked(book, job, now, result)
+                    break
+                planned += 1
+            if planned:
+                return True
+        return False
+
+    def _list_jobs(self, book: JobBook, workspace: str, now: float) -> Iterator[Job]:
+        """Yield the jobs of a workspace that a round has not yet tried in vain."""
+        for job_class in self._order_classes(now):
+            queue = book.queues.get((workspace, job_class))
+            if not queue:
+                continue
+            tried = 0
+            for job in self.policy.order_jobs(queue.values(), now):
+                if job.spec.id in self._blocked:
+                    tried += 1
+                    if tried >= TRIED_JOBS_LIMIT:
+                        break
+                    continue
+                if self._count_left(job):
+                    yield job
+
+    def _order_classes(self, now: float) -> tuple[JobClass, JobClass]:
+        hour = (now / 3600 + self._utc_offset_hours) % 24
+        if self._day_hours[0] <= hour < self._day_hours[1]:
+            return (JobClass.SERVICE, JobClass.BATCH)
+        return (JobClass.BATCH, JobClass.SERVICE)
+
+    # Planning of one job.
+
+    def _count_left(self, job: Job) -> int:
+        """Return how many waiting tasks of a job the round has not planned yet."""
+        return len(job.waiting) - self._planned.get(job.spec.id, 0)
+
+    def _plan_job(self, book: JobBook, job: Job, now: float, result: Round) -> bool:
+        """Plan the next task of a job, or the whole gang; return whether it worked."""
+        if job.is_gang:
+            return self._plan_gang(book, job, now, result)
+        candidate = self._choose(book, job, now)
+        if candidate is None:
+            return False
+        self._commit_plan(job, [candidate], now, result)
+        return True
+
+    def _plan_gang(self, book: JobBook, job: Job, now: float, result: Round) -> bool:
+        if len(job.waiting) < job.spec.tasks:
+            self._note_obstacle(job, "members of the gang have not all stopped")
+            return False
+        chosen: list[Candidate] = []
+        for _ in range(job.spec.tasks):
+            candidate = self._choose(book, job, now)
+            if candidate is None:
+                break
+            self._index.plan(candidate, job.need)
+            self._shares.add(job.spec.workspace, job.need)
+            chosen.append(candidate)
+        for candidate in chosen:
+            self._index.cancel_plan(candidate, job.need)
+            self._shares.add(job.spec.workspace, job.need, -1)
+        if len(chosen) < job.spec.tasks:
+            self._note_obstacle(
+                job, f"room for {len(chosen)} of {job.spec.tasks} members"
+            )
+            return False
+        self._commit_plan(job, chosen, now, result)
+        return True
+
+    def _commit_plan(
+        self, job: Job, chosen: list[Candidate], now: float, result: Round
+    ) -> None:
+        cursor = self._cursors.get(job.spec.id)
+        if cursor is None:
+            cursor = self._cursors[job.spec.id] = iter(job.waiting)
+        for candidate in chosen:
+            index = next(cursor)
+            task = job.tasks[index]
+            worker = candidate.worker
+            self._index.plan(candidate, job.need)
+            self._shares.add(job.spec.workspace, job.need)
+            if job.spec.id in self._racks:
+                self._racks[job.spec.id][worker.rack] += 1
+            result.placements.append(
+                Placement(
+                    job.spec.id, index, task.epoch + 1, worker.name, worker.session
+                )
+            )
+            result.decisions.append(
+                Decision(
+                    action="place",
+                    job_id=job.spec.id,
+                    index=index,
+                    worker=worker.name,
+                    reason=f"best of the sampled workers by {self.policy.name}",
+                    job_class=job.job_class,
+                    waited_s=now - task.since,
+                )
+            )
+        self._planned[job.spec.id] = self._planned.get(job.spec.id, 0) + len(chosen)
+        self.obstacles.pop(job.spec.id, None)
+        self._reservations.end(job.spec.id)
+
+    def _choose(self, book: JobBook, job: Job, now: float) -> Candidate | None:
+        """Return the best worker for a task of a job, or None."""
+        need = job.need
+        workspace = book.workspaces[job.spec.workspace]
+        if not self._shares.allows(workspace.spec.name, workspace.spec.quota, need):
+            self._note_obstacle(job, "the workspace's quota is used up")
+            return None
+        for candidate in self._reservations.list_workers(job.spec.id):
+            if candidate.can_hold(need) and candidate.worker.is_open(now):
+                return candidate
+        if any(size.fits_in(need) for size in self._full_sizes):
+            self._note_obstacle(job, "no worker has room")
+            return None
+        best = None
+        for accelerated in (True,) if need.accelerators else (False, True):
+            best = self._choose_from(job, need, now, accelerated)
+            if best is not None:
+                return best
+        self._note_obstacle(job, "no worker has room")
+        if len(self._full_sizes) < FULL_SIZES_LIMIT:
+            self._full_sizes.append(need)
+        return None
+
+    def _choose_from(
+        self, job: Job, need: Resources, now: float, accelerated: bool
+    ) -> Candidate | None:
+        best, best_score, seen = None, 0.0, 0
+        policy = self.policy
+        found = self._index.search(
+            need, accelerated=accelerated, fullest_first=policy.fullest_first
+        )
+        for candidate in found:
+            if not candidate.can_hold(need) or not candidate.worker.is_open(now):
+                continue
+            if not self._reservations.allows(candidate, job, now):
+                continue
+            score = policy.score(candidate, need) + self._penalize(candidate, job)
+            if best is None or score < best_score:
+                best, best_score = candidate, score
+            seen += 1
+            if seen >= policy.sample_size:
+                break
+        return best
+
+    def _penalize(self, candidate: Candidate, job: Job) -> float:
+        penalty = 0.0
+        if candidate.worker.name in job.failed_on:
+            penalty += FAILED_HERE_PENALTY
+        if job.spec.kind is JobKind.SERVICE:
+            racks = self._count_racks(job)
+            penalty += SAME_RACK_PENALTY * racks[candidate.worker.rack]
+            penalty += racks[candidate.worker.data_centre] / (job.spec.tasks or 1)
+        return penalty
+
+    def _count_racks(self, job: Job) -> Counter:
+        """Return how many tasks of a service each rack and data centre runs."""
+        racks = self._racks.get(job.spec.id)
+        if racks is None:
+            racks = self._racks[job.spec.id] = Counter()
+            for task in job.tasks:
+                if task.worker is not None:
+                    racks[task.worker.rack] += 1
+                    racks[task.worker.data_centre] += 1
+        return racks
+
+    # Jobs without room.
+
+    def _handle_blocked(
+        self, book: JobBook, job: Job, now: float, result: Round
+    ) -> None:
+        self._blocked.add(job.spec.id)
+        self._reservations.consider(book, job, now)
+        victims = self._preemption.plan_give_back(book, job, now)
+        self._note_victims(
+            victims,
+            f"its workspace is above its due; {job.spec.id} waits below",
+            now,
+            result,
+        )
+
+    def _preempt_for(self, book: JobBook, job: Job, now: float, result: Round) -> None:
+        """Free room for the waiting tasks of an urgent job."""
+        for _ in range(self._count_left(job)):
+            victims = self._preemption.plan_urgent(book, job, now)
+            if not victims:
+                return
+            self._note_victims(
+                victims, f"urgent job {job.spec.id} needs its room", now, result
+            )
+
+    def _note_victims(
+        self, victims: list[Task], reason: str, now: float, result: Round
+    ) -> None:
+        for task in victims:
+            result.preemptions.append((*task.key, task.epoch))
+            result.decisions.append(
+                Decision(
+                    action="preempt",
+                    job_id=task.job.spec.id,
+                    index=task.index,
+                    worker=task.worker.name,
+                    reason=reason,
+                    job_class=task.job.job_class,
+                )
+            )
+
+    def _note_obstacle(self, job: Job, reason: str) -> None:
+        if len(self.obstacles) >= OBSTACLES_LIMIT:
+            self.obstacles.clear()
+        self.obstacles[job.spec.id] = reason
--- /dev/null
+++ b/src/bluebellyoke/placement/policies.py
@@ -0,0 +1,140 @@
+"""Placement policies: which worker and which job come first.
+
+`PackingPolicy` keeps as few workers busy as it can and plans seldom, for small
+workers and a small control budget. `WaitingPolicy` starts work as early as it can:
+it plans often, takes the emptiest workers and the shortest jobs first.
+"""
+
+import abc
+from collections.abc import Iterable
+from itertools import islice
+
+from bluebellyoke.cell.jobs import Job
+from bluebellyoke.cell.resources import Resources
+from bluebellyoke.errors import BluebellyokeError
+from bluebellyoke.placement.candidates import Candidate
+
+__all__ = [
+    "PackingPolicy",
+    "PlacementPolicy",
+    "UnknownPolicyError",
+    "WaitingPolicy",
+    "create_policy",
+]
+
+#: Score that keeps ordinary tasks off workers with free accelerators.
+ACCELERATOR_PENALTY = 4.0
+
+#: Score of a rack or data centre that already runs a task of the same service.
+SAME_RACK_PENALTY = 2.0
+
+#: Jobs at the head of a queue among which the shortest is chosen.
+SHORTEST_OF = 8
+
+#: Wait after which a job is no longer overtaken by shorter ones, in seconds.
+OVERTAKING_LIMIT_S = 60.0
+
+
+class UnknownPolicyError(BluebellyokeError):
+    """The settings name no shipped policy."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(
+            f"no placement policy is named {name!r}",
+            remedy="choose `packing` or `waiting`",
+        )
+
+
+class PlacementPolicy(abc.ABC):
+    """Choices in which placements differ between operators.
+
+    Attributes:
+        name: Value of the setting that selects the policy.
+        sample_size: Suitable workers that are compared for one task.
+        interval_s: Shortest time between two planning rounds, in seconds.
+        fullest_first: Whether the search begins with the fullest workers.
+    """
+
+    name: str
+    sample_size: int
+    interval_s: float
+    fullest_first: bool
+
+    @abc.abstractmethod
+    def score(self, candidate: Candidate, need: Resources) -> float:
+        """Return how bad a worker is for a task; the least score wins."""
+
+    @abc.abstractmethod
+    def order_jobs(self, jobs: Iterable[Job], now: float) -> Iterable[Job]:
+        """Return the jobs of one queue in the order in which to try them."""
+
+
+class PackingPolicy(PlacementPolicy):
+    """Best fit: the worker whose remaining room is smallest and most even."""
+
+    name = "packing"
+    sample_size = 32
+    interval_s = 0.1
+    fullest_first = True
+
+    def score(self, candidate: Candidate, need: Resources) -> float:
+        """Return the room left, plus how unevenly it is left."""
+        total = candidate.worker.total
+        cpu = (candidate.cpu_millis - need.cpu_millis) / (total.cpu_millis or 1)
+        memory = (candidate.memory_mb - need.memory_mb) / (total.memory_mb or 1)
+        score = cpu + memory + abs(cpu - memory)
+        if candidate.accelerators and not need.accelerators:
+            score += ACCELERATOR_PENALTY
+        return score
+
+    def order_jobs(self, jobs: Iterable[Job], now: float) -> Iterable[Job]:
+        """Return the jobs as they came."""
+        return jobs
+
+
+class WaitingPolicy(PlacementPolicy):
+    """Earliest start: few comparisons, emptiest worker, shortest job."""
+
+    name = "waiting"
+    sample_size = 8
+    interval_s = 0.01
+    fullest_first = False
+
+    def score(self, candidate: Candidate, need: Resources) -> float:
+        """Return how full the worker is."""
+        total = candidate.worker.total
+        cpu = (candidate.cpu_millis - need.cpu_millis) / (total.cpu_millis or 1)
+        memory = (candidate.memory_mb - need.memory_mb) / (total.memory_mb or 1)
+        score = -min(cpu, memory)
+        if candidate.accelerators and not need.accelerators:
+            score += ACCELERATOR_PENALTY
+        return score
+
+    def order_jobs(self, jobs: Iterable[Job], now: float) -> Iterable[Job]:
+        """Return the shortest of the first jobs ahead of the others.
+
+        A job that has waited long is overtaken no more.
+        """
+        iterator = iter(jobs)
+        head = list(islice(iterator, SHORTEST_OF))
+        head.sort(key=lambda job: _rank_by_length(job, now))
+        yield from head
+        yield from iterator
+
+
+def _rank_by_length(job: Job, now: float) -> float:
+    if now - job.submitted_at > OVERTAKING_LIMIT_S:
+        return 0.0
+    return job.expected_s
+
+
+def create_policy(name: str) -> PlacementPolicy:
+    """Return the policy of a setting's value.
+
+    Raises:
+        UnknownPolicyError: No policy has this name.
+    """
+    for policy in (PackingPolicy, WaitingPolicy):
+        if policy.name == name:
+            return policy()
+    raise UnknownPolicyError(name)
--- /dev/null
+++ b/src/bluebellyoke/placement/reservations.py
@@ -0,0 +1,151 @@
+"""Workers kept free for jobs that would otherwise starve.
+
+A job that found no room for a while gets the workers that can hold it earliest. Other
+jobs may use these workers only where they are expected to end before the
+reservation is due.
+"""
+
+from dataclasses import dataclass
+
+from bluebellyoke.cell.jobbook import JobBook
+from bluebellyoke.cell.jobs import Job, JobClass, TaskState
+from bluebellyoke.cell.resources import Resources
+from bluebellyoke.cell.workers import Worker
+from bluebellyoke.placement.candidates import Candidate, CandidateIndex
+
+__all__ = ["Reservations"]
+
+#: Wait after which workers are reserved for a job, in seconds.
+RESERVE_AFTER_S = 20.0
+
+#: Reservations at one time, at most.
+RESERVATIONS_LIMIT = 4
+
+#: Run time assumed of a task that declares none, in seconds.
+ASSUMED_RUN_S = 600.0
+
+#: Time past its due time after which a reservation is planned anew, in seconds.
+OVERDUE_S = 60.0
+
+
+@dataclass(slots=True)
+class Reservation:
+    """Workers kept for one job, and when they should have room."""
+
+    workers: list[Candidate]
+    due: float
+
+
+class Reservations:
+    """Reservations in force, by job.
+
+    Args:
+        index: Workers to reserve.
+    """
+
+    def __init__(self, index: CandidateIndex) -> None:
+        self._index = index
+        self._by_job: dict[str, Reservation] = {}
+
+    def clear(self) -> None:
+        """Forget all reservations."""
+        self._by_job.clear()
+
+    def refresh(self, book: JobBook, now: float) -> None:
+        """End the reservations whose job is gone or that are overdue."""
+        for job_id, reservation in list(self._by_job.items()):
+            job = book.jobs.get(job_id)
+            if job is None or not job.waiting or now > reservation.due + OVERDUE_S:
+                self.end(job_id)
+
+    def end(self, job_id: str) -> None:
+        """End the reservation of a job, if there is one."""
+        reservation = self._by_job.pop(job_id, None)
+        if reservation is None:
+            return
+        for candidate in reservation.workers:
+            if candidate.reserved_for == job_id:
+                candidate.reserved_for = ""
+
+    def list_workers(self, job_id: str) -> list[Candidate]:
+        """Return the live workers that are reserved for a job."""
+        reservation = self._by_job.get(job_id)
+        if reservation is None:
+            return []
+        return [item for item in reservation.workers if item.worker.alive]
+
+    def allows(self, candidate: Candidate, job: Job, now: float) -> bool:
+        """Return whether a job may use a worker in spite of a reservation."""
+        holder = candidate.reserved_for
+        if not holder or holder == job.spec.id:
+            return True
+        reservation = self._by_job.get(holder)
+        if reservation is None:
+            return job.job_class is JobClass.URGENT
+        return 0 < job.expected_s <= reservation.due - now
+
+    def consider(self, book: JobBook, job: Job, now: float) -> None:
+        """Reserve workers for a job that found no room, if it has waited long."""
+        if job.spec.id in self._by_job or len(self._by_job) >= RESERVATIONS_LIMIT:
+            return
+        first = job.tasks[next(iter(job.waiting))]
+        if now - first.since < RESERVE_AFTER_S:
+            return
+        count = job.spec.tasks if job.is_gang else 1
+        places = self._find_places(book, job, count, now)
+        if len(places) < count:
+            return
+        workers = list({id(item): item for _, item in places}.values())
+        due = max(at for at, _ in places)
+        for candidate in workers:
+            candidate.reserved_for = job.spec.id
+        self._by_job[job.spec.id] = Reservation(workers, due)
+
+    def _find_places(
+        self, book: JobBook, job: Job, count: int, now: float
+    ) -> list[tuple[float, Candidate]]:
+        """Return the earliest places for `count` tasks, with their times."""
+        places: list[tuple[float, Candidate]] = []
+        for candidate in self._index.candidates.values():
+            worker = candidate.worker
+            if candidate.reserved_for or worker.drained:
+                continue
+            if job.need.fits_in(worker.total):
+                times = estimate_free_times(worker, job.need, count, now)
+                places += ((at, candidate) for at in times)
+        places.sort(key=lambda place: place[0])
+        return places[:count]
+
+
+def estimate_free_times(
+    worker: Worker, need: Resources, count: int, now: float
+) -> list[float]:
+    """Return when a worker can be expected to hold each of up to `count` tasks."""
+    ends = sorted(
+        (
+            (_estimate_end(task, now), task.job.need)
+            for task in worker.tasks.values()
+            if task.job.job_class is not JobClass.SERVICE
+        ),
+        key=lambda item: item[0],
+    )
+    free = worker.free
+    times: list[float] = []
+    at = now
+    while len(times) < count:
+        if need.fits_in(free):
+            free = free - need
+            times.append(at)
+        elif ends:
+            at, freed = ends.pop(0)
+            free = free + freed
+        else:
+            break
+    return times
+
+
+def _estimate_end(task, now: float) -> float:
+    if task.state is not TaskState.RUNNING:
+        return now
+    expected = task.job.expected_s or ASSUMED_RUN_S
+    return max(task.since + expected, now)
--- /dev/null
+++ b/src/bluebellyoke/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing of callers' requests to upstreams."""
--- /dev/null
+++ b/src/bluebellyoke/settings.py
@@ -0,0 +1,155 @@
+"""Settings of an instance: a TOML file, checked as a whole.
+
+Every fault is reported with the file, the key and the remedy.
+"""
+
+import ipaddress
+import tomllib
+from pathlib import Path
+from typing import Annotated
+
+import pydantic
+
+from bluebellyoke.errors import BluebellyokeError
+
+__all__ = [
+    "CellSettings",
+    "InstanceSettings",
+    "LimitSettings",
+    "Settings",
+    "SettingsError",
+    "load_settings",
+]
+
+
+class SettingsError(BluebellyokeError):
+    """The settings file cannot be used.
+
+    Attributes:
+        faults: One line for each fault.
+    """
+
+    def __init__(self, path: Path, faults: list[str]) -> None:
+        super().__init__(
+            "\n".join(f"{path}: {fault}" for fault in faults),
+            remedy="see docs/SETTINGS.md",
+        )
+        self.faults = faults
+
+
+def _check_ip(value: str) -> str:
+    try:
+        ipaddress.ip_address(value)
+    except ValueError:
+        raise ValueError(
+            f"{value!r} is not an IP number; write one such as 10.0.0.5"
+        ) from None
+    return value
+
+
+def _check_endpoint(value: str) -> str:
+    host, separator, port = value.rpartition(":")
+    if not separator or not port.isdigit():
+        raise ValueError(f"{value!r} is no address; write IP:PORT")
+    _check_ip(host.strip("[]"))
+    return value
+
+
+IpNumber = Annotated[str, pydantic.AfterValidator(_check_ip)]
+Endpoint = Annotated[str, pydantic.AfterValidator(_check_endpoint)]
+Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
+Seconds = Annotated[float, pydantic.Field(gt=0)]
+
+
+class _Section(pydantic.BaseModel):
+    """A table of the file; unknown keys are faults."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class CellSettings(_Section):
+    """Table `cell`, alike on every instance of a cell."""
+
+    name: Annotated[str, pydantic.Field(min_length=1, max_length=64)]
+    voters: Annotated[int, pydantic.Field(ge=1, le=9)] = 3
+    replace_after_s: Seconds = 30.0
+    policy: Annotated[str, pydantic.Field(pattern="^(packing|waiting)$")] = "packing"
+    day_starts_hour: Annotated[int, pydantic.Field(ge=0, le=23)] = 6
+    day_ends_hour: Annotated[int, pydantic.Field(ge=1, le=24)] = 18
+    utc_offset_hours: Annotated[int, pydantic.Field(ge=-12, le=14)] = 0
+
+    @pydantic.field_validator("voters")
+    @classmethod
+    def _check_odd(cls, value: int) -> int:
+        if value % 2 == 0:
+            raise ValueError("an even number adds no safety; write an odd one")
+        return value
+
+
+class InstanceSettings(_Section):
+    """Table `instance`, of this instance alone."""
+
+    name: Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9._-]{1,64}$")]
+    data_centre: Annotated[str, pydantic.Field(min_length=1, max_length=64)]
+    address: IpNumber
+    http_port: Port
+    peer_port: Port
+    seeds: Annotated[tuple[Endpoint, ...], pydantic.Field(min_length=1)]
+    data_folder: Path | None = None
+
+
+class LimitSettings(_Section):
+    """Table `limits`, alike on every instance of a cell."""
+
+    longest_deadline_s: Seconds = 30.0
+    instance_lease_s: Annotated[float, pydantic.Field(gt=0.5, le=2.0)] = 1.8
+    worker_lease_s: Annotated[float, pydantic.Field(ge=2.0)] = 6.0
+    upstream_silence_s: Annotated[float, pydantic.Field(ge=1.0)] = 3.0
+    linger_s: Annotated[float, pydantic.Field(ge=0)] = 2.0
+    snapshot_mb: Annotated[int, pydantic.Field(ge=1, le=1024)] = 16
+
+
+class LogSettings(_Section):
+    """Table `log`."""
+
+    level: Annotated[str, pydantic.Field(pattern="^(debug|info|warning|error)$")] = (
+        "info"
+    )
+
+
+class Settings(_Section):
+    """The whole file."""
+
+    cell: CellSettings
+    instance: InstanceSettings
+    limits: LimitSettings = LimitSettings()
+    log: LogSettings = LogSettings()
+
+
+def load_settings(path: Path) -> Settings:
+    """Read and check a settings file.
+
+    Raises:
+        SettingsError: The file is missing, is no TOML or holds faults.
+    """
+    try:
+        data = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError(path, [f"cannot be read: {error.strerror}"]) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(path, [f"is no TOML: {error}"]) from error
+    try:
+        return Settings.model_validate(data)
+    except pydantic.ValidationError as error:
+        faults = [_describe_fault(item) for item in error.errors()]
+        raise SettingsError(path, faults) from None
+
+
+def _describe_fault(item: dict) -> str:
+    key = ".".join(str(part) for part in item["loc"])
+    if item["type"] == "extra_forbidden":
+        return f"key `{key}` is unknown; remove it or correct its spelling"
+    if item["type"] == "missing":
+        return f"key `{key}` is missing; add it"
+    message = item["msg"].removeprefix("Value error, ")
+    return f"key `{key}`: {message}"
--- /dev/null
+++ b/standins/cell.py
@@ -0,0 +1,296 @@
+"""A small cell of real processes on loopback, for the demo and the tests."""
+
+import contextlib
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import httpcore
+
+ROOT = Path(__file__).resolve().parent.parent
+
+SETTINGS = """\
+[cell]
+name = "{cell}"
+voters = {voters}
+replace_after_s = {replace_after_s}
+policy = "{policy}"
+
+[instance]
+name = "{name}"
+data_centre = "{data_centre}"
+address = "127.0.0.1"
+http_port = {http_port}
+peer_port = {peer_port}
+seeds = [{seeds}]
+{folder}
+
+[limits]
+longest_deadline_s = {longest_deadline_s}
+worker_lease_s = {worker_lease_s}
+linger_s = {linger_s}
+snapshot_mb = 1
+
+[log]
+level = "info"
+"""
+
+
+def find_ports(count: int) -> list[int]:
+    """Return free TCP ports of the loopback address."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+class Cell:
+    """Instances, upstreams and workers, each a process of its own.
+
+    Every process that it starts it also ends, by its own identity.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        *,
+        replicas: int = 3,
+        entries: int = 2,
+        voters: int = 3,
+        policy: str = "waiting",
+        replace_after_s: float = 30.0,
+        worker_lease_s: float = 3.0,
+        longest_deadline_s: float = 10.0,
+        linger_s: float = 0.3,
+    ) -> None:
+        self.folder = folder
+        self.processes: dict[str, subprocess.Popen] = {}
+        names = [f"i{number + 1}" for number in range(replicas + entries)]
+        ports = find_ports(2 * len(names))
+        self.http_ports = dict(zip(names, ports[: len(names)], strict=True))
+        self.peer_ports = dict(zip(names, ports[len(names) :], strict=True))
+        self.replicas = names[:replicas]
+        self.names = names
+        folder.mkdir(parents=True, exist_ok=True)
+        # A proxy between two instances may take the place of these addresses.
+        self.seed_ports = {name: self.peer_ports[name] for name in self.replicas}
+        self._options = {
+            "cell": "demo",
+            "voters": voters,
+            "policy": policy,
+            "replace_after_s": replace_after_s,
+            "worker_lease_s": worker_lease_s,
+            "longest_deadline_s": longest_deadline_s,
+            "linger_s": linger_s,
+        }
+
+    # Settings.
+
+    def get_settings_path(self, name: str) -> Path:
+        """Return the settings file of an instance."""
+        return self.folder / f"{name}.toml"
+
+    def get_data_folder(self, name: str) -> Path:
+        """Return the data folder of a replica."""
+        return self.folder / f"data-{name}"
+
+    def write_settings(self, name: str, seeds: list[str] | None = None) -> Path:
+        """Write the settings file of an instance."""
+        is_replica = name in self.replicas
+        folder = f'data_folder = "{self.get_data_folder(name)}"' if is_replica else ""
+        known = seeds or [f"127.0.0.1:{port}" for port in self.seed_ports.values()]
+        path = self.get_settings_path(name)
+        path.write_text(
+            SETTINGS.format(
+                name=name,
+                data_centre=f"dc{self.names.index(name) % 3 + 1}",
+                http_port=self.http_ports[name],
+                peer_port=self.peer_ports[name],
+                seeds=", ".join(f'"{seed}"' for seed in known),
+                folder=folder,
+                **self._options,
+            )
+        )
+        return path
+
+    @property
+    def addresses(self) -> list[str]:
+        """HTTP addresses of all instances."""
+        return [f"127.0.0.1:{port}" for port in self.http_ports.values()]
+
+    @property
+    def entries(self) -> str:
+        """HTTP addresses of all instances, joined by commas."""
+        return ",".join(self.addresses)
+
+    # Processes.
+
+    def run_cli(self, *arguments: str, check: bool = True) -> str:
+        """Run one subcommand and return what it printed."""
+        done = subprocess.run(
+            [sys.executable, "-m", "bluebellyoke", *arguments],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            cwd=ROOT,
+        )
+        if check and done.returncode:
+            raise RuntimeError(f"{arguments}: {done.stderr}{done.stdout}")
+        return done.stdout
+
+    def start_process(self, name: str, *arguments: str) -> subprocess.Popen:
+        """Start a Python module as a process and log to a file."""
+        log = open(self.folder / f"{name}.log", "ab")  # noqa: SIM115
+        process = subprocess.Popen(
+            [sys.executable, "-m", *arguments],
+            stdout=log,
+            stderr=log,
+            cwd=ROOT,
+        )
+        log.close()
+        self.processes[name] = process
+        return process
+
+    def start_instance(self, name: str) -> None:
+        """Start one instance."""
+        settings = str(self.get_settings_path(name))
+        self.start_process(name, "bluebellyoke", "serve", "--settings", settings)
+
+    def start(self, wait_s: float = 30.0) -> None:
+        """Create the cell, start all instances and wait until they serve."""
+        for name in self.names:
+            self.write_settings(name)
+        for position, name in enumerate(self.replicas):
+            extra = ["--new-cell"] if position == 0 else []
+            settings = str(self.get_settings_path(name))
+            self.run_cli("init", "--settings", settings, *extra)
+        for name in self.names:
+            self.start_instance(name)
+        for name in self.names:
+            self.wait_ready(name, wait_s)
+
+    def start_upstream(self, name: str, service: str, **options: str) -> None:
+        """Start a stand-in upstream."""
+        (port,) = find_ports(1)
+        arguments = {
+            "name": name,
+            "service": service,
+            "port": str(port),
+            "entries": self.entries,
+            "ledger": str(self.folder / f"{name}.ledger"),
+            **options,
+        }
+        self.start_process(name, "standins.upstream", *_build_flags(arguments))
+
+    def start_worker(self, name: str, *flags: str, **options: str) -> None:
+        """Start a stand-in worker."""
+        arguments = {
+            "name": name,
+            "entries": self.entries,
+            "ledger": str(self.folder / f"{name}.ledger"),
+            **options,
+        }
+        self.start_process(name, "standins.worker", *_build_flags(arguments), *flags)
+
+    def wait_ready(self, name: str, wait_s: float = 30.0) -> None:
+        """Wait until an instance's health check passes."""
+        wait_until(lambda: self.is_ready(name), wait_s, f"{name} to be ready")
+
+    def is_ready(self, name: str) -> bool:
+        """Return whether an instance's health check passes."""
+        return ask(f"127.0.0.1:{self.http_ports[name]}", "/healthz")[0] == 200
+
+    def find_leader(self) -> str | None:
+        """Return the instance that leads, by the replicas' own word."""
+        for name in self.replicas:
+            if name not in self.processes or self.processes[name].poll() is not None:
+                continue
+            status, value = ask(f"127.0.0.1:{self.http_ports[name]}", "/v1/instance")
+            if status == 200 and (value.get("replica") or {}).get("serving"):
+                return name
+        return None
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to one process."""
+        os.kill(self.processes[name].pid, number)
+
+    def kill(self, name: str) -> None:
+        """End one process without warning."""
+        process = self.processes.pop(name)
+        with contextlib.suppress(ProcessLookupError):
+            process.kill()
+        process.wait()
+
+    def stop(self, name: str, wait_s: float = 30.0) -> int:
+        """Stop one process gracefully and return its exit code."""
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGTERM)
+        try:
+            return process.wait(wait_s)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+            return -1
+
+    def stop_all(self) -> dict[str, int]:
+        """Stop everything, instances last, and return the exit codes."""
+        others = [name for name in self.processes if name not in self.names]
+        codes = {}
+        for group in (others, [x for x in self.names if x in self.processes]):
+            for name in group:
+                self.signal(name, signal.SIGCONT)
+                self.processes[name].send_signal(signal.SIGTERM)
+            for name in group:
+                codes[name] = self.stop(name)
+        return codes
+
+    def kill_all(self) -> None:
+        """End every process without warning."""
+        for name in list(self.processes):
+            self.kill(name)
+
+
+def _build_flags(arguments: dict[str, str]) -> list[str]:
+    flags = []
+    for key, value in arguments.items():
+        flags += [f"--{key.replace('_', '-')}", str(value)]
+    return flags
+
+
+def ask(address: str, path: str, method: str = "GET", body: bytes = b""):
+    """Return status and JSON of one request, or zero if nothing answered."""
+    import json
+
+    timeout = {"connect": 1.0, "read": 5.0, "write": 5.0}
+    try:
+        with httpcore.ConnectionPool() as pool:
+            response = pool.request(
+                method,
+                f"http://{address}{path}",
+                content=body,
+                extensions={"timeout": timeout},
+            )
+        return response.status, json.loads(response.content or b"{}")
+    except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError):
+        return 0, {}
+
+
+def wait_until(condition, wait_s: float, what: str) -> None:
+    """Wait for a condition.
+
+    Raises:
+        TimeoutError: It did not hold within `wait_s`.
+    """
+    end = time.monotonic() + wait_s
+    while time.monotonic() < end:
+        if condition():
+            return
+        time.sleep(0.05)
+    raise TimeoutError(f"waited {wait_s} s for {what}")
--- /dev/null
+++ b/standins/ledger.py
@@ -0,0 +1,25 @@
+"""Append-only record of what a stand-in did, one JSON object a line."""
+
+import json
+import time
+from pathlib import Path
+
+
+class Ledger:
+    """Writes events with the time they happened."""
+
+    def __init__(self, path: Path) -> None:
+        self._file = open(path, "a", buffering=1)  # noqa: SIM115
+
+    def write(self, event: str, **facts) -> None:
+        """Write one event."""
+        line = {"at": time.time(), "event": event, **facts}
+        self._file.write(json.dumps(line) + "\n")
+
+
+def read_ledger(path: Path) -> list[dict]:
+    """Return all whole events of a ledger, oldest first."""
+    if not path.exists():
+        return []
+    lines = path.read_text().splitlines()
+    return [json.loads(line) for line in lines if line.endswith("}")]
