--- /dev/null
+++ b/tests/consensus/cluster.py
@@ -0,0 +1,200 @@
+"""Several cores on a simulated network with disks that lose what is not synced."""
+
+import random
+from dataclasses import dataclass
+
+from bluebellyoke.consensus import messages as m
+from bluebellyoke.consensus.core import Core, Timing
+from bluebellyoke.consensus.log import EntryLog
+
+TIMING = Timing()
+
+
+class MemorySnapshots:
+    """Snapshot bytes in memory."""
+
+    def __init__(self):
+        self.data = b""
+
+    def read_chunk(self, offset, size):
+        return self.data[offset : offset + size]
+
+
+@dataclass
+class Disk:
+    """What one replica has synced."""
+
+    hard_state: m.HardState
+    base: m.SnapshotMeta
+    entries: list
+    snapshots: MemorySnapshots
+
+
+def create_member(replica):
+    return m.Member(replica, replica, "127.0.0.1", 1, f"dc-{replica}")
+
+
+class Cluster:
+    """Cores, their disks, the messages under way and what was committed."""
+
+    def __init__(self, count=3, seed=0):
+        self.now = 100.0
+        self.random = random.Random(seed)
+        self.disks = {}
+        self.cores = {}
+        self.network = []
+        self.cut = set()
+        self.committed = {}
+        self.leaders = {}
+        self.applied = {}
+        names = [f"r{number}" for number in range(count)]
+        voters = {name: create_member(name) for name in names}
+        base = m.SnapshotMeta(1, 1, m.Membership(voters, {}), 0)
+        for name in names:
+            self.add_replica(name, base, m.HardState(1, ""))
+
+    def add_replica(self, name, base=None, hard_state=None):
+        self.disks[name] = Disk(
+            hard_state or m.HardState(),
+            base or m.SnapshotMeta(),
+            [],
+            MemorySnapshots(),
+        )
+        self.start(name)
+
+    def start(self, name):
+        disk = self.disks[name]
+        self.cores[name] = Core(
+            replica=name,
+            log=EntryLog(disk.base, disk.entries),
+            hard_state=disk.hard_state,
+            timing=TIMING,
+            snapshots=disk.snapshots,
+            random_source=self.random,
+            now=self.now,
+        )
+        self.applied[name] = disk.base.index
+
+    def crash(self, name):
+        """Stop a replica before it syncs what it has in hand."""
+        self.cores.pop(name, None)
+
+    def wipe(self, name):
+        """Lose a replica's disk for good."""
+        self.crash(name)
+        del self.disks[name]
+
+    def pump(self, name):
+        """Do what a core asks for, in the order a shell does it."""
+        core = self.cores[name]
+        while True:
+            effects = core.take_effects()
+            work = (
+                effects.early_messages
+                + effects.messages
+                + effects.entries
+                + effects.committed
+            )
+            if not work and not effects.hard_state and not effects.snapshot:
+                if effects.truncate_from is None:
+                    return
+            self.send(name, effects.early_messages)
+            self.sync(name, core, effects)
+            self.send(name, effects.messages)
+            self.apply(name, effects.committed)
+            self.check(name, core)
+
+    def sync(self, name, core, effects):
+        disk = self.disks[name]
+        if effects.snapshot is not None:
+            disk.base, disk.snapshots.data = effects.snapshot
+            disk.entries = []
+            self.applied[name] = disk.base.index
+        if effects.hard_state is not None:
+            disk.hard_state = effects.hard_state
+        if effects.truncate_from is not None:
+            keep = effects.truncate_from - disk.base.index - 1
+            disk.entries = disk.entries[:keep]
+        disk.entries = disk.entries + effects.entries
+        if effects.entries:
+            core.acknowledge_sync(effects.entries[-1].index)
+
+    def send(self, source, messages):
+        for target, message in messages:
+            self.network.append((source, target, message))
+
+    def apply(self, name, entries):
+        for entry in entries:
+            assert entry.index == self.applied[name] + 1, "an entry was skipped"
+            self.applied[name] = entry.index
+            known = self.committed.setdefault(entry.index, entry)
+            assert known == entry, f"two entries were committed at {entry.index}"
+
+    def check(self, name, core):
+        if core.is_leader:
+            first = self.leaders.setdefault(core.term, name)
+            assert first == name, f"two leaders in term {core.term}"
+
+    def check_leases(self):
+        """At most one leader trusts its lease, and it holds all that is committed."""
+        trusted = [x for x, c in self.cores.items() if c.is_lease_valid(self.now)]
+        assert len(trusted) <= 1, f"{trusted} lead at once"
+        for name in trusted:
+            core = self.cores[name]
+            for index, entry in self.committed.items():
+                if index > core.log.base.index:
+                    assert core.log.find_term(index) == entry.term, "an entry was lost"
+
+    def is_cut(self, source, target):
+        return source in self.cut or target in self.cut
+
+    def deliver(self, position):
+        source, target, message = self.network.pop(position)
+        if target not in self.cores or self.is_cut(source, target):
+            return
+        self.cores[target].receive(source, message, self.now)
+        self.pump(target)
+
+    def advance(self, seconds):
+        self.now += seconds
+        for name in sorted(self.cores):
+            self.cores[name].tick(self.now)
+            self.pump(name)
+        self.check_leases()
+
+    def settle(self, seconds=6.0, step=0.05):
+        """Let time pass on a good network."""
+        end = self.now + seconds
+        while self.now < end:
+            self.advance(step)
+            while self.network:
+                self.deliver(0)
+            self.check_leases()
+
+    def find_leader(self):
+        for name, core in self.cores.items():
+            if core.is_lease_valid(self.now):
+                return name
+        return None
+
+    def propose(self, name, payload):
+        core = self.cores[name]
+        if core.is_leader:
+            core.propose(payload, self.now)
+            self.pump(name)
+
+    def compact(self, name):
+        """Take a snapshot of everything applied."""
+        core = self.cores[name]
+        index = self.applied[name]
+        if index <= core.log.base.index:
+            return
+        data = f"state-{index}".encode()
+        meta = m.SnapshotMeta(
+            index, core.log.find_term(index), core.find_membership_at(index), len(data)
+        )
+        disk = self.disks[name]
+        disk.snapshots.data = data
+        disk.entries = disk.entries[index - disk.base.index :]
+        disk.base = meta
+        core.compact(meta)
--- /dev/null
+++ b/tests/unprotected.py
@@ -0,0 +1,134 @@
+"""Shows that each proof fails without the protection that it proves.
+
+Each case removes one protection from a copy of the tree and runs the test that has
+to notice. Run it with `make unprotected`; a case passes if its test fails.
+"""
+
+import argparse
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+PACKAGE = "src/bluebellyoke"
+TIMEOUT_S = 600
+
+
+@dataclass(frozen=True)
+class Case:
+    """One protection, how to remove it, and the test that has to fail."""
+
+    name: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+CASES = [
+    Case(
+        "voters stay loyal to a leader heard lately",
+        "consensus/core.py",
+        "if self._is_loyal(now) and not request.transfer:",
+        "if False:",
+        "tests/consensus",
+    ),
+    Case(
+        "a restarted voter waits before it votes",
+        "consensus/core.py",
+        "        self._leader_heard_at = now\n        self.lead_since",
+        "        self._leader_heard_at = -1e9\n        self.lead_since",
+        "tests/consensus",
+    ),
+    Case(
+        "an entry of an earlier term is not counted as committed",
+        "consensus/core.py",
+        "if index > self.commit and self.log.find_term(index) == self.term:",
+        "if index > self.commit:",
+        "tests/consensus",
+    ),
+    Case(
+        "a vote is synced before it is sent",
+        "consensus/core.py",
+        "                self._set_term(self.term, source)\n",
+        "                self.voted_for = source\n",
+        "tests/consensus",
+    ),
+    Case(
+        "a vote goes only to an up-to-date log",
+        "consensus/core.py",
+        "granted = up_to_date and request.term == self.term and free_to_vote",
+        "granted = request.term == self.term and free_to_vote",
+        "tests/consensus",
+    ),
+    Case(
+        "a leader hands over only without its lease",
+        "consensus/core.py",
+        "        if self._transfer_to:\n            return False\n        return now <",
+        "        return now <",
+        "tests/consensus",
+    ),
+    Case(
+        "one membership change at a time",
+        "consensus/core.py",
+        "            and self.commit >= self._membership_index\n",
+        "",
+        "tests/consensus",
+    ),
+    Case(
+        "a pre-vote comes before a new term",
+        "consensus/core.py",
+        "self._campaign(now, pre=True)",
+        "self._campaign(now, pre=False)",
+        "tests/consensus",
+    ),
+]
+
+
+def run_case(case: Case) -> bool:
+    """Return whether the case's test fails on the unprotected copy."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(folder) / "tree"
+        ignored = shutil.ignore_patterns(".venv", ".git", "__pycache__", "dist")
+        shutil.copytree(ROOT, copy, ignore=ignored)
+        path = copy / PACKAGE / case.file
+        text = path.read_text()
+        if text.count(case.old) != 1:
+            print(f"STALE  {case.name}: found {text.count(case.old)} times")
+            return False
+        path.write_text(text.replace(case.old, case.new))
+        environment = {**os.environ, "PYTHONPATH": f"{copy}/src:{copy}"}
+        done = subprocess.run(
+            [sys.executable, "-m", "pytest", "-x", "-q", *case.test.split()],
+            cwd=copy,
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT_S,
+        )
+    failed = done.returncode == 1
+    line = next((x for x in done.stdout.splitlines() if x.startswith("E  ")), "")
+    print(f"{'caught' if failed else 'MISSED'}  {case.name}: {line.strip()[:100]}")
+    return failed
+
+
+def main() -> None:
+    """Run the cases whose name contains the argument."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("words", nargs="?", default="")
+    parser.add_argument("--jobs", type=int, default=6)
+    options = parser.parse_args()
+    cases = [case for case in CASES if options.words in case.name]
+    with ThreadPoolExecutor(options.jobs) as pool:
+        results = list(pool.map(run_case, cases))
+    print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
+    sys.exit(not all(results))
+
+
+if __name__ == "__main__":
+    main()
