--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 SOURCES := src tests standins demo bench
 
-.PHONY: demo test lint format bench matrix binary clean
+.PHONY: demo test lint format bench unprotected matrix binary clean
 
 .venv/installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv .venv
@@ -27,5 +27,8 @@
 bench: .venv/installed
 	$(BIN)/python -m bench
 
+unprotected: .venv/installed
+	$(BIN)/python -m tests.unprotected
+
 clean:
 	rm -rf .venv build dist
--- a/src/bluebellyoke/instance/replica.py
+++ b/src/bluebellyoke/instance/replica.py
@@ -358,7 +358,7 @@
         while True:
             self._propose_commands(self._clock.monotonic())
             effects = self.core.take_effects()
-            if not _has_work(effects):
+            if effects == Effects():
                 return
             self._send_all(effects.early_messages)
             await self._store(effects)
@@ -463,15 +463,3 @@
         logger.info(
             "replica: took a snapshot", extra={"index": meta.index, "bytes": len(data)}
         )
-
-
-def _has_work(effects: Effects) -> bool:
-    return bool(
-        effects.snapshot
-        or effects.hard_state
-        or effects.entries
-        or effects.truncate_from is not None
-        or effects.early_messages
-        or effects.messages
-        or effects.committed
-    )
--- /dev/null
+++ b/tests/cell/test_tickets.py
@@ -0,0 +1,98 @@
+import pytest
+
+from bluebellyoke.cell import commands as c
+from bluebellyoke.cell import tickets
+from bluebellyoke.cell.snapshot import dump_state, load_state
+from tests.cell.factories import create_job, create_state, create_ticket
+
+
+@pytest.fixture
+def state():
+    return create_state()
+
+
+def declare(number, share, name="w"):
+    return create_ticket(number, workspaces=(c.WorkspaceSpec(name=name, share=share),))
+
+
+def get_share(state):
+    return state.book.workspaces["w"].spec.share
+
+
+def test_of_two_tickets_with_one_number_the_first_wins(state):
+    winner, loser = declare(2, 5.0), declare(2, 7.0)
+    assert state.apply(winner).accepted
+    refusal = state.apply(loser)
+    assert refusal.code == "number-taken"
+    assert refusal.detail == {"winner": winner.digest, "next_number": "3"}
+    assert get_share(state) == 5.0
+
+
+def test_ticket_sent_again_gets_its_first_outcome(state):
+    first = declare(2, 5.0)
+    original = state.apply(first)
+    for number in range(3, 400):
+        state.apply(declare(number, number))
+    version = state.version
+    again = state.apply(first)
+    assert again.accepted
+    assert again.detail == original.detail
+    assert state.version == version
+    assert get_share(state) == 399
+
+
+def test_older_number_never_reverts_a_newer_state(state):
+    state.apply(declare(10, 10.0))
+    refusal = state.apply(declare(9, 9.0))
+    assert refusal.code == "stale-number"
+    assert refusal.detail["next_number"] == "11"
+    restored = load_state(dump_state(state))
+    assert restored.apply(declare(9, 9.0)).code == "stale-number"
+    assert get_share(restored) == 10.0
+
+
+def test_malformed_ticket_changes_nothing_and_names_every_fault(state):
+    state.apply(create_job("j1"))
+    before = dump_state(state)
+    ticket = create_ticket(
+        2,
+        workspaces=(c.WorkspaceSpec(name="a"), c.WorkspaceSpec(name="a")),
+        services=(c.ServiceSpec(name="new"),),
+        removed_workspaces=("w", "nobody"),
+    )
+    refusal = state.apply(ticket)
+    assert refusal.code == "malformed"
+    assert refusal.detail["faults"] == "3"
+    for word in ("'a' is named twice", "'w' owns unfinished", "'nobody' does not"):
+        assert word in refusal.reason
+    assert dump_state(state) == before
+    assert state.apply(declare(2, 2.0)).accepted
+
+
+def test_outcomes_are_kept_within_bounds(state, monkeypatch):
+    monkeypatch.setattr(tickets, "RETAINED_TICKETS", 5)
+    for number in range(2, 20):
+        state.apply(declare(number, 1.0))
+    assert len(state.tickets.records) == 5
+    assert state.apply(declare(2, 1.0)).code == "stale-number"
+
+
+def test_view_since_a_version_holds_just_what_changed(state):
+    since = state.version
+    state.apply(
+        create_ticket(2, services=(c.ServiceSpec(name="t"),), removed_services=("s",))
+    )
+    update = state.collect_view(since)
+    assert not update.whole
+    assert [item.name for item in update.services] == ["t"]
+    assert update.removed == (("service", "s"),)
+    assert state.collect_view(-1).whole
+    assert load_state(dump_state(state)).collect_view(since).whole
+
+
+def test_drained_worker_gets_no_task(state):
+    state.apply(create_ticket(2, drained_workers=("m0",)))
+    assert state.book.workers["m0"].drained
+    assert load_state(dump_state(state)).book.workers["m0"].drained
+    state.apply(create_ticket(3, drained_workers=()))
+    assert not state.book.workers["m0"].drained
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from bluebellyoke.consensus import messages as m
-from bluebellyoke.consensus.core import Core, Timing
+from bluebellyoke.consensus.core import Core, Effects, Timing
 from bluebellyoke.consensus.log import EntryLog
 
 TIMING = Timing()
@@ -89,15 +89,8 @@
         core = self.cores[name]
         while True:
             effects = core.take_effects()
-            work = (
-                effects.early_messages
-                + effects.messages
-                + effects.entries
-                + effects.committed
-            )
-            if not work and not effects.hard_state and not effects.snapshot:
-                if effects.truncate_from is None:
-                    return
+            if effects == Effects():
+                return
             self.send(name, effects.early_messages)
             self.sync(name, core, effects)
             self.send(name, effects.messages)
--- /dev/null
+++ b/tests/consensus/test_storage.py
@@ -0,0 +1,224 @@
+import os
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import given
+
+from bluebellyoke.consensus import messages as m
+from bluebellyoke.consensus import storage as storage_module
+from bluebellyoke.consensus.log import EntryLog
+from bluebellyoke.consensus.storage import (
+    CorruptFileError,
+    DiskError,
+    FolderInUseError,
+    FolderMissingError,
+    ForeignFolderError,
+    Storage,
+    create_identity,
+    read_identity,
+)
+
+
+def create_entry(index, payload=b"x"):
+    return m.Entry(index, 1, m.EntryKind.COMMANDS, payload)
+
+
+@pytest.fixture
+def folder(tmp_path):
+    create_identity(tmp_path / "data", cell="c", replica="r1")
+    return tmp_path / "data"
+
+
+@pytest.fixture
+def filled(folder):
+    """A folder with ten synced entries."""
+    fill(folder, 10)
+    return folder
+
+
+def fill(folder, count):
+    storage = Storage(folder)
+    storage.recover()
+    for index in range(1, count + 1):
+        storage.write(
+            hard_state=m.HardState(1, "r1"),
+            truncate_from=None,
+            entries=[create_entry(index, b"payload-%d" % index)],
+        )
+    storage.close()
+
+
+def recover(folder):
+    storage = Storage(folder)
+    recovered = storage.recover()
+    storage.close()
+    return recovered
+
+
+def find_segment(folder):
+    return max(folder.glob("log-*.seg"))
+
+
+def test_everything_synced_is_found_again(filled):
+    recovered = recover(filled)
+    assert recovered.log.last_index == 10
+    assert recovered.hard_state == m.HardState(1, "r1")
+    assert recovered.log.read(10, 1, 100)[0].payload == b"payload-10"
+
+
+def test_replaced_entries_are_gone(filled):
+    storage = Storage(filled)
+    storage.recover()
+    entry = m.Entry(4, 2, m.EntryKind.COMMANDS, b"new")
+    storage.write(hard_state=None, truncate_from=4, entries=[entry])
+    storage.close()
+    log = recover(filled).log
+    assert (log.last_index, log.last_term) == (4, 2)
+
+
+@pytest.mark.parametrize("cut", [1, 7, 15, 16, 17, 30])
+def test_torn_tail_is_cut_and_the_log_goes_on(filled, cut):
+    path = find_segment(filled)
+    path.write_bytes(path.read_bytes()[:-cut])
+    recovered = recover(filled)
+    assert recovered.log.last_index == 9
+    storage = Storage(filled)
+    storage.recover()
+    storage.write(hard_state=None, truncate_from=None, entries=[create_entry(10)])
+    storage.close()
+    assert recover(filled).log.last_index == 10
+
+
+def test_tail_of_zeros_is_cut(filled):
+    path = find_segment(filled)
+    path.write_bytes(path.read_bytes() + bytes(64))
+    assert recover(filled).torn_bytes == 64
+
+
+def test_damage_in_the_middle_stops_the_replica(filled):
+    path = find_segment(filled)
+    data = bytearray(path.read_bytes())
+    data[len(data) // 2] ^= 0xFF
+    path.write_bytes(bytes(data))
+    with pytest.raises(CorruptFileError, match="damaged at byte"):
+        recover(filled)
+
+
+@given(position=st.integers(0, 10_000), value=st.integers(1, 255))
+def test_any_flipped_byte_is_noticed_or_harmless(tmp_path_factory, position, value):
+    folder = tmp_path_factory.mktemp("fuzz") / "data"
+    create_identity(folder, cell="c", replica="r1")
+    fill(folder, 6)
+    path = find_segment(folder)
+    data = bytearray(path.read_bytes())
+    data[position % len(data)] ^= value
+    path.write_bytes(bytes(data))
+    try:
+        log = recover(folder).log
+    except CorruptFileError:
+        return
+    # Only the last frame may be taken for an unfinished write.
+    assert log.last_index >= 5
+    for index in range(1, log.last_index + 1):
+        assert log.read(index, 1, 100)[0].payload == b"payload-%d" % index
+
+
+@given(tail=st.binary(max_size=200))
+def test_garbage_after_the_log_never_becomes_an_entry(tmp_path_factory, tail):
+    folder = tmp_path_factory.mktemp("fuzz") / "data"
+    create_identity(folder, cell="c", replica="r1")
+    fill(folder, 3)
+    path = find_segment(folder)
+    path.write_bytes(path.read_bytes() + tail)
+    try:
+        assert recover(folder).log.last_index == 3
+    except CorruptFileError:
+        return
+
+
+def take_snapshot(folder, index):
+    storage = Storage(folder)
+    recovered = storage.recover()
+    meta = m.SnapshotMeta(index, 1, m.Membership(), 5)
+    storage.save_snapshot(meta, b"state")
+    return storage, recovered, meta
+
+
+def test_snapshot_replaces_the_log_behind_it(filled):
+    storage, recovered, meta = take_snapshot(filled, 7)
+    recovered.log.compact(meta)
+    storage.compact(recovered.log, recovered.hard_state)
+    assert storage.read_chunk(1, 3) == b"tat"
+    storage.close()
+    again = recover(filled)
+    assert again.state == b"state"
+    assert (again.log.first_index, again.log.last_index) == (8, 10)
+    assert again.hard_state == m.HardState(1, "r1")
+    assert len(list(filled.glob("log-*.seg"))) == 1
+
+
+def test_crash_between_snapshot_and_truncation_loses_nothing(filled):
+    storage, _, _ = take_snapshot(filled, 7)
+    storage.close()
+    again = recover(filled)
+    assert (again.log.first_index, again.log.last_index) == (8, 10)
+
+
+def test_snapshot_of_a_leader_replaces_a_log_that_differs(filled):
+    storage = Storage(filled)
+    storage.recover()
+    meta = m.SnapshotMeta(50, 3, m.Membership(), 5)
+    storage.save_snapshot(meta, b"other")
+    storage.close()
+    again = recover(filled)
+    assert (again.log.base.index, again.log.last_index) == (50, 50)
+
+
+def test_damaged_snapshot_stops_the_replica(filled):
+    storage, _, _ = take_snapshot(filled, 7)
+    storage.close()
+    path = next(filled.glob("snapshot-*.snap"))
+    path.write_bytes(path.read_bytes()[:-1] + b"?")
+    with pytest.raises(CorruptFileError):
+        recover(filled)
+
+
+def test_failed_sync_is_never_taken_for_done(filled, monkeypatch):
+    storage = Storage(filled)
+    storage.recover()
+
+    def fail(descriptor):
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr(storage_module.os, "fdatasync", fail)
+    with pytest.raises(DiskError, match="No space left"):
+        storage.write(hard_state=None, truncate_from=None, entries=[create_entry(11)])
+    monkeypatch.setattr(storage_module.os, "fdatasync", os.fsync)
+    with pytest.raises(DiskError, match="earlier write failed"):
+        storage.write(hard_state=None, truncate_from=None, entries=[create_entry(11)])
+    storage.close()
+
+
+def test_only_init_makes_a_replica(tmp_path, folder):
+    with pytest.raises(FolderMissingError, match="bluebellyoke init"):
+        read_identity(tmp_path / "empty", cell="c")
+    with pytest.raises(ForeignFolderError):
+        read_identity(folder, cell="other")
+    with pytest.raises(FolderInUseError):
+        create_identity(folder, cell="c", replica="r2")
+
+
+def test_gap_in_the_log_is_damage(filled):
+    storage = Storage(filled)
+    storage.recover()
+    storage.write(hard_state=None, truncate_from=None, entries=[create_entry(12)])
+    storage.close()
+    with pytest.raises(CorruptFileError, match="leaves a gap"):
+        recover(filled)
+
+
+def test_log_reads_by_number_and_size():
+    log = EntryLog(m.SnapshotMeta(), [create_entry(i, bytes(10)) for i in range(1, 6)])
+    assert len(log.read(1, 3, 1000)) == 3
+    assert len(log.read(1, 9, 25)) == 2
+    assert len(log.read(1, 9, 1)) == 1
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -87,6 +87,117 @@
         "self._campaign(now, pre=False)",
         "tests/consensus",
     ),
+    Case(
+        "a frame's checksum is compared",
+        "consensus/storage.py",
+        "if len(body) < length or zlib.crc32(body) != body_crc:",
+        "if len(body) < length:",
+        "tests/consensus/test_storage.py",
+    ),
+    Case(
+        "only a torn tail is cut",
+        "consensus/storage.py",
+        "if body is None and last and _is_torn(data, offset):",
+        "if body is None:",
+        "tests/consensus/test_storage.py",
+    ),
+    Case(
+        "a failed sync is final",
+        "consensus/storage.py",
+        "            self._failed = True\n            raise DiskError(Path(self._file",
+        "            raise DiskError(Path(self._file",
+        "tests/consensus/test_storage.py",
+    ),
+    Case(
+        "a voter leaves only after its replacement votes",
+        "consensus/repair.py",
+        "if len(members.voters) > options.target_voters:",
+        "if dead or len(members.voters) > options.target_voters:",
+        "tests/consensus/test_repair.py",
+    ),
+    Case(
+        "a learner votes only after it has caught up",
+        "consensus/repair.py",
+        "if now - progress.heard_at > PRESENT_S or not progress.match:",
+        "if False:",
+        "tests/consensus/test_repair.py",
+    ),
+    Case(
+        "a worker is never overcommitted",
+        "cell/jobbook.py",
+        "return worker.can_hold(need) and workspace.allows(need)",
+        "return workspace.allows(need)",
+        "tests/cell",
+    ),
+    Case(
+        "a report counts for its own epoch only",
+        "cell/jobbook.py",
+        "if task is None or task.epoch != item.epoch:",
+        "if task is None:",
+        "tests/cell",
+    ),
+    Case(
+        "a report counts for its own session only",
+        "cell/jobbook.py",
+        "if worker.name != worker_name or worker.session != session:",
+        "if worker.name != worker_name:",
+        "tests/cell",
+    ),
+    Case(
+        "a task of unknown fate that must run once is not run again",
+        "cell/jobbook.py",
+        "        elif job.is_restartable:\n            self._requeue(task, now)\n"
+        "            if job.is_gang",
+        "        elif True:\n            self._requeue(task, now)\n"
+        "            if job.is_gang",
+        "tests/cell",
+    ),
+    Case(
+        "a gang starts whole",
+        "cell/jobbook.py",
+        "if gang and len(done) < len(group):",
+        "if False:",
+        "tests/cell",
+    ),
+    Case(
+        "a cancelled task keeps its room until it has stopped",
+        "cell/jobbook.py",
+        "            self._order_stop(task, TaskState.CANCELLING, now)\n",
+        "            self._release(task)\n"
+        "            self._finish(task, TaskState.CANCELLED, now)\n",
+        "tests/cell",
+    ),
+    Case(
+        "an older ticket never reverts a newer state",
+        "cell/tickets.py",
+        "        if number > self.last_number:\n            return None\n"
+        "        record = self.records.get(number)\n",
+        "        record = self.records.get(number)\n"
+        "        if record is None:\n            return None\n",
+        "tests/cell/test_tickets.py",
+    ),
+    Case(
+        "of two tickets with one number the first wins",
+        "cell/tickets.py",
+        "if record is not None and record.digest == digest:",
+        "if record is not None:",
+        "tests/cell/test_tickets.py",
+    ),
+    Case(
+        "a malformed ticket changes nothing",
+        "cell/state.py",
+        "        if faults:\n",
+        "        if len(faults) > 9:\n",
+        "tests/cell/test_tickets.py",
+    ),
+    Case(
+        "a key is claimed once",
+        "cell/requests.py",
+        "        if known is not None:\n"
+        "            return self._answer_known(known, command)\n",
+        "",
+        "tests/cell/test_requests.py",
+    ),
 ]
 
 
