Move slots at once, turn Nagle off, count deadlines by the holder's clock

Accepted sockets kept Nagle's algorithm, because asyncio turns it off only for sockets made with an explicit protocol. By the slots harness: a recall was carried out with the next poll, up to 0.4 s later, and one holder's move held up all others'; a silent holder's requests were expected to end by the leader's clock instead of its own. Change: explicit protocol; a poll at once after a recall; moves tracked by holder; the longest deadline is stretched by the clock bound before slots are taken back.

--- a/src/bluebellyoke/commands.py
+++ b/src/bluebellyoke/commands.py
@@ -106,7 +106,7 @@
         replica=f"{own.name}-{uuid.uuid4().hex[:8]}",
         name=own.name,
         address=own.address,
-        port=own.peer_port,
+        port=own.reached_port,
         data_centre=own.data_centre,
         new_cell=new_cell,
     )
--- a/src/bluebellyoke/instance/application.py
+++ b/src/bluebellyoke/instance/application.py
@@ -153,7 +153,8 @@
     def _listen(self, key: str, port: int) -> socket.socket:
         address = self._settings.instance.address
         family = socket.AF_INET6 if ":" in address else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
+        # asyncio turns Nagle's algorithm off only where the protocol is explicit.
+        listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             listener.bind((address, port))
@@ -243,7 +244,7 @@
                 folder=own.data_folder,
                 name=own.name,
                 address=own.address,
-                port=own.peer_port,
+                port=own.reached_port,
                 data_centre=own.data_centre,
                 repair=RepairOptions(
                     target_voters=cell.voters, replace_after_s=cell.replace_after_s
--- a/src/bluebellyoke/instance/entry.py
+++ b/src/bluebellyoke/instance/entry.py
@@ -165,6 +165,9 @@
     def on_leader_message(self, message: w.FromLeader) -> None:
         """Take a message of the leader and act on what it changes."""
         self.router.receive(message)
+        if isinstance(message, w.Recall):
+            # Others wait for the slots that this gives back.
+            self._link.poll_soon()
         self.advance()
 
     def build_poll(self) -> w.Poll:
--- a/src/bluebellyoke/leader/director.py
+++ b/src/bluebellyoke/leader/director.py
@@ -6,11 +6,13 @@
 lease renewed and learns the rest from the next polls.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bluebellyoke.cell import commands as c
 from bluebellyoke.cell.state import CellState, ViewUpdate
+from bluebellyoke.consensus.core import CLOCK_DRIFT
 from bluebellyoke.instance import wire as w
 from bluebellyoke.leader import reports
 from bluebellyoke.leader.leases import LeaseTable
@@ -108,6 +110,8 @@
             length_s=options.worker_lease_s, grace_s=options.worker_grace_s
         )
         self.upstream_leases = LeaseTable(length_s=options.upstream_silence_s)
+        # A silent instance measures the deadlines of its requests by its own clock.
+        self._longest_in_hand_s = options.longest_deadline_s * (1 + 2 * CLOCK_DRIFT)
         self._demands: dict[str, HolderDemand] = {}
         self._by_holder: dict[str, Session] = {}
         self._reclaims: dict[str, float] = {}
@@ -118,7 +122,7 @@
         self._plan_due = 0.0
         self._plan_pending = False
         self._allocation_due = 0.0
-        self._assigns_pending = 0
+        self._moving: Counter[str] = Counter()
         self._housekeeping_due = 0.0
         self._peers: tuple[str, ...] = ()
 
@@ -157,7 +161,7 @@
         self._learning.clear()
         self._announcing.clear()
         self._plan_pending = False
-        self._assigns_pending = 0
+        self._moving.clear()
 
     def set_peers(self, peers: tuple[str, ...]) -> None:
         """Set the addresses of the members that instances are told."""
@@ -216,7 +220,7 @@
 
     def _on_poll(self, session: Session, poll: w.Poll, now: float, wall: float) -> None:
         is_live = self.instance_leases.is_live(session.holder, now)
-        if not is_live and self._assigns_pending:
+        if not is_live and self._moving[session.holder]:
             # Its slots may be on the way back to the pool; the next poll will tell.
             return
         self.instance_leases.renew(session.holder, now)
@@ -263,7 +267,7 @@
             item = told.pop((upstream.name, upstream.incarnation), None)
             held = item.held if item is not None else 0
             settled = assigned - under_way.get(upstream.name, 0)
-            if held < settled and not self._assigns_pending:
+            if held < settled and not self._moving[session.holder]:
                 changes.append(
                     c.SlotChange(
                         upstream.name,
@@ -438,7 +442,7 @@
             return
         for holder in list(upstream.held):
             due = self._reclaims.get(holder)
-            silent_at = None if due is None else due - self.options.longest_deadline_s
+            silent_at = None if due is None else due - self._longest_in_hand_s
             if silent_at is None or now < silent_at + IN_FLIGHT_GRACE_S:
                 continue
             excess = upstream.held[holder] - renewal.running.get(holder, 0)
@@ -449,7 +453,7 @@
                 self._assign((change,), wall)
 
     def _assign(self, changes: tuple[c.SlotChange, ...], wall: float) -> None:
-        self._assigns_pending += 1
+        self._moving.update(change.holder for change in changes)
         self._propose(
             c.AssignSlots(time=wall, changes=changes),
             lambda result: self._after_assign(changes, result),
@@ -459,7 +463,8 @@
         self, changes: tuple[c.SlotChange, ...], result: c.Result
     ) -> None:
         """Send grants for the slots that are now assigned."""
-        self._assigns_pending -= 1
+        self._moving.subtract(change.holder for change in changes)
+        self._moving = +self._moving
         for change, done in zip(changes, result.detail["done"], strict=True):
             session = self._by_holder.get(change.holder)
             if done == "0" or change.delta < 0 or session is None:
@@ -513,7 +518,7 @@
             self._housekeeping_due = now + HOUSEKEEPING_S
             if self._has_housekeeping(wall):
                 self._propose(c.AdvanceTime(time=wall))
-        if now >= self._allocation_due and not self._assigns_pending:
+        if now >= self._allocation_due and not self._moving:
             self._allocation_due = now + self.options.allocation_interval_s
             self._allocate(now, wall)
         if now >= self._plan_due and not self._plan_pending:
@@ -536,7 +541,7 @@
                     )
                 )
         for holder in self.instance_leases.take_expired(now):
-            self._reclaims[holder] = now + self.options.longest_deadline_s
+            self._reclaims[holder] = now + self._longest_in_hand_s
         for holder, due in list(self._reclaims.items()):
             if now >= due:
                 del self._reclaims[holder]
--- a/src/bluebellyoke/settings.py
+++ b/src/bluebellyoke/settings.py
@@ -94,9 +94,15 @@
     address: IpNumber
     http_port: Port
     peer_port: Port
+    advertised_peer_port: Port | None = None
     seeds: Annotated[tuple[Endpoint, ...], pydantic.Field(min_length=1)]
     data_folder: Path | None = None
 
+    @property
+    def reached_port(self) -> int:
+        """Port at which the other instances reach the peer listener."""
+        return self.advertised_peer_port or self.peer_port
+
 
 class LimitSettings(_Section):
     """Table `limits`, alike on every instance of a cell."""
--- a/standins/cell.py
+++ b/standins/cell.py
@@ -11,6 +11,8 @@
 
 import httpcore
 
+from standins.proxy import FaultProxy, find_socket_inode, owns_socket
+
 ROOT = Path(__file__).resolve().parent.parent
 
 SETTINGS = """\
@@ -26,6 +28,7 @@
 address = "127.0.0.1"
 http_port = {http_port}
 peer_port = {peer_port}
+advertised_peer_port = {advertised}
 seeds = [{seeds}]
 {folder}
 
@@ -69,18 +72,25 @@
         worker_lease_s: float = 3.0,
         longest_deadline_s: float = 10.0,
         linger_s: float = 0.3,
+        spares: int = 0,
+        proxied: bool = False,
     ) -> None:
         self.folder = folder
         self.processes: dict[str, subprocess.Popen] = {}
-        names = [f"i{number + 1}" for number in range(replicas + entries)]
+        count = replicas + spares + entries
+        names = [f"i{number + 1}" for number in range(count)]
         ports = find_ports(2 * len(names))
         self.http_ports = dict(zip(names, ports[: len(names)], strict=True))
         self.peer_ports = dict(zip(names, ports[len(names) :], strict=True))
-        self.replicas = names[:replicas]
+        self.replicas = names[: replicas + spares]
         self.names = names
         folder.mkdir(parents=True, exist_ok=True)
-        # A proxy between two instances may take the place of these addresses.
-        self.seed_ports = {name: self.peer_ports[name] for name in self.replicas}
+        self.proxy = FaultProxy(self.find_owner) if proxied else None
+        self.reached_ports = dict(self.peer_ports)
+        if self.proxy is not None:
+            for name in self.replicas:
+                port = self.proxy.add_route(name, self.peer_ports[name])
+                self.reached_ports[name] = port
         self._options = {
             "cell": "demo",
             "voters": voters,
@@ -101,11 +111,11 @@
         """Return the data folder of a replica."""
         return self.folder / f"data-{name}"
 
-    def write_settings(self, name: str, seeds: list[str] | None = None) -> Path:
+    def write_settings(self, name: str) -> Path:
         """Write the settings file of an instance."""
         is_replica = name in self.replicas
         folder = f'data_folder = "{self.get_data_folder(name)}"' if is_replica else ""
-        known = seeds or [f"127.0.0.1:{port}" for port in self.seed_ports.values()]
+        known = [f"127.0.0.1:{self.reached_ports[item]}" for item in self.replicas]
         path = self.get_settings_path(name)
         path.write_text(
             SETTINGS.format(
@@ -113,6 +123,7 @@
                 data_centre=f"dc{self.names.index(name) % 3 + 1}",
                 http_port=self.http_ports[name],
                 peer_port=self.peer_ports[name],
+                advertised=self.reached_ports[name],
                 seeds=", ".join(f'"{seed}"' for seed in known),
                 folder=folder,
                 **self._options,
@@ -239,6 +250,15 @@
             process.wait()
             return -1
 
+    def find_owner(self, port: int) -> str | None:
+        """Return the instance that owns a TCP connection's local port."""
+        inode = find_socket_inode(port)
+        for name in self.names:
+            process = self.processes.get(name)
+            if process is not None and owns_socket(process.pid, inode):
+                return name
+        return None
+
     def stop_all(self) -> dict[str, int]:
         """Stop everything, instances last, and return the exit codes."""
         others = [name for name in self.processes if name not in self.names]
@@ -255,6 +275,8 @@
         """End every process without warning."""
         for name in list(self.processes):
             self.kill(name)
+        if self.proxy is not None:
+            self.proxy.close()
 
 
 def _build_flags(arguments: dict[str, str]) -> list[str]:
--- /dev/null
+++ b/tests/routing/test_router.py
@@ -0,0 +1,214 @@
+import pytest
+
+from bluebellyoke.cell import commands as c
+from bluebellyoke.cell.state import UpstreamView, ViewUpdate
+from bluebellyoke.instance import wire as w
+from bluebellyoke.routing.queue import RouteRequest
+from bluebellyoke.routing.router import Dispatch, Refusal, Router
+
+UPSTREAMS = ("u1", "u2")
+
+
+def create_upstream(name, *, leaving=False, incarnation="a", data_centre="dc1"):
+    return UpstreamView(
+        name, incarnation, "s", "127.0.0.1", 1, 8, 60, data_centre, leaving
+    )
+
+
+def create_view(version=1, upstreams=None, whole=True, since=0):
+    return ViewUpdate(
+        version=version,
+        ticket=1,
+        since=since,
+        whole=whole,
+        services=(c.ServiceSpec(name="s"), c.ServiceSpec(name="off", enabled=False)),
+        workspaces=(c.WorkspaceSpec(name="w"), c.WorkspaceSpec(name="v")),
+        upstreams=tuple(map(create_upstream, UPSTREAMS))
+        if upstreams is None
+        else upstreams,
+    )
+
+
+@pytest.fixture
+def router():
+    """A router with a lease until 10 and two slots at each of two upstreams."""
+    router = Router(data_centre="dc1")
+    router.receive(w.PollReply(0.0, 10.0, create_view()))
+    for number, name in enumerate(UPSTREAMS):
+        router.receive(w.Grant(number + 1, name, "a", 2))
+    return router
+
+
+def submit(router, number, *, now=1.0, deadline=5.0, workspace="w", service="s"):
+    request = RouteRequest(number, service, workspace, now, deadline)
+    return router.submit(request, now)
+
+
+def fill(router, count=4):
+    return [submit(router, number) for number in range(count)]
+
+
+def get_held(router):
+    return {x.upstream: x.held for x in router.build_poll(1.0).holdings}
+
+
+def test_request_goes_to_a_held_slot_and_never_above(router):
+    dispatches = fill(router)
+    assert all(isinstance(item, Dispatch) for item in dispatches)
+    assert submit(router, 9) is None
+    router.release(dispatches[0].slot)
+    (dispatch,) = router.advance(1.1)
+    assert dispatch.request.id == 9
+
+
+@pytest.mark.parametrize(
+    ("fields", "kind"),
+    [
+        ({"now": 10.0, "deadline": 20.0}, "no-lease"),
+        ({"service": "none"}, "unknown-service"),
+        ({"workspace": "none"}, "unknown-workspace"),
+        ({"service": "off"}, "service-disabled"),
+    ],
+)
+def test_refusal_names_its_kind(router, fields, kind):
+    refusal = submit(router, 1, **fields)
+    assert isinstance(refusal, Refusal)
+    assert refusal.kind == kind
+
+
+def test_waiting_requests_are_refused_when_the_lease_ends(router):
+    fill(router)
+    assert submit(router, 9, deadline=60.0) is None
+    assert router.advance(10.0) == []
+    ((request, refusal),) = router.refused
+    assert (request.id, refusal.kind) == (9, "no-lease")
+
+
+def test_free_slot_without_lease_is_not_used(router):
+    dispatches = fill(router)
+    assert submit(router, 9, deadline=60.0) is None
+    router.release(dispatches[0].slot)
+    assert router.advance(10.5) == []
+
+
+def test_leaving_upstream_gets_nothing_new_and_its_slots_go_back(router):
+    router.receive(
+        create_view(2, (create_upstream("u1", leaving=True), create_upstream("u2")))
+    )
+    targets = {item.target.name for item in fill(router, 2)}
+    assert targets == {"u2"}
+    assert get_held(router)["u1"] == 0
+
+
+def test_slots_of_an_earlier_incarnation_are_void(router):
+    router.receive(create_view(2, (create_upstream("u1", incarnation="b"),)))
+    refusal_or_wait = submit(router, 1)
+    assert refusal_or_wait is None
+
+
+def test_recalled_slots_go_back_as_they_come_free(router):
+    dispatches = fill(router)
+    router.receive(w.Recall("u1", "a", 0))
+    assert get_held(router)["u1"] == 2
+    for item in dispatches:
+        if item.target.name == "u1":
+            router.release(item.slot)
+    assert get_held(router)["u1"] == 0
+    assert submit(router, 9) is None
+
+
+def test_grant_after_a_recall_counts(router):
+    router.receive(w.Recall("u1", "a", 1))
+    router.receive(w.Grant(3, "u1", "a", 2))
+    assert get_held(router)["u1"] == 3
+    assert router.build_poll(1.0).last_grant == 3
+
+
+def test_limit_of_the_leader_takes_slots_away_at_once(router):
+    router.receive(w.PollReply(1.0, 10.0, None, (w.Holding("u1", "a", 0, 0),)))
+    assert get_held(router)["u1"] == 0
+    assert {item.target.name for item in fill(router, 2)} == {"u2"}
+
+
+def test_older_view_changes_nothing(router):
+    router.receive(create_view(5, ()))
+    router.receive(create_view(4))
+    assert router.view.version == 5
+    assert not router.view.upstreams
+
+
+def test_partial_view_that_leaves_a_gap_is_not_taken(router):
+    router.receive(create_view(9, whole=False, since=7, upstreams=()))
+    assert router.view.version == 1
+
+
+def answer(router, dispatch, seconds=1.0, now=2.0):
+    router.release(dispatch.slot)
+    router.note_answer(dispatch, now - seconds, now)
+
+
+def test_request_that_cannot_make_its_deadline_is_refused_at_once(router):
+    answer(router, submit(router, 1), seconds=2.0)
+    fill(router)
+    refusal = submit(router, 9, now=1.0, deadline=3.0)
+    assert isinstance(refusal, Refusal)
+    assert refusal.kind == "deadline"
+    assert 0 < refusal.retry_after_s < 2.0
+
+
+def test_waiting_request_is_refused_when_its_time_is_too_short(router):
+    answer(router, submit(router, 1), seconds=1.0)
+    fill(router)
+    assert submit(router, 9, deadline=4.0) is None
+    router.advance(3.5)
+    assert [refusal.kind for _, refusal in router.refused] == ["deadline"]
+
+
+def test_queue_of_a_workspace_is_bounded(router):
+    fill(router)
+    kinds = [submit(router, 10 + n, deadline=1e9) for n in range(300)]
+    refused = [item for item in kinds if item is not None]
+    assert len(refused) == 300 - 256
+    assert {item.kind for item in refused} == {"queue-full"}
+    assert submit(router, 999, workspace="v", deadline=1e9) is None
+
+
+def test_failing_upstream_is_shut_out_and_probed(router):
+    for number in range(3):
+        dispatch = submit(router, number)
+        router.release(dispatch.slot)
+        dispatch = next(
+            item for item in [dispatch, *fill(router, 3)] if item.target.name == "u1"
+        )
+        router.note_failure(dispatch, 2.0)
+        for slot in router._slots.values():
+            slot.in_use = 0
+    assert {item.target.name for item in fill(router, 2)} == {"u2"}
+    for slot in router._slots.values():
+        slot.in_use = 0
+    later = [submit(router, 20 + n, now=4.0, deadline=9.0) for n in range(4)]
+    targets = [item.target.name for item in later if item is not None]
+    assert targets.count("u1") == 1
+
+
+def test_slow_upstream_ranks_behind(router):
+    for name, seconds in (("u1", 1.0), ("u2", 0.1)):
+        slot = router._find_slot(name, "a")
+        slot.breaker.note_success(seconds)
+    assert [item.target.name for item in fill(router, 2)] == ["u2", "u2"]
+
+
+def test_retries_are_bounded(router):
+    allowed = sum(router.take_retry() for _ in range(100))
+    assert allowed == 20
+
+
+def test_draining_router_refuses_and_gives_everything_back(router):
+    dispatch = submit(router, 1)
+    router.draining = True
+    assert submit(router, 2).kind == "draining"
+    poll = router.build_poll(1.0)
+    assert poll.draining
+    assert sum(item.held for item in poll.holdings) == 1
+    router.release(dispatch.slot)
+    assert sum(item.held for item in router.build_poll(1.0).holdings) == 0
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -21,13 +21,18 @@
 
 @dataclass(frozen=True)
 class Case:
-    """One protection, how to remove it, and the test that has to fail."""
+    """One protection, how to remove it, and the test that has to fail.
+
+    Attributes:
+        also: Further replacements, where two places protect the same point.
+    """
 
     name: str
     file: str
     old: str
     new: str
     test: str
+    also: tuple[tuple[str, str, str], ...] = ()
 
 
 CASES = [
@@ -198,6 +203,76 @@
         "",
         "tests/cell/test_requests.py",
     ),
+    Case(
+        "a request needs a live lease",
+        "routing/router.py",
+        "        return now < self.lease_until\n",
+        "        return True\n",
+        "tests/leader",
+    ),
+    Case(
+        "slots of a silent instance wait for its longest deadline",
+        "leader/director.py",
+        "self._reclaims[holder] = now + self._longest_in_hand_s",
+        "self._reclaims[holder] = now",
+        "tests/leader",
+    ),
+    Case(
+        "a lease counts from the time of the poll",
+        "routing/router.py",
+        "reply.sent_at + reply.lease_s)",
+        "reply.sent_at + 1.0 + reply.lease_s)",
+        "tests/leader",
+    ),
+    Case(
+        "the leader allows for clocks of different speed",
+        "leader/leases.py",
+        "length_s * (1 + 2 * CLOCK_DRIFT) + grace_s",
+        "length_s * 0.9 + grace_s",
+        "tests/leader",
+    ),
+    Case(
+        "a returning instance waits while its slots move",
+        "leader/director.py",
+        "if not is_live and self._moving[session.holder]:",
+        "if False:",
+        "tests/leader",
+    ),
+    Case(
+        "slots are given back once",
+        "leader/director.py",
+        "if held < settled and not self._moving[session.holder]:",
+        "if held < settled:",
+        "tests/leader",
+    ),
+    Case(
+        "a new leader counts all leases as renewed",
+        "leader/director.py",
+        "            self.instance_leases.renew(holder, now)\n        self._plan_due",
+        "            self._reclaims[holder] = now\n        self._plan_due",
+        "tests/leader",
+    ),
+    Case(
+        "a leaving upstream gets no new work",
+        "routing/router.py",
+        "if upstream.service == service and not upstream.leaving:",
+        "if upstream.service == service:",
+        "tests/leader tests/routing",
+        also=(
+            (
+                "routing/router.py",
+                "            if gone or known.leaving:",
+                "            if gone:",
+            ),
+        ),
+    ),
+    Case(
+        "a slot is used once",
+        "routing/router.py",
+        "            if slot.idle > 0\n",
+        "            if slot.idle > -1\n",
+        "tests/leader",
+    ),
 ]
 
 
@@ -207,12 +282,13 @@
         copy = Path(folder) / "tree"
         ignored = shutil.ignore_patterns(".venv", ".git", "__pycache__", "dist")
         shutil.copytree(ROOT, copy, ignore=ignored)
-        path = copy / PACKAGE / case.file
-        text = path.read_text()
-        if text.count(case.old) != 1:
-            print(f"STALE  {case.name}: found {text.count(case.old)} times")
-            return False
-        path.write_text(text.replace(case.old, case.new))
+        for file, old, new in ((case.file, case.old, case.new), *case.also):
+            path = copy / PACKAGE / file
+            text = path.read_text()
+            if text.count(old) != 1:
+                print(f"STALE  {case.name}: found {text.count(old)} times")
+                return False
+            path.write_text(text.replace(old, new))
         environment = {**os.environ, "PYTHONPATH": f"{copy}/src:{copy}"}
         done = subprocess.run(
             [sys.executable, "-m", "pytest", "-x", "-q", *case.test.split()],
@@ -229,12 +305,12 @@
 
 
 def main() -> None:
-    """Run the cases whose name contains the argument."""
+    """Run the cases whose name or test contains the argument."""
     parser = argparse.ArgumentParser()
     parser.add_argument("words", nargs="?", default="")
     parser.add_argument("--jobs", type=int, default=6)
     options = parser.parse_args()
-    cases = [case for case in CASES if options.words in case.name]
+    cases = [case for case in CASES if options.words in f"{case.name} {case.test}"]
     with ThreadPoolExecutor(options.jobs) as pool:
         results = list(pool.map(run_case, cases))
     print(f"{sum(results)} passed, {len(results) - sum(results)} failed")
