Prove worker leases; measure agreement; mend what the tests found

Causes, each found by a new test: - A late heartbeat of a worker's earlier session ended the newer one and revived the earlier. Ended sessions are remembered and refused. - A gang member that reported done while its gang restarted left the gang forever in part (workers machine). It runs again with the others. - A new learner counted as silent since the leader's election and was removed before it could answer, once a second, so a lost voter was never replaced (real processes). A member gets its time from when the leader begins to send to it.

--- /dev/null
+++ b/bench/agreement.py
@@ -0,0 +1,260 @@
+"""Commit latency, elections, recovery and idle traffic of the replicas.
+
+The replicas run in one process, each with a data folder and real syncs; messages
+between them are delivered after a one-way delay. All share one core, so rates are
+lower bounds.
+"""
+
+import asyncio
+import logging
+import random
+import shutil
+import tempfile
+import time
+from pathlib import Path
+
+import anyio
+import msgspec
+
+from bench.report import emit
+from bench.workload import Fake, compute_quantile
+from bluebellyoke.cell import commands as c
+from bluebellyoke.cell.resources import Resources
+from bluebellyoke.cell.snapshot import dump_state, load_state
+from bluebellyoke.clock import SystemClock
+from bluebellyoke.consensus import messages as m
+from bluebellyoke.consensus.bootstrap import create_replica
+from bluebellyoke.consensus.repair import RepairOptions
+from bluebellyoke.consensus.storage import Storage, create_identity
+from bluebellyoke.instance import wire as w
+from bluebellyoke.instance.replica import Replica, ReplicaOptions, SessionInput
+from bluebellyoke.leader.director import Director, DirectorOptions
+from bluebellyoke.metrics import Metrics
+from bluebellyoke.placement.engine import PlacementEngine
+from bluebellyoke.placement.policies import create_policy
+
+MEASURE_S = 3.0
+RECOVERED_ENTRIES = (1_000, 10_000, 50_000)
+
+
+class Replicas:
+    """Replicas in one process with delayed messages.
+
+    Args:
+        count: Number of voters.
+        delay_s: One-way delay, in seconds.
+    """
+
+    def __init__(self, folder, count, delay_s, tasks):
+        self.delay_s = delay_s
+        self.tasks = tasks
+        self.bytes = 0
+        self.messages = 0
+        self.members = {}
+        self.scopes = {}
+        self.folder = folder
+        self.count = count
+        self.loop = None
+
+    async def start(self):
+        """Create and start all replicas and wait until they serve."""
+        self.loop = asyncio.get_running_loop()
+        for number in range(self.count):
+            name = f"r{number}"
+            create_replica(
+                folder=self.folder / name,
+                cell="bench",
+                replica=name,
+                name=name,
+                address="127.0.0.1",
+                port=number + 1,
+                data_centre=f"d{number}",
+                new_cell=number == 0,
+            )
+            self.start_one(number)
+        while self.find_leader() is None:
+            await anyio.sleep(0.02)
+
+    def start_one(self, number):
+        name = f"r{number}"
+        engine = PlacementEngine(
+            policy=create_policy("waiting"), random_source=random.Random(1)
+        )
+        replica = Replica(
+            options=ReplicaOptions(
+                cell="bench",
+                folder=self.folder / name,
+                name=name,
+                address="127.0.0.1",
+                port=number + 1,
+                data_centre=f"d{number}",
+                repair=RepairOptions(target_voters=self.count),
+                seeds=tuple(f"127.0.0.1:{n + 1}" for n in range(self.count)),
+            ),
+            director=Director(options=DirectorOptions(), engine=engine),
+            clock=SystemClock(),
+            metrics=Metrics(),
+            send=self.send,
+        )
+        self.members[f"127.0.0.1:{number + 1}"] = replica
+        self.tasks.start_soon(self.run_one, f"127.0.0.1:{number + 1}", replica)
+
+    async def run_one(self, address, replica):
+        with anyio.CancelScope() as scope:
+            self.scopes[address] = scope
+            await replica.run()
+
+    def send(self, address, envelope):
+        self.messages += 1
+        self.bytes += len(msgspec.msgpack.encode(envelope))
+        self.loop.call_later(self.delay_s, self.deliver, address, envelope)
+
+    def deliver(self, address, envelope):
+        replica = self.members.get(address)
+        if replica is not None:
+            replica.post(envelope)
+
+    def find_leader(self):
+        for address, replica in self.members.items():
+            if replica.is_serving():
+                return address
+        return None
+
+    def kill(self, address):
+        del self.members[address]
+        self.scopes[address].cancel()
+
+
+async def keep_in_flight(replica, in_flight, seconds):
+    """Keep some claims in flight at the leader; return their latencies."""
+    latencies, sent = [], {}
+    end = time.perf_counter() + seconds
+    done = anyio.Event()
+    numbers = iter(range(1, 10**9))
+
+    def issue():
+        number = next(numbers)
+        sent[number] = time.perf_counter()
+        claim = c.ClaimRequest(
+            key=f"{in_flight}-{number}-{seconds}",
+            digest="d",
+            holder=f"h/{number}",
+            expires=time.time() + 60,
+        )
+        replica.post(SessionInput(77, w.Call(number, claim), on_message))
+
+    def on_message(message):
+        if not isinstance(message, w.Reply):
+            return
+        now = time.perf_counter()
+        latencies.append(now - sent.pop(message.id))
+        if now < end:
+            issue()
+        elif not sent:
+            done.set()
+
+    hello = w.Hello("bench", "load", "1", "d")
+    replica.post(SessionInput(77, hello, on_message))
+    await anyio.sleep(0.1)
+    for _ in range(in_flight):
+        issue()
+    with anyio.move_on_after(seconds + 5):
+        await done.wait()
+    return latencies
+
+
+async def measure_commits(count, delay_s):
+    """Measure commits with some voters over a delay."""
+    folder = Path(tempfile.mkdtemp(prefix="bluebellyoke-bench-"))
+    size = {"voters": count, "delay_ms": delay_s * 1e3}
+    async with anyio.create_task_group() as tasks:
+        replicas = Replicas(folder, count, delay_s, tasks)
+        await replicas.start()
+        await anyio.sleep(0.5)
+        replicas.bytes = replicas.messages = 0
+        await anyio.sleep(2.0)
+        emit("agreement.idle_bytes", replicas.bytes / 2 / count, "B/s/replica", **size)
+        for in_flight in (1, 16, 256):
+            leader = replicas.members[replicas.find_leader()]
+            latencies = await keep_in_flight(leader, in_flight, MEASURE_S)
+            sized = {**size, "in_flight": in_flight}
+            for name, fraction in (("p50", 0.5), ("p99", 0.99)):
+                value = compute_quantile(latencies, fraction) * 1e3
+                emit(f"agreement.commit_{name}", value, "ms", **sized)
+            emit("agreement.commits", len(latencies) / MEASURE_S, "1/s", **sized)
+        if count == 5:
+            await measure_kills(replicas, size)
+        tasks.cancel_scope.cancel()
+    shutil.rmtree(folder)
+
+
+async def measure_kills(replicas, size):
+    """Measure the time without a leader after it was killed, twice."""
+    for _ in range(2):
+        leader = replicas.find_leader()
+        replicas.kill(leader)
+        began = time.perf_counter()
+        while replicas.find_leader() is None:
+            await anyio.sleep(0.005)
+        emit("agreement.leaderless", time.perf_counter() - began, "s", **size)
+
+
+def measure_recovery():
+    """Measure the start from a log and from a snapshot."""
+    for count in RECOVERED_ENTRIES:
+        folder = Path(tempfile.mkdtemp(prefix="bluebellyoke-bench-"))
+        create_identity(folder, cell="bench", replica="r")
+        storage = Storage(folder)
+        storage.recover()
+        payload = c.encode_commands(
+            (c.ClaimRequest(key="k" * 30, digest="d" * 32, holder="h", expires=1.0),)
+        )
+        entries = [
+            m.Entry(index, 1, m.EntryKind.COMMANDS, payload)
+            for index in range(1, count + 1)
+        ]
+        for start in range(0, count, 100):
+            storage.write(
+                hard_state=None,
+                truncate_from=None,
+                entries=entries[start : start + 100],
+            )
+        storage.close()
+        began = time.perf_counter()
+        recovered = Storage(folder).recover()
+        for entry in recovered.log.read_between(1, count):
+            c.decode_commands(entry.payload)
+        took = time.perf_counter() - began
+        emit("agreement.recovery_log", took, "s", entries=count)
+        shutil.rmtree(folder)
+
+
+def measure_state_size():
+    """Measure snapshots of a state of some tasks."""
+    for tasks in (13_000, 130_000):
+        fake = Fake()
+        fake.add_workspaces(78)
+        for number in range(tasks // 100):
+            fake.submit(
+                f"j{number}", f"t{number % 78}", Resources(100, 100, 0), 1.0, tasks=100
+            )
+        began = time.perf_counter()
+        data = dump_state(fake.state)
+        middle = time.perf_counter()
+        load_state(data)
+        emit("agreement.snapshot_size", len(data) / 1e6, "MB", tasks=tasks)
+        emit("agreement.snapshot_dump", middle - began, "s", tasks=tasks)
+        emit("agreement.snapshot_load", time.perf_counter() - middle, "s", tasks=tasks)
+
+
+def main():
+    """Measure agreement at the users' distances, and the growth of a restart."""
+    logging.disable(logging.CRITICAL)
+    for count, delay_s in ((3, 0.0015), (3, 0.001), (5, 0.0015), (5, 0.001)):
+        anyio.run(measure_commits, count, delay_s)
+    measure_recovery()
+    measure_state_size()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/bluebellyoke/cell/jobbook.py
+++ b/src/bluebellyoke/cell/jobbook.py
@@ -282,7 +282,11 @@
             self._learn_run_time(job, item.ran_s)
         if item.outcome is TaskOutcome.DONE:
             worker.note_success()
-            self._end_done(task, now)
+            if job.is_gang and task.state is TaskState.STOPPING:
+                # The others have not ended, so the gang starts whole again.
+                self._requeue(task, now)
+            else:
+                self._end_done(task, now)
         elif item.outcome is TaskOutcome.FAILED:
             job.failed_on.add(worker.name)
             # A job that fails on several workers is itself at fault.
@@ -412,6 +416,10 @@
                     "session-ended", "the session's lease ran out; start a new session"
                 )
             return Result(accepted=True, code="known")
+        if known is not None and command.session in known.past_sessions:
+            return refuse(
+                "session-ended", "a newer session has begun; start a new session"
+            )
         if known is not None:
             self.lose(command.worker, known.session, command.time)
         worker = Worker(
@@ -422,6 +430,7 @@
             command.data_centre,
         )
         if known is not None:
+            worker.past_sessions = known.list_past_sessions()
             worker.drained = known.drained
             worker.pauses, worker.set_aside_until = known.pauses, known.set_aside_until
         self.workers[command.worker] = worker
--- a/src/bluebellyoke/cell/snapshot.py
+++ b/src/bluebellyoke/cell/snapshot.py
@@ -57,6 +57,7 @@
     total: Resources
     rack: str
     data_centre: str
+    past_sessions: tuple[str, ...]
     alive: bool
     drained: bool
     failed_jobs: list[str]
@@ -153,6 +154,7 @@
         worker.total,
         worker.rack,
         worker.data_centre,
+        worker.past_sessions,
         worker.alive,
         worker.drained,
         sorted(worker.failed_jobs),
@@ -169,6 +171,7 @@
         image.total,
         image.rack,
         image.data_centre,
+        past_sessions=image.past_sessions,
         alive=image.alive,
         drained=image.drained,
         failed_jobs=set(image.failed_jobs),
--- a/src/bluebellyoke/cell/workers.py
+++ b/src/bluebellyoke/cell/workers.py
@@ -14,6 +14,9 @@
 
 __all__ = ["Worker"]
 
+#: Ended sessions of a worker that are remembered.
+PAST_SESSIONS = 16
+
 #: Different jobs that must fail in a row before a worker is set aside.
 SET_ASIDE_FAILURES = 4
 
@@ -29,6 +32,7 @@
     Attributes:
         tasks: Tasks that take resources here, by job and index.
         failed_jobs: Jobs that failed here since the last success.
+        past_sessions: Ended sessions, the latest last.
         lost_at: Wall-clock second at which the session ended, or zero.
         set_aside_until: Wall-clock second until which no task is placed.
         pauses: How often the worker was set aside in a row.
@@ -42,6 +46,7 @@
     free_cpu: int = 0
     free_memory: int = 0
     free_accelerators: int = 0
+    past_sessions: tuple[str, ...] = ()
     alive: bool = True
     lost_at: float = 0.0
     drained: bool = False
@@ -55,6 +60,10 @@
         self.free_memory = self.total.memory_mb
         self.free_accelerators = self.total.accelerators
 
+    def list_past_sessions(self) -> tuple[str, ...]:
+        """Return the sessions that a new session of this worker follows."""
+        return (*self.past_sessions, self.session)[-PAST_SESSIONS:]
+
     @property
     def free(self) -> Resources:
         """Resources that no placed task takes."""
--- a/src/bluebellyoke/consensus/core.py
+++ b/src/bluebellyoke/consensus/core.py
@@ -113,12 +113,14 @@
         match: Last entry known to be synced there.
         next: Next entry to send.
         acknowledged_at: Leader's time at which the latest answered message was sent.
+        tracked_at: Leader's time at which it began to send.
         heard_at: Leader's time of the latest answer.
         snapshot_index: Snapshot that is being sent, or zero.
         snapshot_offset: Bytes of it that the follower holds.
     """
 
     next: int
+    tracked_at: float
     match: int = 0
     acknowledged_at: float = float("-inf")
     heard_at: float = float("-inf")
@@ -165,6 +167,7 @@
         self._effects = Effects()
         self._synced = log.last_index
         self._votes: set[str] = set()
+        self._time = now
         self._leader_heard_at = now
         self.lead_since = now
         self._transfer_to = ""
@@ -236,6 +239,7 @@
 
     def tick(self, now: float) -> None:
         """Act on the passing of time."""
+        self._time = now
         if self.role is Role.LEADER:
             self._tick_leader(now)
         elif now >= self._election_due and self.is_voter:
@@ -289,6 +293,7 @@
 
     def receive(self, source: str, message: m.Message, now: float) -> None:
         """Act on a message from another replica."""
+        self._time = now
         if isinstance(message, m.VoteRequest):
             self._on_vote_request(source, message, now)
             return
@@ -441,7 +446,9 @@
         members = self.membership.members
         for member in members:
             if member != self.replica and member not in self.progress:
-                self.progress[member] = Progress(next=self.log.last_index + 1)
+                self.progress[member] = Progress(
+                    next=self.log.last_index + 1, tracked_at=self._time
+                )
         for gone in set(self.progress) - set(members):
             del self.progress[gone]
 
--- a/src/bluebellyoke/consensus/repair.py
+++ b/src/bluebellyoke/consensus/repair.py
@@ -73,9 +73,8 @@
 def _is_silent(core: Core, replica: str, now: float, limit_s: float) -> bool:
     if replica == core.replica:
         return False
-    progress = core.progress.get(replica)
-    heard_at = progress.heard_at if progress is not None else float("-inf")
-    return now - max(heard_at, core.lead_since) > limit_s
+    progress = core.progress[replica]
+    return now - max(progress.heard_at, progress.tracked_at) > limit_s
 
 
 def _find_dead_voters(
--- a/src/bluebellyoke/leader/director.py
+++ b/src/bluebellyoke/leader/director.py
@@ -382,8 +382,10 @@
         held = HeldHeartbeat(session, call, heartbeat, now)
 
         def finish(result: c.Result) -> None:
-            if result.accepted:
-                self.worker_leases.renew(heartbeat.worker, now)
+            if not result.accepted:
+                self._send_ended(session, call, heartbeat, wall)
+                return
+            self.worker_leases.renew(heartbeat.worker, now)
             self._answer_worker(held)
 
         self._propose(command, finish)
--- a/tests/cell/test_jobs.py
+++ b/tests/cell/test_jobs.py
@@ -184,3 +184,24 @@
     state.apply(c.LoseWorker(worker="m0", session="s1", time=3.0))
     assert state.apply(create_worker("m0")).code == "session-ended"
     assert state.apply(create_worker("m0", session="s2")).accepted
+
+
+def test_late_heartbeat_of_an_earlier_session_ends_nothing(state):
+    state.apply(create_worker("m0", session="s2"))
+    state.apply(create_job("j"))
+    place(state, "j", 0, "m0")
+    assert state.apply(create_worker("m0", session="s1")).code == "session-ended"
+    assert state.book.workers["m0"].session == "s2"
+    assert get_task(state, "j").state is TaskState.RUNNING
+
+
+def test_member_that_ends_while_its_gang_restarts_runs_again(state):
+    state.apply(create_job("g", kind=c.JobKind.GANG, tasks=2, idempotent=True))
+    placements = tuple(c.Placement("g", x, 1, f"m{x}", "s1") for x in range(2))
+    state.apply(c.PlaceTasks(placements=placements, time=2.0))
+    report(state, "g", 0, c.TaskOutcome.FAILED, time=3.0)
+    report(state, "g", 1, c.TaskOutcome.DONE, time=3.1)
+    state.apply(c.AdvanceTime(time=10.0))
+    again = tuple(c.Placement("g", x, 2, f"m{x}", "s1") for x in range(2))
+    state.apply(c.PlaceTasks(placements=again, time=11.0))
+    assert state.book.jobs["g"].counts[TaskState.RUNNING] == 2
--- a/tests/consensus/test_repair.py
+++ b/tests/consensus/test_repair.py
@@ -26,6 +26,8 @@
         end = self.cluster.now + seconds
         while self.cluster.now < end:
             self.cluster.settle(0.5)
+            # A shell asks again within milliseconds, before any answer has come.
+            self.step()
             self.step()
 
     def step(self):
--- /dev/null
+++ b/tests/integration/test_faults.py
@@ -0,0 +1,240 @@
+"""Real processes under faults; the stand-ins' ledgers are the judges."""
+
+import signal
+import threading
+import time
+
+import pytest
+
+from standins.cell import ask, wait_until
+from tests.integration.callers import Callers, call, list_runs
+from tests.integration.conftest import TICKET
+
+
+def other_than(cell, name):
+    return next(x for x in cell.replicas if x != name)
+
+
+def test_killed_leader_cuts_no_truth(start_bench):
+    bench = start_bench()
+    with Callers(bench.cell) as running:
+        running.wait_for_answers(50)
+        bench.cell.kill(bench.cell.find_leader())
+        bench.submit("after", tasks=3)
+        running.wait_for_answers(100)
+    bench.cell.processes["u0"].poll()
+    wait_until(bench.cell.find_leader, 20, "a leader")
+    if "after" not in bench.jobs:
+        assert bench.submit("after", tasks=3)[0] == 202
+    bench.wait_finished("after")
+    bench.check(running.records)
+
+
+def test_cut_leader_refuses_at_once_and_comes_back(start_bench):
+    bench = start_bench(proxied=True)
+    cell = bench.cell
+    leader = cell.find_leader()
+    address = f"127.0.0.1:{cell.http_ports[leader]}"
+    with Callers(cell) as running:
+        running.wait_for_answers(30)
+        cell.proxy.cut(leader)
+        wait_until(
+            lambda: call(address, "/echo", caller="probe").code == "no-lease",
+            10,
+            "the cut instance to refuse",
+        )
+        refusal = call(address, "/echo", caller="probe2")
+        assert refusal.status == 503
+        assert refusal.outcome == "not-run"
+        assert refusal.took_s < 2.0
+        wait_until(lambda: cell.find_leader() not in (None, leader), 20, "a new leader")
+        cell.stop("u0")
+        running.wait_for_answers(50)
+        cell.proxy.heal()
+        cell.wait_ready(leader)
+        running.wait_for_answers(50)
+    bench.check(running.records)
+
+
+def test_stopped_leader_resumes_without_harm(start_bench):
+    bench = start_bench(worker_lease_s=8.0)
+    cell = bench.cell
+    leader = cell.find_leader()
+    bench.submit("long", tasks=4, run_s=4.0)
+    with Callers(cell, count=3) as running:
+        running.wait_for_answers(20)
+        cell.signal(leader, signal.SIGSTOP)
+        wait_until(lambda: cell.find_leader() not in (None, leader), 20, "a new leader")
+        time.sleep(5.0)
+        cell.signal(leader, signal.SIGCONT)
+        cell.wait_ready(leader)
+        running.wait_for_answers(50)
+    assert bench.wait_finished("long")["state"] == "done"
+    bench.check(running.records)
+
+
+def test_racing_and_resent_tickets(start_bench):
+    bench = start_bench(upstreams=0, workers=0)
+    answers = []
+
+    def race(number, share, address):
+        ticket = {"number": number, "workspaces": [{"name": "yard", "share": share}]}
+        answers.append((number, share, *bench.apply_ticket(ticket, address)))
+
+    for number in range(2, 22):
+        threads = [
+            threading.Thread(target=race, args=(number, share, address))
+            for share, address in enumerate(bench.cell.addresses[:2], start=1)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+    for number in range(2, 22):
+        won = [item for item in answers if item[0] == number and item[2] == 200]
+        lost = [item for item in answers if item[0] == number and item[2] == 409]
+        assert len(won) == 1
+        assert len(lost) == 1
+        assert lost[0][3]["code"] in ("number-taken", "stale-number")
+        assert int(lost[0][3]["next_number"]) > number
+    first = next(item for item in answers if item[0] == 2 and item[2] == 200)
+    ticket = {"number": 2, "workspaces": [{"name": "yard", "share": first[1]}]}
+    status, again = bench.apply_ticket(ticket, bench.cell.addresses[4])
+    assert status == 200
+    assert again["version"] == first[3]["version"]
+    status, faults = bench.apply_ticket({"number": 99, "workspaces": [{"nam": 1}]})
+    assert status == 400
+    assert len(faults["faults"]) == 2
+
+
+def test_silent_worker_keeps_its_tasks_until_its_lease_has_ended(start_bench):
+    bench = start_bench(upstreams=0, workers=2)
+    cell = bench.cell
+    bench.submit("again", tasks=8, run_s=4.0, idempotent=True)
+    bench.submit("once", tasks=4, run_s=4.0)
+    wait_until(lambda: len(list_runs(cell)) == 12, 20, "all tasks to run")
+    bench.freeze_worker("w0")
+    assert bench.wait_finished("again")["state"] == "done"
+    bench.wake_worker("w0")
+    once = bench.wait_finished("once")
+    assert once["state"] in ("unknown", "done")
+    bench.wait_known(0, 2)
+    bench.check()
+
+
+def test_wiped_replica_is_replaced_and_a_second_loss_is_survived(start_bench):
+    bench = start_bench(upstreams=0, workers=1, spares=1, entries=1, replace_after_s=3)
+    cell = bench.cell
+    bench.submit("kept", tasks=2)
+    bench.wait_finished("kept")
+    leader = cell.find_leader()
+    voters = ask(f"127.0.0.1:{cell.http_ports[leader]}", "/v1/instance")[1]["replica"][
+        "voters"
+    ]
+    lost = next(name for name in voters if name != leader)
+    spare = next(name for name in cell.replicas if name not in voters)
+    cell.kill(lost)
+
+    def list_voters():
+        name = cell.find_leader()
+        if name is None:
+            return []
+        value = ask(f"127.0.0.1:{cell.http_ports[name]}", "/v1/instance")[1]
+        return value["replica"]["voters"]
+
+    wait_until(
+        lambda: spare in list_voters() and lost not in list_voters(), 40, "a repair"
+    )
+    second = next(name for name in list_voters() if name not in (spare, leader))
+    cell.kill(second)
+    wait_until(cell.find_leader, 20, "a leader")
+    assert bench.show("kept")["state"] == "done"
+    bench.submit("after", tasks=2)
+    assert bench.wait_finished("after")["state"] == "done"
+    bench.check()
+
+
+def test_restart_after_hundreds_of_tickets(start_bench):
+    bench = start_bench(upstreams=0, workers=0)
+    cell = bench.cell
+    for number in range(2, 302):
+        ticket = {"number": number, "workspaces": [{"name": "yard", "share": number}]}
+        assert bench.apply_ticket(ticket)[0] == 200
+    for name in cell.names:
+        cell.kill(name)
+    for name in cell.names:
+        cell.start_instance(name)
+    for name in cell.names:
+        cell.wait_ready(name)
+    status, value = ask(cell.addresses[4], "/v1/tickets")
+    assert status == 200
+    assert value["last_number"] == 301
+    shares = {item["name"]: item["share"] for item in value["workspaces"]}
+    assert shares["yard"] == 301
+    status, value = bench.apply_ticket(TICKET)
+    assert status == 200
+    assert value["code"] == "accepted"
+    old = {"number": 200, "workspaces": [{"name": "yard", "share": 1}]}
+    assert bench.apply_ticket(old)[0] == 409
+
+
+def test_drained_instances_cut_no_request(start_bench):
+    bench = start_bench(workers=0)
+    cell = bench.cell
+    with Callers(cell, count=6, path="/sleep/0.4") as running:
+        running.wait_for_answers(20)
+        for name in (cell.names[-1], cell.find_leader()):
+            assert cell.stop(name) == 0
+            running.wait_for_answers(20)
+    outcomes = {record.outcome for record in running.records}
+    assert outcomes <= {"done", "not-run", "refused-connection"}
+    bench.check(running.records)
+
+
+def test_leaving_upstream_finishes_its_requests(start_bench):
+    bench = start_bench(workers=0)
+    with Callers(bench.cell, count=6, path="/sleep/0.3") as running:
+        running.wait_for_answers(20)
+        assert bench.cell.stop("u0") == 0
+        running.wait_for_answers(20)
+    assert {record.outcome for record in running.records} <= {"done", "not-run"}
+    bench.check(running.records)
+
+
+@pytest.mark.parametrize("path", ["/cut", "/error"])
+def test_broken_answers_never_pass_as_whole(start_bench, path):
+    bench = start_bench(workers=0, upstreams=1)
+    record = call(bench.cell.addresses[0], path, caller="a", key="k1")
+    again = call(bench.cell.addresses[1], path, caller="a", key="k1")
+    if path == "/cut":
+        assert (record.outcome, record.status) == ("unknown", 502)
+        assert again.outcome == "unknown"
+    else:
+        assert (record.outcome, record.status) == ("done", 500)
+        assert (again.outcome, again.status) == ("done", 500)
+    bench.check()
+
+
+def test_slow_answer_is_unknown_at_the_deadline_and_not_run_again(start_bench):
+    bench = start_bench(workers=0, upstreams=1)
+    address, other = bench.cell.addresses[0], bench.cell.addresses[1]
+    record = call(address, "/sleep/3", caller="a", key="k", deadline_ms=500)
+    assert (record.outcome, record.status) == ("unknown", 504)
+    again = call(other, "/sleep/3", caller="a", key="k", deadline_ms=500)
+    assert again.outcome == "unknown"
+    bench.check([record, again])
+
+
+def test_cancellation_wave_frees_nothing_that_still_runs(start_bench):
+    bench = start_bench(upstreams=0, workers=2)
+    cell = bench.cell
+    for number in range(10):
+        bench.submit(f"wave{number}", tasks=5, run_s=20.0)
+    wait_until(lambda: len(list_runs(cell)) >= 30, 20, "the tasks to run")
+    for number in range(10):
+        assert ask(cell.addresses[0], f"/v1/jobs/wave{number}", "DELETE")[0] == 200
+    for number in range(10):
+        assert bench.wait_finished(f"wave{number}")["state"] == "cancelled"
+    bench.submit("next", tasks=4)
+    assert bench.wait_finished("next")["state"] == "done"
+    bench.check()
--- a/tests/leader/test_slots.py
+++ b/tests/leader/test_slots.py
@@ -115,10 +115,10 @@
         slot.in_use = 0
         slot.keep = 2
         slot.give_back()
-    first.poll_due = world.now
-    world.step()
-    first.poll_due = world.now
-    world.step()
+    flood(world, first)
+    for _ in range(2):
+        first.poll_due = world.now
+        world.step()
     world.commit = commit
     world.pass_time(1.0)
     flood_for(world, 3.0, first, second, third)
