--- a/src/bluebellyoke/instance/border.py
+++ b/src/bluebellyoke/instance/border.py
@@ -6,6 +6,7 @@
 
 import msgspec
 import pydantic
+from returns.result import Failure, Result, Success
 
 from bluebellyoke.cell import commands as c
 from bluebellyoke.cell.resources import Resources
@@ -13,12 +14,14 @@
 from bluebellyoke.instance import wire as w
 
 __all__ = [
+    "BadDeadlineError",
     "HeartbeatBody",
     "JobBody",
     "MalformedBodyError",
     "TicketBody",
     "UpstreamBody",
     "parse_body",
+    "parse_deadline",
 ]
 
 Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9._:-]{1,128}$")]
@@ -37,6 +40,16 @@
         self.faults = faults
 
 
+class BadDeadlineError(BluebellyokeError):
+    """A deadline header that is no time."""
+
+    def __init__(self, text: bytes) -> None:
+        super().__init__(
+            f"Bluebellyoke-Deadline-Ms is {text.decode('latin-1')!r}",
+            remedy="send a whole number of milliseconds above zero",
+        )
+
+
 class _Body(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="forbid")
 
@@ -220,17 +233,30 @@
     return hashlib.sha256(msgspec.msgpack.encode(value)).hexdigest()[:32]
 
 
-def parse_body(model: type[_Body], data: bytes) -> Any:
-    """Return the validated body.
-
-    Raises:
-        MalformedBodyError: The body breaks the format; all faults are named.
-    """
+def parse_body(model: type[_Body], data: bytes) -> Result[Any, MalformedBodyError]:
+    """Return the validated body, or all the faults of its format."""
     try:
-        return model.model_validate_json(data)
+        return Success(model.model_validate_json(data))
     except pydantic.ValidationError as error:
         faults = [
             f"{'.'.join(map(str, item['loc'])) or 'body'}: {item['msg']}"
             for item in error.errors()
         ]
-        raise MalformedBodyError(faults) from None
+        return Failure(MalformedBodyError(faults))
+
+
+def parse_deadline(
+    text: bytes | None, default_s: float, longest_s: float
+) -> Result[float, BadDeadlineError]:
+    """Return the time that a caller allows, in seconds.
+
+    Args:
+        text: Value of the header, in milliseconds, or None without one.
+        default_s: Time without the header.
+        longest_s: Longest time that the cell allows.
+    """
+    if text is None:
+        return Success(min(default_s, longest_s))
+    if not text.isdigit() or not int(text):
+        return Failure(BadDeadlineError(text))
+    return Success(min(int(text) / 1000, longest_s))
--- a/src/bluebellyoke/instance/entry.py
+++ b/src/bluebellyoke/instance/entry.py
@@ -7,6 +7,7 @@
 
 import itertools
 import logging
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import anyio
@@ -50,6 +51,12 @@
 #: Longest answer time that a recorded outcome may add, in seconds.
 RECORD_TIMEOUT_S = 2.0
 
+CALLER_LEFT = Refusal(
+    kind=RefusalKind.CALLER_LEFT,
+    reason="the caller closed its connection while its request waited",
+    retry_after_s=0.0,
+)
+
 
 @dataclass(slots=True)
 class CallerRequest:
@@ -60,6 +67,7 @@
         key: Idempotency key, or an empty text.
         digest: Identifies method, path and body; empty without a key.
         replayable: Whether the body is held and can be sent again.
+        wait_gone: Returns when the caller has closed its connection.
     """
 
     service: str
@@ -71,6 +79,7 @@
     key: str = ""
     digest: str = ""
     replayable: bool = True
+    wait_gone: Callable[[], Awaitable[None]] | None = None
 
 
 @dataclass(slots=True)
@@ -281,13 +290,18 @@
             return
 
     async def _attempt(self, request: CallerRequest) -> FinalAnswer:
-        """Send a request, and again while that is safe and allowed."""
+        """Send a request, and again while that is safe and allowed.
+
+        Once an attempt may have run, a later refusal does not make the request "not
+        run" any more.
+        """
         avoid: frozenset[str] = frozenset()
+        unknown: FinalAnswer | None = None
         while True:
             dispatch = await self._find_slot(request, avoid)
             if isinstance(dispatch, Refusal):
                 self._log_refusal(request, dispatch)
-                return FinalAnswer(
+                return unknown or FinalAnswer(
                     Fate.NOT_RUN,
                     dispatch.kind,
                     dispatch.reason,
@@ -295,8 +309,10 @@
                 )
             self._log_dispatch(request, dispatch)
             answer = await self._exchange(request, dispatch)
+            if answer.fate is Fate.UNKNOWN:
+                unknown = answer
             if not self._may_retry(request, answer):
-                return answer
+                return answer if answer.fate is Fate.DONE else unknown or answer
             avoid |= {dispatch.target.name}
 
     def _may_retry(self, request: CallerRequest, answer: FinalAnswer) -> bool:
@@ -330,15 +346,23 @@
         waiter = self._waiters[routed.id] = Waiter()
         self._link.poll_soon()
         try:
-            await waiter.event.wait()
+            await self._wait_for_turn(request, waiter)
         except BaseException:
-            self.router.cancel(routed)
             if waiter.dispatch is not None:
                 self.router.release(waiter.dispatch.slot)
             raise
         finally:
+            self.router.cancel(routed)
             del self._waiters[routed.id]
-        return waiter.dispatch or waiter.refusal
+        return waiter.dispatch or waiter.refusal or CALLER_LEFT
+
+    async def _wait_for_turn(self, request: CallerRequest, waiter: Waiter) -> None:
+        """Wait until the router has decided or the caller has left."""
+        async with anyio.create_task_group() as tasks:
+            if request.wait_gone is not None:
+                tasks.start_soon(_set_when_gone, request.wait_gone, waiter.event)
+            await waiter.event.wait()
+            tasks.cancel_scope.cancel()
 
     async def _exchange(
         self, request: CallerRequest, dispatch: Dispatch
@@ -413,6 +437,13 @@
         )
 
 
+async def _set_when_gone(
+    wait_gone: Callable[[], Awaitable[None]], event: anyio.Event
+) -> None:
+    await wait_gone()
+    event.set()
+
+
 def _replace_headers(
     headers: list[tuple[bytes, bytes]], holder: str, number: bytes, left_s: float
 ) -> list[tuple[bytes, bytes]]:
--- a/src/bluebellyoke/instance/http.py
+++ b/src/bluebellyoke/instance/http.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import msgspec
+from returns.pipeline import is_successful
 
 from bluebellyoke.cell import commands as c
 from bluebellyoke.clock import Clock
@@ -28,6 +29,9 @@
 #: Longest body of the project's own paths.
 API_BODY_BYTES = 4 * 1024 * 1024
 
+#: Deadline of a request to an unknown service, in seconds.
+DEFAULT_DEADLINE_S = 10.0
+
 #: Time within which the leader must answer an API call, in seconds.
 CALL_TIMEOUT_S = 5.0
 
@@ -78,6 +82,15 @@
         self.describe_replica: Callable[[], dict | None] = lambda: None
 
 
+class BodyTooLongError(BluebellyokeError):
+    """A body of the project's own paths exceeds its bound."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            f"the body has more than {API_BODY_BYTES} bytes", remedy="split it"
+        )
+
+
 class CallerLeftError(Exception):
     """The caller closed the connection before its request was whole."""
 
@@ -130,14 +143,14 @@
         headers = dict(scope["headers"])
         service, _, rest = scope["path"][len(SERVICE_PREFIX) :].partition("/")
         arrived = self._clock.monotonic()
-        try:
-            deadline_s = self._read_deadline(headers, service)
-        except ValueError:
-            answer = FinalAnswer(
-                Fate.NOT_RUN,
-                "bad-deadline",
-                "Bluebellyoke-Deadline-Ms must be a whole number above zero",
-            )
+        deadline = border.parse_deadline(
+            headers.get(b"bluebellyoke-deadline-ms"),
+            self._find_default_deadline(service),
+            self._longest_deadline_s,
+        )
+        if not is_successful(deadline):
+            reason = str(deadline.failure())
+            answer = FinalAnswer(Fate.NOT_RUN, "bad-deadline", reason)
             await self._send_final(answer, send)
             return
         key = headers.get(b"idempotency-key", b"").decode("latin-1")
@@ -165,24 +178,18 @@
                 content_length=int(length) if length else None,
             ),
             arrived=arrived,
-            deadline=arrived + deadline_s,
+            deadline=arrived + deadline.unwrap(),
             key=key,
             digest=_digest_request(scope["method"], target, body) if key else "",
             replayable=body is not None,
+            wait_gone=_watch_caller(receive) if body is not None else None,
         )
         answer = await self._entry.handle(request)
         await self._send_final(answer, send, is_head=scope["method"] == "HEAD")
 
-    def _read_deadline(self, headers: dict[bytes, bytes], service: str) -> float:
-        text = headers.get(b"bluebellyoke-deadline-ms")
-        if text is None:
-            spec = self._entry.router.view.services.get(service)
-            wanted = spec.deadline_s if spec is not None else 10.0
-        else:
-            wanted = int(text) / 1000
-            if wanted <= 0:
-                raise ValueError(text)
-        return min(wanted, self._longest_deadline_s)
+    def _find_default_deadline(self, service: str) -> float:
+        spec = self._entry.router.view.services.get(service)
+        return spec.deadline_s if spec is not None else DEFAULT_DEADLINE_S
 
     async def _take_body(
         self, headers: dict[bytes, bytes], receive: Receive
@@ -259,9 +266,8 @@
         try:
             body = await _read_body(receive)
             status, value = await self._answer_api(method, parts, body)
-        except border.MalformedBodyError as error:
-            status = 400
-            value = {"code": "malformed", "faults": error.faults}
+        except BodyTooLongError as error:
+            status, value = 413, {"code": "body-too-long", "reason": str(error)}
         except BluebellyokeError as error:
             status = 503
             value = {"code": "unavailable", "reason": str(error)}
@@ -329,8 +335,10 @@
         }
 
     async def _command(self, model, body: bytes, *, created: int = 200):
-        command = border.parse_body(model, body).build()
-        return await self._call_result(command, created=created)
+        parsed = border.parse_body(model, body)
+        if not is_successful(parsed):
+            return _describe_faults(parsed.failure())
+        return await self._call_result(parsed.unwrap().build(), created=created)
 
     async def _call_result(self, command: c.Command, *, created: int = 200):
         result = await self._link.call(command, CALL_TIMEOUT_S)
@@ -350,19 +358,29 @@
     async def _announce(self, body: bytes):
         """Take an upstream's announcement; a mere renewal joins the next poll."""
         parsed = border.parse_body(border.UpstreamBody, body)
-        command = parsed.build()
-        renewal = w.Renewal(command.upstream, command.incarnation, parsed.running)
+        if not is_successful(parsed):
+            return _describe_faults(parsed.failure())
+        announced = parsed.unwrap()
+        command = announced.build()
+        renewal = w.Renewal(command.upstream, command.incarnation, announced.running)
         if self._entry.renew_upstream(command, renewal):
             return 200, {"accepted": True, "code": "renewed"}
         return await self._call_result(command)
 
     async def _heartbeat(self, body: bytes):
-        heartbeat = border.parse_body(border.HeartbeatBody, body).build()
+        parsed = border.parse_body(border.HeartbeatBody, body)
+        if not is_successful(parsed):
+            return _describe_faults(parsed.failure())
+        heartbeat = parsed.unwrap().build()
         timeout_s = CALL_TIMEOUT_S + heartbeat.wait_s
         orders = await self._link.call(heartbeat, timeout_s)
         return 200, _describe_orders(orders)
 
 
+def _describe_faults(error: border.MalformedBodyError) -> tuple[int, dict]:
+    return 400, {"code": "malformed", "faults": error.faults}
+
+
 class TruncatedAnswerError(Exception):
     """The upstream's answer broke off after its head was passed on."""
 
@@ -403,6 +421,16 @@
     return {"job": job_id, "task": index, "epoch": epoch}
 
 
+def _watch_caller(receive: Receive) -> Callable[[], Awaitable[None]]:
+    """Return a function that waits until the caller has closed its connection."""
+
+    async def wait_gone() -> None:
+        while (await receive())["type"] != "http.disconnect":
+            pass
+
+    return wait_gone
+
+
 def _build_target(scope: Scope, service: str, rest: str) -> bytes:
     """Return path and query as the upstream sees them."""
     raw = scope.get("raw_path") or scope["path"].encode()
@@ -456,9 +484,7 @@
         chunk = message.get("body", b"")
         size += len(chunk)
         if size > API_BODY_BYTES:
-            raise border.MalformedBodyError(
-                [f"body: longer than {API_BODY_BYTES} bytes"]
-            )
+            raise BodyTooLongError()
         chunks.append(chunk)
         if not message.get("more_body"):
             return b"".join(chunks)
--- a/src/bluebellyoke/routing/router.py
+++ b/src/bluebellyoke/routing/router.py
@@ -59,6 +59,7 @@
     QUEUE_FULL = "queue-full"
     DEADLINE = "deadline"
     DRAINING = "draining"
+    CALLER_LEFT = "caller-left"
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/integration/test_faults.py
+++ b/tests/integration/test_faults.py
@@ -1,6 +1,7 @@
 """Real processes under faults; the stand-ins' ledgers are the judges."""
 
 import signal
+import socket
 import threading
 import time
 
@@ -201,6 +202,18 @@
     bench.check(running.records)
 
 
+def test_killed_upstream_leaves_no_request_run_twice(start_bench):
+    bench = start_bench(workers=0, upstreams=3)
+    with Callers(bench.cell, count=8, path="/sleep/0.3") as running:
+        running.wait_for_answers(20)
+        bench.cell.kill("u0")
+        running.wait_for_answers(20)
+        bench.cell.kill("u1")
+        running.wait_for_answers(20)
+    assert "unknown" in {record.outcome for record in running.records}
+    bench.check(running.records)
+
+
 @pytest.mark.parametrize("path", ["/cut", "/error"])
 def test_broken_answers_never_pass_as_whole(start_bench, path):
     bench = start_bench(workers=0, upstreams=1)
@@ -238,3 +251,40 @@
     bench.submit("next", tasks=4)
     assert bench.wait_finished("next")["state"] == "done"
     bench.check()
+
+
+def test_retry_that_finds_no_slot_leaves_the_outcome_unknown(start_bench):
+    bench = start_bench(workers=0, upstreams=1)
+    address = bench.cell.addresses[0]
+    record = call(address, "/cut", method="GET", caller="a", deadline_ms=1_000)
+    assert record.outcome == "unknown"
+
+
+def test_caller_that_leaves_frees_its_place_in_the_queue(start_bench):
+    bench = start_bench(workers=0, upstreams=1, replicas=1, voters=1, entries=0)
+    port = bench.cell.http_ports["i1"]
+    busy = [open_request(port, "/sleep/2.0") for _ in range(8)]
+
+    def count_in_hand():
+        return ask(f"127.0.0.1:{port}", "/v1/instance")[1]["in_hand"]
+
+    wait_until(lambda: count_in_hand() == 8, 10, "8 requests in hand")
+    waiting = [open_request(port, "/echo") for _ in range(5)]
+    wait_until(lambda: count_in_hand() == 13, 10, "5 requests in the queue")
+    for connection in waiting:
+        connection.close()
+    wait_until(lambda: count_in_hand() <= 8, 1.5, "the queue to empty")
+    for connection in busy:
+        assert b" 200 " in connection.recv(4096)
+        connection.close()
+    bench.check()
+
+
+def open_request(port, path):
+    """Send a request on a plain connection and leave the answer unread."""
+    connection = socket.create_connection(("127.0.0.1", port))
+    connection.sendall(
+        f"GET /services/estimates{path} HTTP/1.1\r\nhost: x\r\n"
+        "bluebellyoke-workspace: depot\r\n\r\n".encode()
+    )
+    return connection
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -315,6 +315,41 @@
         "            if slot.idle > -1\n",
         "tests/leader",
     ),
+    Case(
+        "an idempotency key is claimed before the request is sent",
+        "instance/entry.py",
+        "            if request.key:\n",
+        "            if False:\n",
+        "tests/integration -k slow_answer",
+    ),
+    Case(
+        "a request that may have run is not sent again",
+        "instance/entry.py",
+        "if answer.fate is Fate.UNKNOWN and not self._is_idempotent(request):",
+        "if False:",
+        "tests/integration -k killed_upstream",
+    ),
+    Case(
+        "a refusal after an attempt is no `not run`",
+        "instance/entry.py",
+        "return unknown or FinalAnswer(",
+        "return FinalAnswer(",
+        "tests/integration -k leaves_the_outcome",
+    ),
+    Case(
+        "a drain waits for the requests in hand",
+        "instance/application.py",
+        "while self._entry.open_requests or self._router.in_hand:",
+        "while False:",
+        "tests/integration -k drained_instances",
+        also=(
+            (
+                "instance/application.py",
+                "while server.server_state.connections:",
+                "while False:",
+            ),
+        ),
+    ),
 ]
 
 
