Split agreement, storage and the director by duty

Change: followers and frames out of the agreement and the storage; workers, slots and sessions out of the director. No rule changed.

--- a/bench/agreement.py
+++ b/bench/agreement.py
@@ -28,7 +28,8 @@
 from bluebellyoke.consensus.storage import Storage, create_identity
 from bluebellyoke.instance import wire as w
 from bluebellyoke.instance.replica import Replica, ReplicaOptions, SessionInput
-from bluebellyoke.leader.director import Director, DirectorOptions
+from bluebellyoke.leader.director import Director
+from bluebellyoke.leader.sessions import DirectorOptions
 from bluebellyoke.metrics import Metrics
 from bluebellyoke.placement.engine import PlacementEngine
 from bluebellyoke.placement.policies import create_policy
--- a/src/bluebellyoke/consensus/core.py
+++ b/src/bluebellyoke/consensus/core.py
@@ -21,27 +21,19 @@
 import enum
 import random
 from dataclasses import dataclass, field
-from typing import Protocol
 
 import msgspec
 
 from bluebellyoke.consensus import messages as m
+from bluebellyoke.consensus.followers import Followers, Progress, SnapshotSource
 from bluebellyoke.consensus.log import EntryLog
 from bluebellyoke.errors import BluebellyokeError
 
-__all__ = ["Core", "Effects", "MembershipBusyError", "Role", "SnapshotSource", "Timing"]
+__all__ = ["Core", "Effects", "MembershipBusyError", "Role", "Timing"]
 
 #: Largest relative difference in speed between two instances' clocks.
 CLOCK_DRIFT = 0.05
 
-#: Entries and payload bytes of one message, and entries in flight to a follower.
-MAX_ENTRIES_PER_MESSAGE = 256
-MAX_BYTES_PER_MESSAGE = 512 * 1024
-MAX_ENTRIES_IN_FLIGHT = 4096
-
-#: Bytes of one chunk of a snapshot.
-SNAPSHOT_CHUNK_BYTES = 256 * 1024
-
 
 class MembershipBusyError(BluebellyokeError):
     """Another membership change is not committed yet."""
@@ -61,13 +53,6 @@
     LEADER = "leader"
 
 
-class SnapshotSource(Protocol):
-    """Access to the bytes of the latest snapshot."""
-
-    def read_chunk(self, offset: int, size: int) -> bytes:
-        """Return `size` bytes of the state from `offset`, fewer at the end."""
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Timing:
     """Durations of the election, in seconds."""
@@ -105,30 +90,6 @@
     committed: list[m.Entry] = field(default_factory=list)
 
 
-@dataclass(slots=True)
-class Progress:
-    """What the leader knows of a follower.
-
-    Attributes:
-        match: Last entry known to be synced there.
-        next: Next entry to send.
-        acknowledged_at: Leader's time at which the latest answered message was sent.
-        tracked_at: Leader's time at which it began to send.
-        heard_at: Leader's time of the latest answer.
-        snapshot_index: Snapshot that is being sent, or zero.
-        snapshot_offset: Bytes of it that the follower holds.
-    """
-
-    next: int
-    tracked_at: float
-    match: int = 0
-    acknowledged_at: float = float("-inf")
-    heard_at: float = float("-inf")
-    snapshot_index: int = 0
-    snapshot_offset: int = 0
-    chunk_sent_at: float = float("-inf")
-
-
 class Core:
     """One replica's part in the agreement.
 
@@ -161,7 +122,7 @@
         self.role = Role.FOLLOWER
         self.leader = ""
         self.commit = log.base.index
-        self.progress: dict[str, Progress] = {}
+        self._followers: Followers | None = None
         self._snapshots = snapshots
         self._random = random_source
         self._effects = Effects()
@@ -169,7 +130,6 @@
         self._votes: set[str] = set()
         self._time = now
         self._leader_heard_at = now
-        self.lead_since = now
         self._transfer_to = ""
         self._transfer_due = now
         self._lead_index = 0
@@ -203,18 +163,17 @@
             return False
         return now < self.compute_lease_end(now)
 
+    @property
+    def progress(self) -> dict[str, Progress]:
+        """Progress of the other members, if this replica leads."""
+        return self._followers.progress if self._followers is not None else {}
+
     def compute_lease_end(self, now: float) -> float:
         """Return the monotonic time until which the leader's lease holds."""
-        times = sorted(
-            (
-                now if voter == self.replica else self.progress[voter].acknowledged_at
-                for voter in self.membership.voters
-            ),
-            reverse=True,
+        return (
+            self._followers.find_acknowledged_at(self.membership, now)
+            + self.timing.lease
         )
-        if len(times) < self.membership.quorum:
-            return float("-inf")
-        return times[self.membership.quorum - 1] + self.timing.lease
 
     @property
     def is_membership_settled(self) -> bool:
@@ -331,7 +290,7 @@
             self._reset_election_timer(now)
         self.role = Role.FOLLOWER
         self.leader = leader
-        self.progress = {}
+        self._followers = None
         self._transfer_to = ""
 
     def _campaign(self, now: float, *, pre: bool, transfer: bool = False) -> None:
@@ -407,10 +366,15 @@
     def _become_leader(self, now: float) -> None:
         self.role = Role.LEADER
         self.leader = self.replica
-        self.progress = {}
-        self.lead_since = now
         self._transfer_to = ""
-        self._track_members()
+        self._followers = Followers(
+            replica=self.replica,
+            term=self.term,
+            log=self.log,
+            snapshots=self._snapshots,
+            send=self._send_early,
+        )
+        self._followers.track(self.membership, now)
         self._membership_index = self.log.last_index
         self._lead_index = self._append_own(m.EntryKind.NOOP, b"").index
         self._send_entries(now, heartbeat=True)
@@ -418,15 +382,9 @@
     # Leading.
 
     def _tick_leader(self, now: float) -> None:
-        heard = 1 if self.is_voter else 0
-        for voter in self.membership.voters:
-            progress = self.progress.get(voter)
-            if progress is None or voter == self.replica:
-                continue
-            last = max(progress.heard_at, self.lead_since)
-            if now - last < self.timing.election_max:
-                heard += 1
-        if heard < self.membership.quorum:
+        if not self._followers.has_majority(
+            self.membership, now, self.timing.election_max
+        ):
             self._become_follower(self.term, "", now)
             return
         if self._transfer_to and now >= self._transfer_due:
@@ -442,128 +400,32 @@
         self._effects.entries.append(entry)
         return entry
 
-    def _track_members(self) -> None:
-        members = self.membership.members
-        for member in members:
-            if member != self.replica and member not in self.progress:
-                self.progress[member] = Progress(
-                    next=self.log.last_index + 1, tracked_at=self._time
-                )
-        for gone in set(self.progress) - set(members):
-            del self.progress[gone]
-
     def _send_entries(self, now: float, *, heartbeat: bool = False) -> None:
         if heartbeat:
             self._heartbeat_due = now + self.timing.heartbeat
-        for target, progress in self.progress.items():
-            self._send_to(target, progress, now, heartbeat=heartbeat)
-
-    def _send_to(
-        self, target: str, progress: Progress, now: float, *, heartbeat: bool
-    ) -> None:
-        previous_term = self.log.find_term(progress.next - 1)
-        if previous_term is None:
-            self._send_snapshot(target, progress, now, heartbeat=heartbeat)
-            return
-        progress.snapshot_index = 0
-        sent = False
-        while progress.next <= self.log.last_index:
-            if progress.next - progress.match > MAX_ENTRIES_IN_FLIGHT:
-                break
-            entries = self.log.read(
-                progress.next, MAX_ENTRIES_PER_MESSAGE, MAX_BYTES_PER_MESSAGE
-            )
-            self._send_append(target, progress, entries, now)
-            progress.next += len(entries)
-            sent = True
-        if heartbeat and not sent:
-            self._send_append(target, progress, (), now)
-
-    def _send_append(
-        self,
-        target: str,
-        progress: Progress,
-        entries: tuple[m.Entry, ...],
-        now: float,
-    ) -> None:
-        previous = progress.next - 1
-        request = m.AppendRequest(
-            self.term,
-            previous,
-            self.log.find_term(previous),
-            self.commit,
-            now,
-            entries,
-        )
-        self._effects.early_messages.append((target, request))
+        self._followers.send_to_all(self.commit, now, heartbeat=heartbeat)
 
-    def _send_snapshot(
-        self, target: str, progress: Progress, now: float, *, heartbeat: bool
-    ) -> None:
-        meta = self.log.base
-        if progress.snapshot_index != meta.index:
-            progress.snapshot_index = meta.index
-            progress.snapshot_offset = 0
-        elif not heartbeat or now - progress.chunk_sent_at < self.timing.election_min:
-            return
-        progress.chunk_sent_at = now
-        chunk = self._snapshots.read_chunk(
-            progress.snapshot_offset, SNAPSHOT_CHUNK_BYTES
-        )
-        request = m.SnapshotRequest(
-            self.term, meta, progress.snapshot_offset, chunk, now
-        )
-        self._effects.early_messages.append((target, request))
-
-    def _note_answer(self, progress: Progress, sent_at: float, now: float) -> None:
-        progress.acknowledged_at = max(progress.acknowledged_at, sent_at)
-        progress.heard_at = now
+    def _send_early(self, target: str, message: m.Message) -> None:
+        self._effects.early_messages.append((target, message))
 
     def _on_append_reply(self, source: str, reply: m.AppendReply, now: float) -> None:
-        progress = self.progress.get(source)
-        if self.role is not Role.LEADER or progress is None:
+        if self.role is not Role.LEADER:
+            return
+        if not self._followers.note_append(source, reply, now):
             return
-        self._note_answer(progress, reply.sent_at, now)
         if reply.matched:
-            progress.match = max(progress.match, reply.index)
-            progress.next = max(progress.next, progress.match + 1)
             self._advance_commit()
-        else:
-            backed = min(reply.index + 1, progress.next)
-            progress.next = max(progress.match + 1, backed)
-        if progress.next <= self.log.last_index:
-            self._send_to(source, progress, now, heartbeat=False)
+        if self.role is Role.LEADER:
+            self._followers.send_to(source, self.commit, now, heartbeat=False)
 
     def _on_snapshot_reply(
         self, source: str, reply: m.SnapshotReply, now: float
     ) -> None:
-        progress = self.progress.get(source)
-        if self.role is not Role.LEADER or progress is None:
-            return
-        self._note_answer(progress, reply.sent_at, now)
-        if reply.index != progress.snapshot_index:
-            return
-        if reply.received >= self.log.base.size:
-            progress.match = max(progress.match, reply.index)
-            progress.next = progress.match + 1
-            progress.snapshot_index = 0
-            self._send_to(source, progress, now, heartbeat=True)
-            return
-        progress.snapshot_offset = reply.received
-        progress.chunk_sent_at = float("-inf")
-        self._send_snapshot(source, progress, now, heartbeat=True)
+        if self.role is Role.LEADER:
+            self._followers.note_snapshot(source, reply, self.commit, now)
 
     def _advance_commit(self) -> None:
-        matches = sorted(
-            (
-                self._synced if voter == self.replica else self.progress[voter].match
-                for voter in self.membership.voters
-            ),
-            reverse=True,
-        )
-        if not matches:
-            return
-        index = matches[self.membership.quorum - 1]
+        index = self._followers.find_synced_index(self.membership, self._synced)
         if index > self.commit and self.log.find_term(index) == self.term:
             self._commit_to(index)
             self._step_down_if_removed()
@@ -573,7 +435,7 @@
         if self.role is Role.LEADER and settled and not self.is_voter:
             self.role = Role.FOLLOWER
             self.leader = ""
-            self.progress = {}
+            self._followers = None
 
     def _commit_to(self, index: int) -> None:
         self._effects.committed += self.log.read_between(self.commit + 1, index)
@@ -687,7 +549,7 @@
         self.membership = membership
         self._membership_index = index
         if self.role is Role.LEADER:
-            self._track_members()
+            self._followers.track(membership, self._time)
 
     def _find_membership(self) -> m.Membership:
         """Return the latest membership of the log and note its index."""
--- /dev/null
+++ b/src/bluebellyoke/consensus/frames.py
@@ -0,0 +1,97 @@
+"""Frames with checksums, and files that last once they are synced.
+
+A frame is a header of 16 bytes (magic, length, CRC of the body, CRC of the header)
+and a body.
+"""
+
+import os
+import struct
+import zlib
+from pathlib import Path
+
+__all__ = [
+    "FRAME_HEADER",
+    "cut_file",
+    "is_torn",
+    "pack_header",
+    "read_frame",
+    "sync_folder",
+    "write_synced",
+]
+
+FRAME_MAGIC = 0x62626C79
+FRAME_HEADER = struct.Struct("<IIII")
+MAX_FRAME_BYTES = 256 * 1024 * 1024
+
+
+def pack_header(body: bytes) -> bytes:
+    """Return the header of a frame."""
+    fields = struct.pack("<III", FRAME_MAGIC, len(body), zlib.crc32(body))
+    return fields + struct.pack("<I", zlib.crc32(fields))
+
+
+def _read_header(data: bytes, offset: int) -> tuple[int, int] | None:
+    """Return length and CRC of a frame's body, or None if the header is damaged."""
+    if offset + FRAME_HEADER.size > len(data):
+        return None
+    magic, length, body_crc, header_crc = FRAME_HEADER.unpack_from(data, offset)
+    fields = data[offset : offset + FRAME_HEADER.size - 4]
+    if magic != FRAME_MAGIC or zlib.crc32(fields) != header_crc:
+        return None
+    if length > MAX_FRAME_BYTES:
+        return None
+    return length, body_crc
+
+
+def read_frame(data: bytes, offset: int) -> bytes | None:
+    """Return the body of the frame at `offset`, or None if it is damaged."""
+    header = _read_header(data, offset)
+    if header is None:
+        return None
+    length, body_crc = header
+    start = offset + FRAME_HEADER.size
+    body = data[start : start + length]
+    if len(body) < length or zlib.crc32(body) != body_crc:
+        return None
+    return body
+
+
+def is_torn(data: bytes, offset: int) -> bool:
+    """Return whether a bad frame is the unfinished last write of a crash.
+
+    A write that was cut short ends the file: its header is incomplete, its body
+    reaches to the end of the file, or the rest of the file was never filled.
+    """
+    if len(data) - offset < FRAME_HEADER.size:
+        return True
+    if not any(data[offset:]):
+        return True
+    header = _read_header(data, offset)
+    return header is not None and offset + FRAME_HEADER.size + header[0] >= len(data)
+
+
+def cut_file(path: Path, size: int) -> None:
+    """Shorten a file for good."""
+    with open(path, "r+b") as file:
+        file.truncate(size)
+        os.fsync(file.fileno())
+
+
+def write_synced(path: Path, data: bytes) -> None:
+    """Write a file under a temporary name, sync it and put it in place."""
+    temporary = path.with_name(path.name + ".tmp")
+    with open(temporary, "wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(temporary, path)
+    sync_folder(path.parent)
+
+
+def sync_folder(folder: Path) -> None:
+    """Sync the names of a folder's files."""
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- a/src/bluebellyoke/consensus/repair.py
+++ b/src/bluebellyoke/consensus/repair.py
@@ -73,8 +73,7 @@
 def _is_silent(core: Core, replica: str, now: float, limit_s: float) -> bool:
     if replica == core.replica:
         return False
-    progress = core.progress[replica]
-    return now - max(progress.heard_at, progress.tracked_at) > limit_s
+    return now - core.progress[replica].present_at > limit_s
 
 
 def _find_dead_voters(
--- a/src/bluebellyoke/consensus/storage.py
+++ b/src/bluebellyoke/consensus/storage.py
@@ -5,8 +5,7 @@
     * `log-<number>.seg`: frames, each one synced batch of records.
     * `snapshot-<index>.snap`: state of the cell after entry `index`.
 
-A frame is a header of 16 bytes (magic, length, CRC of the body, CRC of the header)
-and a body. A frame that was cut short at the end of the last segment was never
+A frame that was cut short at the end of the last segment was never
 acknowledged and is removed at the next start. Any other damage stops the replica.
 A sync that failed is never tried again, because the kernel may have dropped the
 data.
@@ -15,13 +14,21 @@
 import json
 import os
 import struct
-import zlib
 from dataclasses import dataclass
 from pathlib import Path
 
 import msgspec
 
 from bluebellyoke.consensus import messages as m
+from bluebellyoke.consensus.frames import (
+    FRAME_HEADER,
+    cut_file,
+    is_torn,
+    pack_header,
+    read_frame,
+    sync_folder,
+    write_synced,
+)
 from bluebellyoke.consensus.log import EntryLog
 from bluebellyoke.errors import BluebellyokeError
 
@@ -38,9 +45,6 @@
 ]
 
 FORMAT_VERSION = 1
-FRAME_MAGIC = 0x62626C79
-FRAME_HEADER = struct.Struct("<IIII")
-MAX_FRAME_BYTES = 256 * 1024 * 1024
 
 
 class FolderMissingError(BluebellyokeError):
@@ -139,7 +143,7 @@
     identity = Identity(cell=cell, replica=replica)
     try:
         folder.mkdir(parents=True, exist_ok=True)
-        _write_synced(path, json.dumps(msgspec.to_builtins(identity)).encode())
+        write_synced(path, json.dumps(msgspec.to_builtins(identity)).encode())
     except OSError as error:
         raise DiskError(path, error) from error
     return identity
@@ -209,7 +213,7 @@
             records, good_bytes, size = self._read_segment(path, path == segments[-1])
             torn += size - good_bytes
             if size > good_bytes:
-                _cut_file(path, good_bytes)
+                cut_file(path, good_bytes)
             for record in records:
                 hard_state = record.hard_state or hard_state
                 _replay(log, record, path)
@@ -239,8 +243,8 @@
         records: list[Record] = []
         offset = 0
         while offset < len(data):
-            body = _read_frame(data, offset)
-            if body is None and last and _is_torn(data, offset):
+            body = read_frame(data, offset)
+            if body is None and last and is_torn(data, offset):
                 break
             if body is None:
                 raise CorruptFileError(path, offset, "a frame fails its checksum")
@@ -273,7 +277,7 @@
             error = OSError(5, "an earlier write failed")
             raise DiskError(self.folder, error)
         body = self._encoder.encode(record)
-        frame = _pack_header(body) + body
+        frame = pack_header(body) + body
         try:
             self._file.write(frame)
             self._file.flush()
@@ -291,9 +295,9 @@
         path = self.folder / f"log-{self._number:012d}.seg"
         entries = tuple(log.read_between(log.first_index, log.last_index))
         body = self._encoder.encode(Record(log.base, hard_state, None, entries))
-        frame = _pack_header(body) + body
+        frame = pack_header(body) + body
         try:
-            _write_synced(path, frame)
+            write_synced(path, frame)
             self._file = open(path, "ab")  # noqa: SIM115
         except OSError as error:
             self._failed = True
@@ -312,7 +316,7 @@
         body = struct.pack("<I", len(head)) + head + state
         path = self.folder / f"snapshot-{meta.index:020d}.snap"
         try:
-            _write_synced(path, _pack_header(body) + body)
+            write_synced(path, pack_header(body) + body)
         except OSError as error:
             self._failed = True
             raise DiskError(path, error) from error
@@ -333,7 +337,7 @@
             for path in self.folder.glob("snapshot-*.snap"):
                 if path != self._snapshot_path():
                     path.unlink()
-            _sync_folder(self.folder)
+            sync_folder(self.folder)
         except OSError as error:
             raise DiskError(self.folder, error) from error
 
@@ -358,7 +362,7 @@
             return m.SnapshotMeta(), b""
         path = paths[-1]
         data = path.read_bytes()
-        body = _read_frame(data, 0)
+        body = read_frame(data, 0)
         if body is None:
             raise CorruptFileError(path, 0, "the snapshot fails its checksum")
         (head_size,) = struct.unpack_from("<I", body)
@@ -390,73 +394,3 @@
         log.compact(meta)
     else:
         log.reset(meta)
-
-
-def _pack_header(body: bytes) -> bytes:
-    fields = struct.pack("<III", FRAME_MAGIC, len(body), zlib.crc32(body))
-    return fields + struct.pack("<I", zlib.crc32(fields))
-
-
-def _read_header(data: bytes, offset: int) -> tuple[int, int] | None:
-    """Return length and CRC of a frame's body, or None if the header is damaged."""
-    if offset + FRAME_HEADER.size > len(data):
-        return None
-    magic, length, body_crc, header_crc = FRAME_HEADER.unpack_from(data, offset)
-    fields = data[offset : offset + FRAME_HEADER.size - 4]
-    if magic != FRAME_MAGIC or zlib.crc32(fields) != header_crc:
-        return None
-    if length > MAX_FRAME_BYTES:
-        return None
-    return length, body_crc
-
-
-def _read_frame(data: bytes, offset: int) -> bytes | None:
-    """Return the body of the frame at `offset`, or None if it is damaged."""
-    header = _read_header(data, offset)
-    if header is None:
-        return None
-    length, body_crc = header
-    start = offset + FRAME_HEADER.size
-    body = data[start : start + length]
-    if len(body) < length or zlib.crc32(body) != body_crc:
-        return None
-    return body
-
-
-def _is_torn(data: bytes, offset: int) -> bool:
-    """Return whether a bad frame is the unfinished last write of a crash.
-
-    A write that was cut short ends the file: its header is incomplete, its body
-    reaches to the end of the file, or the rest of the file was never filled.
-    """
-    if len(data) - offset < FRAME_HEADER.size:
-        return True
-    if not any(data[offset:]):
-        return True
-    header = _read_header(data, offset)
-    return header is not None and offset + FRAME_HEADER.size + header[0] >= len(data)
-
-
-def _cut_file(path: Path, size: int) -> None:
-    with open(path, "r+b") as file:
-        file.truncate(size)
-        os.fsync(file.fileno())
-
-
-def _write_synced(path: Path, data: bytes) -> None:
-    """Write a file under a temporary name, sync it and put it in place."""
-    temporary = path.with_name(path.name + ".tmp")
-    with open(temporary, "wb") as file:
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
-    os.replace(temporary, path)
-    _sync_folder(path.parent)
-
-
-def _sync_folder(folder: Path) -> None:
-    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
--- a/src/bluebellyoke/instance/application.py
+++ b/src/bluebellyoke/instance/application.py
@@ -29,7 +29,8 @@
 from bluebellyoke.instance.peers import PeerReceiver, PeerSender
 from bluebellyoke.instance.replica import Replica, ReplicaOptions
 from bluebellyoke.instance.sessions import SessionServer
-from bluebellyoke.leader.director import Director, DirectorOptions
+from bluebellyoke.leader.director import Director
+from bluebellyoke.leader.sessions import DirectorOptions
 from bluebellyoke.metrics import Metrics
 from bluebellyoke.placement.engine import PlacementEngine
 from bluebellyoke.placement.policies import create_policy
--- a/src/bluebellyoke/instance/replica.py
+++ b/src/bluebellyoke/instance/replica.py
@@ -22,7 +22,8 @@
 from bluebellyoke.consensus.repair import RepairOptions, plan_membership
 from bluebellyoke.consensus.storage import Storage, read_identity
 from bluebellyoke.instance import wire as w
-from bluebellyoke.leader.director import Director, Proposal
+from bluebellyoke.leader.director import Director
+from bluebellyoke.leader.sessions import Proposal
 from bluebellyoke.logs import PlacementLog
 from bluebellyoke.metrics import Metrics
 
@@ -348,9 +349,9 @@
             if decision.action == "place":
                 self._metrics.note_start(decision.job_class, decision.waited_s)
         self._director.decisions.clear()
-        for change in self._director.allocations:
+        for change in self._director.slots.assigned:
             self._placement_log.write_grant(change)
-        self._director.allocations.clear()
+        self._director.slots.assigned.clear()
 
     # Effects.
 
--- a/src/bluebellyoke/leader/reports.py
+++ b/src/bluebellyoke/leader/reports.py
@@ -43,7 +43,7 @@
             session.instance: {
                 "version": session.view_version,
                 "in_force": session.view_version == state.version,
-                "live": director.instance_leases.is_live(session.holder, now),
+                "live": director.slots.is_live(session.holder, now),
                 "draining": session.draining,
                 "data_centre": session.data_centre,
             }
--- a/tests/leader/harness.py
+++ b/tests/leader/harness.py
@@ -5,7 +5,8 @@
 
 from bluebellyoke.cell import commands as c
 from bluebellyoke.instance import wire as w
-from bluebellyoke.leader.director import Director, DirectorOptions
+from bluebellyoke.leader.director import Director
+from bluebellyoke.leader.sessions import DirectorOptions
 from bluebellyoke.placement.engine import PlacementEngine
 from bluebellyoke.placement.policies import create_policy
 from bluebellyoke.routing.queue import RouteRequest
@@ -109,7 +110,7 @@
                 time=self.now,
             )
         )
-        self.director.upstream_leases.renew(name, self.now)
+        self.director.slots._upstream_leases.renew(name, self.now)
         self.director.after_apply()
 
     def leave(self, name):
@@ -246,7 +247,7 @@
                 item.router.release(item.dispatch.slot)
         for name in self.incarnations:
             if name not in self.silent:
-                self.director.upstream_leases.renew(name, self.now)
+                self.director.slots._upstream_leases.renew(name, self.now)
         for instance in self.instances:
             self.exchange(instance)
         self.director.tick(self.now, self.now)
