Split routing decisions, claims, requests and the API out of grown modules

Cause: router, entry, http and jobbook held more than one job; http had two readers. Change: routing/decisions, instance/claims, instance/requests, instance/api, cell/feasibility. The matrix tears a log by an unfinished frame and damages one apart.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,9 @@
 bench: .venv/installed
 	$(BIN)/python -m bench
 
+matrix: .venv/installed
+	$(BIN)/python -m tests.matrix
+
 unprotected: .venv/installed
 	$(BIN)/python -m tests.unprotected
 
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -19,8 +19,9 @@
 from bluebellyoke.cell import commands as c
 from bluebellyoke.cell.state import UpstreamView, ViewUpdate
 from bluebellyoke.instance import wire as w
+from bluebellyoke.routing.decisions import Dispatch, Refusal
 from bluebellyoke.routing.queue import RouteRequest
-from bluebellyoke.routing.router import Dispatch, Refusal, Router
+from bluebellyoke.routing.router import Router
 from standins.cell import Cell, ask, wait_until
 
 PAIRS = 1_500
--- a/src/bluebellyoke/cell/jobbook.py
+++ b/src/bluebellyoke/cell/jobbook.py
@@ -19,8 +19,8 @@
     TaskReport,
     refuse,
 )
+from bluebellyoke.cell.feasibility import find_obstacle
 from bluebellyoke.cell.jobs import (
-    FINAL_STATES,
     PLACED_STATES,
     Job,
     JobClass,
@@ -100,7 +100,8 @@
             )
         if self.unfinished_tasks + spec.tasks > MAX_UNFINISHED_TASKS:
             return refuse("cell-full", "the cell keeps too many tasks; submit later")
-        reason = self.find_obstacle(spec.workspace, spec.need, spec)
+        quota = self.workspaces[spec.workspace].spec.quota
+        reason = find_obstacle(spec, quota, self.workers.values())
         if reason:
             return refuse("can-never-run", reason)
         job = Job(spec, command.digest, command.time, spec.need)
@@ -111,28 +112,6 @@
         self._enqueue(job)
         return Result(accepted=True, detail={"job": spec.id})
 
-    def find_obstacle(self, workspace: str, need: Resources, spec) -> str:
-        """Return why a job can never run on the known workers, or an empty text."""
-        quota = self.workspaces[workspace].spec.quota
-        count = spec.tasks if spec.kind is JobKind.GANG else 1
-        for name in ("cpu_millis", "memory_mb", "accelerators"):
-            limit = getattr(quota, name)
-            if limit and getattr(need, name) * count > limit:
-                return (
-                    f"it needs more {name} than the workspace's quota; lower the need"
-                )
-        if not self.workers:
-            return ""
-        room = 0
-        for worker in self.workers.values():
-            if need.fits_in(worker.total):
-                room += _count_fits(worker.total, need)
-                if room >= count:
-                    return ""
-        if room == 0:
-            return "a task needs more than the largest worker has; lower the need"
-        return f"the gang needs {count} places and the cell has {room}; use fewer tasks"
-
     def cancel(self, job_id: str, now: float) -> Result:
         """Cancel a job; running tasks keep their resources until they have stopped."""
         job = self.jobs.get(job_id)
@@ -524,22 +503,6 @@
             del self.queues[job.queue_key]
 
 
-def _count_fits(total: Resources, need: Resources) -> int:
-    """Return how many tasks of `need` an empty worker holds."""
-    return min(
-        (
-            have // want
-            for have, want in (
-                (total.cpu_millis, need.cpu_millis),
-                (total.memory_mb, need.memory_mb),
-                (total.accelerators, need.accelerators),
-            )
-            if want
-        ),
-        default=MAX_TASKS_PER_JOB,
-    )
-
-
 def _group_by_gang(
     placements: tuple[Placement, ...], jobs: dict[str, Job]
 ) -> Iterable[list[Placement]]:
@@ -554,8 +517,3 @@
         else:
             yield [placement]
     yield from gangs.values()
-
-
-def count_unfinished(job: Job) -> int:
-    """Return the number of tasks that are in no final state."""
-    return job.spec.tasks - sum(job.counts[state] for state in FINAL_STATES)
--- a/src/bluebellyoke/instance/application.py
+++ b/src/bluebellyoke/instance/application.py
@@ -22,9 +22,10 @@
 from bluebellyoke.consensus.repair import RepairOptions
 from bluebellyoke.errors import BluebellyokeError
 from bluebellyoke.instance import wire as w
+from bluebellyoke.instance.api import Api, InstanceStatus
 from bluebellyoke.instance.codec import MessageCodec
 from bluebellyoke.instance.entry import Entry
-from bluebellyoke.instance.http import HttpInterface, InstanceStatus
+from bluebellyoke.instance.http import HttpInterface
 from bluebellyoke.instance.link import Link
 from bluebellyoke.instance.peers import PeerReceiver, PeerSender
 from bluebellyoke.instance.replica import Replica, ReplicaOptions
@@ -172,12 +173,17 @@
                 self.request_stop()
 
     def _create_http_server(self) -> _HttpServer:
-        interface = HttpInterface(
+        api = Api(
             entry=self._entry,
             link=self._link,
             clock=self._clock,
             status=self._status,
             metrics=self._metrics,
+        )
+        interface = HttpInterface(
+            entry=self._entry,
+            api=api,
+            clock=self._clock,
             longest_deadline_s=self._settings.limits.longest_deadline_s,
         )
         config = uvicorn.Config(
--- a/src/bluebellyoke/instance/entry.py
+++ b/src/bluebellyoke/instance/entry.py
@@ -15,21 +15,17 @@
 
 from bluebellyoke.cell import commands as c
 from bluebellyoke.clock import Clock
-from bluebellyoke.errors import BluebellyokeError
 from bluebellyoke.instance import wire as w
-from bluebellyoke.instance.exchange import (
-    Answer,
-    ConnectionStore,
-    Exchange,
-    ExchangeRequest,
-    Fate,
-)
-from bluebellyoke.instance.link import Link, NoLeaderError, TooManyCallsError
+from bluebellyoke.instance.claims import ClaimKeeper
+from bluebellyoke.instance.exchange import ConnectionStore, Exchange, Fate
+from bluebellyoke.instance.link import Link
+from bluebellyoke.instance.requests import CallerRequest, FinalAnswer
 from bluebellyoke.metrics import Metrics
+from bluebellyoke.routing.decisions import Dispatch, Refusal, RefusalKind
 from bluebellyoke.routing.queue import RouteRequest
-from bluebellyoke.routing.router import Dispatch, Refusal, RefusalKind, Router
+from bluebellyoke.routing.router import Router
 
-__all__ = ["CallerRequest", "Entry", "FinalAnswer"]
+__all__ = ["Entry"]
 
 logger = logging.getLogger("bluebellyoke.routing")
 
@@ -39,18 +35,6 @@
 #: Time after a request's deadline for which an abandoned exchange is drained.
 DRAIN_S = 30.0
 
-#: Longest body that is recorded as the outcome of an idempotency key.
-RECORDED_BODY_BYTES = 16 * 1024
-
-#: Time between two looks at a claim that another request holds, in seconds.
-CLAIM_POLL_S = 0.2
-
-#: Time past a deadline at which a claim without an outcome becomes unknown.
-CLAIM_MARGIN_S = 5.0
-
-#: Longest answer time that a recorded outcome may add, in seconds.
-RECORD_TIMEOUT_S = 2.0
-
 CALLER_LEFT = Refusal(
     kind=RefusalKind.CALLER_LEFT,
     reason="the caller closed its connection while its request waited",
@@ -58,50 +42,6 @@
 )
 
 
-@dataclass(slots=True)
-class CallerRequest:
-    """A caller's request.
-
-    Attributes:
-        deadline: Monotonic time by which the caller wants the answer, in seconds.
-        key: Idempotency key, or an empty text.
-        digest: Identifies method, path and body; empty without a key.
-        replayable: Whether the body is held and can be sent again.
-        wait_gone: Returns when the caller has closed its connection.
-    """
-
-    service: str
-    workspace: str
-    method: str
-    exchange: ExchangeRequest
-    arrived: float
-    deadline: float
-    key: str = ""
-    digest: str = ""
-    replayable: bool = True
-    wait_gone: Callable[[], Awaitable[None]] | None = None
-
-
-@dataclass(slots=True)
-class FinalAnswer:
-    """The one answer of a request.
-
-    Attributes:
-        fate: What is known of the request.
-        answer: Upstream's answer, if `fate` is done.
-        exchange: Exchange that still yields chunks of the answer, or None.
-        retry_after_s: Time after which another attempt makes sense.
-    """
-
-    fate: Fate
-    code: str = ""
-    reason: str = ""
-    answer: Answer | None = None
-    exchange: Exchange | None = None
-    retry_after_s: float = 0.0
-    replayed: bool = False
-
-
 @dataclass(slots=True)
 class Waiter:
     """A request that waits in the router's queue."""
@@ -139,6 +79,7 @@
         self._numbers = itertools.count(1)
         self._waiters: dict[int, Waiter] = {}
         self._connections = ConnectionStore()
+        self._claims = ClaimKeeper(router=router, link=link, clock=clock, holder=holder)
         self._tasks: TaskGroup | None = None
         self._renewals: dict[str, w.Renewal] = {}
         self.open_requests = 0
@@ -212,7 +153,7 @@
         self.open_requests += 1
         try:
             if request.key:
-                answer = await self._handle_claimed(request)
+                answer = await self._claims.handle(request, self._attempt)
             else:
                 answer = await self._attempt(request)
         finally:
@@ -222,73 +163,6 @@
         )
         return answer
 
-    async def _handle_claimed(self, request: CallerRequest) -> FinalAnswer:
-        """Claim the idempotency key, send the request once, record its outcome."""
-        wall = self._clock.now().timestamp()
-        left = request.deadline - self._clock.monotonic()
-        claim = c.ClaimRequest(
-            key="|".join((request.workspace, request.service, request.key)),
-            digest=request.digest,
-            holder=f"{self._holder}/{next(self._numbers)}",
-            expires=wall + left + CLAIM_MARGIN_S,
-        )
-        while True:
-            result = await self._call(claim, request)
-            if isinstance(result, FinalAnswer):
-                self._spawn_record(claim, c.Outcome(c.ClaimStatus.NOT_RUN))
-                return result
-            if result.accepted:
-                break
-            if result.code != "in-progress":
-                return _answer_from_record(result)
-            if self._clock.monotonic() + CLAIM_POLL_S > request.deadline:
-                return FinalAnswer(
-                    Fate.UNKNOWN,
-                    "in-progress",
-                    "an earlier request with this key has no outcome yet",
-                    retry_after_s=1.0,
-                )
-            await anyio.sleep(CLAIM_POLL_S)
-        answer = await self._attempt(request)
-        await self._record(claim, answer)
-        return answer
-
-    async def _call(
-        self, claim: c.ClaimRequest, request: CallerRequest
-    ) -> c.Result | FinalAnswer:
-        left = request.deadline - self._clock.monotonic()
-        try:
-            if not self.router.has_lease(self._clock.monotonic()):
-                raise NoLeaderError()
-            return await self._link.call(claim, max(left, 0.0))
-        except BluebellyokeError as error:
-            return FinalAnswer(
-                Fate.NOT_RUN, RefusalKind.NO_LEASE, str(error), retry_after_s=1.0
-            )
-
-    async def _record(self, claim: c.ClaimRequest, answer: FinalAnswer) -> None:
-        """Record the outcome before the caller sees it, if the leader is there."""
-        command = c.RecordOutcome(
-            key=claim.key, holder=claim.holder, outcome=_build_outcome(answer)
-        )
-        try:
-            await self._link.call(command, RECORD_TIMEOUT_S)
-        except BluebellyokeError as error:
-            logger.warning(
-                "routing: could not record an outcome", extra={"error": str(error)}
-            )
-
-    def _spawn_record(self, claim: c.ClaimRequest, outcome: c.Outcome) -> None:
-        command = c.RecordOutcome(key=claim.key, holder=claim.holder, outcome=outcome)
-        self._tasks.start_soon(self._record_quietly, command)
-
-    async def _record_quietly(self, command: c.RecordOutcome) -> None:
-        try:
-            await self._link.call(command, DRAIN_S)
-        except (NoLeaderError, TooManyCallsError):
-            # The claim ends as unknown by itself.
-            return
-
     async def _attempt(self, request: CallerRequest) -> FinalAnswer:
         """Send a request, and again while that is safe and allowed.
 
@@ -455,36 +329,3 @@
     }
     kept = [item for item in headers if item[0].lower() not in own]
     return kept + list(own.items())
-
-
-def _build_outcome(answer: FinalAnswer) -> c.Outcome:
-    if answer.fate is Fate.NOT_RUN:
-        return c.Outcome(c.ClaimStatus.NOT_RUN)
-    body = answer.answer.body if answer.answer is not None else None
-    if answer.fate is Fate.UNKNOWN or body is None or len(body) > RECORDED_BODY_BYTES:
-        return c.Outcome(c.ClaimStatus.UNKNOWN)
-    headers = tuple(
-        (key.decode("latin-1"), value.decode("latin-1"))
-        for key, value in answer.answer.headers
-    )
-    return c.Outcome(c.ClaimStatus.DONE, answer.answer.status, headers, body)
-
-
-def _answer_from_record(result: c.Result) -> FinalAnswer:
-    """Return the answer of a request whose key was claimed before."""
-    outcome = result.outcome
-    if outcome is None:
-        return FinalAnswer(Fate.NOT_RUN, result.code, result.reason, retry_after_s=0.0)
-    if outcome.status is not c.ClaimStatus.DONE:
-        return FinalAnswer(
-            Fate.UNKNOWN,
-            "outcome-unknown",
-            "an earlier request with this key may have run",
-            replayed=True,
-        )
-    headers = [
-        (key.encode("latin-1"), value.encode("latin-1"))
-        for key, value in outcome.headers
-    ]
-    answer = Answer(outcome.code, headers, outcome.body)
-    return FinalAnswer(Fate.DONE, answer=answer, replayed=True)
--- a/tests/leader/harness.py
+++ b/tests/leader/harness.py
@@ -9,8 +9,9 @@
 from bluebellyoke.leader.sessions import DirectorOptions
 from bluebellyoke.placement.engine import PlacementEngine
 from bluebellyoke.placement.policies import create_policy
+from bluebellyoke.routing.decisions import Dispatch
 from bluebellyoke.routing.queue import RouteRequest
-from bluebellyoke.routing.router import Dispatch, Router
+from bluebellyoke.routing.router import Router
 from tests.cell.factories import create_state
 
 OPTIONS = DirectorOptions(longest_deadline_s=5.0)
--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -20,6 +20,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+from bluebellyoke.consensus.frames import pack_header
 from standins.cell import Cell, ask, wait_until
 from standins.ledger import read_ledger
 from tests.integration.callers import Callers, call, list_runs
@@ -221,9 +222,21 @@
         self.cell.kill(name)
         path = max(self.cell.get_data_folder(name).glob("log-*.seg"))
         with open(path, "ab") as file:
-            file.write(path.read_bytes()[-40:-7])
+            file.write(pack_header(bytes(100)) + bytes(40))
         self.cell.start_instance(name)
 
+    def damage_log(self, name):
+        """The replica refuses to start; the operator makes its folder anew."""
+        self.cell.kill(name)
+        path = max(self.cell.get_data_folder(name).glob("log-*.seg"))
+        data = bytearray(path.read_bytes())
+        data[len(data) // 2] ^= 0xFF
+        path.write_bytes(bytes(data))
+        self.cell.start_instance(name)
+        process = self.cell.processes[name]
+        assert process.wait(SERVE_S) == 2, "a damaged log was taken"
+        self.wipe(name)
+
     def lose_data_centre(self):
         place = self.cell.names.index(self.get_leader()) % 3
         self.kill(*[x for n, x in enumerate(self.cell.names) if n % 3 == place])
@@ -283,6 +296,7 @@
     "lose data centre": lambda x: x.lose_data_centre(),
     "wipe disk": lambda x: x.wipe(x.get_follower()),
     "torn log": lambda x: x.tear_log(x.get_follower()),
+    "damaged log": lambda x: x.damage_log(x.get_follower()),
     "second loss": lambda x: x.lose_second_after_repair(),
     "kill upstream": lambda x: x.kill("u0"),
     "upstream leaves": lambda x: x.cell.stop("u0"),
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -3,8 +3,9 @@
 from bluebellyoke.cell import commands as c
 from bluebellyoke.cell.state import UpstreamView, ViewUpdate
 from bluebellyoke.instance import wire as w
+from bluebellyoke.routing.decisions import Dispatch, Refusal
 from bluebellyoke.routing.queue import RouteRequest
-from bluebellyoke.routing.router import Dispatch, Refusal, Router
+from bluebellyoke.routing.router import Router
 
 UPSTREAMS = ("u1", "u2")
 
