--- a/Makefile
+++ b/Makefile
@@ -33,5 +33,14 @@
 unprotected: .venv/installed
 	$(BIN)/python -m tests.unprotected
 
+binary: .venv/installed
+	rm -rf build/site
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --target build/site -r requirements-run.lock
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --target build/site --no-deps .
+	mkdir -p dist
+	$(BIN)/shiv --site-packages build/site --console-script bluebellyoke \
+		--reproducible --python '/usr/bin/env python3.11' \
+		--output-file dist/bluebellyoke
+
 clean:
 	rm -rf .venv build dist
--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,226 @@
+"""Slopes for docs/CAPACITY.md: cost and size of what passes between the roles."""
+
+import functools
+import json
+import random
+import time
+
+import msgspec
+
+from bench.report import emit
+from bench.workload import LARGE_WORKER, Fake
+from bluebellyoke.cell import commands as c
+from bluebellyoke.cell.resources import Resources
+from bluebellyoke.instance import border
+from bluebellyoke.instance import wire as w
+from bluebellyoke.leader.director import Director
+from bluebellyoke.leader.sessions import DirectorOptions
+from bluebellyoke.placement.engine import PlacementEngine
+from bluebellyoke.placement.policies import create_policy
+
+WORKERS = 1_000
+TASKS_PER_WORKER = 27
+INSTANCES = 12
+UPSTREAMS = 25
+ROUNDS = 5
+
+_from_instance = msgspec.msgpack.Decoder(w.FromInstance)
+
+
+def measure(function, count):
+    """Return the processor microseconds of one of `count` calls."""
+    began = time.process_time()
+    for _ in range(count):
+        function()
+    return (time.process_time() - began) / count * 1e6
+
+
+def create_heartbeat_body(worker, tasks):
+    """Return a worker's HTTP body with its running tasks."""
+    return json.dumps(
+        {
+            "worker": worker,
+            "session": "s-19c0a7",
+            "sequence": 42,
+            "total": {"cpu_millis": 64_000, "memory_mb": 256_000},
+            "rack": "r1",
+            "data_centre": "my-west-a",
+            "running": [
+                {
+                    "job": f"stock-2026-12-04-{number}",
+                    "task": number,
+                    "epoch": 1,
+                    "used": {"cpu_millis": 900, "memory_mb": 900},
+                }
+                for number in range(tasks)
+            ],
+            "wait_s": 1.0,
+        }
+    ).encode()
+
+
+def parse_heartbeat(body):
+    """Return the message for the leader, as an instance does."""
+    return border.parse_body(border.HeartbeatBody, body).unwrap().build()
+
+
+def measure_entry():
+    """Measure what an instance does with a heartbeat and a renewal."""
+    for tasks in (0, TASKS_PER_WORKER):
+        body = create_heartbeat_body("worker-0001", tasks)
+        parse = functools.partial(parse_heartbeat, body)
+        message = w.Call(1, parse())
+        encoded = msgspec.msgpack.encode(message)
+        size = {"tasks": tasks}
+        emit("capacity.heartbeat_http_body", len(body), "B", **size)
+        emit("capacity.heartbeat_message", len(encoded), "B", **size)
+        emit("capacity.heartbeat_entry_cpu", measure(parse, 2_000), "us", **size)
+
+
+def create_director(fake):
+    """Return a director that acts on a fake's state."""
+    engine = PlacementEngine(
+        policy=create_policy("packing"), random_source=random.Random(1)
+    )
+    director = Director(options=DirectorOptions(), engine=engine)
+    director.begin(fake.state, 0.0)
+    return director
+
+
+def measure_leader():
+    """Measure heartbeats and polls at the leader."""
+    fake = Fake()
+    fake.add_workspaces(10)
+    fake.add_workers(WORKERS, LARGE_WORKER)
+    fake.submit(
+        "j", "t0", Resources(2_000, 8_000, 0), 1e9, tasks=20_000, idempotent=True
+    )
+    engine = create_director(fake).engine
+    while fake.state.book.queues and fake.starts < 20_000:
+        fake.step(engine, 0.1)
+    director = create_director(fake)
+    sent = []
+    director.open_session(1, w.Hello("c", "i1", "a", "d"), sent.append)
+    heartbeats = []
+    for number, worker in enumerate(fake.state.book.workers.values()):
+        running = tuple(
+            w.RunningTask(*key, task.epoch, Resources(900, 900, 0))
+            for key, task in worker.tasks.items()
+        )
+        heartbeat = w.WorkerHeartbeat(
+            worker.name, "s", number, LARGE_WORKER, "r", "d", running, (), 0.0
+        )
+        heartbeats.append(msgspec.msgpack.encode(w.Call(number, heartbeat)))
+    began = time.process_time()
+    for turn in range(ROUNDS):
+        for data in heartbeats:
+            director.receive(1, _from_instance.decode(data), float(turn), fake.now)
+    for reply in sent:
+        msgspec.msgpack.encode(reply)
+    took = (time.process_time() - began) / (ROUNDS * WORKERS) * 1e6
+    mean = fake.starts / WORKERS
+    emit("capacity.heartbeat_leader_cpu", took, "us", tasks=mean)
+    began = time.process_time()
+    for turn in range(200):
+        director.tick(10.0 + turn * 0.02, fake.now)
+    emit(
+        "capacity.leader_tick",
+        (time.process_time() - began) / 200 * 1e6,
+        "us",
+        workers=WORKERS,
+    )
+
+
+def measure_polls():
+    """Measure polls and views at the size of today."""
+    fake = Fake()
+    fake.add_workspaces(10)
+    services = (c.ServiceSpec(name="s"),)
+    ticket = c.Ticket(number=2, services=services)
+    fake.apply(c.ApplyTicket(ticket=ticket, digest="x", time=fake.now))
+    for number in range(UPSTREAMS):
+        fake.apply(
+            c.AnnounceUpstream(
+                upstream=f"u{number}",
+                incarnation="a",
+                service="s",
+                address="10.0.0.1",
+                port=9_000,
+                slots=8,
+                connections=60,
+                data_centre="d",
+                time=fake.now,
+            )
+        )
+    poll = w.Poll(
+        1.0,
+        fake.state.version,
+        9,
+        tuple(w.Holding(f"u{n}", "a", 1, 0) for n in range(UPSTREAMS)),
+        (),
+        tuple(w.Renewal(f"u{n}", "a", {}) for n in range(2)),
+    )
+    director = create_director(fake)
+    sent = []
+    director.open_session(1, w.Hello("c", "i1", "a", "d"), sent.append)
+    data = msgspec.msgpack.encode(poll)
+    cost = measure(
+        lambda: director.receive(1, _from_instance.decode(data), 1.0, fake.now), 2_000
+    )
+    emit("capacity.poll_leader_cpu", cost, "us", upstreams=UPSTREAMS)
+    emit("capacity.poll_message", len(data), "B", upstreams=UPSTREAMS)
+    reply = msgspec.msgpack.encode(sent[-1])
+    emit("capacity.poll_reply", len(reply), "B")
+    view = msgspec.msgpack.encode(fake.state.collect_view(-1))
+    emit("capacity.view_whole", len(view), "B", upstreams=UPSTREAMS)
+    spec = c.WorkspaceSpec(name="t1", share=2.0)
+    change = c.Ticket(number=3, workspaces=(spec,))
+    command = c.ApplyTicket(ticket=change, digest="y" * 32, time=fake.now)
+    since = fake.state.version
+    fake.apply(command)
+    part = msgspec.msgpack.encode(fake.state.collect_view(since))
+    emit("capacity.view_part", len(part), "B")
+    numbers = iter(range(4, 10**6))
+
+    def apply_ticket():
+        item = c.Ticket(number=next(numbers), workspaces=(spec,))
+        fake.apply(c.ApplyTicket(ticket=item, digest="y" * 32, time=fake.now))
+
+    emit("capacity.ticket_apply", measure(apply_ticket, 5_000), "us")
+
+
+def measure_log():
+    """Measure the log entries of starts and ends."""
+    placements = tuple(
+        c.Placement(f"stock-2026-12-04-{n}", n, 1, f"worker-{n:04d}", "s-19c0a7")
+        for n in range(100)
+    )
+    data = c.encode_commands((c.PlaceTasks(placements=placements, time=1e9),))
+    emit("capacity.log_per_start", len(data) / 100, "B")
+    reports = tuple(
+        c.TaskReport(
+            f"stock-2026-12-04-{n}",
+            n,
+            1,
+            c.TaskOutcome.DONE,
+            Resources(900, 900, 0),
+            12.5,
+        )
+        for n in range(10)
+    )
+    report = c.ReportTasks(
+        worker="worker-0001", session="s-19c0a7", reports=reports, time=1e9
+    )
+    emit("capacity.log_per_end", len(c.encode_commands((report,))) / 10, "B")
+
+
+def main():
+    """Measure all slopes."""
+    measure_entry()
+    measure_leader()
+    measure_polls()
+    measure_log()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -116,6 +116,9 @@
             callers.wait_for_answers(10)
             STEPS[self.step](self)
             FAULTS[self.fault](self)
+            if len(self.down & set(self.cell.replicas)) > 1:
+                # Without a majority the cell rightly does not serve.
+                self.heal()
             began = time.monotonic()
             callers.wait_for_answers(5, SERVE_S)
             served = time.monotonic() - began
