End cleanly on a full disk; bound what outcomes and payloads may take

Cause: closing a log after a failed write tried the same bytes again and raised past the one-line fault, so a replica on a full disk ended with a traceback and code 1 (found by limiting the size of a real process's files). Claims could keep 200,000 bodies of 16 KiB, and jobs as many payloads, which is no bound. A worker under probe could get several tasks in one round. Change: close ignores a second failure; recorded bodies are bounded by 32 MiB and payloads of unfinished jobs by 64 MiB; finished jobs drop theirs; one task a probe.

--- a/src/bluebellyoke/cell/jobbook.py
+++ b/src/bluebellyoke/cell/jobbook.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+import msgspec
+
 from bluebellyoke.cell.commands import (
     AdmitWorker,
     JobKind,
@@ -45,6 +47,9 @@
 MAX_TASKS_PER_JOB = 20_000
 MAX_UNFINISHED_TASKS = 400_000
 
+#: Characters of the payloads of unfinished jobs, at most.
+MAX_PAYLOAD_BYTES = 64 * 1024 * 1024
+
 #: Smoothing of the learned run time: weight of the newest sample.
 LEARNING_WEIGHT = 0.2
 
@@ -59,6 +64,7 @@
         lost_workers: Workers whose session ended, oldest first.
         backoffs: Heap of (due second, job, task index, epoch).
         unfinished_tasks: Tasks in no final state.
+        payload_bytes: Characters of the payloads of unfinished jobs.
         touched_workers: Workers whose orders changed; drained by the leader.
         resized_workers: Workers whose free resources changed; drained by placement.
     """
@@ -70,6 +76,7 @@
     finished: dict[str, None] = field(default_factory=dict)
     backoffs: list[tuple[float, str, int, int]] = field(default_factory=list)
     unfinished_tasks: int = 0
+    payload_bytes: int = 0
     lost_workers: dict[str, None] = field(default_factory=dict)
     total: Resources = field(default_factory=Resources)
     touched_workers: set[str] = field(default_factory=set)
@@ -100,6 +107,8 @@
             )
         if self.unfinished_tasks + spec.tasks > MAX_UNFINISHED_TASKS:
             return refuse("cell-full", "the cell keeps too many tasks; submit later")
+        if self.payload_bytes + len(spec.payload) > MAX_PAYLOAD_BYTES:
+            return refuse("cell-full", "the payloads are too long; submit later")
         quota = self.workspaces[spec.workspace].spec.quota
         reason = find_obstacle(spec, quota, self.workers.values())
         if reason:
@@ -108,6 +117,7 @@
         job.create_tasks(command.time)
         self.jobs[spec.id] = job
         self.unfinished_tasks += spec.tasks
+        self.payload_bytes += len(spec.payload)
         self.workspaces[spec.workspace].unfinished_jobs += 1
         self._enqueue(job)
         return Result(accepted=True, detail={"job": spec.id})
@@ -357,6 +367,8 @@
             return
         job.finished_at = now
         self.finished[job.spec.id] = None
+        self.payload_bytes -= len(job.spec.payload)
+        job.spec = msgspec.structs.replace(job.spec, payload="")
         self.workspaces[job.spec.workspace].unfinished_jobs -= 1
         if not job.counts[TaskState.UNKNOWN]:
             job.tasks = []
--- a/src/bluebellyoke/cell/requests.py
+++ b/src/bluebellyoke/cell/requests.py
@@ -24,6 +24,9 @@
 #: Time for which an outcome is kept after its claim, in seconds.
 OUTCOME_RETENTION_S = 3600.0
 
+#: Bytes of recorded bodies, at most; beyond it, outcomes are kept as unknown.
+RECORDED_BYTES_LIMIT = 32 * 1024 * 1024
+
 #: Claims kept at most; beyond it, new keys are refused as not run.
 MAX_CLAIMS = 200_000
 
@@ -40,10 +43,15 @@
 
 @dataclass(slots=True)
 class ClaimBook:
-    """Claims by key, with a heap of the times at which they expire."""
+    """Claims by key, with a heap of the times at which they expire.
+
+    Attributes:
+        recorded_bytes: Length of all recorded bodies.
+    """
 
     claims: dict[str, Claim] = field(default_factory=dict)
     expiries: list[tuple[float, str]] = field(default_factory=list)
+    recorded_bytes: int = 0
 
     def claim(self, command: ClaimRequest) -> Result:
         """Claim a key, or return what is known of its earlier claim."""
@@ -86,6 +94,11 @@
         if command.outcome.status is ClaimStatus.NOT_RUN:
             del self.claims[command.key]
             return Result(accepted=True, code="released")
+        size = len(command.outcome.body)
+        if self.recorded_bytes + size > RECORDED_BYTES_LIMIT:
+            known.outcome = Outcome(ClaimStatus.UNKNOWN)
+            return Result(accepted=True, code="not-kept")
+        self.recorded_bytes += size
         known.outcome = command.outcome
         return Result(accepted=True, code="recorded")
 
@@ -101,9 +114,5 @@
                     claim.outcome = Outcome(ClaimStatus.UNKNOWN)
                 heapq.heappush(self.expiries, (due + OUTCOME_RETENTION_S, key))
                 continue
+            self.recorded_bytes -= len(claim.outcome.body)
             del self.claims[key]
-
-    def rebuild_index(self) -> None:
-        """Rebuild the heap of expiries from the claims."""
-        self.expiries = [(claim.expires, key) for key, claim in self.claims.items()]
-        heapq.heapify(self.expiries)
--- a/src/bluebellyoke/cell/snapshot.py
+++ b/src/bluebellyoke/cell/snapshot.py
@@ -123,6 +123,9 @@
     state.claims.claims = image.claims
     state.claims.expiries = image.claim_expiries
     heapq.heapify(state.claims.expiries)
+    state.claims.recorded_bytes = sum(
+        len(claim.outcome.body) for claim in image.claims.values()
+    )
     _load_book(state, image)
     return state
 
@@ -242,6 +245,7 @@
             book.workspaces[image.spec.workspace].take(job.need)
     book.jobs[image.spec.id] = job
     if not job.finished_at:
+        book.payload_bytes += len(image.spec.payload)
         book.workspaces[image.spec.workspace].unfinished_jobs += 1
         book.unfinished_tasks += sum(
             job.counts[state] for state in TaskState if state < TaskState.DONE
--- a/src/bluebellyoke/consensus/storage.py
+++ b/src/bluebellyoke/consensus/storage.py
@@ -11,6 +11,7 @@
 data.
 """
 
+import contextlib
 import json
 import os
 import struct
@@ -372,9 +373,12 @@
 
     def close(self) -> None:
         """Close the files."""
-        if self._file is not None:
+        if self._file is None:
+            return
+        # After a failed write, closing tries the same bytes again and fails too.
+        with contextlib.suppress(OSError):
             self._file.close()
-            self._file = None
+        self._file = None
 
 
 def _replay(log: EntryLog, record: Record, path: Path) -> None:
--- a/src/bluebellyoke/placement/candidates.py
+++ b/src/bluebellyoke/placement/candidates.py
@@ -144,6 +144,10 @@
             candidate.sync()
             self._file(candidate)
 
+    def has_plan(self, candidate: Candidate) -> bool:
+        """Return whether the current round has planned a task there."""
+        return candidate.worker.name in self._planned
+
     def plan(self, candidate: Candidate, need: Resources) -> None:
         """Set resources of a candidate aside for the current round."""
         candidate.plan(need)
--- a/src/bluebellyoke/placement/engine.py
+++ b/src/bluebellyoke/placement/engine.py
@@ -333,6 +333,9 @@
                 continue
             if not self._reservations.allows(candidate, job, now):
                 continue
+            if candidate.worker.pauses and self._index.has_plan(candidate):
+                # A worker that is probed gets one task.
+                continue
             busy_s = max(candidate.drains_at - now, 0.0)
             extension = max(expected_s - busy_s, 0.0) / expected_s
             score = policy.score(candidate, need, extension)
--- a/standins/cell.py
+++ b/standins/cell.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -250,6 +251,13 @@
             process.wait()
             return -1
 
+    def fill_disk(self, name: str) -> None:
+        """Let the next writes of a replica's log fail, as on a full disk."""
+        path = max(self.get_data_folder(name).glob("log-*.seg"))
+        limit = path.stat().st_size + 500
+        pid = self.processes[name].pid
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (limit, limit))
+
     def find_owner(self, port: int) -> str | None:
         """Return the instance that owns a TCP connection's local port."""
         inode = find_socket_inode(port)
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -1,8 +1,9 @@
 """A stand-in upstream: answers requests and announces itself.
 
 The path of a request tells what to do: `/sleep/0.2` waits, `/error` answers 500,
-`/cut` breaks off in the middle, `/large/1000000` sends that many bytes, anything
-else is echoed.
+`/cut` breaks off in the middle, `/crossed` answers under another request's number,
+`/large/1000000` sends that many bytes, `/trickle/1000000` does so with a pause in the
+middle, anything else is echoed.
 """
 
 import argparse
@@ -19,6 +20,7 @@
 from standins.ledger import Ledger
 
 RENEW_S = 0.8
+PAUSE_S = 1.0
 
 
 class Upstream:
@@ -66,7 +68,7 @@
             await anyio.sleep(float(rest[0]))
         elif what == "error":
             status = 500
-        elif what == "large":
+        elif what in ("large", "trickle"):
             answer = b"x" * int(rest[0])
         if answer is None:
             echo = {
@@ -78,6 +80,8 @@
             answer = json.dumps(echo).encode()
         length = len(answer) + (10 if what == "cut" else 0)
         number = headers.get("bluebellyoke-request", "").encode()
+        if what == "crossed":
+            number = b"another/1"
         await send(
             {
                 "type": "http.response.start",
@@ -89,6 +93,10 @@
                 ],
             }
         )
+        if what == "trickle":
+            half, answer = answer[: len(answer) // 2], answer[len(answer) // 2 :]
+            await send({"type": "http.response.body", "body": half, "more_body": True})
+            await anyio.sleep(PAUSE_S)
         await send({"type": "http.response.body", "body": answer})
 
     async def announce_forever(self) -> None:
--- a/tests/cell/test_jobs.py
+++ b/tests/cell/test_jobs.py
@@ -1,6 +1,7 @@
 import pytest
 
 from bluebellyoke.cell import commands as c
+from bluebellyoke.cell import jobbook
 from bluebellyoke.cell.jobs import TaskState, compute_backoff
 from bluebellyoke.cell.resources import Resources
 from tests.cell.factories import (
@@ -54,6 +55,15 @@
     assert "quota" in result.reason
 
 
+def test_payloads_of_unfinished_jobs_are_bounded(state, monkeypatch):
+    monkeypatch.setattr(jobbook, "MAX_PAYLOAD_BYTES", 10)
+    assert state.apply(create_job("a", payload="x" * 8)).accepted
+    assert state.apply(create_job("b", payload="x" * 8)).code == "cell-full"
+    state.apply(c.CancelJob(job_id="a", time=2.0))
+    assert state.apply(create_job("b", payload="x" * 8)).accepted
+    assert state.apply(create_job("a", payload="x" * 8)).code == "known"
+
+
 def test_unknown_fate_of_a_task_that_runs_once_is_reported(state):
     state.apply(create_job("j"))
     place(state, "j", 0, "m0")
--- a/tests/cell/test_requests.py
+++ b/tests/cell/test_requests.py
@@ -1,6 +1,7 @@
 import pytest
 
 from bluebellyoke.cell import commands as c
+from bluebellyoke.cell import requests
 from bluebellyoke.cell.requests import OUTCOME_RETENTION_S
 from bluebellyoke.cell.snapshot import dump_state, load_state
 from tests.cell.factories import create_state
@@ -69,6 +70,13 @@
     assert not state.claims.expiries
 
 
+def test_recorded_bodies_are_bounded(state, monkeypatch):
+    monkeypatch.setattr(requests, "RECORDED_BYTES_LIMIT", 3)
+    claim(state, "i1/a/1")
+    assert record(state, "i1/a/1", DONE).code == "not-kept"
+    assert claim(state, "i2/b/1").outcome.status is c.ClaimStatus.UNKNOWN
+
+
 def test_outcome_outlives_its_claim_by_the_retention(state):
     claim(state, "i1/a/1", time=1.0)
     record(state, "i1/a/1", DONE)
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -1,4 +1,5 @@
 import os
+import resource
 
 import hypothesis.strategies as st
 import pytest
@@ -199,6 +200,22 @@
     storage.close()
 
 
+def test_close_after_a_failed_write_raises_nothing(filled):
+    storage = Storage(filled)
+    storage.recover()
+    limits = resource.getrlimit(resource.RLIMIT_FSIZE)
+    resource.setrlimit(resource.RLIMIT_FSIZE, (storage.segment_bytes + 5, limits[1]))
+    try:
+        with pytest.raises(DiskError, match="File too large"):
+            storage.write(
+                hard_state=None, truncate_from=None, entries=[create_entry(11)]
+            )
+        storage.close()
+    finally:
+        resource.setrlimit(resource.RLIMIT_FSIZE, limits)
+    assert recover(filled).log.last_index == 10
+
+
 def test_only_init_makes_a_replica(tmp_path, folder):
     with pytest.raises(FolderMissingError, match="bluebellyoke init"):
         read_identity(tmp_path / "empty", cell="c")
--- a/tests/integration/test_faults.py
+++ b/tests/integration/test_faults.py
@@ -5,6 +5,7 @@
 import threading
 import time
 
+import httpcore
 import pytest
 
 from standins.cell import ask, wait_until
@@ -179,6 +180,30 @@
     assert bench.apply_ticket(old)[0] == 409
 
 
+def test_full_disk_ends_the_leader_and_loses_nothing(start_bench):
+    bench = start_bench(upstreams=0, workers=0)
+    cell = bench.cell
+    leader = cell.find_leader()
+    cell.fill_disk(leader)
+    process = cell.processes.pop(leader)
+    accepted = 1
+    for number in range(2, 40):
+        ticket = {"number": number, "workspaces": [{"name": "yard", "share": number}]}
+        name = next(x for x in cell.names if x != leader)
+        address = f"127.0.0.1:{cell.http_ports[name]}"
+
+        def is_accepted(ticket=ticket, address=address):
+            return bench.apply_ticket(ticket, address)[0] == 200
+
+        wait_until(is_accepted, 20, f"ticket {number}")
+        accepted = number
+    assert process.wait(20) == 2
+    cell.start_instance(leader)
+    cell.wait_ready(leader)
+    value = ask(f"127.0.0.1:{cell.http_ports[leader]}", "/v1/tickets")[1]
+    assert value["last_number"] == accepted
+
+
 def test_drained_instances_cut_no_request(start_bench):
     bench = start_bench(workers=0)
     cell = bench.cell
@@ -214,12 +239,12 @@
     bench.check(running.records)
 
 
-@pytest.mark.parametrize("path", ["/cut", "/error"])
+@pytest.mark.parametrize("path", ["/cut", "/crossed", "/error"])
 def test_broken_answers_never_pass_as_whole(start_bench, path):
     bench = start_bench(workers=0, upstreams=1)
     record = call(bench.cell.addresses[0], path, caller="a", key="k1")
     again = call(bench.cell.addresses[1], path, caller="a", key="k1")
-    if path == "/cut":
+    if path != "/error":
         assert (record.outcome, record.status) == ("unknown", 502)
         assert again.outcome == "unknown"
     else:
@@ -228,6 +253,26 @@
     bench.check()
 
 
+def test_long_answer_is_whole_or_visibly_cut(start_bench):
+    bench = start_bench(workers=0, upstreams=1)
+    address = bench.cell.addresses[0]
+    whole = fetch(address, "/trickle/3000000")
+    assert whole == b"x" * 3_000_000
+    killer = threading.Timer(0.5, bench.cell.kill, args=("u0",))
+    killer.start()
+    with pytest.raises(httpcore.RemoteProtocolError):
+        fetch(address, "/trickle/3000000")
+    killer.join()
+
+
+def fetch(address, path):
+    """Return the body of an answer."""
+    headers = {"bluebellyoke-workspace": "depot"}
+    with httpcore.ConnectionPool() as pool:
+        url = f"http://{address}/services/estimates{path}"
+        return pool.request("GET", url, headers=headers).content
+
+
 def test_slow_answer_is_unknown_at_the_deadline_and_not_run_again(start_bench):
     bench = start_bench(workers=0, upstreams=1)
     address, other = bench.cell.addresses[0], bench.cell.addresses[1]
--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -240,6 +240,13 @@
         assert process.wait(SERVE_S) == 2, "a damaged log was taken"
         self.wipe(name)
 
+    def fill_disk(self, name):
+        """The replica ends; it starts again when there is room."""
+        self.cell.fill_disk(name)
+        process = self.cell.processes.pop(name)
+        assert process.wait(SERVE_S) == 2, "a replica went on without its disk"
+        self.cell.start_instance(name)
+
     def lose_data_centre(self):
         place = self.cell.names.index(self.get_leader()) % 3
         self.kill(*[x for n, x in enumerate(self.cell.names) if n % 3 == place])
@@ -300,6 +307,8 @@
     "wipe disk": lambda x: x.wipe(x.get_follower()),
     "torn log": lambda x: x.tear_log(x.get_follower()),
     "damaged log": lambda x: x.damage_log(x.get_follower()),
+    "full disk": lambda x: x.fill_disk(x.get_follower()),
+    "full disk of leader": lambda x: x.fill_disk(x.get_leader()),
     "second loss": lambda x: x.lose_second_after_repair(),
     "kill upstream": lambda x: x.kill("u0"),
     "upstream leaves": lambda x: x.cell.stop("u0"),
--- a/tests/placement/test_engine.py
+++ b/tests/placement/test_engine.py
@@ -222,6 +222,16 @@
     assert fake.state.book.jobs["j"].tasks[0].worker.name != first
 
 
+def test_worker_that_is_probed_gets_one_task(engine):
+    fake = create_cell(workers=1)
+    worker = fake.state.book.workers["m0"]
+    worker.pauses, worker.set_aside_until = 1, fake.now - 1
+    fake.submit("j", "t0", CORE, 60.0, tasks=4)
+    fake.step(engine, 0.1)
+    fake.step(engine, 0.1)
+    assert fake.starts == 1
+
+
 def test_unknown_policy_names_the_choices():
     with pytest.raises(UnknownPolicyError, match="packing"):
         create_policy("best")
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -329,6 +329,20 @@
         "if False:",
         "tests/integration -k killed_upstream",
     ),
+    Case(
+        "an answer under another request's number is discarded",
+        "instance/exchange.py",
+        "if named is not None and named != self.number:",
+        "if False:",
+        "tests/integration -k broken_answers",
+    ),
+    Case(
+        "a long answer that breaks off is cut for the caller too",
+        "instance/http.py",
+        "if exchange.fate is not Fate.DONE:",
+        "if False:",
+        "tests/integration -k long_answer",
+    ),
     Case(
         "a refusal after an attempt is no `not run`",
         "instance/entry.py",
