--- a/src/bluebellyoke/consensus/storage.py
+++ b/src/bluebellyoke/consensus/storage.py
@@ -308,7 +308,7 @@
     # Snapshots.
 
     def save_snapshot(self, meta: m.SnapshotMeta, state: bytes) -> None:
-        """Store a snapshot; the log still holds the entries that it covers.
+        """Write a snapshot beside the log, which may go on meanwhile.
 
         Raises:
             DiskError: The disk refused.
@@ -321,6 +321,9 @@
         except OSError as error:
             self._failed = True
             raise DiskError(path, error) from error
+
+    def adopt_snapshot(self, meta: m.SnapshotMeta) -> None:
+        """Read chunks from a snapshot that has been written, from now on."""
         self._meta = meta
 
     def compact(self, log: EntryLog, hard_state: m.HardState) -> None:
--- a/src/bluebellyoke/instance/replica.py
+++ b/src/bluebellyoke/instance/replica.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 import anyio
+from anyio.abc import TaskGroup
 
 from bluebellyoke.cell import commands as c
 from bluebellyoke.cell.snapshot import dump_state, load_state
@@ -148,6 +149,9 @@
         self._placement_log = PlacementLog()
         self._was_leader = False
         self._stopping = False
+        self._tasks: TaskGroup | None = None
+        self._snapshot_under_way = False
+        self._saved: m.SnapshotMeta | None = None
 
     # What others use.
 
@@ -195,7 +199,12 @@
     # The task.
 
     async def run(self) -> None:
-        """Run until cancelled or `hand_over` has finished."""
+        """Run until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            await self._run_turns()
+
+    async def _run_turns(self) -> None:
         try:
             while True:
                 inputs = await self._collect()
@@ -205,7 +214,8 @@
                 self._offer_to_join(now)
                 self._direct(now)
                 await self._perform()
-                await self._take_snapshot_if_due()
+                self._begin_snapshot_if_due()
+                await self._finish_snapshot()
         finally:
             self._storage.close()
 
@@ -390,6 +400,7 @@
         self.state = load_state(data)
         self._applied = meta.index
         await anyio.to_thread.run_sync(self._storage.save_snapshot, meta, data)
+        self._storage.adopt_snapshot(meta)
         await anyio.to_thread.run_sync(self._storage.reset, meta, self._hard_state)
         logger.info("replica: restored a snapshot", extra={"index": meta.index})
 
@@ -448,7 +459,10 @@
         for address in {*self.options.seeds, *self.peers}:
             self._send_peer(address, envelope)
 
-    async def _take_snapshot_if_due(self) -> None:
+    def _begin_snapshot_if_due(self) -> None:
+        """Copy the state and write it beside the log, which goes on meanwhile."""
+        if self._snapshot_under_way or self._applied <= self.core.log.base.index:
+            return
         if self._storage.segment_bytes < self.options.snapshot_bytes:
             return
         term = self.core.log.find_term(self._applied)
@@ -456,11 +470,27 @@
         meta = m.SnapshotMeta(
             self._applied, term, self.core.find_membership_at(self._applied), len(data)
         )
+        self._snapshot_under_way = True
+        self._tasks.start_soon(self._save_snapshot, meta, data)
+
+    async def _save_snapshot(self, meta: m.SnapshotMeta, data: bytes) -> None:
         await anyio.to_thread.run_sync(self._storage.save_snapshot, meta, data)
+        self._saved = meta
+
+    async def _finish_snapshot(self) -> None:
+        """Drop the log behind a snapshot that has been written."""
+        meta, self._saved = self._saved, None
+        if meta is None:
+            return
+        self._snapshot_under_way = False
+        if meta.index <= self.core.log.base.index:
+            # A snapshot of the leader was installed meanwhile.
+            return
+        self._storage.adopt_snapshot(meta)
         self.core.compact(meta)
         await anyio.to_thread.run_sync(
             self._storage.compact, self.core.log, self._hard_state
         )
         logger.info(
-            "replica: took a snapshot", extra={"index": meta.index, "bytes": len(data)}
+            "replica: took a snapshot", extra={"index": meta.index, "bytes": meta.size}
         )
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -142,6 +142,7 @@
     recovered = storage.recover()
     meta = m.SnapshotMeta(index, 1, m.Membership(), 5)
     storage.save_snapshot(meta, b"state")
+    storage.adopt_snapshot(meta)
     return storage, recovered, meta
 
 
