--- a/tests/instance/test_replica.py
+++ b/tests/instance/test_replica.py
@@ -4,6 +4,7 @@
 import anyio
 import pytest
 
+from bench.agreement import Replicas, keep_in_flight
 from bluebellyoke.cell import commands as c
 from bluebellyoke.clock import SystemClock
 from bluebellyoke.consensus.bootstrap import create_replica
@@ -133,3 +134,26 @@
     anyio.run(run_with, create_lone_replica(snapshot_bytes=1_500), claim_some)
     for _ in range(2):
         anyio.run(run_with, create_lone_replica(), find_all)
+
+
+def test_busy_leader_hands_over(tmp_path):
+    """A follower can only catch up once the leader adds nothing more."""
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            replicas = Replicas(tmp_path, 3, 0.001, tasks)
+            await replicas.start()
+            address = replicas.find_leader()
+            leader = replicas.members[address]
+            tasks.start_soon(keep_in_flight, leader, 64, 3600.0)
+            with anyio.fail_after(WAIT_S):
+                while leader.core.commit < 100:
+                    await anyio.sleep(0.01)
+            await leader.hand_over()
+            assert not leader.core.is_leader
+            with anyio.fail_after(WAIT_S):
+                while replicas.find_leader() in (None, address):
+                    await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
