Relieve workers that turn out too small; learn sizes over a workspace's jobs

Change: a round first stops the cheapest restartable tasks of such a worker; the ratio of used over declared memory is learned by workspace (weight 0.1 a job) and counts for its later jobs, up to the largest worker. Conclusion: between the report of a usage and the end of the stopped tasks a worker may be overfull for some tenths of a second; tasks that must run once are never stopped.

--- a/bench/workload.py
+++ b/bench/workload.py
@@ -168,11 +168,23 @@
         return result
 
     def count_overcommits(self):
-        """Return how many workers have less than nothing free."""
+        """Return how many workers lack room for the tasks that go on there.
+
+        Tasks that have been told to stop do not count.
+        """
+        count = 0
+        for worker in self.state.book.workers.values():
+            free = worker.free
+            for task in worker.tasks.values():
+                if task.state is not TaskState.RUNNING:
+                    free = free + task.job.need
+            count += min(free.cpu_millis, free.memory_mb, free.accelerators) < 0
+        return count
+
+    def count_overfull(self):
+        """Return how many workers have less than nothing free for the moment."""
         return sum(
-            min(worker.free) < 0
-            if isinstance(worker.free, tuple)
-            else min(worker.free_cpu, worker.free_memory, worker.free_accelerators) < 0
+            min(worker.free_cpu, worker.free_memory, worker.free_accelerators) < 0
             for worker in self.state.book.workers.values()
         )
 
--- a/src/bluebellyoke/cell/jobbook.py
+++ b/src/bluebellyoke/cell/jobbook.py
@@ -113,12 +113,17 @@
         reason = find_obstacle(spec, quota, self.workers.values())
         if reason:
             return refuse("can-never-run", reason)
-        job = Job(spec, command.digest, command.time, spec.need)
+        workspace = self.workspaces[spec.workspace]
+        largest_mb = max(
+            (x.total.memory_mb for x in self.workers.values() if x.alive), default=0
+        )
+        need = workspace.correct_need(spec.need, largest_mb)
+        job = Job(spec, command.digest, command.time, need)
         job.create_tasks(command.time)
         self.jobs[spec.id] = job
         self.unfinished_tasks += spec.tasks
         self.payload_bytes += len(spec.payload)
-        self.workspaces[spec.workspace].unfinished_jobs += 1
+        workspace.unfinished_jobs += 1
         self._enqueue(job)
         return Result(accepted=True, detail={"job": spec.id})
 
@@ -267,6 +272,9 @@
 
     def _end(self, task: Task, worker: Worker, item: TaskReport, now: float) -> None:
         job = task.job
+        if item.outcome is TaskOutcome.DONE:
+            workspace = self.workspaces[job.spec.workspace]
+            workspace.learn_memory(job.spec.need.memory_mb, item.used.memory_mb)
         if item.ran_s and item.outcome is TaskOutcome.DONE:
             self._learn_run_time(job, item.ran_s)
         if item.outcome is TaskOutcome.DONE:
@@ -384,6 +392,8 @@
         job = self.jobs.get(job_id)
         if job is None:
             return False
+        workspace = self.workspaces[job.spec.workspace]
+        workspace.learn_memory(job.spec.need.memory_mb, used.memory_mb)
         need = job.need.enlarge_to(used)
         if need == job.need:
             return False
@@ -392,7 +402,7 @@
             if task.worker is not None:
                 task.worker.take(growth)
                 self.resized_workers.add(task.worker.name)
-                self.workspaces[job.spec.workspace].take(growth)
+                workspace.take(growth)
         job.need = need
         return True
 
--- a/src/bluebellyoke/cell/snapshot.py
+++ b/src/bluebellyoke/cell/snapshot.py
@@ -72,6 +72,7 @@
     version: int
     time: float
     workspaces: list[c.WorkspaceSpec]
+    memory_ratios: list[float]
     services: list[c.ServiceSpec]
     drained_workers: tuple[str, ...]
     last_ticket: int
@@ -94,6 +95,7 @@
         version=state.version,
         time=state.time,
         workspaces=[item.spec for item in book.workspaces.values()],
+        memory_ratios=[item.memory_ratio for item in book.workspaces.values()],
         services=list(state.services.values()),
         drained_workers=state.drained_workers,
         last_ticket=state.tickets.last_number,
@@ -133,6 +135,10 @@
 def _load_book(state: CellState, image: StateImage) -> None:
     book = state.book
     book.workspaces = {item.name: Workspace(item) for item in image.workspaces}
+    for workspace, ratio in zip(
+        book.workspaces.values(), image.memory_ratios, strict=True
+    ):
+        workspace.memory_ratio = ratio
     for stored in image.workers:
         worker = _load_worker(stored)
         book.workers[worker.name] = worker
--- a/src/bluebellyoke/placement/candidates.py
+++ b/src/bluebellyoke/placement/candidates.py
@@ -104,6 +104,7 @@
         self._groups = _create_groups()
         self._random = random_source
         self._planned: set[str] = set()
+        self._overfull: set[str] = set()
         self._memory_ratio = 1.0
 
     def rebuild(self, book: JobBook) -> None:
@@ -143,6 +144,19 @@
                 candidate = self.candidates[name] = Candidate(worker)
             candidate.sync()
             self._file(candidate)
+            if candidate.cpu_millis < 0 or candidate.memory_mb < 0:
+                self._overfull.add(name)
+
+    def list_overfull(self) -> list[Candidate]:
+        """Return the workers whose tasks need more than the worker has.
+
+        A placement never makes one; a need that was learned while tasks run can.
+        """
+        for name in list(self._overfull):
+            candidate = self.candidates.get(name)
+            if candidate is None or min(candidate.cpu_millis, candidate.memory_mb) >= 0:
+                self._overfull.discard(name)
+        return [self.candidates[name] for name in sorted(self._overfull)]
 
     def has_plan(self, candidate: Candidate) -> bool:
         """Return whether the current round has planned a task there."""
--- a/src/bluebellyoke/placement/engine.py
+++ b/src/bluebellyoke/placement/engine.py
@@ -12,6 +12,7 @@
       worker.
     * A workspace below its due share that finds no room gets room back from the one
       that is furthest above its own.
+    * A worker whose tasks turn out to need more than it has is relieved first.
     * Tasks that must not run twice are never stopped for others.
 """
 
@@ -136,6 +137,7 @@
         self._planned.clear()
         self._cursors.clear()
         result = Round()
+        self._relieve(now, result)
         self._plan_urgent(book, now, limit, result)
         self._plan_fairly(book, now, limit, result)
         return result
@@ -379,10 +381,15 @@
         self._note_victims(
             victims,
             f"its workspace is above its due; {job.spec.id} waits below",
-            now,
             result,
         )
 
+    def _relieve(self, now: float, result: Round) -> None:
+        """Stop tasks of workers that turned out to be too small for theirs."""
+        for candidate in self._index.list_overfull():
+            victims = self._preemption.plan_relief(candidate, now)
+            self._note_victims(victims, "its worker is too full", result)
+
     def _preempt_for(self, book: JobBook, job: Job, now: float, result: Round) -> None:
         """Free room for the waiting tasks of an urgent job."""
         for _ in range(self._count_left(job)):
@@ -390,12 +397,10 @@
             if not victims:
                 return
             self._note_victims(
-                victims, f"urgent job {job.spec.id} needs its room", now, result
+                victims, f"urgent job {job.spec.id} needs its room", result
             )
 
-    def _note_victims(
-        self, victims: list[Task], reason: str, now: float, result: Round
-    ) -> None:
+    def _note_victims(self, victims: list[Task], reason: str, result: Round) -> None:
         for task in victims:
             result.preemptions.append((*task.key, task.epoch))
             result.decisions.append(
--- a/src/bluebellyoke/placement/preemption.py
+++ b/src/bluebellyoke/placement/preemption.py
@@ -122,6 +122,21 @@
             and task.key not in self._stopping
         ]
 
+    def plan_relief(self, candidate: Candidate, now: float) -> list[Task]:
+        """Return the cheapest tasks whose end makes a worker large enough again."""
+        worker = candidate.worker
+        free = worker.free
+        for task in worker.tasks.values():
+            if task.state is not TaskState.RUNNING:
+                free = free + task.job.need
+        victims: list[Task] = []
+        for task in sorted(self._list_victims(worker), key=_rank_by_cost(now)):
+            if free.cpu_millis >= 0 and free.memory_mb >= 0:
+                break
+            victims.append(task)
+            free = free + task.job.need
+        return self._mark(victims)
+
     def plan_give_back(self, book: JobBook, job: Job, now: float) -> list[Task]:
         """Return tasks to stop so that a workspace below its due gets room.
 
--- a/tests/placement/test_engine.py
+++ b/tests/placement/test_engine.py
@@ -247,3 +247,35 @@
     fake.step(other, 0.1)
     assert fake.starts == 16
     assert fake.count_overcommits() == 0
+
+
+def test_worker_that_turns_out_too_small_is_relieved(engine):
+    fake = create_cell(workers=1, cores=4)
+    fake.submit("once", "t0", Resources(500, 500, 0), 60.0)
+    fake.submit("again", "t0", Resources(500, 500, 0), 60.0, tasks=4, idempotent=True)
+    fake.step(engine, 0.1)
+    used = Resources(0, 1_500, 0)
+    fake.apply(c.LearnNeed(job_id="again", used=used, time=fake.now))
+    assert fake.count_overcommits() == 1
+    fake.step(engine, 0.1)
+    assert fake.count_overcommits() == 0
+    fake.step(engine, 0.5)
+    assert fake.count_overfull() == 0
+    book = fake.state.book
+    assert book.jobs["again"].counts[TaskState.RUNNING] == 2
+    assert book.jobs["once"].counts[TaskState.RUNNING] == 1
+
+
+def test_later_jobs_count_with_what_earlier_ones_used(engine):
+    fake = create_cell(workers=4, cores=8)
+    for number in range(40):
+        job_id = f"j{number}"
+        fake.submit(job_id, "t0", Resources(100, 100, 0), 0.05)
+        fake.step(engine, 0.1)
+        used = Resources(0, 300, 0)
+        fake.apply(c.LearnNeed(job_id=job_id, used=used, time=fake.now))
+        fake.step(engine, 0.1)
+    fake.submit("mine", "t0", Resources(100, 100, 0), 5.0)
+    fake.submit("other", "t1", Resources(100, 100, 0), 5.0)
+    assert fake.state.book.jobs["mine"].need.memory_mb > 280
+    assert fake.state.book.jobs["other"].need.memory_mb == 100
