--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -282,8 +282,8 @@
         also=(
             (
                 "cell/jobbook.py",
-                "if task.state is not TaskState.RUNNING or not task.job.is_restartable:",
-                "if task.state is not TaskState.RUNNING:",
+                "RUNNING or not task.job.is_restartable:\n",
+                "RUNNING:\n",
             ),
         ),
     ),
