Take ticket numbers as arguments; name resources in reports

Change: only keyword arguments are flags; reports name each resource. Figures: the new test failed before and passes now.

--- a/src/bluebellyoke/__main__.py
+++ b/src/bluebellyoke/__main__.py
@@ -19,7 +19,7 @@
         code = defopt.run(
             COMMANDS,
             argv=argv,
-            cli_options="has_default",
+            cli_options="kwonly",
             show_defaults=False,
             no_negated_flags=True,
         )
--- a/src/bluebellyoke/leader/reports.py
+++ b/src/bluebellyoke/leader/reports.py
@@ -3,6 +3,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from msgspec.structs import asdict
 
 from bluebellyoke.cell.jobs import Job, Task, TaskState
 from bluebellyoke.instance import wire as w
@@ -56,12 +57,12 @@
                 for worker in book.workers.values()
                 if worker.alive and worker.set_aside_until > wall
             ),
-            "total": book.total,
+            "total": asdict(book.total),
         },
         "tasks": {item.name.lower(): counts[item] for item in TaskState},
         "jobs": len(book.jobs),
         "workspaces": {
-            name: {"used": item.used, "unfinished_jobs": item.unfinished_jobs}
+            name: {"used": asdict(item.used), "unfinished_jobs": item.unfinished_jobs}
             for name, item in book.workspaces.items()
         },
         "upstreams": {
@@ -118,8 +119,8 @@
         "id": subject,
         "state": job.describe(),
         "why": _explain(director, job, wall),
-        "need": job.need,
-        "declared_need": job.spec.need,
+        "need": asdict(job.need),
+        "declared_need": asdict(job.spec.need),
         "expected_s": job.expected_s,
         "failed_on": sorted(job.failed_on),
         "places": [_describe_task(task) for task in job.tasks[:LISTED_TASKS]],
@@ -168,7 +169,14 @@
         "next_number": state.tickets.last_number + 1,
         "version": state.version,
         "services": list(state.services.values()),
-        "workspaces": [item.spec for item in state.book.workspaces.values()],
+        "workspaces": [
+            {
+                "name": item.spec.name,
+                "share": item.spec.share,
+                "quota": asdict(item.spec.quota),
+            }
+            for item in state.book.workspaces.values()
+        ],
         "drained_workers": state.drained_workers,
     }
 
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -85,6 +85,12 @@
     expect_one_line(done, 2, "name a JSON file")
 
 
+def test_ticket_number_is_an_optional_argument():
+    for arguments in (["1"], []):
+        done = run("ticket", "show", *arguments, "--server", "127.0.0.1:1")
+        assert done.returncode == 3, done.stderr
+
+
 def test_bad_flag_is_one_usage_error():
     done = run("status", "--colour")
     assert done.returncode == 2
