Choose ports that no outgoing connection can take

Cause: one matrix case failed because an outgoing connection had taken a listener's port between its choice and its use ('Address already in use'). Change: ports below the system's range for outgoing connections, with a different start for each process.

--- a/standins/cell.py
+++ b/standins/cell.py
@@ -1,6 +1,7 @@
 """A small cell of real processes on loopback, for the demo and the tests."""
 
 import contextlib
+import itertools
 import os
 import resource
 import signal
@@ -44,14 +45,26 @@
 """
 
 
+#: Ports below those that the system gives to outgoing connections, which would
+#: otherwise take a port between its choice here and its use.
+FIRST_PORT = 10_000
+PORTS = 22_000
+PORTS_PER_PROCESS = 64
+
+_next_port = itertools.count(os.getpid() * PORTS_PER_PROCESS)
+
+
 def find_ports(count: int) -> list[int]:
-    """Return free TCP ports of the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
+    """Return free TCP ports of the loopback address.
+
+    Processes that run beside each other begin at different ports.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = FIRST_PORT + next(_next_port) % PORTS
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            ports.append(port)
     return ports
 
 
