--- a/standins/cell.py
+++ b/standins/cell.py
@@ -255,8 +255,12 @@
 
     def stop(self, name: str, wait_s: float = 30.0) -> int:
         """Stop one process gracefully and return its exit code."""
+        self.processes[name].send_signal(signal.SIGTERM)
+        return self.wait_for_end(name, wait_s)
+
+    def wait_for_end(self, name: str, wait_s: float = 30.0) -> int:
+        """Wait until a process that was told to stop has ended."""
         process = self.processes.pop(name)
-        process.send_signal(signal.SIGTERM)
         try:
             return process.wait(wait_s)
         except subprocess.TimeoutExpired:
@@ -288,8 +292,9 @@
             for name in group:
                 self.signal(name, signal.SIGCONT)
                 self.processes[name].send_signal(signal.SIGTERM)
+            # A second signal could come while the process puts its handlers away.
             for name in group:
-                codes[name] = self.stop(name)
+                codes[name] = self.wait_for_end(name)
         return codes
 
     def kill_all(self) -> None:
