Drain an instance whose disk fails instead of breaking its callers off

Ruled out: the log and the state; all ledgers were right. Change: the replica's fault starts the drain; the fault is raised after it. A failure inside an instance is answered as unknown. Printing a fault cannot change the exit.

--- a/src/bluebellyoke/__main__.py
+++ b/src/bluebellyoke/__main__.py
@@ -24,13 +24,22 @@
             no_negated_flags=True,
         )
     except NoInstanceError as error:
-        print(f"bluebellyoke: {error}", file=sys.stderr)
+        print_fault(error)
         sys.exit(EXIT_UNREACHABLE)
     except BluebellyokeError as error:
-        print(f"bluebellyoke: {error}", file=sys.stderr)
+        print_fault(error)
         sys.exit(EXIT_USAGE)
     sys.exit(code)
 
 
+def print_fault(error: BluebellyokeError) -> None:
+    """Print a fault; a full disk under standard error does not change the exit."""
+    try:
+        print(f"bluebellyoke: {error}", file=sys.stderr, flush=True)
+    except OSError:
+        # What is left in the buffer would fail again at the end of the program.
+        sys.stderr = None
+
+
 if __name__ == "__main__":
     main()
--- a/src/bluebellyoke/commands.py
+++ b/src/bluebellyoke/commands.py
@@ -15,7 +15,7 @@
 from bluebellyoke import __version__
 from bluebellyoke.client import ApiReply, Client
 from bluebellyoke.clock import SystemClock
-from bluebellyoke.errors import BluebellyokeError
+from bluebellyoke.errors import BluebellyokeError, find_fault
 from bluebellyoke.settings import Settings, load_settings
 
 __all__ = ["COMMANDS"]
@@ -66,25 +66,13 @@
     try:
         anyio.run(application.run)
     except BaseExceptionGroup as group:
-        fault = _find_fault(group)
+        fault = find_fault(group)
         if fault is None:
             raise
         raise fault from group
     return EXIT_DONE
 
 
-def _find_fault(group: BaseExceptionGroup) -> BluebellyokeError | None:
-    """Return the first fault with a remedy inside nested groups."""
-    for error in group.exceptions:
-        if isinstance(error, BluebellyokeError):
-            return error
-        if isinstance(error, BaseExceptionGroup):
-            found = _find_fault(error)
-            if found is not None:
-                return found
-    return None
-
-
 def init(*, settings: Path, new_cell: bool = False) -> int:
     """Make the data folder of an instance, once.
 
--- a/src/bluebellyoke/errors.py
+++ b/src/bluebellyoke/errors.py
@@ -4,7 +4,7 @@
 and the remedy, so that one line is enough for an operator.
 """
 
-__all__ = ["BluebellyokeError"]
+__all__ = ["BluebellyokeError", "find_fault"]
 
 
 class BluebellyokeError(Exception):
@@ -19,3 +19,15 @@
         super().__init__(f"{problem}; {remedy}")
         self.problem = problem
         self.remedy = remedy
+
+
+def find_fault(group: BaseExceptionGroup) -> BluebellyokeError | None:
+    """Return the first fault with a remedy inside nested groups."""
+    for error in group.exceptions:
+        if isinstance(error, BluebellyokeError):
+            return error
+        if isinstance(error, BaseExceptionGroup):
+            found = find_fault(error)
+            if found is not None:
+                return found
+    return None
--- a/src/bluebellyoke/instance/application.py
+++ b/src/bluebellyoke/instance/application.py
@@ -20,7 +20,7 @@
 
 from bluebellyoke.clock import Clock
 from bluebellyoke.consensus.repair import RepairOptions
-from bluebellyoke.errors import BluebellyokeError
+from bluebellyoke.errors import BluebellyokeError, find_fault
 from bluebellyoke.instance import wire as w
 from bluebellyoke.instance.api import Api, InstanceStatus
 from bluebellyoke.instance.codec import MessageCodec
@@ -112,6 +112,7 @@
             metrics=self._metrics,
         )
         self._replica: Replica | None = None
+        self._fault: BluebellyokeError | None = None
 
     def request_stop(self) -> None:
         """Begin the graceful stop."""
@@ -122,7 +123,7 @@
 
         Raises:
             PortInUseError: A listener cannot be opened.
-            BluebellyokeError: The data folder cannot be used.
+            BluebellyokeError: The data folder cannot be used, or failed meanwhile.
         """
         own = self._settings.instance
         http_socket = self._listen("http_port", own.http_port)
@@ -151,6 +152,8 @@
             if peer_socket is not None:
                 peer_socket.close()
         logger.info("instance: stopped")
+        if self._fault is not None:
+            raise self._fault
 
     def _listen(self, key: str, port: int) -> socket.socket:
         address = self._settings.instance.address
@@ -220,13 +223,29 @@
                 codec=MessageCodec(),
             )
             await server.start(sock=peer_socket)
-            tasks.start_soon(self._replica.run)
+            tasks.start_soon(self._run_until_fault, self._replica, server)
             try:
                 yield
             finally:
                 server.close()
                 tasks.cancel_scope.cancel()
 
+    async def _run_until_fault(self, replica: Replica, server: GrpcServer) -> None:
+        """Run the replica; if its disk fails, let the instance drain and end.
+
+        Callers' requests in hand do not depend on the own disk.
+        """
+        try:
+            await replica.run()
+        except* BluebellyokeError as group:
+            self._fault = find_fault(group)
+            logger.error(
+                "instance: lost its replica", extra={"fault": str(self._fault)}
+            )
+            self._replica = None
+            server.close()
+            self.request_stop()
+
     def _create_replica(self, sender: PeerSender) -> Replica:
         settings = self._settings
         own, cell, limits = settings.instance, settings.cell, settings.limits
--- a/src/bluebellyoke/instance/http.py
+++ b/src/bluebellyoke/instance/http.py
@@ -4,6 +4,7 @@
 """
 
 import hashlib
+import logging
 import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -21,6 +22,8 @@
 
 __all__ = ["HttpInterface"]
 
+logger = logging.getLogger("bluebellyoke.http")
+
 #: Longest body that is held in memory; longer ones are streamed and never retried.
 HELD_BODY_BYTES = 1024 * 1024
 
@@ -42,6 +45,9 @@
     "bad-deadline": 400,
 }
 
+#: Codes of unknown outcomes that only time has run out for.
+_TIMEOUT_CODES = frozenset({"timeout", "in-progress", "outcome-unknown"})
+
 Scope = dict
 Receive = Callable[[], Awaitable[dict]]
 Send = Callable[[dict], Awaitable[None]]
@@ -90,7 +96,7 @@
         path = scope["path"]
         try:
             if path.startswith(SERVICE_PREFIX):
-                await self._route(scope, receive, send)
+                await self._route_safely(scope, receive, send)
             else:
                 await self._serve_api(path, scope, receive, send)
         except CallerLeftError:
@@ -98,6 +104,26 @@
 
     # Callers' requests.
 
+    async def _route_safely(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Route a request; if the instance itself fails, say that it may have run."""
+        has_begun = False
+
+        async def send_noting(message: dict) -> None:
+            nonlocal has_begun
+            has_begun = True
+            await send(message)
+
+        try:
+            await self._route(scope, receive, send_noting)
+        except CallerLeftError:
+            raise
+        except Exception:
+            logger.exception("http: failed to route a request")
+            if has_begun:
+                raise
+            answer = FinalAnswer(Fate.UNKNOWN, "internal", "the instance failed")
+            await self._send_final(answer, send)
+
     async def _route(self, scope: Scope, receive: Receive, send: Send) -> None:
         headers = dict(scope["headers"])
         service, _, rest = scope["path"][len(SERVICE_PREFIX) :].partition("/")
@@ -175,7 +201,7 @@
             await self._send_done(answer, send, is_head=is_head)
             return
         if answer.fate is Fate.UNKNOWN:
-            status = 502 if answer.code == "upstream-failed" else 504
+            status = 504 if answer.code in _TIMEOUT_CODES else 502
         else:
             status = _FIXED_STATUS.get(answer.code, 503)
         headers = [(b"bluebellyoke-outcome", answer.fate.value.encode())]
--- a/tests/integration/test_faults.py
+++ b/tests/integration/test_faults.py
@@ -180,28 +180,30 @@
     assert bench.apply_ticket(old)[0] == 409
 
 
-def test_full_disk_ends_the_leader_and_loses_nothing(start_bench):
-    bench = start_bench(upstreams=0, workers=0)
+def test_full_disk_ends_the_leader_and_cuts_no_truth(start_bench):
+    bench = start_bench(upstreams=1, workers=0)
     cell = bench.cell
     leader = cell.find_leader()
-    cell.fill_disk(leader)
-    process = cell.processes.pop(leader)
-    accepted = 1
-    for number in range(2, 40):
-        ticket = {"number": number, "workspaces": [{"name": "yard", "share": number}]}
-        name = next(x for x in cell.names if x != leader)
-        address = f"127.0.0.1:{cell.http_ports[name]}"
-
-        def is_accepted(ticket=ticket, address=address):
-            return bench.apply_ticket(ticket, address)[0] == 200
-
-        wait_until(is_accepted, 20, f"ticket {number}")
-        accepted = number
-    assert process.wait(20) == 2
+    others = [cell.http_ports[name] for name in cell.names if name != leader]
+    with Callers(cell, count=3) as running:
+        running.wait_for_answers(10)
+        cell.fill_disk(leader)
+        process = cell.processes.pop(leader)
+        for number in range(2, 40):
+            ticket = {"number": number, "workspaces": [{"name": "yard"}]}
+            address = f"127.0.0.1:{others[number % len(others)]}"
+
+            def is_accepted(ticket=ticket, address=address):
+                return bench.apply_ticket(ticket, address)[0] == 200
+
+            wait_until(is_accepted, 20, f"ticket {number}")
+        assert process.wait(30) == 2
+        running.wait_for_answers(10)
     cell.start_instance(leader)
     cell.wait_ready(leader)
     value = ask(f"127.0.0.1:{cell.http_ports[leader]}", "/v1/tickets")[1]
-    assert value["last_number"] == accepted
+    assert value["last_number"] == 39
+    bench.check(running.records)
 
 
 def test_drained_instances_cut_no_request(start_bench):
