--- a/src/bluebellyoke/cell/commands.py
+++ b/src/bluebellyoke/cell/commands.py
@@ -8,7 +8,10 @@
 
 import msgspec
 
+from bluebellyoke.cell.command import Command
 from bluebellyoke.cell.resources import Resources
+from bluebellyoke.cell.result import ClaimStatus, Outcome, Result, refuse
+from bluebellyoke.workflow.commands import WorkflowCommand
 
 __all__ = [
     "AdvanceTime",
@@ -62,15 +65,6 @@
     NEVER_STARTED = "never-started"
 
 
-class ClaimStatus(enum.StrEnum):
-    """State of a caller's request that carries an idempotency key."""
-
-    CLAIMED = "claimed"
-    DONE = "done"
-    NOT_RUN = "not-run"
-    UNKNOWN = "unknown"
-
-
 class WorkspaceSpec(msgspec.Struct, frozen=True, kw_only=True):
     """Whole state of one workspace as a ticket declares it.
 
@@ -152,16 +146,6 @@
     expected_s: float = 0.0
 
 
-class Command(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=True):
-    """Base class of the commands.
-
-    Attributes:
-        time: Wall-clock time at which the leader proposed the command, in seconds.
-    """
-
-    time: float = 0.0
-
-
 class ApplyTicket(Command, frozen=True, kw_only=True, array_like=True, tag=True):
     """Put a ticket in force; `digest` identifies its content."""
 
@@ -310,15 +294,6 @@
     expires: float
 
 
-class Outcome(msgspec.Struct, frozen=True, array_like=True):
-    """Recorded answer of a request with an idempotency key."""
-
-    status: ClaimStatus
-    code: int = 0
-    headers: tuple[tuple[str, str], ...] = ()
-    body: bytes = b""
-
-
 class RecordOutcome(Command, frozen=True, kw_only=True, array_like=True, tag=True):
     """Store the outcome of a claimed request."""
 
@@ -347,31 +322,10 @@
     | ClaimRequest
     | RecordOutcome
     | AdvanceTime
+    | WorkflowCommand
 )
 
 
-class Result(msgspec.Struct, frozen=True, kw_only=True, array_like=True, tag=True):
-    """What applying a command gave.
-
-    Attributes:
-        accepted: Whether the state now holds what the command asked for.
-        reason: Short explanation; names the remedy of a refusal.
-        code: Stable word for programs, such as `accepted` or `stale-number`.
-        detail: Further facts by name.
-    """
-
-    accepted: bool
-    code: str = "accepted"
-    reason: str = ""
-    detail: dict[str, str] = {}
-    outcome: Outcome | None = None
-
-
-def refuse(code: str, reason: str, **detail: str) -> Result:
-    """Return a refusal with a stable code and a reason."""
-    return Result(accepted=False, code=code, reason=reason, detail=detail)
-
-
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(tuple[AnyCommand, ...])
 
--- a/src/bluebellyoke/cell/state.py
+++ b/src/bluebellyoke/cell/state.py
@@ -15,6 +15,7 @@
 from bluebellyoke.cell.tickets import TicketBook, find_faults
 from bluebellyoke.cell.upstreams import SlotBook, Upstream
 from bluebellyoke.cell.workspaces import Workspace
+from bluebellyoke.workflow.book import WorkflowBook
 
 __all__ = ["CellState", "UpstreamView", "ViewUpdate"]
 
@@ -68,6 +69,7 @@
     tickets: TicketBook = field(default_factory=TicketBook)
     slots: SlotBook = field(default_factory=SlotBook)
     claims: ClaimBook = field(default_factory=ClaimBook)
+    workflows: WorkflowBook = field(default_factory=WorkflowBook)
     services: dict[str, c.ServiceSpec] = field(default_factory=dict)
     drained_workers: tuple[str, ...] = ()
     version: int = 0
@@ -79,7 +81,10 @@
     def apply(self, command: c.Command) -> c.Result:
         """Apply one command and return its result."""
         self.time = max(self.time, command.time)
-        return _HANDLERS[type(command)](self, command)
+        handler = _HANDLERS.get(type(command))
+        if handler is None:
+            return self.workflows.apply(command)
+        return handler(self, command)
 
     # Tickets.
 
--- a/src/bluebellyoke/clock.py
+++ b/src/bluebellyoke/clock.py
@@ -31,5 +31,9 @@
         return datetime.now(UTC)
 
     def monotonic(self) -> float:
-        """Return the monotonic time of the operating system, in seconds."""
-        return time.monotonic()
+        """Return the time since the start of the machine, in seconds.
+
+        It counts the time for which the machine was suspended, so that a lease ends
+        also while its holder sleeps.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/src/bluebellyoke/consensus/repair.py
+++ b/src/bluebellyoke/consensus/repair.py
@@ -79,13 +79,20 @@
 def _find_dead_voters(
     core: Core, candidates: Mapping[str, Member], now: float, options: RepairOptions
 ) -> set[str]:
-    newer_names = {member.name for member in candidates.values()}
-    newer_names |= {member.name for member in core.membership.learners.values()}
+    newer = [*candidates.values(), *core.membership.learners.values()]
+    newer_names = {member.name for member in newer}
+    newer_places = {(member.address, member.port) for member in newer}
     return {
         replica
         for replica, member in core.membership.voters.items()
         if _is_silent(core, replica, now, options.replace_after_s)
-        or (member.name in newer_names and _is_silent(core, replica, now, PRESENT_S))
+        or (
+            (
+                member.name in newer_names
+                or (member.address, member.port) in newer_places
+            )
+            and _is_silent(core, replica, now, PRESENT_S)
+        )
     }
 
 
--- a/src/bluebellyoke/consensus/storage.py
+++ b/src/bluebellyoke/consensus/storage.py
@@ -42,6 +42,7 @@
     "Identity",
     "Storage",
     "create_identity",
+    "holds_replica",
     "read_identity",
 ]
 
@@ -170,6 +171,11 @@
     return identity
 
 
+def holds_replica(folder: Path) -> bool:
+    """Return whether a data folder has an identity."""
+    return (folder / "identity.json").exists()
+
+
 class Storage:
     """Files of one replica.
 
--- /dev/null
+++ b/src/bluebellyoke/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""The leader's part in workflows: who runs what, and the calls to the workers."""
--- /dev/null
+++ b/src/bluebellyoke/dispatch/desk.py
@@ -0,0 +1,86 @@
+"""The leader's answers to callers of queues, workers that announce themselves, and
+operators of configurations."""
+
+import re
+from collections.abc import Callable
+
+import msgspec
+
+from bluebellyoke.cell.result import Result
+from bluebellyoke.dispatch.duties import DispatchDuties
+from bluebellyoke.instance import wire as w
+from bluebellyoke.workflow import commands as wc
+from bluebellyoke.workflow.book import WorkflowBook
+from bluebellyoke.workflow.configuration import find_queue
+from bluebellyoke.workflow.specs import QueueSpec
+
+__all__ = ["QueueDesk"]
+
+_IDENTITY = re.compile(r"[0-9a-fA-F]{16}")
+
+
+class QueueDesk:
+    """Answers the calls of instances that concern workflows.
+
+    Args:
+        duties: Decisions on workflows.
+    """
+
+    def __init__(self, duties: DispatchDuties) -> None:
+        self._duties = duties
+
+    def handle(
+        self,
+        book: WorkflowBook,
+        body: w.QueueRequest,
+        wall: float,
+        reply: Callable[[w.QueueReply], None],
+    ) -> None:
+        """Act on a caller's request and reply once the answer is sure."""
+        queue = find_queue(book.configuration, body.host, body.path)
+        if queue is None:
+            reply(w.QueueReply("unknown-queue", reason="no queue has this path"))
+            return
+        identity = body.path[len(queue.prefix) :]
+        if not identity and body.action is w.QueueAction.READ:
+            waiting = self._duties.count_waiting(queue.name)
+            reply(w.QueueReply("accepted", waiting=waiting))
+            return
+        if not _IDENTITY.fullmatch(identity):
+            reason = f"{identity!r} is no identity; send 16 hexadecimal digits"
+            reply(w.QueueReply("bad-id", reason=reason))
+            return
+        if body.action is w.QueueAction.READ:
+            reply(_describe(book, queue, identity))
+        elif body.action is w.QueueAction.CANCEL:
+            command = wc.CancelWorkflow(workflow=identity, queue=queue.name)
+            self._duties.cancel(command, wall, lambda x: reply(_convert(x)))
+        else:
+            spec = msgspec.structs.replace(body.draft, id=identity, queue=queue.name)
+            command = wc.SubmitWorkflow(spec=spec)
+            self._duties.submit(command, wall, lambda x: reply(_convert(x)))
+
+    def announce(
+        self,
+        body: w.WorkerAnnouncement,
+        wall: float,
+        reply: Callable[[Result], None],
+    ) -> None:
+        """Take a worker's heartbeat or its leave."""
+        if body.leaving:
+            self._duties.take_leave(body.worker)
+            reply(Result(accepted=True))
+        elif body.spec is not None:
+            self._duties.announce(body.spec, wall, reply)
+
+
+def _describe(book: WorkflowBook, queue: QueueSpec, identity: str) -> w.QueueReply:
+    workflow = book.workflows.get(identity)
+    if workflow is None or workflow.spec.queue != queue.name:
+        return w.QueueReply("unknown-job", reason="no such workflow is known")
+    return w.QueueReply("accepted", state=workflow.state)
+
+
+def _convert(result: Result) -> w.QueueReply:
+    code = "accepted" if result.accepted else result.code
+    return w.QueueReply(code, reason=result.reason)
--- /dev/null
+++ b/src/bluebellyoke/dispatch/members.py
@@ -0,0 +1,156 @@
+"""What the leader knows of one life of a worker that it calls.
+
+Nothing of this is replicated: a new leader learns it from its first hold.
+"""
+
+import enum
+from dataclasses import dataclass, field
+
+from bluebellyoke.cell.resources import Resources
+from bluebellyoke.workflow.book import RunKey
+from bluebellyoke.workflow.specs import WorkerSpec
+
+__all__ = ["LeaseTimes", "Member", "RunPhase"]
+
+#: Largest relative lag of a worker's clock.
+CLOCK_LAG = 0.02
+
+
+class RunPhase(enum.Enum):
+    """What the leader knows of an assigned run.
+
+    CALLING: The start is under way. STARTED: The worker has it. UNSURE: The start
+    got no answer, or an earlier leader sent it. BARRING: A stop is under way for a
+    run that the worker does not list. BARRED: That stop was accepted, so the run
+    cannot begin any more. STOPPING: A run that the worker has is being stopped.
+    """
+
+    CALLING = "calling"
+    STARTED = "started"
+    UNSURE = "unsure"
+    BARRING = "barring"
+    BARRED = "barred"
+    STOPPING = "stopping"
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LeaseTimes:
+    """Durations of a worker's lease, in seconds.
+
+    Attributes:
+        lease_s: Lease that each hold and start asks for.
+        longest_s: Longest lease that a worker grants to any leader.
+    """
+
+    lease_s: float = 5.0
+    longest_s: float = 6.0
+
+
+@dataclass(slots=True)
+class Run:
+    """A run that may take room on the worker.
+
+    Attributes:
+        since: Monotonic time of the last change of the phase.
+    """
+
+    need: Resources
+    phase: RunPhase
+    since: float
+
+
+@dataclass(slots=True)
+class Member:
+    """One life of a worker, as the leader sees it.
+
+    Attributes:
+        found_at: Monotonic time at which this leader met it.
+        clock_ms, clock_at: Reading of its clock and the time it arrived, if any.
+        promised_ms: Latest end of its lease that this leader asked for.
+        heard_at: Time of its latest answer to a hold.
+        seen: Number of its last end that is recorded.
+        is_held: Whether it has answered this leader's fencing token.
+        foreign: Runs that it lists and that are not assigned to it.
+        failures: Holds that failed since the last answer.
+        suspect_until: Monotonic time until which it gets no new task.
+    """
+
+    spec: WorkerSpec
+    found_at: float
+    clock_ms: int = 0
+    clock_at: float = 0.0
+    promised_ms: int = 0
+    heard_at: float = 0.0
+    seen: int = 0
+    is_held: bool = False
+    is_holding: bool = False
+    hold_due: float = 0.0
+    failures: int = 0
+    suspect_until: float = 0.0
+    has_left: bool = False
+    runs: dict[RunKey, Run] = field(default_factory=dict)
+    foreign: dict[RunKey, float] = field(default_factory=dict)
+    taken: Resources = field(default_factory=Resources)
+
+    @property
+    def free(self) -> Resources:
+        """Room that no run may take."""
+        return self.spec.capacity - self.taken
+
+    def add_run(
+        self, key: RunKey, need: Resources, phase: RunPhase, now: float
+    ) -> None:
+        """Count a run against the room."""
+        if key not in self.runs:
+            self.runs[key] = Run(need, phase, now)
+            self.taken = self.taken + need
+
+    def drop_run(self, key: RunKey) -> None:
+        """Give back the room of a run that has ended."""
+        run = self.runs.pop(key, None)
+        if run is not None:
+            self.taken = self.taken - run.need
+
+    def set_phase(self, key: RunKey, phase: RunPhase, now: float) -> None:
+        """Note what became known of a run."""
+        run = self.runs.get(key)
+        if run is not None:
+            run.phase = phase
+            run.since = now
+
+    # Lease.
+
+    def note_clock(self, clock_ms: int, now: float) -> None:
+        """Take a reading of the worker's clock."""
+        self.clock_ms = clock_ms
+        self.clock_at = now
+
+    def promise(self, now: float, times: LeaseTimes) -> int | None:
+        """Return the lease's end to ask for, on the worker's clock, if it is known."""
+        if not self.clock_at:
+            return None
+        clock = self.clock_ms + (now - self.clock_at) * 1000
+        self.promised_ms = max(self.promised_ms, int(clock + times.lease_s * 1000))
+        return self.promised_ms
+
+    def has_lapsed(self, now: float, times: LeaseTimes) -> bool:
+        """Return whether the lease has ended, whatever the worker received."""
+        since_found = (now - self.found_at) * (1 - CLOCK_LAG)
+        if since_found <= times.longest_s:
+            # An earlier leader may have asked for the longest lease just before.
+            return False
+        if not self.clock_at:
+            return True
+        slowest = self.clock_ms + (now - self.clock_at) * 1000 * (1 - CLOCK_LAG)
+        return slowest > self.promised_ms
+
+    def is_usable(self, now: float, silence_s: float) -> bool:
+        """Return whether it may get new tasks."""
+        return (
+            self.is_held
+            and not self.spec.draining
+            and not self.has_left
+            and not self.foreign
+            and now - self.heard_at < silence_s
+            and now >= self.suspect_until
+        )
--- a/src/bluebellyoke/instance/application.py
+++ b/src/bluebellyoke/instance/application.py
@@ -19,15 +19,22 @@
 from grpclib.server import Server as GrpcServer
 
 from bluebellyoke.clock import Clock
+from bluebellyoke.consensus.bootstrap import found_cell, join_cell
 from bluebellyoke.consensus.repair import RepairOptions
+from bluebellyoke.consensus.storage import holds_replica
+from bluebellyoke.dispatch.calls import WorkerCalls
+from bluebellyoke.dispatch.members import LeaseTimes
+from bluebellyoke.dispatch.ports import UnusedCaller
 from bluebellyoke.errors import BluebellyokeError, find_fault
 from bluebellyoke.instance import wire as w
 from bluebellyoke.instance.api import Api, InstanceStatus
 from bluebellyoke.instance.codec import MessageCodec
 from bluebellyoke.instance.entry import Entry
+from bluebellyoke.instance.gateway import AsgiApp, Gateway, GatewayParts, Listener
 from bluebellyoke.instance.http import HttpInterface
 from bluebellyoke.instance.link import Link
 from bluebellyoke.instance.peers import PeerReceiver, PeerSender
+from bluebellyoke.instance.queues import AdviceDesk, QueueClient
 from bluebellyoke.instance.replica import Replica, ReplicaOptions
 from bluebellyoke.instance.sessions import SessionServer
 from bluebellyoke.leader.director import Director
@@ -48,6 +55,9 @@
 #: Time to close the HTTP connections after the last request, in seconds.
 HTTP_CLOSE_S = 3.0
 
+#: Time between two looks at the settings while the cell is out of reach, in seconds.
+SEEK_S = 2.0
+
 #: Connections that wait to be accepted.
 BACKLOG = 2048
 
@@ -71,6 +81,18 @@
         yield
 
 
+class _PortRouter:
+    """Sends each request to what answers at the port that it came to."""
+
+    def __init__(self, own: AsgiApp, listeners: list[Listener]) -> None:
+        self._own = own
+        self._apps = {(item.address, item.port): item.app for item in listeners}
+
+    async def __call__(self, scope: dict, receive, send) -> None:
+        place = tuple(scope.get("server") or ())[:2]
+        await self._apps.get(place, self._own)(scope, receive, send)
+
+
 class Application:
     """Owns the parts of an instance.
 
@@ -78,13 +100,23 @@
         settings: Checked settings.
         path: File of the settings, for error messages.
         clock: Source of time.
+        gateway: Adapter to a foreign platform, if the instance runs on one.
     """
 
-    def __init__(self, *, settings: Settings, path: Path, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        path: Path,
+        clock: Clock,
+        gateway: Gateway | None = None,
+    ) -> None:
+        self._gateway = gateway
         self._settings = settings
         self._path = path
         self._clock = clock
         self._metrics = Metrics()
+        self._seeds = settings.instance.seeds
         own = settings.instance
         self._status = InstanceStatus(name=own.name, incarnation=uuid.uuid4().hex[:12])
         self._status.request_drain = self.request_stop
@@ -101,7 +133,7 @@
             clock=clock,
             begin_stream=self._router.begin_stream,
             build_poll=lambda: self._entry.build_poll(),
-            on_message=lambda message: self._entry.on_leader_message(message),
+            on_message=self._on_leader_message,
             poll_interval_s=POLL_INTERVAL_S,
         )
         self._entry = Entry(
@@ -111,6 +143,13 @@
             holder=f"{own.name}/{self._status.incarnation}",
             metrics=self._metrics,
         )
+        self._queues = QueueClient(link=self._link, clock=clock, metrics=self._metrics)
+        self._advice = AdviceDesk(
+            advisor=gateway.create_advisor() if gateway is not None else None,
+            link=self._link,
+            clock=clock,
+            metrics=self._metrics,
+        )
         self._replica: Replica | None = None
         self._fault: BluebellyokeError | None = None
 
@@ -126,19 +165,25 @@
             BluebellyokeError: The data folder cannot be used, or failed meanwhile.
         """
         own = self._settings.instance
-        http_socket = self._listen("http_port", own.http_port)
+        listeners = self._gateway_listeners()
+        sockets = [self._listen("http_port", own.address, own.http_port)]
         peer_socket = None
         try:
             if own.data_folder is not None:
-                peer_socket = self._listen("peer_port", own.peer_port)
+                peer_socket = self._listen("peer_port", own.address, own.peer_port)
+            for item in listeners:
+                sockets.append(self._listen("gateway", item.address, item.port))
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._watch_signals)
+                if self._gateway is not None:
+                    tasks.start_soon(self._watch_settings)
                 async with self._run_replica(peer_socket):
-                    server = self._create_http_server()
+                    server = self._create_http_server(listeners)
                     async with anyio.create_task_group() as parts:
                         parts.start_soon(self._link.run)
                         parts.start_soon(self._entry.run)
-                        parts.start_soon(server.serve, [http_socket])
+                        parts.start_soon(self._advice.run)
+                        parts.start_soon(server.serve, sockets)
                         logger.info(
                             "instance: serves",
                             extra={"address": own.address, "port": own.http_port},
@@ -148,15 +193,36 @@
                         parts.cancel_scope.cancel()
                 tasks.cancel_scope.cancel()
         finally:
-            http_socket.close()
+            for item in sockets:
+                item.close()
             if peer_socket is not None:
                 peer_socket.close()
         logger.info("instance: stopped")
         if self._fault is not None:
             raise self._fault
 
-    def _listen(self, key: str, port: int) -> socket.socket:
-        address = self._settings.instance.address
+    def _gateway_listeners(self) -> list[Listener]:
+        if self._gateway is None:
+            return []
+        parts = GatewayParts(
+            queues=self._queues,
+            metrics=self._metrics,
+            is_ready=self._is_ready,
+            is_leaving=lambda: self._status.leaving,
+        )
+        return self._gateway.create_listeners(parts)
+
+    def _is_ready(self) -> bool:
+        has_lease = self._router.has_lease(self._clock.monotonic())
+        return has_lease and not self._status.leaving
+
+    def _on_leader_message(self, message: w.FromLeader) -> None:
+        if isinstance(message, w.AdviceCall):
+            self._advice.take(message)
+        else:
+            self._entry.on_leader_message(message)
+
+    def _listen(self, key: str, address: str, port: int) -> socket.socket:
         family = socket.AF_INET6 if ":" in address else socket.AF_INET
         # asyncio turns Nagle's algorithm off only where the protocol is explicit.
         listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
@@ -171,11 +237,33 @@
         return listener
 
     async def _watch_signals(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                self.request_stop()
+        wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with anyio.open_signal_receiver(*wanted) as signals:
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    self._reload()
+                else:
+                    self.request_stop()
+
+    async def _watch_settings(self) -> None:
+        """Read the settings again while the cell is out of reach."""
+        while True:
+            await anyio.sleep(SEEK_S)
+            if not self._link.connected:
+                self._reload()
+
+    def _reload(self) -> None:
+        """Take over the seeds of the settings; the rest holds until a restart."""
+        settings = self._gateway.reload() if self._gateway is not None else None
+        if settings is None or settings.instance.seeds == self._seeds:
+            return
+        self._seeds = settings.instance.seeds
+        self._link.set_seeds(self._seeds)
+        if self._replica is not None:
+            self._replica.set_seeds(self._seeds)
+        logger.info("instance: reloads", extra={"seeds": list(self._seeds)})
 
-    def _create_http_server(self) -> _HttpServer:
+    def _create_http_server(self, listeners: list[Listener]) -> _HttpServer:
         api = Api(
             entry=self._entry,
             link=self._link,
@@ -190,7 +278,7 @@
             longest_deadline_s=self._settings.limits.longest_deadline_s,
         )
         config = uvicorn.Config(
-            interface,
+            _PortRouter(interface, listeners),
             http="httptools",
             ws="none",
             lifespan="off",
@@ -204,6 +292,13 @@
         )
         return _HttpServer(config)
 
+    def _count_open(self) -> int:
+        return (
+            self._entry.open_requests
+            + self._router.in_hand
+            + self._queues.open_requests
+        )
+
     # Replica.
 
     @contextlib.asynccontextmanager
@@ -215,6 +310,7 @@
             yield
             return
         async with anyio.create_task_group() as tasks:
+            self._make_folder()
             sender = PeerSender(tasks)
             self._replica = self._create_replica(sender)
             self._status.describe_replica = self._replica.describe
@@ -230,6 +326,22 @@
                 server.close()
                 tasks.cancel_scope.cancel()
 
+    def _make_folder(self) -> None:
+        """Make an empty data folder where an adapter starts instances unattended."""
+        own, cell = self._settings.instance, self._settings.cell
+        if self._gateway is None or holds_replica(own.data_folder):
+            return
+        address = f"{own.address}:{own.reached_port}"
+        if own.founder and address in own.seeds:
+            found_cell(
+                folder=own.data_folder,
+                cell=cell.name,
+                own=address,
+                founders=own.seeds,
+            )
+        else:
+            join_cell(folder=own.data_folder, cell=cell.name, name=own.name)
+
     async def _run_until_fault(self, replica: Replica, server: GrpcServer) -> None:
         """Run the replica; if its disk fails, let the instance drain and end.
 
@@ -263,6 +375,11 @@
                 longest_deadline_s=limits.longest_deadline_s,
             ),
             engine=engine,
+            calls=self._create_calls(),
+            lease_times=LeaseTimes(
+                lease_s=limits.called_worker_lease_s,
+                longest_s=limits.longest_called_worker_lease_s,
+            ),
         )
         return Replica(
             options=ReplicaOptions(
@@ -284,6 +401,12 @@
             send=sender.send,
         )
 
+    def _create_calls(self) -> WorkerCalls:
+        caller = UnusedCaller()
+        if self._gateway is not None:
+            caller = self._gateway.create_caller()
+        return WorkerCalls(caller=caller, clock=self._clock)
+
     # Stop.
 
     async def _drain(self, server: _HttpServer) -> None:
@@ -294,7 +417,7 @@
         self._router.draining = True
         self._link.poll_soon()
         with anyio.move_on_after(limits.longest_deadline_s):
-            while self._entry.open_requests or self._router.in_hand:
+            while self._count_open():
                 await anyio.sleep(0.02)
         await self._link.say_bye()
         server.should_exit = True
--- a/src/bluebellyoke/instance/link.py
+++ b/src/bluebellyoke/instance/link.py
@@ -103,6 +103,7 @@
         self._poll_wanted = False
         self._leader = ""
         self._attempts = 0
+        self._joined = anyio.Event()
         self.connected = False
 
     # What others use.
@@ -129,6 +130,24 @@
             raise NoLeaderError()
         return pending.answer
 
+    def send(self, message: w.FromInstance) -> None:
+        """Send a message that needs no answer, if there is a stream now."""
+        if self.connected:
+            self._outbox.append(message)
+            self._wake.set()
+
+    async def wait_connected(self, timeout_s: float) -> bool:
+        """Wait until there is a stream to the leader; return whether there is."""
+        if self.connected:
+            return True
+        with anyio.move_on_after(timeout_s):
+            await self._joined.wait()
+        return self.connected
+
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Use other addresses to find the cell."""
+        self._seeds = tuple(seeds)
+
     def poll_soon(self) -> None:
         """Send the next poll without waiting for its time."""
         self._poll_wanted = True
@@ -154,6 +173,9 @@
                     extra={"peer": address, "error": str(errors.exceptions[0])},
                 )
             finally:
+                if self.connected:
+                    logger.info("link: lost the leader", extra={"peer": address})
+                    self._joined = anyio.Event()
                 self.connected = False
             await anyio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
 
@@ -181,6 +203,7 @@
                 scope.deadline = float("inf")
                 self._leader = address
                 self.connected = True
+                self._joined.set()
                 self._begin_stream()
                 logger.info("link: reached the leader", extra={"leader": first.leader})
                 self._outbox = [
--- /dev/null
+++ b/src/bluebellyoke/instance/queues.py
@@ -0,0 +1,202 @@
+"""An instance's part in workflows: calls to the leader, and advice for it."""
+
+import logging
+
+import anyio
+
+from bluebellyoke.cell.result import Result, refuse
+from bluebellyoke.clock import Clock
+from bluebellyoke.dispatch.ports import Advisor, AdvisorBusyError
+from bluebellyoke.instance import wire as w
+from bluebellyoke.instance.link import Link, NoLeaderError, TooManyCallsError
+from bluebellyoke.metrics import Metrics
+from bluebellyoke.workflow.admission import find_workflow_faults
+from bluebellyoke.workflow.commands import ApplyConfiguration
+from bluebellyoke.workflow.specs import Configuration, WorkflowSpec
+
+__all__ = ["AdviceDesk", "QueueClient"]
+
+logger = logging.getLogger("bluebellyoke.queues")
+
+#: Time for which a request waits for a stream to the leader, in seconds.
+LINK_WAIT_S = 0.3
+
+#: Time within which a worker or an operator gets an answer, in seconds.
+ANNOUNCE_TIMEOUT_S = 0.9
+CONFIGURATION_TIMEOUT_S = 0.95
+
+#: Calls to the advisor that wait; the leader sends one at a time.
+ADVICE_CALLS = 64
+
+#: Longest call to the advisor, in seconds.
+ADVICE_TIMEOUT_S = 10.0
+
+#: Codes of requests without an answer of the leader. `unavailable` was not sent;
+#: `unanswered` may have been carried out.
+UNAVAILABLE = "unavailable"
+UNANSWERED = "unanswered"
+
+
+class QueueClient:
+    """Passes requests to the leader, which alone is sure of the state.
+
+    Args:
+        link: Stream to the leader.
+        clock: Source of time.
+        metrics: Histograms and counters.
+    """
+
+    def __init__(self, *, link: Link, clock: Clock, metrics: Metrics) -> None:
+        self._link = link
+        self._clock = clock
+        self._metrics = metrics
+        self.open_requests = 0
+
+    async def request(
+        self,
+        action: w.QueueAction,
+        host: str,
+        path: str,
+        *,
+        timeout_s: float,
+        draft: WorkflowSpec | None = None,
+    ) -> w.QueueReply:
+        """Return the answer to a caller's request to a queue."""
+        started = self._clock.monotonic()
+        faults = find_workflow_faults(draft) if draft is not None else []
+        self.open_requests += 1
+        try:
+            if faults:
+                reply = w.QueueReply("malformed", reason="; ".join(faults))
+            else:
+                reply = await self._ask(action, host, path, draft, timeout_s)
+        finally:
+            self.open_requests -= 1
+        took = self._clock.monotonic() - started
+        self._metrics.note_queue_request(action.value, reply.code, took)
+        if action is not w.QueueAction.READ or reply.code != "accepted":
+            logger.info(
+                "queues: answers a request",
+                extra={
+                    "action": action.value,
+                    "path": path,
+                    "code": reply.code,
+                    "reason": reply.reason,
+                    "took_s": round(took, 4),
+                },
+            )
+        return reply
+
+    async def _ask(
+        self,
+        action: w.QueueAction,
+        host: str,
+        path: str,
+        draft: WorkflowSpec | None,
+        timeout_s: float,
+    ) -> w.QueueReply:
+        if not await self._link.wait_connected(min(LINK_WAIT_S, timeout_s)):
+            return w.QueueReply(UNAVAILABLE, reason="no leader is known now")
+        body = w.QueueRequest(action, host, path, draft)
+        try:
+            return await self._link.call(body, timeout_s)
+        except NoLeaderError:
+            return w.QueueReply(UNANSWERED, reason="the leader has not answered")
+        except TooManyCallsError as error:
+            return w.QueueReply(UNAVAILABLE, reason=str(error))
+
+    async def announce(self, announcement: w.WorkerAnnouncement) -> Result:
+        """Pass on the heartbeat of a worker."""
+        return await self._call(announcement, ANNOUNCE_TIMEOUT_S)
+
+    async def change_configuration(self, configuration: Configuration) -> Result:
+        """Ask for a configuration to be put in force."""
+        command = ApplyConfiguration(configuration=configuration)
+        return await self._call(command, CONFIGURATION_TIMEOUT_S)
+
+    async def read_configuration(self) -> bytes | None:
+        """Return the configuration in force, or None without a sure answer."""
+        query = w.Query("configuration")
+        try:
+            reply = await self._link.call(query, CONFIGURATION_TIMEOUT_S)
+        except (NoLeaderError, TooManyCallsError) as error:
+            logger.info(
+                "queues: cannot read the configuration", extra={"fault": str(error)}
+            )
+            return None
+        return reply.body if reply.found else None
+
+    async def _call(self, body, timeout_s: float) -> Result:
+        if not await self._link.wait_connected(LINK_WAIT_S):
+            return refuse(UNAVAILABLE, "no leader is known now")
+        try:
+            return await self._link.call(body, timeout_s)
+        except NoLeaderError as error:
+            return refuse(UNANSWERED, str(error))
+        except TooManyCallsError as error:
+            return refuse(UNAVAILABLE, str(error))
+
+
+class AdviceDesk:
+    """Asks the advisor what the leader wants to know, one call at a time.
+
+    Args:
+        advisor: Interface to the advisor, or None if there is none.
+        link: Stream to the leader.
+        clock: Source of time.
+        metrics: Histograms and counters.
+    """
+
+    def __init__(
+        self, *, advisor: Advisor | None, link: Link, clock: Clock, metrics: Metrics
+    ) -> None:
+        self._advisor = advisor
+        self._link = link
+        self._clock = clock
+        self._metrics = metrics
+        self._send, self._inbox = anyio.create_memory_object_stream(ADVICE_CALLS)
+
+    def take(self, call: w.AdviceCall) -> None:
+        """Queue a call; without room for it, say that there is no advice."""
+        try:
+            self._send.send_nowait(call)
+        except anyio.WouldBlock:
+            self._link.send(w.AdviceReply(call.id))
+
+    async def run(self) -> None:
+        """Answer calls until cancelled."""
+        try:
+            async for call in self._inbox:
+                self._link.send(w.AdviceReply(call.id, await self._ask(call)))
+        finally:
+            if self._advisor is not None:
+                with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
+                    await self._advisor.close()
+
+    async def _ask(self, call: w.AdviceCall) -> dict[str, str] | None:
+        if self._advisor is None:
+            return None
+        started = self._clock.monotonic()
+        tickets = None
+        fault = ""
+        try:
+            with anyio.fail_after(ADVICE_TIMEOUT_S):
+                tickets = await self._advisor.ask(call.step, call.workers)
+        except TimeoutError:
+            fault = f"none within {ADVICE_TIMEOUT_S:g} s"
+        except AdvisorBusyError as error:
+            fault = str(error)
+        took = self._clock.monotonic() - started
+        self._metrics.note_advice(took)
+        logger.info(
+            "queues: asked the advisor",
+            extra={
+                "job": call.step[0],
+                "step": list(call.step[1:]),
+                "workers": len(call.workers),
+                "allowed": len(tickets) if tickets is not None else None,
+                "fault": fault,
+                "took_s": round(took, 4),
+            },
+        )
+        return tickets
--- a/src/bluebellyoke/instance/replica.py
+++ b/src/bluebellyoke/instance/replica.py
@@ -22,6 +22,7 @@
 from bluebellyoke.consensus.core import Core, Effects, Timing
 from bluebellyoke.consensus.repair import RepairOptions, plan_membership
 from bluebellyoke.consensus.storage import Storage, read_identity
+from bluebellyoke.dispatch.events import WorkerEvent
 from bluebellyoke.instance import wire as w
 from bluebellyoke.leader.director import Director
 from bluebellyoke.leader.sessions import Proposal
@@ -149,13 +150,16 @@
         self._placement_log = PlacementLog()
         self._was_leader = False
         self._stopping = False
+        self._seeds = options.seeds
         self._tasks: TaskGroup | None = None
         self._snapshot_under_way = False
         self._saved: m.SnapshotMeta | None = None
 
     # What others use.
 
-    def post(self, item: m.Envelope | SessionInput | SessionClosed) -> bool:
+    def post(
+        self, item: m.Envelope | SessionInput | SessionClosed | WorkerEvent
+    ) -> bool:
         """Queue an input; return whether there was room."""
         try:
             self._inbox_send.send_nowait(item)
@@ -196,12 +200,17 @@
         enough = len(self.core.membership.voters) >= self.options.repair.target_voters
         return enough and self.core.is_lease_valid(now)
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Offer to other addresses while in no membership."""
+        self._seeds = seeds
+
     # The task.
 
     async def run(self) -> None:
         """Run until cancelled."""
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
+            tasks.start_soon(self._director.calls.run, self.post)
             await self._run_turns()
 
     async def _run_turns(self) -> None:
@@ -244,6 +253,9 @@
                 self._receive_envelope(item, now)
             elif isinstance(item, SessionInput):
                 self._receive_session(item)
+            elif isinstance(item, WorkerEvent):
+                wall = self._clock.now().timestamp()
+                self._director.receive_event(item, now, wall)
             else:
                 self._senders.pop(item.session, None)
                 self._director.close_session(item.session)
@@ -294,7 +306,7 @@
             logger.info(
                 "replica: leads", extra={"term": self.core.term, "index": self._applied}
             )
-            self._director.begin(self.state, now)
+            self._director.begin(self.state, now, self.core.term)
         return self._director.active
 
     def _hand_to_director(self, item: SessionInput, now: float, wall: float) -> None:
@@ -456,7 +468,7 @@
             self.options.data_centre,
         )
         envelope = self._wrap("", m.JoinRequest(0, member))
-        for address in {*self.options.seeds, *self.peers}:
+        for address in {*self._seeds, *self.peers}:
             self._send_peer(address, envelope)
 
     def _begin_snapshot_if_due(self) -> None:
--- a/src/bluebellyoke/instance/wire.py
+++ b/src/bluebellyoke/instance/wire.py
@@ -5,13 +5,19 @@
 `Redirect` and closes the stream.
 """
 
+import enum
+
 import msgspec
 
 from bluebellyoke.cell import commands as c
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.cell.state import ViewUpdate
+from bluebellyoke.workflow.commands import ApplyConfiguration
+from bluebellyoke.workflow.specs import WorkerSpec, WorkflowSpec
 
 __all__ = [
+    "AdviceCall",
+    "AdviceReply",
     "Bye",
     "Call",
     "Demand",
@@ -24,6 +30,9 @@
     "PollReply",
     "Query",
     "QueryReply",
+    "QueueAction",
+    "QueueReply",
+    "QueueRequest",
     "Recall",
     "Redirect",
     "Reply",
@@ -32,6 +41,7 @@
     "TaskStop",
     "Renewal",
     "Welcome",
+    "WorkerAnnouncement",
     "WorkerHeartbeat",
     "WorkerOrders",
 ]
@@ -128,6 +138,77 @@
     subject: str = ""
 
 
+class QueueAction(enum.StrEnum):
+    """What a caller wants of a queue."""
+
+    SUBMIT = "submit"
+    READ = "read"
+    CANCEL = "cancel"
+
+
+class QueueRequest(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """A caller's request to the queue that a host and a path select.
+
+    What follows the queue's prefix in the path is the identity of a workflow; `READ`
+    without one asks for the number of workflows that wait.
+
+    Attributes:
+        draft: Workflow to submit, without identity and queue.
+    """
+
+    action: QueueAction
+    host: str
+    path: str
+    draft: WorkflowSpec | None = None
+
+
+class QueueReply(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Answer of a `QueueRequest`.
+
+    Attributes:
+        code: `accepted`, `unknown-queue`, `unknown-job`, `bad-id` or another refusal.
+        state: State of the workflow, if one was asked for.
+        waiting: Workflows that wait, if they were asked for.
+    """
+
+    code: str
+    state: str = ""
+    waiting: int = -1
+    reason: str = ""
+
+
+class WorkerAnnouncement(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Heartbeat of a worker that the cell calls, or with `leaving` its last word."""
+
+    worker: str
+    spec: WorkerSpec | None = None
+    leaving: bool = False
+
+
+class AdviceCall(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Order to an instance to ask the advisor about a step.
+
+    Attributes:
+        step: Workflow, repetition and number of the step.
+    """
+
+    id: int
+    step: tuple[str, int, int]
+    workers: tuple[str, ...]
+
+
+class AdviceReply(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """What the advisor said.
+
+    Attributes:
+        tickets: Ticket of each worker that may run the step, or None if the advisor
+            did not answer.
+    """
+
+    id: int
+    tickets: dict[str, str] | None = None
+
+
 class Call(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """A request to the leader; the instance sends it again on a new stream."""
 
@@ -141,6 +222,9 @@
         | WorkerHeartbeat
         | c.AnnounceUpstream
         | Query
+        | QueueRequest
+        | ApplyConfiguration
+        | WorkerAnnouncement
     )
 
 
@@ -248,8 +332,10 @@
     """Answer of a `Call`."""
 
     id: int
-    body: c.Result | WorkerOrders | QueryReply
+    body: c.Result | WorkerOrders | QueryReply | QueueReply
 
 
-FromInstance = Hello | Poll | Call | Bye
-FromLeader = Welcome | Redirect | PollReply | ViewUpdate | Grant | Recall | Reply
+FromInstance = Hello | Poll | Call | Bye | AdviceReply
+FromLeader = (
+    Welcome | Redirect | PollReply | ViewUpdate | Grant | Recall | Reply | AdviceCall
+)
--- a/src/bluebellyoke/leader/director.py
+++ b/src/bluebellyoke/leader/director.py
@@ -10,6 +10,13 @@
 
 from bluebellyoke.cell import commands as c
 from bluebellyoke.cell.state import CellState, ViewUpdate
+from bluebellyoke.clock import SystemClock
+from bluebellyoke.dispatch.calls import WorkerCalls
+from bluebellyoke.dispatch.desk import QueueDesk
+from bluebellyoke.dispatch.duties import DispatchDuties
+from bluebellyoke.dispatch.events import WorkerEvent
+from bluebellyoke.dispatch.members import LeaseTimes
+from bluebellyoke.dispatch.ports import UnusedCaller
 from bluebellyoke.instance import wire as w
 from bluebellyoke.leader import reports
 from bluebellyoke.leader.sessions import (
@@ -21,6 +28,7 @@
 from bluebellyoke.leader.slots import SlotDuties
 from bluebellyoke.leader.workers import WorkerDuties
 from bluebellyoke.placement.engine import Decision, PlacementEngine
+from bluebellyoke.workflow.commands import ApplyConfiguration
 
 __all__ = ["Director"]
 
@@ -34,9 +42,18 @@
     Args:
         options: Durations.
         engine: Planner of placements.
+        calls: Tasks that call the workers of workflows.
+        lease_times: Leases of these workers.
     """
 
-    def __init__(self, *, options: DirectorOptions, engine: PlacementEngine) -> None:
+    def __init__(
+        self,
+        *,
+        options: DirectorOptions,
+        engine: PlacementEngine,
+        calls: WorkerCalls | None = None,
+        lease_times: LeaseTimes | None = None,
+    ) -> None:
         self.engine = engine
         self.state = CellState()
         self.active = False
@@ -45,6 +62,11 @@
         self._proposals = Proposals()
         self.workers = WorkerDuties(options=options, proposals=self._proposals)
         self.slots = SlotDuties(options=options, proposals=self._proposals)
+        self.calls = calls or WorkerCalls(caller=UnusedCaller(), clock=SystemClock())
+        self.dispatch = DispatchDuties(
+            proposals=self._proposals, calls=self.calls, times=lease_times
+        )
+        self._desk = QueueDesk(self.dispatch)
         self._lease_s = options.instance_lease_s
         self._plan_due = 0.0
         self._plan_pending = False
@@ -53,14 +75,15 @@
 
     # Life cycle.
 
-    def begin(self, state: CellState, now: float) -> None:
-        """Start to act with the state that a new leader has applied."""
+    def begin(self, state: CellState, now: float, term: int = 0) -> None:
+        """Start to act with the state that a new leader of `term` has applied."""
         self.end()
         self.active = True
         self.state = state
         self.engine.rebuild(state.book)
         self.workers.begin(state, now)
         self.slots.begin(state, now)
+        self.dispatch.begin(state.workflows, term, now)
         self._plan_due = self._housekeeping_due = now
 
     def end(self) -> None:
@@ -68,6 +91,7 @@
         self.active = False
         self.sessions.clear()
         self.decisions.clear()
+        self.dispatch.end()
         self._proposals.take()
         self._plan_pending = False
 
@@ -89,10 +113,12 @@
         session = Session(session_id, send, hello.instance, holder, hello.data_centre)
         self.sessions[session_id] = session
         self.slots.open_session(session)
+        self.dispatch.advice.open_session(session_id, send)
 
     def close_session(self, session_id: int) -> None:
         """Forget a stream; the instance's lease runs on."""
         session = self.sessions.pop(session_id, None)
+        self.dispatch.advice.close_session(session_id)
         if session is not None:
             self.slots.close_session(session)
             self.workers.forget_session(session)
@@ -108,6 +134,9 @@
             self._on_poll(session, message, now, wall)
         elif isinstance(message, w.Call):
             self._on_call(session, message, now, wall)
+        elif isinstance(message, w.AdviceReply):
+            self.dispatch.advice.receive(session_id, message, now)
+            self.dispatch.plan_soon()
         elif isinstance(message, w.Bye):
             self.slots.release_leaving(session.holder, wall)
 
@@ -128,6 +157,21 @@
         body = call.body
         if isinstance(body, w.WorkerHeartbeat):
             self.workers.on_heartbeat(session, call.id, body, now, wall)
+        elif isinstance(body, w.QueueRequest):
+            self._desk.handle(
+                self.state.workflows,
+                body,
+                wall,
+                lambda reply: session.send(w.Reply(call.id, reply)),
+            )
+        elif isinstance(body, w.WorkerAnnouncement):
+            self._desk.announce(
+                body, wall, lambda result: session.send(w.Reply(call.id, result))
+            )
+        elif isinstance(body, ApplyConfiguration):
+            self.dispatch.change_configuration(
+                body, wall, lambda result: session.send(w.Reply(call.id, result))
+            )
         elif isinstance(body, w.Query):
             session.send(w.Reply(call.id, reports.answer(self, body, now, wall)))
         else:
@@ -145,12 +189,18 @@
             self._plan_due = min(self._plan_due, now)
         session.send(w.Reply(call.id, result))
 
+    def receive_event(self, event: WorkerEvent, now: float, wall: float) -> None:
+        """Act on the end of a call to a worker of workflows."""
+        if self.active:
+            self.dispatch.receive(event, now, wall)
+
     # Time.
 
     def tick(self, now: float, wall: float) -> None:
         """Act on the passing of time."""
         self.workers.tick(now, wall)
         self.slots.tick(now, wall)
+        self.dispatch.tick(now, wall)
         if now >= self._housekeeping_due:
             self._housekeeping_due = now + HOUSEKEEPING_S
             if self._has_housekeeping(wall):
--- a/src/bluebellyoke/leader/reports.py
+++ b/src/bluebellyoke/leader/reports.py
@@ -21,6 +21,9 @@
     director: "Director", query: w.Query, now: float, wall: float
 ) -> w.QueryReply:
     """Return the answer to a query, as JSON."""
+    if query.topic == "configuration":
+        document = director.state.workflows.configuration.document
+        return w.QueryReply(bool(document), document)
     build = _TOPICS.get(query.topic)
     report = build(director, query.subject, now, wall) if build else None
     if report is None:
--- a/src/bluebellyoke/logs.py
+++ b/src/bluebellyoke/logs.py
@@ -6,6 +6,7 @@
 
 import logging
 import sys
+from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -19,9 +20,9 @@
 _VERBS = {"place": "placement: starts a task", "preempt": "placement: stops a task"}
 
 
-def configure_logs(*, level: str, instance: str) -> None:
-    """Send all logs of the process to standard error as JSON lines."""
-    handler = logging.StreamHandler(sys.stderr)
+def configure_logs(*, level: str, instance: str, to: TextIO | None = None) -> None:
+    """Send all logs of the process to a stream, standard error if none is given."""
+    handler = logging.StreamHandler(to or sys.stderr)
     handler.setFormatter(
         JsonFormatter(
             _FORMAT,
--- a/src/bluebellyoke/metrics.py
+++ b/src/bluebellyoke/metrics.py
@@ -34,6 +34,15 @@
         """Record the time from a task's submission to its placement."""
         self._record(f"task_wait_seconds_{job_class}", seconds)
 
+    def note_queue_request(self, action: str, code: str, seconds: float) -> None:
+        """Record the answer to a caller of a queue."""
+        self._counters["queue_requests_total", f"{action}/{code}"] += 1
+        self._record(f"queue_request_seconds_{action}", seconds)
+
+    def note_advice(self, seconds: float) -> None:
+        """Record a call to the advisor."""
+        self._record("advice_seconds", seconds)
+
     def _record(self, name: str, seconds: float) -> None:
         histogram = self._histograms.get(name)
         if histogram is None:
--- /dev/null
+++ b/src/bluebellyoke/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: names, formats and calls, and no decisions."""
--- /dev/null
+++ b/src/bluebellyoke/platform/bodies.py
@@ -0,0 +1,307 @@
+"""Bodies on the wire and their translation into the project's types.
+
+Field names are the platform's. Where one says little, a comment tells what it holds.
+"""
+
+import msgspec
+
+from bluebellyoke.cell.resources import Resources
+from bluebellyoke.dispatch.ports import EndedRun, HoldReport, RunningRun
+from bluebellyoke.errors import BluebellyokeError
+from bluebellyoke.workflow.commands import RunOutcome, TaskName
+from bluebellyoke.workflow.specs import (
+    AdvisorSpec,
+    Configuration,
+    PoolSpec,
+    QueueSpec,
+    StepSpec,
+    WorkerSpec,
+    WorkflowSpec,
+)
+
+__all__ = [
+    "UnreadableBodyError",
+    "decode_announcement",
+    "decode_configuration",
+    "decode_hold",
+    "decode_job",
+    "format_task",
+]
+
+#: Labels of a worker's kind have one letter, those of its rack more.
+READY = "ready"
+DRAINING = "draining"
+
+
+class UnreadableBodyError(BluebellyokeError):
+    """A body that does not have the published format."""
+
+    def __init__(self, cause: str) -> None:
+        super().__init__(f"the body cannot be read: {cause}", remedy="correct it")
+
+
+class JobStep(msgspec.Struct):
+    """A step of a job; fields that are zero, false or empty are left out."""
+
+    Count: int
+    Cpu: int = 0  # thousandths of a core
+    MemMb: int = 0
+    Gpu: int = 0
+    EstimateMs: float = 0.0
+    DependsOn: tuple[int, ...] = ()
+    SavesProgress: bool = False
+    Gang: bool = False
+    SameRack: bool = False
+    RequiredLabel: str = ""
+    DataRack: str = ""
+    MaxPerServer: int = 0
+    Speculative: bool = False
+    LongRunning: bool = False
+    Image: str = ""
+    TargetMs: float = 0.0
+    FillCount: bool | int = False  # a flag, not a number of tasks
+    MaxUnavailable: int | None = None
+
+
+class Job(msgspec.Struct):
+    """A job."""
+
+    TaskSpec: str
+    Steps: tuple[JobStep, ...]
+    RepeatCount: int = 0
+    StartAtMs: int = 0
+    IntervalMs: int = 0
+
+
+class RouteAdvisor(msgspec.Struct):
+    """Times of the advisor's calls."""
+
+    DecisionMs: float = 0.0
+    PerWorkerMs: float = 0.0
+    ValidityMs: float = 0.0
+
+
+class Route(msgspec.Struct):
+    """A queue."""
+
+    Name: str
+    Host: str
+    PathPrefix: str
+    Service: str
+    TimeoutMs: int
+    TargetDurationMs: float = 0.0
+    Priority: int = 0
+    Attempts: int = 1
+    SlackFactor: float = 1.0
+    Advisor: RouteAdvisor | None = None
+
+
+class Service(msgspec.Struct):
+    """A pool of workers."""
+
+    Name: str
+    EnforceCapacity: bool = False
+    Standby: bool = False
+
+
+class Config(msgspec.Struct):
+    """A configuration."""
+
+    Version: int
+    Routes: tuple[Route, ...]
+    Services: tuple[Service, ...]
+
+
+class Capacity(msgspec.Struct):
+    """Resources of a worker."""
+
+    Cpu: int = 0
+    MemMb: int = 0
+    Gpu: int = 0
+
+
+class Announcement(msgspec.Struct):
+    """A worker's heartbeat."""
+
+    Service: str
+    Address: str
+    Zone: str
+    State: str
+    Seq: int
+    Capacity: Capacity
+    Labels: tuple[str, ...] = ()
+    born: int = 0
+
+
+class Hold(msgspec.Struct):
+    """A worker's lists."""
+
+    CurrentTimeMs: int
+    # Each row: task, run, saved, percent, and a rough figure of its load.
+    Running: tuple[tuple, ...] = ()
+    # Each row: number, task, run, how, saved.
+    Ended: tuple[tuple, ...] = ()
+    born: int = 0
+
+
+#: Ends that a worker lists in one answer, at most.
+LISTED_ENDS = 500
+
+
+def _decode(body: bytes, kind: type):
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise UnreadableBodyError(str(error)) from error
+
+
+def decode_job(body: bytes) -> WorkflowSpec:
+    """Return the workflow of a job, without identity and queue.
+
+    Raises:
+        UnreadableBodyError: The body does not have the published format.
+    """
+    job = _decode(body, Job)
+    return WorkflowSpec(
+        id="",
+        queue="",
+        payload=job.TaskSpec,
+        steps=tuple(map(_translate_step, job.Steps)),
+        repeats=job.RepeatCount,
+        first_at_ms=job.StartAtMs,
+        interval_ms=job.IntervalMs,
+    )
+
+
+def _translate_step(step: JobStep) -> StepSpec:
+    return StepSpec(
+        count=step.Count,
+        need=Resources(step.Cpu, step.MemMb, step.Gpu),
+        estimate_ms=step.EstimateMs,
+        depends_on=step.DependsOn,
+        gang=step.Gang,
+        same_rack=step.SameRack,
+        checkpoints=step.SavesProgress,
+        required_label=step.RequiredLabel,
+        data_rack=step.DataRack,
+        per_worker=step.MaxPerServer,
+        speculative=step.Speculative,
+        lasting=step.LongRunning,
+        image=step.Image,
+        tail_target_ms=step.TargetMs,
+        fills=bool(step.FillCount),
+        may_be_away=-1 if step.MaxUnavailable is None else step.MaxUnavailable,
+    )
+
+
+def decode_configuration(body: bytes) -> Configuration:
+    """Return a configuration, with the body to be read back.
+
+    Raises:
+        UnreadableBodyError: The body does not have the published format.
+    """
+    config = _decode(body, Config)
+    return Configuration(
+        version=config.Version,
+        queues=tuple(map(_translate_route, config.Routes)),
+        pools=tuple(
+            PoolSpec(
+                name=item.Name,
+                guards_capacity=item.EnforceCapacity,
+                standby=item.Standby,
+            )
+            for item in config.Services
+        ),
+        document=body,
+    )
+
+
+def _translate_route(route: Route) -> QueueSpec:
+    advisor = None
+    if route.Advisor is not None:
+        advisor = AdvisorSpec(
+            decision_ms=route.Advisor.DecisionMs,
+            per_worker_ms=route.Advisor.PerWorkerMs,
+            validity_ms=route.Advisor.ValidityMs,
+        )
+    return QueueSpec(
+        name=route.Name,
+        host=route.Host,
+        prefix=route.PathPrefix,
+        pool=route.Service,
+        timeout_ms=route.TimeoutMs,
+        target_ms=route.TargetDurationMs,
+        slack_factor=route.SlackFactor,
+        priority=route.Priority,
+        attempts=route.Attempts,
+        advisor=advisor,
+    )
+
+
+def decode_announcement(worker: str, body: bytes) -> WorkerSpec:
+    """Return the description of a worker that its heartbeat gives.
+
+    Raises:
+        UnreadableBodyError: The body does not have the published format.
+    """
+    given = _decode(body, Announcement)
+    if given.State not in (READY, DRAINING):
+        raise UnreadableBodyError(f"State is {given.State!r}")
+    host, _, port = given.Address.rpartition(":")
+    if not host or not port.isdigit():
+        raise UnreadableBodyError(f"Address is {given.Address!r}")
+    room = given.Capacity
+    return WorkerSpec(
+        id=worker,
+        born=given.born,
+        pool=given.Service,
+        address=given.Address,
+        data_centre=given.Zone,
+        capacity=Resources(room.Cpu, room.MemMb, room.Gpu),
+        labels=given.Labels,
+        draining=given.State == DRAINING,
+    )
+
+
+def decode_hold(body: bytes) -> HoldReport:
+    """Return the lists of a worker.
+
+    Raises:
+        UnreadableBodyError: The body does not have the published format.
+    """
+    given = _decode(body, Hold)
+    try:
+        running = tuple(
+            RunningRun(parse_task(row[0]), int(row[1]), str(row[2] or ""))
+            for row in given.Running
+        )
+        ended = tuple(
+            EndedRun(
+                int(row[0]),
+                parse_task(row[1]),
+                int(row[2]),
+                RunOutcome(row[3]),
+                str(row[4] or ""),
+            )
+            for row in given.Ended
+        )
+    except (ValueError, IndexError, TypeError) as error:
+        raise UnreadableBodyError(str(error)) from error
+    return HoldReport(
+        given.CurrentTimeMs,
+        given.born,
+        running,
+        ended,
+        complete=len(ended) < LISTED_ENDS,
+    )
+
+
+def parse_task(text: str) -> TaskName:
+    """Return the place of a task from ID.REPETITION.STEP.INDEX."""
+    workflow, repetition, step, index = text.split(".")
+    return TaskName(workflow, int(repetition), int(step), int(index))
+
+
+def format_task(name: TaskName) -> str:
+    """Return a task's name on the wire."""
+    return f"{name.workflow}.{name.repetition}.{name.step}.{name.index}"
--- /dev/null
+++ b/src/bluebellyoke/platform/clients.py
@@ -0,0 +1,204 @@
+"""Clients of the platform's workers and of its advisor."""
+
+import errno
+
+import httpcore
+import msgspec
+
+from bluebellyoke.dispatch.ports import (
+    Advisor,
+    AdvisorBusyError,
+    HoldOrder,
+    HoldReport,
+    NoAnswerError,
+    NotReachedError,
+    OtherLifeError,
+    StartAnswer,
+    StartOrder,
+    StopOrder,
+    WorkerCaller,
+)
+from bluebellyoke.platform import bodies
+from bluebellyoke.workflow.specs import WorkerSpec
+
+__all__ = ["PlatformAdvisor", "PlatformWorkers"]
+
+#: Time to connect, in seconds.
+CONNECT_TIMEOUT_S = 0.6
+
+#: Time for which an idle connection is kept, in seconds.
+IDLE_S = 20.0
+
+#: Open connections to all workers, and idle ones among them, at most.
+CONNECTIONS = 1500
+
+_CONFLICTS = {
+    "fence": StartAnswer.FENCED,
+    "old": StartAnswer.OUTDATED,
+    "late": StartAnswer.LATE,
+    "room": StartAnswer.NO_ROOM,
+    "ticket": StartAnswer.BAD_TICKET,
+}
+
+
+class _Client:
+    """HTTP calls with JSON bodies."""
+
+    def __init__(self) -> None:
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=CONNECTIONS,
+            max_keepalive_connections=CONNECTIONS,
+            keepalive_expiry=IDLE_S,
+        )
+
+    async def post(
+        self, address: str, path: str, value: dict, headers: list
+    ) -> httpcore.Response:
+        """Send a call and return the whole answer."""
+        body = msgspec.json.encode(value)
+        try:
+            return await self._pool.request(
+                "POST",
+                f"http://{address}{path}",
+                headers=[
+                    (b"Host", address.encode()),
+                    (b"Content-Type", b"application/json"),
+                    (b"Content-Length", str(len(body)).encode()),
+                    *headers,
+                ],
+                content=body,
+                extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
+            )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
+            raise NotReachedError(address, refused=_is_refused(error)) from error
+        except (httpcore.NetworkError, httpcore.ProtocolError, OSError) as error:
+            raise NoAnswerError(address, f"{type(error).__name__} {error}") from error
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+
+def _is_refused(error: BaseException) -> bool:
+    """Return whether the host itself said that nothing listens."""
+    seen: BaseException | None = error
+    while seen is not None:
+        if isinstance(seen, ConnectionRefusedError):
+            return True
+        if isinstance(seen, OSError) and seen.errno == errno.ECONNREFUSED:
+            return True
+        if isinstance(seen, BaseExceptionGroup):
+            return all(_is_refused(item) for item in seen.exceptions)
+        seen = seen.__cause__ or seen.__context__
+    return False
+
+
+class PlatformWorkers(WorkerCaller):
+    """Calls to workers in the platform's format."""
+
+    def __init__(self) -> None:
+        self._client = _Client()
+
+    async def start(self, worker: WorkerSpec, order: StartOrder) -> StartAnswer:
+        """Start a run."""
+        value = {
+            "Task": bodies.format_task(order.task),
+            "RunId": order.run,
+            "TaskSpec": order.payload,
+            "DeadlineMs": order.deadline_ms,
+            "FencingToken": order.fence,
+        }
+        if order.checkpoint:
+            value["Checkpoint"] = order.checkpoint
+        if order.ticket:
+            value["Ticket"] = order.ticket
+        response = await self._call(worker, "/-/run-start", value)
+        if response.status == 200:
+            return StartAnswer.STARTED
+        if response.status in (429, 503):
+            return StartAnswer.UNHEALTHY
+        if response.status == 409:
+            reason = _read(worker, response).get("Reason")
+            return _CONFLICTS.get(reason, StartAnswer.INVALID)
+        return StartAnswer.INVALID
+
+    async def stop(self, worker: WorkerSpec, order: StopOrder) -> bool:
+        """Stop or bar a run."""
+        value = {
+            "Task": bodies.format_task(order.task),
+            "RunId": order.run,
+            "FencingToken": order.fence,
+        }
+        response = await self._call(worker, "/-/run-stop", value)
+        return response.status == 200
+
+    async def hold(self, worker: WorkerSpec, order: HoldOrder) -> HoldReport | None:
+        """Renew the lease and return the lists."""
+        value = {"FencingToken": order.fence, "SeenUpto": order.seen}
+        if order.deadline_ms is not None:
+            value["DeadlineMs"] = order.deadline_ms
+        if order.wait_ms:
+            value["WaitMs"] = order.wait_ms
+        response = await self._call(worker, "/-/hold", value)
+        if response.status == 409:
+            return None
+        if response.status != 200:
+            raise NoAnswerError(worker.address, f"status {response.status}")
+        try:
+            return bodies.decode_hold(response.content)
+        except bodies.UnreadableBodyError as error:
+            raise NoAnswerError(worker.address, str(error)) from error
+
+    async def _call(
+        self, worker: WorkerSpec, path: str, value: dict
+    ) -> httpcore.Response:
+        headers = [(b"Expected-Instance", worker.id.encode())]
+        response = await self._client.post(worker.address, path, value, headers)
+        if response.status == 421:
+            raise OtherLifeError(worker.address)
+        return response
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._client.close()
+
+
+class PlatformAdvisor(Advisor):
+    """Calls to the advisor in the platform's format.
+
+    Args:
+        address: IP number and port of the advisor.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._client = _Client()
+
+    async def ask(
+        self, step: tuple[str, int, int], workers: tuple[str, ...]
+    ) -> dict[str, str]:
+        """Return a ticket for each worker that may run a step."""
+        value = {"Step": ".".join(map(str, step)), "Workers": workers}
+        try:
+            response = await self._client.post(self._address, "/-/advise", value, [])
+        except (NotReachedError, NoAnswerError) as error:
+            raise AdvisorBusyError(str(error)) from error
+        if response.status != 200:
+            raise AdvisorBusyError(f"status {response.status}")
+        try:
+            rows = msgspec.json.decode(response.content)["Allowed"]
+            return {str(row[0]): str(row[1]) for row in rows}
+        except (msgspec.DecodeError, KeyError, IndexError, TypeError) as error:
+            raise AdvisorBusyError(f"unreadable answer: {error}") from error
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._client.close()
+
+
+def _read(worker: WorkerSpec, response: httpcore.Response) -> dict:
+    try:
+        value = msgspec.json.decode(response.content)
+    except msgspec.DecodeError as error:
+        raise NoAnswerError(worker.address, str(error)) from error
+    return value if isinstance(value, dict) else {}
--- /dev/null
+++ b/src/bluebellyoke/platform/listeners.py
@@ -0,0 +1,200 @@
+"""What the platform, its clients, workers and operators call, as ASGI applications."""
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+
+from bluebellyoke.instance import wire as w
+from bluebellyoke.instance.gateway import GatewayParts
+from bluebellyoke.platform import bodies
+from bluebellyoke.workflow.specs import WorkerSpec
+
+__all__ = ["ControlApp", "FrontApp", "ReadyApp"]
+
+logger = logging.getLogger("bluebellyoke.platform")
+
+#: Longest body that is read, in bytes.
+BODY_BYTES = 8 * 1024 * 1024
+
+#: Time in which a client gets an answer if it names none, in seconds.
+DEFAULT_TIMEOUT_S = 2.5
+
+#: Part of a client's time that is kept for the way back, in seconds.
+RETURN_S = 0.15
+
+#: Status codes of the answers to clients.
+_FRONT_STATUS = {
+    "accepted": 200,
+    "unknown-queue": 404,
+    "unknown-job": 410,
+    "bad-id": 400,
+    "malformed": 400,
+    "id-taken": 400,
+    "unavailable": 503,
+    "unanswered": 504,
+}
+
+_ACTIONS = {
+    "POST": w.QueueAction.SUBMIT,
+    "GET": w.QueueAction.READ,
+    "DELETE": w.QueueAction.CANCEL,
+}
+
+INSTANCES = "/-/instances/"
+
+
+class ClientLeftError(Exception):
+    """The client closed the connection before its request was whole."""
+
+
+class BodyTooLongError(Exception):
+    """The body is longer than any that is allowed."""
+
+
+class _App:
+    """Common parts of the applications."""
+
+    def __init__(self, parts: GatewayParts) -> None:
+        self.parts = parts
+
+    async def __call__(self, scope: dict, receive: Callable, send: Callable) -> None:
+        """Answer one HTTP request."""
+        if scope["type"] != "http":
+            return
+        try:
+            body = await _read_body(receive)
+            status, value = await self.answer(scope, body)
+        except ClientLeftError:
+            return
+        except BodyTooLongError:
+            status, value = 413, {"Error": f"more than {BODY_BYTES} bytes"}
+        except bodies.UnreadableBodyError as error:
+            logger.info(
+                "platform: refuses a body",
+                extra={"path": scope["path"], "fault": str(error)},
+            )
+            status, value = 400, {"Error": str(error)}
+        await self._send(send, status, value)
+
+    async def answer(self, scope: dict, body: bytes) -> tuple[int, object]:
+        """Return status code and value of the answer."""
+        raise NotImplementedError
+
+    async def _send(self, send: Callable, status: int, value) -> None:
+        body = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        headers = [
+            (b"content-type", b"application/json"),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        if status in (429, 503):
+            headers.append((b"retry-after", b"1"))
+        if self.parts.is_leaving():
+            headers.append((b"connection", b"close"))
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
+
+
+class ReadyApp(_App):
+    """The platform's readiness check."""
+
+    async def answer(self, scope: dict, body: bytes) -> tuple[int, object]:
+        """Tell whether clients may be sent here."""
+        return (200 if self.parts.is_ready() else 503), {}
+
+
+class FrontApp(_App):
+    """Clients' requests to queues."""
+
+    async def answer(self, scope: dict, body: bytes) -> tuple[int, object]:
+        """Pass a request on and translate what comes back."""
+        action = _ACTIONS.get(scope["method"])
+        if action is None:
+            return 405, {"Error": "use POST, GET or DELETE"}
+        headers = dict(scope["headers"])
+        draft = bodies.decode_job(body) if action is w.QueueAction.SUBMIT else None
+        reply = await self.parts.queues.request(
+            action,
+            headers.get(b"host", b"").decode("latin-1"),
+            scope["path"],
+            timeout_s=_find_timeout(headers),
+            draft=draft,
+        )
+        status = _FRONT_STATUS.get(reply.code, 400)
+        if status != 200:
+            return status, {"Error": reply.reason}
+        if reply.waiting >= 0:
+            return 200, {"Waiting": reply.waiting}
+        return 200, {"State": reply.state} if reply.state else {}
+
+
+class ControlApp(_App):
+    """Workers' heartbeats and the operator's calls."""
+
+    async def answer(self, scope: dict, body: bytes) -> tuple[int, object]:
+        """Pass a call on and translate what comes back."""
+        method, path = scope["method"], scope["path"]
+        if path == "/-/config":
+            if method == "PUT":
+                return await self._put_configuration(body)
+            if method == "GET":
+                return await self._get_configuration()
+        if path == "/-/metrics" and method == "GET":
+            return 200, self.parts.metrics.render().encode()
+        if path.startswith(INSTANCES):
+            worker = path[len(INSTANCES) :]
+            if method == "PUT":
+                return await self._announce(
+                    worker, bodies.decode_announcement(worker, body)
+                )
+            if method == "DELETE":
+                return await self._announce(worker, None)
+        return 404, {"Error": "unknown path"}
+
+    async def _put_configuration(self, body: bytes) -> tuple[int, object]:
+        configuration = bodies.decode_configuration(body)
+        result = await self.parts.queues.change_configuration(configuration)
+        if result.accepted:
+            return 200, {}
+        status = 400 if result.code == "malformed" else 503
+        return status, {"Error": result.reason}
+
+    async def _get_configuration(self) -> tuple[int, object]:
+        document = await self.parts.queues.read_configuration()
+        if document is None:
+            return 503, {"Error": "the newest configuration is not known here"}
+        return 200, document
+
+    async def _announce(
+        self, worker: str, spec: WorkerSpec | None
+    ) -> tuple[int, object]:
+        announcement = w.WorkerAnnouncement(worker, spec, leaving=spec is None)
+        result = await self.parts.queues.announce(announcement)
+        if result.accepted:
+            return 200, {}
+        return 503, {"Error": result.reason}
+
+
+def _find_timeout(headers: dict[bytes, bytes]) -> float:
+    text = headers.get(b"deadline-ms", b"")
+    if not text.isdigit():
+        return DEFAULT_TIMEOUT_S
+    return max(int(text) / 1000 - RETURN_S, 0.1)
+
+
+async def _read_body(receive: Callable) -> bytes:
+    chunks = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise ClientLeftError()
+        chunk = message.get("body", b"")
+        size += len(chunk)
+        if size > BODY_BYTES:
+            raise BodyTooLongError()
+        chunks.append(chunk)
+        if not message.get("more_body"):
+            return b"".join(chunks)
--- a/src/bluebellyoke/settings.py
+++ b/src/bluebellyoke/settings.py
@@ -97,6 +97,7 @@
     advertised_peer_port: Port | None = None
     seeds: Annotated[tuple[Endpoint, ...], pydantic.Field(min_length=1)]
     data_folder: Path | None = None
+    founder: bool = False
 
     @property
     def reached_port(self) -> int:
@@ -112,6 +113,8 @@
     worker_lease_s: Annotated[float, pydantic.Field(ge=2.0)] = 6.0
     upstream_silence_s: Annotated[float, pydantic.Field(ge=1.0)] = 3.0
     linger_s: Annotated[float, pydantic.Field(ge=0)] = 2.0
+    called_worker_lease_s: Annotated[float, pydantic.Field(ge=1.0)] = 5.0
+    longest_called_worker_lease_s: Annotated[float, pydantic.Field(ge=1.0)] = 6.0
     snapshot_mb: Annotated[int, pydantic.Field(ge=1, le=1024)] = 16
 
 
--- /dev/null
+++ b/src/bluebellyoke/workflow/__init__.py
@@ -0,0 +1,1 @@
+"""Workflows: jobs of dependent steps on workers that the cell calls itself."""
--- /dev/null
+++ b/src/bluebellyoke/workflow/workflow.py
@@ -0,0 +1,245 @@
+"""One workflow, its repetitions, steps and tasks, and the rules of their lives."""
+
+import enum
+from collections.abc import Iterator
+
+import msgspec
+
+from bluebellyoke.workflow.commands import RunEnd, RunOutcome, RunStart, TaskName
+from bluebellyoke.workflow.specs import StepSpec, WorkflowSpec
+
+__all__ = ["Repetition", "StepProgress", "TaskProgress", "TaskState", "Workflow"]
+
+
+class TaskState(enum.IntEnum):
+    """What a task does."""
+
+    WAITING = 0
+    ASSIGNED = 1
+    DONE = 2
+
+
+class TaskProgress(msgspec.Struct, array_like=True):
+    """A task's latest run.
+
+    Attributes:
+        run: Number of the latest run; 0 before the first.
+        worker, born: Life of a worker that has or had that run.
+        placed: Whether the latest run may still take room on its worker. A member of
+            a gang can be done by the end of another before its own end is known.
+        failures: Runs that ended as failed.
+        checkpoint: Latest saved progress, or an empty text.
+    """
+
+    state: TaskState = TaskState.WAITING
+    run: int = 0
+    worker: str = ""
+    born: int = 0
+    placed: bool = False
+    failures: int = 0
+    checkpoint: str = ""
+
+
+class StepProgress(msgspec.Struct, array_like=True):
+    """The tasks of a step.
+
+    Attributes:
+        failures: Runs of a gang in which a member failed.
+        failed_run: Latest run of the gang that is counted in `failures`.
+        done: Number of tasks that are done.
+    """
+
+    tasks: list[TaskProgress]
+    failures: int = 0
+    failed_run: int = 0
+    done: int = 0
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all tasks are done."""
+        return self.done == len(self.tasks)
+
+
+class Repetition(msgspec.Struct, array_like=True):
+    """One execution of a workflow's steps."""
+
+    steps: list[StepProgress]
+
+    @property
+    def is_done(self) -> bool:
+        """Whether all steps are done."""
+        return all(step.is_done for step in self.steps)
+
+
+class Workflow(msgspec.Struct, array_like=True):
+    """A workflow that the cell has accepted.
+
+    Attributes:
+        submitted_at: Wall-clock time of its acceptance, in seconds.
+        attempts: Runs of one task that may end as failed.
+        pool: Pool of its queue when it was accepted.
+        repetitions: Executions that have begun, by number.
+        has_started: Whether any task was ever assigned.
+        finished_at: Wall-clock time of its end, or 0.
+        outcome: `completed`, `failed` or `cancelled` once it has ended.
+        placed: Number of runs that may still take room.
+    """
+
+    spec: WorkflowSpec
+    submitted_at: float
+    attempts: int
+    pool: str
+    repetitions: dict[int, Repetition] = {}
+    has_started: bool = False
+    finished_at: float = 0.0
+    outcome: str = ""
+    reason: str = ""
+    placed: int = 0
+
+    @property
+    def state(self) -> str:
+        """State as callers see it."""
+        if self.outcome:
+            return self.outcome
+        return "running" if self.has_started else "pending"
+
+    def count_repetitions(self) -> int:
+        """Return how often the steps run."""
+        return max(self.spec.repeats, 1)
+
+    def find_repetition(self, number: int) -> Repetition:
+        """Return an execution of the steps, which begins if it has not."""
+        found = self.repetitions.get(number)
+        if found is None:
+            steps = [
+                StepProgress([TaskProgress() for _ in range(step.count)])
+                for step in self.spec.steps
+            ]
+            found = self.repetitions[number] = Repetition(steps)
+        return found
+
+    def find_task(self, name: TaskName) -> TaskProgress | None:
+        """Return a task that has begun, or None."""
+        repetition = self.repetitions.get(name.repetition)
+        if repetition is None or name.step >= len(repetition.steps):
+            return None
+        tasks = repetition.steps[name.step].tasks
+        return tasks[name.index] if name.index < len(tasks) else None
+
+    def is_ready(self, repetition: Repetition, step: int) -> bool:
+        """Return whether all steps that a step depends on are done."""
+        return all(
+            repetition.steps[other].is_done
+            for other in self.spec.steps[step].depends_on
+        )
+
+    def iterate_placed(self) -> Iterator[tuple[TaskName, TaskProgress]]:
+        """Yield the tasks whose latest run may still take room."""
+        for number, repetition in self.repetitions.items():
+            for step, progress in enumerate(repetition.steps):
+                for index, task in enumerate(progress.tasks):
+                    if task.placed:
+                        yield TaskName(self.spec.id, number, step, index), task
+
+    # Changes.
+
+    def can_assign(self, start: RunStart) -> bool:
+        """Return whether a start is the next run of a task that waits."""
+        name = start.task
+        if self.outcome or name.step >= len(self.spec.steps):
+            return False
+        if not 0 <= name.repetition < self.count_repetitions():
+            return False
+        if not 0 <= name.index < self.spec.steps[name.step].count:
+            return False
+        repetition = self.find_repetition(name.repetition)
+        task = repetition.steps[name.step].tasks[name.index]
+        return (
+            task.state is TaskState.WAITING
+            and not task.placed
+            and start.run > task.run
+            and self.is_ready(repetition, name.step)
+        )
+
+    def assign(self, start: RunStart) -> None:
+        """Tie the next run of a task to a worker."""
+        task = self.find_task(start.task)
+        task.state = TaskState.ASSIGNED
+        task.run = start.run
+        task.worker = start.worker
+        task.born = start.born
+        task.placed = True
+        self.has_started = True
+        self.placed += 1
+
+    def cancel(self, time: float) -> None:
+        """End the workflow; runs that are assigned have to be stopped."""
+        if not self.outcome:
+            self._finish("cancelled", "cancelled by its caller", time)
+
+    def record_end(self, end: RunEnd, time: float) -> bool:
+        """Record how a task's present run ended; return whether it was that run."""
+        task = self.find_task(end.task)
+        if task is None or not task.placed or task.run != end.run:
+            return False
+        spec = self.spec.steps[end.task.step]
+        progress = self.repetitions[end.task.repetition].steps[end.task.step]
+        self._release(task)
+        if end.checkpoint:
+            self._keep_checkpoint(spec, progress, task, end.checkpoint)
+        if end.outcome is RunOutcome.DONE and not spec.lasting:
+            self._note_done(spec, progress, task)
+        elif end.outcome is RunOutcome.FAILED and task.state is not TaskState.DONE:
+            self._note_failure(spec, progress, task, time)
+        if not self.outcome:
+            self._finish_if_done(time)
+        return True
+
+    def _release(self, task: TaskProgress) -> None:
+        task.placed = False
+        self.placed -= 1
+        if task.state is TaskState.ASSIGNED:
+            task.state = TaskState.WAITING
+
+    def _keep_checkpoint(
+        self, spec: StepSpec, progress: StepProgress, task: TaskProgress, text: str
+    ) -> None:
+        """Keep saved progress; that of one member of a gang is that of all."""
+        for other in progress.tasks if spec.gang else (task,):
+            other.checkpoint = text
+
+    def _note_done(
+        self, spec: StepSpec, progress: StepProgress, task: TaskProgress
+    ) -> None:
+        """Record that a task, or with it all members of its gang, is done."""
+        for other in progress.tasks if spec.gang else (task,):
+            other.state = TaskState.DONE
+        progress.done = sum(x.state is TaskState.DONE for x in progress.tasks)
+
+    def _note_failure(
+        self,
+        spec: StepSpec,
+        progress: StepProgress,
+        task: TaskProgress,
+        time: float,
+    ) -> None:
+        task.failures += 1
+        failures = task.failures
+        if spec.gang and progress.failed_run < task.run:
+            progress.failed_run = task.run
+            progress.failures += 1
+        if spec.gang:
+            failures = max(failures, progress.failures)
+        if failures >= self.attempts and not spec.lasting and not self.outcome:
+            self._finish("failed", f"a task failed {failures} times", time)
+
+    def _finish_if_done(self, time: float) -> None:
+        if len(self.repetitions) < self.count_repetitions():
+            return
+        if all(item.is_done for item in self.repetitions.values()):
+            self._finish("completed", "all tasks are done", time)
+
+    def _finish(self, outcome: str, reason: str, time: float) -> None:
+        self.outcome = outcome
+        self.reason = reason
+        self.finished_at = time
