Keep idle connections to workers by address instead of in httpcore's pool

A sampler showed nearly all samples in the pool's check of every connection it holds, one system call each, for each request and each answer. The store that upstreams' exchanges use already avoided that, so it moved to a module of its own and serves both.

Ruled out: the log's sync (submissions are as fast as its commits once the load is gone), planning and log lines (not among the samples).

--- a/src/bluebellyoke/instance/entry.py
+++ b/src/bluebellyoke/instance/entry.py
@@ -17,7 +17,8 @@
 from bluebellyoke.clock import Clock
 from bluebellyoke.instance import wire as w
 from bluebellyoke.instance.claims import ClaimKeeper
-from bluebellyoke.instance.exchange import ConnectionStore, Exchange, Fate
+from bluebellyoke.instance.connections import ConnectionStore
+from bluebellyoke.instance.exchange import Exchange, Fate
 from bluebellyoke.instance.link import Link
 from bluebellyoke.instance.requests import CallerRequest, FinalAnswer
 from bluebellyoke.metrics import Metrics
--- a/src/bluebellyoke/instance/exchange.py
+++ b/src/bluebellyoke/instance/exchange.py
@@ -7,17 +7,17 @@
 """
 
 import enum
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
 import anyio
 import httpcore
 
 from bluebellyoke.cell.state import UpstreamView
+from bluebellyoke.instance.connections import ConnectionStore
 
 __all__ = [
     "Answer",
-    "ConnectionStore",
     "Exchange",
     "ExchangeRequest",
     "Fate",
@@ -88,37 +88,6 @@
     body: bytes | None
 
 
-class ConnectionStore:
-    """Idle connections to upstreams, by address."""
-
-    def __init__(self) -> None:
-        self._idle: dict[tuple[str, int], list[httpcore.AsyncHTTPConnection]] = {}
-
-    async def take(self, target: UpstreamView) -> httpcore.AsyncHTTPConnection:
-        """Return an idle live connection, or a new one."""
-        row = self._idle.get((target.address, target.port), [])
-        while row:
-            connection = row.pop()
-            if connection.is_idle() and not connection.has_expired():
-                return connection
-            await connection.aclose()
-        origin = httpcore.Origin(b"http", target.address.encode(), target.port)
-        return httpcore.AsyncHTTPConnection(origin, keepalive_expiry=60.0)
-
-    def put(
-        self, target: UpstreamView, connection: httpcore.AsyncHTTPConnection
-    ) -> None:
-        """Keep a connection for the next request of the same upstream."""
-        self._idle.setdefault((target.address, target.port), []).append(connection)
-
-    async def close(self, keep: Iterable[tuple[str, int]] = ()) -> None:
-        """Close the idle connections to all addresses but some."""
-        wanted = set(keep)
-        for address in [x for x in self._idle if x not in wanted]:
-            for connection in self._idle.pop(address):
-                await connection.aclose()
-
-
 @dataclass(slots=True)
 class Exchange:
     """A request that is being sent and answered.
@@ -149,9 +118,11 @@
         connection = None
         try:
             with anyio.fail_after(limit_s):
-                connection = await connections.take(self.target)
+                connection = await connections.take(
+                    self.target.address, self.target.port
+                )
                 if await self._converse(connection):
-                    connections.put(self.target, connection)
+                    connections.put(self.target.address, self.target.port, connection)
                     connection = None
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             self._fail(Fate.NOT_RUN, f"no connection: {error}")
--- a/src/bluebellyoke/platform/clients.py
+++ b/src/bluebellyoke/platform/clients.py
@@ -2,6 +2,7 @@
 
 import errno
 
+import anyio
 import httpcore
 import msgspec
 
@@ -18,7 +19,9 @@
     StopOrder,
     WorkerCaller,
 )
+from bluebellyoke.instance.connections import ConnectionStore
 from bluebellyoke.platform import bodies
+from bluebellyoke.platform.settings import split_endpoint
 from bluebellyoke.workflow.specs import WorkerSpec
 
 __all__ = ["PlatformAdvisor", "PlatformWorkers"]
@@ -29,8 +32,8 @@
 #: Time for which an idle connection is kept, in seconds.
 IDLE_S = 20.0
 
-#: Open connections to all workers, and idle ones among them, at most.
-CONNECTIONS = 1500
+#: Time to close a connection after a failure, in seconds.
+CLOSE_S = 0.5
 
 _CONFLICTS = {
     "fence": StartAnswer.FENCED,
@@ -45,38 +48,55 @@
     """HTTP calls with JSON bodies."""
 
     def __init__(self) -> None:
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=CONNECTIONS,
-            max_keepalive_connections=CONNECTIONS,
-            keepalive_expiry=IDLE_S,
-        )
+        self._connections = ConnectionStore(idle_s=IDLE_S)
 
     async def post(
         self, address: str, path: str, value: dict, headers: list
     ) -> httpcore.Response:
         """Send a call and return the whole answer."""
-        body = msgspec.json.encode(value)
+        request = _build_request(address, path, msgspec.json.encode(value), headers)
+        host, port = split_endpoint(address)
+        connection = await self._connections.take(host, port)
         try:
-            return await self._pool.request(
-                "POST",
-                f"http://{address}{path}",
-                headers=[
-                    (b"Host", address.encode()),
-                    (b"Content-Type", b"application/json"),
-                    (b"Content-Length", str(len(body)).encode()),
-                    *headers,
-                ],
-                content=body,
-                extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
-            )
+            response = await connection.handle_async_request(request)
+            await response.aread()
+            await response.aclose()
+            if connection.is_idle():
+                self._connections.put(host, port, connection)
+                connection = None
+            return response
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             raise NotReachedError(address, refused=_is_refused(error)) from error
         except (httpcore.NetworkError, httpcore.ProtocolError, OSError) as error:
             raise NoAnswerError(address, f"{type(error).__name__} {error}") from error
+        finally:
+            if connection is not None:
+                with anyio.CancelScope(shield=True), anyio.move_on_after(CLOSE_S):
+                    await connection.aclose()
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._pool.aclose()
+        await self._connections.close()
+
+
+def _build_request(
+    address: str, path: str, body: bytes, headers: list
+) -> httpcore.Request:
+    host, port = split_endpoint(address)
+    return httpcore.Request(
+        method=b"POST",
+        url=httpcore.URL(
+            scheme=b"http", host=host.encode(), port=port, target=path.encode()
+        ),
+        headers=[
+            (b"Host", address.encode()),
+            (b"Content-Type", b"application/json"),
+            (b"Content-Length", str(len(body)).encode()),
+            *headers,
+        ],
+        content=body,
+        extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
+    )
 
 
 def _is_refused(error: BaseException) -> bool:
