Find the cell through seeds that hold no replica

All instances had restarted with settings whose three seeds were instances without a disk. These did not listen for peers, so nobody's stream reached the leader, although the replicas had elected one 1.5 s after their start (debug lines of the link: connection refused by both seeds that were tried).

Change: every instance listens for peers. Replicas tell seeds outside the membership where the members are, an instance without a replica passes this on and forwards offers to join, and a replica's own stream also tries the members it knows.

--- a/src/bluebellyoke/consensus/messages.py
+++ b/src/bluebellyoke/consensus/messages.py
@@ -15,6 +15,7 @@
     "Member",
     "Membership",
     "Message",
+    "PeerList",
     "SnapshotMeta",
     "SnapshotReply",
     "SnapshotRequest",
@@ -173,6 +174,12 @@
     member: Member
 
 
+class PeerList(Message, frozen=True, array_like=True, tag=True):
+    """Addresses of the members, for instances that know none."""
+
+    addresses: tuple[str, ...]
+
+
 AnyMessage = (
     VoteRequest
     | VoteReply
@@ -182,6 +189,7 @@
     | SnapshotReply
     | TransferRequest
     | JoinRequest
+    | PeerList
 )
 
 
--- a/src/bluebellyoke/instance/application.py
+++ b/src/bluebellyoke/instance/application.py
@@ -20,6 +20,7 @@
 
 from bluebellyoke.clock import Clock
 from bluebellyoke.consensus.bootstrap import found_cell, join_cell
+from bluebellyoke.consensus.messages import Envelope
 from bluebellyoke.consensus.repair import RepairOptions
 from bluebellyoke.consensus.storage import holds_replica
 from bluebellyoke.dispatch.calls import WorkerCalls
@@ -29,13 +30,19 @@
 from bluebellyoke.instance import wire as w
 from bluebellyoke.instance.api import Api, InstanceStatus
 from bluebellyoke.instance.codec import MessageCodec
+from bluebellyoke.instance.directory import Directory
 from bluebellyoke.instance.entry import Entry
 from bluebellyoke.instance.gateway import AsgiApp, Gateway, GatewayParts, Listener
 from bluebellyoke.instance.http import HttpInterface
 from bluebellyoke.instance.link import Link
 from bluebellyoke.instance.peers import PeerReceiver, PeerSender
 from bluebellyoke.instance.queues import AdviceDesk, QueueClient
-from bluebellyoke.instance.replica import Replica, ReplicaOptions
+from bluebellyoke.instance.replica import (
+    Replica,
+    ReplicaOptions,
+    SessionClosed,
+    SessionInput,
+)
 from bluebellyoke.instance.sessions import SessionServer
 from bluebellyoke.leader.director import Director
 from bluebellyoke.leader.sessions import DirectorOptions
@@ -135,6 +142,7 @@
             build_poll=lambda: self._entry.build_poll(),
             on_message=self._on_leader_message,
             poll_interval_s=POLL_INTERVAL_S,
+            list_known=self._list_known,
         )
         self._entry = Entry(
             router=self._router,
@@ -151,6 +159,7 @@
             metrics=self._metrics,
         )
         self._replica: Replica | None = None
+        self._directory: Directory | None = None
         self._fault: BluebellyokeError | None = None
 
     def request_stop(self) -> None:
@@ -167,23 +176,21 @@
         own = self._settings.instance
         listeners = self._gateway_listeners()
         sockets = [self._listen("http_port", own.address, own.http_port)]
-        peer_socket = None
         try:
-            if own.data_folder is not None:
-                peer_socket = self._listen("peer_port", own.address, own.peer_port)
+            sockets.append(self._listen("peer_port", own.address, own.peer_port))
             for item in listeners:
                 sockets.append(self._listen("gateway", item.address, item.port))
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._watch_signals)
                 if self._gateway is not None:
                     tasks.start_soon(self._watch_settings)
-                async with self._run_replica(peer_socket):
+                async with self._run_peer(sockets[1]):
                     server = self._create_http_server(listeners)
                     async with anyio.create_task_group() as parts:
                         parts.start_soon(self._link.run)
                         parts.start_soon(self._entry.run)
                         parts.start_soon(self._advice.run)
-                        parts.start_soon(server.serve, sockets)
+                        parts.start_soon(server.serve, [sockets[0], *sockets[2:]])
                         logger.info(
                             "instance: serves",
                             extra={"address": own.address, "port": own.http_port},
@@ -195,8 +202,6 @@
         finally:
             for item in sockets:
                 item.close()
-            if peer_socket is not None:
-                peer_socket.close()
         logger.info("instance: stopped")
         if self._fault is not None:
             raise self._fault
@@ -302,30 +307,48 @@
     # Replica.
 
     @contextlib.asynccontextmanager
-    async def _run_replica(
-        self, peer_socket: socket.socket | None
-    ) -> AsyncIterator[None]:
-        """Run the replica's parts around the body, if there is a data folder."""
-        if peer_socket is None:
-            yield
-            return
+    async def _run_peer(self, peer_socket: socket.socket) -> AsyncIterator[None]:
+        """Run the peer listener around the body, and the replica if there is one."""
         async with anyio.create_task_group() as tasks:
-            self._make_folder()
             sender = PeerSender(tasks)
-            self._replica = self._create_replica(sender)
-            self._status.describe_replica = self._replica.describe
+            cell = self._settings.cell.name
+            self._directory = Directory(cell=cell, send=sender.send)
+            if self._settings.instance.data_folder is not None:
+                self._make_folder()
+                self._replica = self._create_replica(sender)
+                self._status.describe_replica = self._replica.describe
             server = GrpcServer(
-                [PeerReceiver(self._replica.post), SessionServer(self._replica.post)],
+                [PeerReceiver(self._deliver), SessionServer(self._post)],
                 codec=MessageCodec(),
             )
             await server.start(sock=peer_socket)
-            tasks.start_soon(self._run_until_fault, self._replica, server)
+            if self._replica is not None:
+                tasks.start_soon(self._run_until_fault, self._replica)
             try:
                 yield
             finally:
                 server.close()
                 tasks.cancel_scope.cancel()
 
+    def _deliver(self, envelope: Envelope) -> bool:
+        """Take an envelope of a peer."""
+        if self._replica is not None:
+            return self._replica.post(envelope)
+        return self._directory.deliver(envelope)
+
+    def _post(self, item: SessionInput | SessionClosed) -> bool:
+        """Take a message of an instance's stream."""
+        if self._replica is not None:
+            return self._replica.post(item)
+        if isinstance(item, SessionInput):
+            self._directory.answer(item.send)
+        return True
+
+    def _list_known(self) -> tuple[str, ...]:
+        own = self._replica.peers if self._replica is not None else ()
+        known = self._directory.addresses if self._directory is not None else ()
+        return (*own, *known)
+
     def _make_folder(self) -> None:
         """Make an empty data folder where an adapter starts instances unattended."""
         own, cell = self._settings.instance, self._settings.cell
@@ -342,7 +365,7 @@
         else:
             join_cell(folder=own.data_folder, cell=cell.name, name=own.name)
 
-    async def _run_until_fault(self, replica: Replica, server: GrpcServer) -> None:
+    async def _run_until_fault(self, replica: Replica) -> None:
         """Run the replica; if its disk fails, let the instance drain and end.
 
         Callers' requests in hand do not depend on the own disk.
@@ -355,7 +378,6 @@
                 "instance: lost its replica", extra={"fault": str(self._fault)}
             )
             self._replica = None
-            server.close()
             self.request_stop()
 
     def _create_replica(self, sender: PeerSender) -> Replica:
@@ -399,6 +421,7 @@
             clock=self._clock,
             metrics=self._metrics,
             send=sender.send,
+            directory=self._directory,
         )
 
     def _create_calls(self) -> WorkerCalls:
--- a/src/bluebellyoke/instance/link.py
+++ b/src/bluebellyoke/instance/link.py
@@ -75,6 +75,7 @@
         build_poll: Returns the next poll.
         on_message: Called with each poll reply, grant and recall.
         poll_interval_s: Longest time between two polls, in seconds.
+        list_known: Returns addresses of replicas that the instance knows otherwise.
     """
 
     def __init__(
@@ -87,7 +88,9 @@
         build_poll: Callable[[], w.Poll],
         on_message: Callable[[w.FromLeader], None],
         poll_interval_s: float,
+        list_known: Callable[[], Iterable[str]] = tuple,
     ) -> None:
+        self._list_known = list_known
         self._hello = hello
         self._seeds = tuple(seeds)
         self._peers: tuple[str, ...] = ()
@@ -184,7 +187,7 @@
         leader, self._leader = self._leader, ""
         if leader:
             return leader
-        known = list(dict.fromkeys((*self._peers, *self._seeds)))
+        known = list(dict.fromkeys((*self._peers, *self._list_known(), *self._seeds)))
         self._attempts += 1
         return known[self._attempts % len(known)]
 
--- a/src/bluebellyoke/instance/replica.py
+++ b/src/bluebellyoke/instance/replica.py
@@ -24,6 +24,7 @@
 from bluebellyoke.consensus.storage import Storage, read_identity
 from bluebellyoke.dispatch.events import WorkerEvent
 from bluebellyoke.instance import wire as w
+from bluebellyoke.instance.directory import Directory
 from bluebellyoke.leader.director import Director
 from bluebellyoke.leader.sessions import Proposal
 from bluebellyoke.logs import PlacementLog
@@ -46,6 +47,9 @@
 #: Proposals that wait for a commit, at most.
 PENDING_LIMIT = 20_000
 
+#: Time between two offers to join, or two messages to the seeds, in seconds.
+OFFER_EVERY_S = 1.0
+
 #: Time for which an offer to join is remembered, in seconds.
 OFFER_S = 5.0
 
@@ -107,6 +111,7 @@
         clock: Source of time.
         metrics: Histograms and counters.
         send: Called with the address of a peer and an envelope for it.
+        directory: Addresses of replicas that others have told.
     """
 
     def __init__(
@@ -117,7 +122,9 @@
         clock: Clock,
         metrics: Metrics,
         send: Callable[[str, m.Envelope], None],
+        directory: Directory | None = None,
     ) -> None:
+        self._directory = directory or Directory(cell=options.cell, send=send)
         self.options = options
         self._director = director
         self._clock = clock
@@ -263,7 +270,9 @@
     def _receive_envelope(self, envelope: m.Envelope, now: float) -> None:
         if envelope.cell != self.options.cell:
             return
-        if isinstance(envelope.message, m.JoinRequest):
+        if isinstance(envelope.message, m.PeerList):
+            self._directory.note(envelope.message.addresses)
+        elif isinstance(envelope.message, m.JoinRequest):
             member = envelope.message.member
             self._offers[member.replica] = (now, member)
         elif envelope.target == self.core.replica:
@@ -456,10 +465,13 @@
     # Joining and snapshots.
 
     def _offer_to_join(self, now: float) -> None:
-        """Offer to become a member while in none."""
-        if now < self._offer_due or self.core.replica in self.core.membership.members:
+        """Offer to become a member while in none; else tell the seeds the members."""
+        if now < self._offer_due:
+            return
+        self._offer_due = now + OFFER_EVERY_S
+        if self.core.replica in self.core.membership.members:
+            self._tell_seeds()
             return
-        self._offer_due = now + 1.0
         member = m.Member(
             self.core.replica,
             self.options.name,
@@ -468,7 +480,14 @@
             self.options.data_centre,
         )
         envelope = self._wrap("", m.JoinRequest(0, member))
-        for address in {*self._seeds, *self.peers}:
+        for address in {*self._seeds, *self.peers, *self._directory.addresses}:
+            self._send_peer(address, envelope)
+
+    def _tell_seeds(self) -> None:
+        """Tell seeds that are no members where the members are."""
+        peers = self.peers
+        envelope = self._wrap("", m.PeerList(0, peers))
+        for address in set(self._seeds) - set(peers):
             self._send_peer(address, envelope)
 
     def _begin_snapshot_if_due(self) -> None:
