Add nothing to the log once a leader stops; log a replica's part

The lines that this change adds for each change of a replica's part show it: the follower that was asked to take over stood with entries up to 1889, the two others held 1890 and refused it. The leader had proposed what its applied entries led to, in the same turn in which it had asked the follower.

Ruled out: a lost request (the follower stood at once), loyalty to the old leader (a hand-over is exempt), a slow stop of the process.

Change: a stopping leader proposes nothing. test_hand_over_needs_no_second_election fails without it.

--- a/src/bluebellyoke/instance/replica.py
+++ b/src/bluebellyoke/instance/replica.py
@@ -157,6 +157,7 @@
         self._placement_log = PlacementLog()
         self._was_leader = False
         self._stopping = False
+        self._logged_part: tuple[str, int, str] | None = None
         self._seeds = options.seeds
         self._tasks: TaskGroup | None = None
         self._snapshot_under_way = False
@@ -230,11 +231,29 @@
                 self._offer_to_join(now)
                 self._direct(now)
                 await self._perform()
+                self._log_part()
                 self._begin_snapshot_if_due()
                 await self._finish_snapshot()
         finally:
             self._storage.close()
 
+    def _log_part(self) -> None:
+        """Log a change of what this replica believes of the agreement."""
+        part = (self.core.role.value, self.core.term, self.core.leader)
+        if part == self._logged_part:
+            return
+        self._logged_part = part
+        logger.info(
+            "replica: changes its part",
+            extra={
+                "role": part[0],
+                "term": part[1],
+                "leader": part[2],
+                "commit": self.core.commit,
+                "last": self.core.log.last_index,
+            },
+        )
+
     async def hand_over(self) -> None:
         """Pass the lead to another voter, if this replica leads."""
         self._stopping = True
@@ -364,8 +383,12 @@
             self.core.propose_membership(membership, now)
 
     def _propose_commands(self, now: float) -> None:
-        """Put the director's commands into log entries."""
-        if not self._director.active:
+        """Put the director's commands into log entries.
+
+        A leader that stops adds none, so that a follower can catch up and take over.
+        The callers send what waits to the next leader.
+        """
+        if not self._director.active or self._stopping:
             return
         proposals = self._director.take_proposals()
         for start in range(0, len(proposals), COMMANDS_PER_ENTRY):
--- a/tests/instance/test_replica.py
+++ b/tests/instance/test_replica.py
@@ -157,3 +157,40 @@
             tasks.cancel_scope.cancel()
 
     anyio.run(run)
+
+
+def test_hand_over_needs_no_second_election(tmp_path):
+    """A leader that proposes after its request would outdate the follower it chose.
+
+    What is applied makes the leader propose again, as the ends of runs do.
+    """
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            replicas = Replicas(tmp_path, 3, 0.001, tasks)
+            await replicas.start()
+            for _ in range(2):
+                address = replicas.find_leader()
+                leader = replicas.members[address]
+                term = leader.core.term
+                propose_after_each_apply(leader._director)
+                await keep_in_flight(leader, 4, 0.3)
+                await leader.hand_over()
+                with anyio.fail_after(WAIT_S):
+                    while replicas.find_leader() in (None, address):
+                        await anyio.sleep(0.01)
+                present = replicas.members[replicas.find_leader()]
+                assert present.core.term == term + 1
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+def propose_after_each_apply(director):
+    after_apply = director.after_apply
+
+    def apply_and_propose():
+        after_apply()
+        director._proposals.add(c.AdvanceTime(time=1.0))
+
+    director.after_apply = apply_and_propose
