Elect within 0.4 s on the platform; make the timings settings

Cause: short tasks are late once they wait 0.6 s longer than their work. Windows without a leader took 1.2 to 1.6 s: 0.9 s shortest election timeout, up to 1.6 s, then up to 0.25 s until the instances found the new leader.

Ruled out: the time a new leader takes to reach the workers (20 ms from its first line to the last worker).

Change: `cell.election_s` and `limits.leader_silence_s`, 0.9 and 1.0 s as before, and 0.4 and 0.5 s on the platform.

--- a/src/bluebellyoke/instance/application.py
+++ b/src/bluebellyoke/instance/application.py
@@ -20,6 +20,7 @@
 
 from bluebellyoke.clock import Clock
 from bluebellyoke.consensus.bootstrap import found_cell, join_cell
+from bluebellyoke.consensus.core import Timing
 from bluebellyoke.consensus.messages import Envelope
 from bluebellyoke.consensus.repair import RepairOptions
 from bluebellyoke.consensus.storage import holds_replica
@@ -56,8 +57,8 @@
 
 logger = logging.getLogger("bluebellyoke.instance")
 
-#: Longest time between two polls, in seconds.
-POLL_INTERVAL_S = 0.4
+#: Polls within the silence after which an instance seeks another leader.
+POLLS_PER_SILENCE = 2.5
 
 #: Time to close the HTTP connections after the last request, in seconds.
 HTTP_CLOSE_S = 3.0
@@ -141,7 +142,8 @@
             begin_stream=self._router.begin_stream,
             build_poll=lambda: self._entry.build_poll(),
             on_message=self._on_leader_message,
-            poll_interval_s=POLL_INTERVAL_S,
+            poll_interval_s=settings.limits.leader_silence_s / POLLS_PER_SILENCE,
+            silence_s=settings.limits.leader_silence_s,
             list_known=self._list_known,
         )
         self._entry = Entry(
@@ -411,6 +413,7 @@
                 address=own.address,
                 port=own.reached_port,
                 data_centre=own.data_centre,
+                timing=Timing.scale_to(cell.election_s),
                 repair=RepairOptions(
                     target_voters=cell.voters, replace_after_s=cell.replace_after_s
                 ),
--- a/src/bluebellyoke/instance/link.py
+++ b/src/bluebellyoke/instance/link.py
@@ -26,12 +26,9 @@
 
 logger = logging.getLogger("bluebellyoke.link")
 
-#: Time without any message of the leader after which another is sought, in seconds.
-SILENCE_S = 1.0
-
 #: Wait between two attempts to find the leader, in seconds.
-RETRY_MIN_S = 0.05
-RETRY_MAX_S = 0.25
+RETRY_MIN_S = 0.03
+RETRY_MAX_S = 0.1
 
 #: Calls that wait for the leader, at most.
 CALLS_LIMIT = 10_000
@@ -75,6 +72,8 @@
         build_poll: Returns the next poll.
         on_message: Called with each poll reply, grant and recall.
         poll_interval_s: Longest time between two polls, in seconds.
+        silence_s: Time without any message of the leader after which another is
+            sought, in seconds.
         list_known: Returns addresses of replicas that the instance knows otherwise.
     """
 
@@ -88,8 +87,10 @@
         build_poll: Callable[[], w.Poll],
         on_message: Callable[[w.FromLeader], None],
         poll_interval_s: float,
+        silence_s: float,
         list_known: Callable[[], Iterable[str]] = tuple,
     ) -> None:
+        self._silence_s = silence_s
         self._list_known = list_known
         self._hello = hello
         self._seeds = tuple(seeds)
@@ -160,7 +161,7 @@
         """Tell the leader that this instance holds nothing and leaves."""
         self._outbox.append(w.Bye())
         self._wake.set()
-        with anyio.move_on_after(SILENCE_S):
+        with anyio.move_on_after(self._silence_s):
             while self._outbox:
                 await anyio.sleep(0.01)
 
@@ -194,7 +195,7 @@
     # One stream.
 
     async def _serve(self, address: str) -> None:
-        with anyio.fail_after(SILENCE_S) as scope:
+        with anyio.fail_after(self._silence_s) as scope:
             async with open_stream(
                 address, LINK_METHOD, "FromInstance", "FromLeader"
             ) as stream:
@@ -271,7 +272,7 @@
     async def _watch(self, heard: list[float]) -> None:
         """End the stream when the leader has been silent."""
         while True:
-            await anyio.sleep(SILENCE_S / 4)
-            if self._clock.monotonic() - heard[0] > SILENCE_S:
+            await anyio.sleep(self._silence_s / 4)
+            if self._clock.monotonic() - heard[0] > self._silence_s:
                 self._leader = ""
                 raise StreamClosedError()
--- a/src/bluebellyoke/platform/settings.py
+++ b/src/bluebellyoke/platform/settings.py
@@ -30,6 +30,12 @@
 #: Silence after which a spare takes the place of a voter, in seconds.
 REPLACE_AFTER_S = 30.0
 
+#: Shortest election timeout. A short task is late after 0.6 s without a leader.
+ELECTION_S = 0.4
+
+#: Silence after which an instance seeks another leader, in seconds.
+LEADER_SILENCE_S = 0.5
+
 #: Log size after which a snapshot is taken, in MiB.
 SNAPSHOT_MB = 8
 
@@ -119,6 +125,7 @@
             voters=2 * given.FaultTolerance.Machines + 1,
             replace_after_s=REPLACE_AFTER_S,
             policy="waiting",
+            election_s=ELECTION_S,
         ),
         instance=InstanceSettings(
             name=given.Node,
@@ -133,6 +140,7 @@
         limits=LimitSettings(
             longest_deadline_s=given.Bounds.GraceS / 2,
             linger_s=LINGER_S,
+            leader_silence_s=LEADER_SILENCE_S,
             longest_called_worker_lease_s=longest_s,
             called_worker_lease_s=longest_s * 5 / 6,
             snapshot_mb=SNAPSHOT_MB,
--- a/src/bluebellyoke/settings.py
+++ b/src/bluebellyoke/settings.py
@@ -73,6 +73,7 @@
     name: Annotated[str, pydantic.Field(min_length=1, max_length=64)]
     voters: Annotated[int, pydantic.Field(ge=1, le=9)] = 3
     replace_after_s: Seconds = 30.0
+    election_s: Annotated[float, pydantic.Field(ge=0.2, le=10.0)] = 0.9
     policy: Annotated[str, pydantic.Field(pattern="^(packing|waiting)$")] = "packing"
     day_starts_hour: Annotated[int, pydantic.Field(ge=0, le=23)] = 6
     day_ends_hour: Annotated[int, pydantic.Field(ge=1, le=24)] = 18
@@ -109,6 +110,7 @@
     """Table `limits`, alike on every instance of a cell."""
 
     longest_deadline_s: Seconds = 30.0
+    leader_silence_s: Annotated[float, pydantic.Field(ge=0.3, le=10.0)] = 1.0
     instance_lease_s: Annotated[float, pydantic.Field(gt=0.5, le=2.0)] = 1.8
     worker_lease_s: Annotated[float, pydantic.Field(ge=2.0)] = 6.0
     upstream_silence_s: Annotated[float, pydantic.Field(ge=1.0)] = 3.0
