Let submissions and cancels wait for an election

Cause: of the short jobs that were late around an election most had been refused with 503 after 0.3 s, 0.1 to 0.4 s before the new leader was there, and came back a second later.

Ruled out: advice (20 ms for short jobs throughout), room (workers had some).

Change: a submission or a cancel waits up to 0.9 s for a stream to the leader, which an election takes less than; a read is refused after 0.3 s as before. A request that is given up is still answered at once.

--- a/src/bluebellyoke/instance/queues.py
+++ b/src/bluebellyoke/instance/queues.py
@@ -18,8 +18,10 @@
 
 logger = logging.getLogger("bluebellyoke.queues")
 
-#: Time for which a request waits for a stream to the leader, in seconds.
-LINK_WAIT_S = 0.3
+#: Time for which a request waits for a stream to the leader, in seconds. An election
+#: takes less; a caller that is refused comes back after a whole second at the earliest.
+LINK_WAIT_S = 0.9
+READ_LINK_WAIT_S = 0.3
 
 #: Time within which a worker or an operator gets an answer, in seconds.
 ANNOUNCE_TIMEOUT_S = 0.9
@@ -95,7 +97,9 @@
         draft: WorkflowSpec | None,
         timeout_s: float,
     ) -> w.QueueReply:
-        if not await self._link.wait_connected(min(LINK_WAIT_S, timeout_s)):
+        is_read = action is w.QueueAction.READ
+        wait_s = READ_LINK_WAIT_S if is_read else LINK_WAIT_S
+        if not await self._link.wait_connected(min(wait_s, timeout_s)):
             return w.QueueReply(UNAVAILABLE, reason="no leader is known now")
         body = w.QueueRequest(action, host, path, draft)
         try:
@@ -127,7 +131,7 @@
         return reply.body if reply.found else None
 
     async def _call(self, body, timeout_s: float) -> Result:
-        if not await self._link.wait_connected(LINK_WAIT_S):
+        if not await self._link.wait_connected(READ_LINK_WAIT_S):
             return refuse(UNAVAILABLE, "no leader is known now")
         try:
             return await self._link.call(body, timeout_s)
