--- /dev/null
+++ b/tests/dispatch/test_duties_random.py
@@ -0,0 +1,95 @@
+"""Random schedules of calls, losses, crashes and leaders: nothing runs twice, too
+early, too often or without room, and everything ends once all is well."""
+
+import random
+
+import pytest
+
+from bluebellyoke.workflow import commands as wc
+from tests.dispatch.world import World
+from tests.workflow.factories import create_spec, create_step
+
+STEPS = (
+    [create_step(1, cpu=1000)],
+    [create_step(4, cpu=1500)],
+    [create_step(2, cpu=1000), create_step(2, cpu=1000, depends_on=(0,))],
+    [create_step(3, cpu=1500, gang=True)],
+)
+
+ROUNDS = 300
+MOST_JOBS = 12
+
+
+class Schedule:
+    """A world and the random choices that drive it."""
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.world = World()
+        self.late = []
+        self.jobs = 0
+
+    def run(self):
+        for _ in range(ROUNDS):
+            self.disturb()
+            self.move()
+        self.world.settle()
+
+    def disturb(self):
+        world, chance = self.world, self.random.random()
+        name = self.random.choice(sorted(world.workers))
+        if chance < 0.06 and self.jobs < MOST_JOBS:
+            self.jobs += 1
+            steps = self.random.choice(STEPS)
+            world.submit(create_spec(f"{self.jobs:016x}", steps))
+        elif chance < 0.07 and self.jobs:
+            world.cancel(f"{self.random.randint(1, self.jobs):016x}")
+        elif chance < 0.08:
+            world.crash(name)
+        elif chance < 0.10:
+            world.change_leader()
+        elif chance < 0.11:
+            world.advance(self.random.choice((1.0, 3.0, 6.5)))
+        elif chance < 0.25:
+            self.end_a_run(world.workers[name])
+
+    def end_a_run(self, worker):
+        if worker.runs:
+            outcomes = (wc.RunOutcome.DONE, wc.RunOutcome.DONE, wc.RunOutcome.FAILED)
+            key = self.random.choice(sorted(worker.runs, key=str))
+            worker.end(key, self.random.choice(outcomes))
+
+    def move(self):
+        """Let some time pass and some calls and answers arrive."""
+        world = self.world
+        world.advance(self.random.choice((0.01, 0.05, 0.2)))
+        world.tick()
+        orders, world.orders = world.orders, []
+        for sent in orders:
+            self.move_order(sent)
+        for sent in [x for x in self.late if self.random.random() < 0.1]:
+            self.late.remove(sent)
+            world.deliver(sent)
+        answers, world.answers = world.answers, []
+        self.random.shuffle(answers)
+        for event in answers:
+            if self.random.random() < 0.8:
+                world.receive(event)
+            else:
+                world.answers.append(event)
+
+    def move_order(self, sent):
+        chance = self.random.random()
+        if chance < 0.75:
+            self.world.deliver(sent)
+        elif chance < 0.85:
+            self.world.orders.append(sent)
+        else:
+            self.world.give_up(sent)
+            if chance < 0.95:
+                self.late.append(sent)
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_nothing_runs_twice_too_early_or_without_room(seed):
+    Schedule(seed).run()
--- /dev/null
+++ b/tests/workflow/factories.py
@@ -0,0 +1,87 @@
+"""Specifications and books for tests of workflows."""
+
+from bluebellyoke.cell.resources import Resources
+from bluebellyoke.workflow import commands as wc
+from bluebellyoke.workflow.book import WorkflowBook
+from bluebellyoke.workflow.specs import (
+    AdvisorSpec,
+    Configuration,
+    PoolSpec,
+    QueueSpec,
+    StepSpec,
+    WorkerSpec,
+    WorkflowSpec,
+)
+
+ADVISOR = AdvisorSpec(decision_ms=10.0, per_worker_ms=1.0, validity_ms=1500.0)
+
+
+def create_queue(name="q", **fields):
+    base = {
+        "host": "h.example",
+        "prefix": f"/{name}/",
+        "pool": "p",
+        "timeout_ms": 3000,
+        "attempts": 3,
+    }
+    return QueueSpec(name=name, **{**base, **fields})
+
+
+def create_configuration(version=1, queues=None, **fields):
+    return Configuration(
+        version=version,
+        queues=tuple(queues or (create_queue(),)),
+        pools=(PoolSpec(name="p"),),
+        document=b"document %d" % version,
+        **fields,
+    )
+
+
+def create_step(count=1, cpu=1000, **fields):
+    return StepSpec(count=count, need=Resources(cpu, 100, 0), **fields)
+
+
+def create_spec(identity="0000000000000001", steps=None, queue="q", **fields):
+    return WorkflowSpec(
+        id=identity,
+        queue=queue,
+        payload="payload",
+        steps=tuple(steps or (create_step(),)),
+        **fields,
+    )
+
+
+def create_worker(identity="w1", born=1, cpu=4000, **fields):
+    base = {
+        "pool": "p",
+        "address": f"10.0.0.{len(identity)}:{80 + sum(identity.encode())}",
+        "data_centre": "d",
+        "capacity": Resources(cpu, 4000, 0),
+    }
+    return WorkerSpec(id=identity, born=born, **{**base, **fields})
+
+
+def create_book(workers=2, configuration=None):
+    book = WorkflowBook()
+    configuration = configuration or create_configuration()
+    book.apply(wc.ApplyConfiguration(configuration=configuration))
+    for number in range(workers):
+        book.apply(wc.EnrolWorker(spec=create_worker(f"w{number + 1}")))
+    return book
+
+
+def name_task(step=0, index=0, workflow="0000000000000001", repetition=0):
+    return wc.TaskName(workflow, repetition, step, index)
+
+
+def start(book, *, step=0, index=0, run=1, worker="w1", born=1):
+    """Assign one run; return whether the book took it."""
+    item = wc.RunStart(name_task(step, index), run, worker, born)
+    result = book.apply(wc.AssignRuns(starts=(item,)))
+    return result.detail["done"] == "1"
+
+
+def end(book, outcome, *, step=0, index=0, run=1, checkpoint="", time=1.0):
+    """Record the end of one run."""
+    item = wc.RunEnd(name_task(step, index), run, outcome, checkpoint)
+    book.apply(wc.RecordEnds(time=time, ends=(item,)))
--- /dev/null
+++ b/tests/workflow/test_configuration.py
@@ -0,0 +1,71 @@
+import pytest
+
+from bluebellyoke.workflow.admission import find_workflow_faults
+from bluebellyoke.workflow.configuration import find_faults, find_queue
+from tests.workflow.factories import (
+    create_configuration,
+    create_queue,
+    create_spec,
+    create_step,
+)
+
+
+def test_valid_configuration_has_no_fault():
+    assert find_faults(create_configuration()) == []
+
+
+@pytest.mark.parametrize(
+    ("queues", "word"),
+    [
+        ([create_queue(pool="unknown")], "unknown pool"),
+        ([create_queue(timeout_ms=0)], "timeout"),
+        ([create_queue("a", prefix="/x/"), create_queue("b", prefix="/x/")], "prefix"),
+        ([create_queue("a", prefix="/x/"), create_queue("a", prefix="/y/")], "named"),
+        ([create_queue(prefix="x")], "begin with /"),
+        ([create_queue(attempts=0)], "attempt"),
+    ],
+)
+def test_invalid_configuration_names_its_fault(queues, word):
+    faults = find_faults(create_configuration(queues=queues))
+    assert len(faults) == 1
+    assert word in faults[0]
+
+
+def test_longest_prefix_of_the_host_selects_the_queue():
+    queues = [
+        create_queue("short", prefix="/a/"),
+        create_queue("long", prefix="/a/b/"),
+        create_queue("other", host="o.example", prefix="/a/b/c/"),
+    ]
+    configuration = create_configuration(queues=queues)
+    assert find_queue(configuration, "h.example", "/a/b/c/1").name == "long"
+    assert find_queue(configuration, "h.example", "/a/1").name == "short"
+    assert find_queue(configuration, "h.example", "/c/1") is None
+    assert find_queue(configuration, "x.example", "/a/1") is None
+
+
+def test_valid_workflow_has_no_fault():
+    steps = [create_step(), create_step(depends_on=(0,))]
+    assert find_workflow_faults(create_spec(steps=steps)) == []
+
+
+@pytest.mark.parametrize(
+    ("steps", "word"),
+    [
+        ([create_step(depends_on=(0,))], "earlier steps"),
+        ([create_step(depends_on=(-1,))], "earlier steps"),
+        ([create_step(0)], "tasks"),
+        ([create_step(cpu=-1)], "negative"),
+        ([create_step(per_worker=-1)], "negative"),
+    ],
+)
+def test_invalid_step_names_its_fault(steps, word):
+    faults = find_workflow_faults(create_spec(steps=steps))
+    assert len(faults) == 1
+    assert word in faults[0]
+
+
+def test_payload_is_bounded_in_bytes():
+    spec = create_spec()
+    long = type(spec)(id=spec.id, queue="q", payload="\u00e9" * 2001, steps=spec.steps)
+    assert "4000 bytes" in find_workflow_faults(long)[0]
