Survive whatever a worker lists; test the adapter against prepared answers

Cause: a test that sends ill-typed task names found that such a list raised AttributeError in the task of the call, which would have ended the leader. A call now turns any error into "no answer" with a log line, and such names are unreadable lists.

--- a/src/bluebellyoke/dispatch/calls.py
+++ b/src/bluebellyoke/dispatch/calls.py
@@ -1,5 +1,6 @@
 """Tasks that call workers and post what came of it."""
 
+import logging
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -24,6 +25,8 @@
 
 __all__ = ["WorkerCalls"]
 
+logger = logging.getLogger("bluebellyoke.dispatch")
+
 #: Time for the answer of a start or stop, in seconds.
 ORDER_TIMEOUT_S = 1.0
 
@@ -132,3 +135,7 @@
         return None, NoAnswerError(worker.address, f"none within {timeout_s:g} s")
     except BluebellyokeError as fault:
         return None, fault
+    except Exception as error:
+        # Whatever a worker sends must not end the leader.
+        logger.exception("dispatch: a call broke", extra={"worker": worker.id})
+        return None, NoAnswerError(worker.address, f"{type(error).__name__} {error}")
--- a/src/bluebellyoke/platform/bodies.py
+++ b/src/bluebellyoke/platform/bodies.py
@@ -298,6 +298,8 @@
 
 def parse_task(text: str) -> TaskName:
     """Return the place of a task from ID.REPETITION.STEP.INDEX."""
+    if not isinstance(text, str):
+        raise ValueError(f"{text!r} is no task")
     workflow, repetition, step, index = text.split(".")
     return TaskName(workflow, int(repetition), int(step), int(index))
 
--- /dev/null
+++ b/tests/platform/test_bodies.py
@@ -0,0 +1,147 @@
+import json
+
+import pytest
+
+from bluebellyoke.cell.resources import Resources
+from bluebellyoke.platform import bodies
+from bluebellyoke.workflow.commands import RunOutcome, TaskName
+
+CONFIG = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "r-1",
+            "Host": "nony24.example",
+            "PathPrefix": "/lohu930/",
+            "RouteType": "non_idempotent",
+            "TimeoutMs": 3000,
+            "TargetDurationMs": 250,
+            "Priority": 0,
+            "Service": "huvo11a",
+            "Attempts": 4,
+            "SlackFactor": 1.5,
+            "Advisor": {"DecisionMs": 11.84, "PerWorkerMs": 0.11, "ValidityMs": 1500},
+        }
+    ],
+    "Services": [{"Name": "huvo11a", "EnforceCapacity": False, "Standby": False}],
+    "Limits": {"MaxBodyBytes": 262144},
+}
+
+HEARTBEAT = {
+    "Service": "huvo11a",
+    "Address": "10.128.0.9:8080",
+    "Zone": "my-west-a",
+    "Version": "v1",
+    "Slots": 8,
+    "State": "ready",
+    "ColdRemainingMs": 0,
+    "Capacity": {"Cpu": 16000, "MemMb": 32768, "Gpu": 0},
+    "Labels": ["a", "r1-3"],
+    "CurrentTimeMs": 482113,
+    "Seq": 4,
+    "born": 1700000000000,
+}
+
+
+def encode(value):
+    return json.dumps(value).encode()
+
+
+def test_job_is_translated_with_its_defaults():
+    steps = [
+        {"Count": 4, "Cpu": 500, "MemMb": 256, "EstimateMs": 900, "DataRack": "r1-3"},
+        {"Count": 20, "Cpu": 2000, "DependsOn": [0], "SavesProgress": True},
+    ]
+    spec = bodies.decode_job(encode({"TaskSpec": "(text)", "Steps": steps}))
+    first, second = spec.steps
+    assert spec.payload == "(text)"
+    assert first.need == Resources(500, 256, 0)
+    assert (first.count, first.estimate_ms, first.data_rack) == (4, 900, "r1-3")
+    assert (first.gang, first.lasting, first.may_be_away) == (False, False, -1)
+    assert (second.depends_on, second.checkpoints) == ((0,), True)
+
+
+def test_configuration_is_translated_and_kept_as_it_was_sent():
+    body = encode(CONFIG)
+    configuration = bodies.decode_configuration(body)
+    (queue,) = configuration.queues
+    assert configuration.version == 7
+    assert configuration.document == body
+    assert (queue.host, queue.prefix, queue.pool) == (
+        "nony24.example",
+        "/lohu930/",
+        "huvo11a",
+    )
+    assert (queue.priority, queue.attempts, queue.slack_factor) == (0, 4, 1.5)
+    assert queue.advisor.validity_ms == 1500
+
+
+def test_heartbeat_is_translated():
+    worker = bodies.decode_announcement("i-1", encode(HEARTBEAT))
+    assert worker.key == ("i-1", 1700000000000)
+    assert worker.capacity == Resources(16000, 32768, 0)
+    assert worker.labels == ("a", "r1-3")
+    assert not worker.draining
+    leaving = bodies.decode_announcement(
+        "i-1", encode({**HEARTBEAT, "State": "draining"})
+    )
+    assert leaving.draining
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        encode(HEARTBEAT)[:-9],
+        encode({**HEARTBEAT, "State": "resting"}),
+        encode({**HEARTBEAT, "Address": "nowhere"}),
+        encode({**HEARTBEAT, "Capacity": 7}),
+        encode({key: x for key, x in HEARTBEAT.items() if key != "Service"}),
+    ],
+)
+def test_unreadable_heartbeat_names_no_worker(body):
+    with pytest.raises(bodies.UnreadableBodyError):
+        bodies.decode_announcement("i-1", body)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        encode(CONFIG)[:-40],
+        encode({**CONFIG, "Version": "7"}),
+        encode({key: x for key, x in CONFIG.items() if key != "Services"}),
+    ],
+)
+def test_unreadable_configuration_is_refused(body):
+    with pytest.raises(bodies.UnreadableBodyError):
+        bodies.decode_configuration(body)
+
+
+def test_lists_of_a_worker_are_translated():
+    body = {
+        "CurrentTimeMs": 482113,
+        "born": 5,
+        "Running": [["5c0e.0.1.17", 2, "00000bb8", 41, 900]],
+        "Ended": [[58, "5c0e.0.1.9", 1, "done", ""]],
+    }
+    report = bodies.decode_hold(encode(body))
+    assert (report.clock_ms, report.born, report.complete) == (482113, 5, True)
+    assert report.running[0].task == TaskName("5c0e", 0, 1, 17)
+    assert report.running[0].checkpoint == "00000bb8"
+    assert report.ended[0].outcome is RunOutcome.DONE
+    assert report.ended[0].number == 58
+
+
+@pytest.mark.parametrize("row", [["5c0e.0.1.17"], ["5c0e.0.1", 1, ""], [7, 1, ""]])
+def test_unreadable_lists_are_refused(row):
+    body = {"CurrentTimeMs": 1, "Running": [row]}
+    with pytest.raises(bodies.UnreadableBodyError):
+        bodies.decode_hold(encode(body))
+
+
+def test_task_names_survive_the_way_there_and_back():
+    name = TaskName("5c0e7a21d94b36f8", 3, 1, 17)
+    assert bodies.format_task(name) == "5c0e7a21d94b36f8.3.1.17"
+    assert bodies.parse_task(bodies.format_task(name)) == name
--- /dev/null
+++ b/tests/platform/test_clients.py
@@ -0,0 +1,204 @@
+"""Calls to workers and the advisor, against a server with prepared answers."""
+
+import json
+import socket
+
+import anyio
+import pytest
+
+from bluebellyoke.dispatch.ports import (
+    AdvisorBusyError,
+    HoldOrder,
+    NoAnswerError,
+    NotReachedError,
+    OtherLifeError,
+    StartAnswer,
+    StartOrder,
+    StopOrder,
+)
+from bluebellyoke.errors import BluebellyokeError
+from bluebellyoke.platform.clients import PlatformAdvisor, PlatformWorkers
+from bluebellyoke.workflow.commands import TaskName
+from tests.workflow.factories import create_worker
+
+TASK = TaskName("5c0e7a21d94b36f8", 0, 1, 17)
+START = StartOrder(
+    task=TASK, run=2, payload="(text)", deadline_ms=486000, fence=7, ticket="t"
+)
+WAIT_S = 30.0
+
+
+class Server:
+    """Answers each request with the next prepared answer and keeps the request."""
+
+    def __init__(self, answers):
+        self.answers = list(answers)
+        self.requests = []
+        self.connections = 0
+
+    async def handle(self, stream):
+        self.connections += 1
+        async with stream:
+            buffer = b""
+            while True:
+                try:
+                    buffer += await stream.receive()
+                except anyio.EndOfStream:
+                    return
+                head, separator, body = buffer.partition(b"\r\n\r\n")
+                length = int(head.lower().partition(b"content-length: ")[2].split()[0])
+                if not separator or len(body) < length:
+                    continue
+                buffer = b""
+                self.requests.append((head.decode(), json.loads(body)))
+                answer = self.answers.pop(0)
+                if answer is None:
+                    return
+                status, value = answer
+                text = json.dumps(value).encode()
+                await stream.send(
+                    b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(text))
+                    + text
+                )
+
+
+def run_against(answers, body):
+    """Run `body(server, address)` beside a server on loopback."""
+
+    async def run():
+        server = Server(answers)
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        with anyio.fail_after(WAIT_S):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, server.handle)
+                try:
+                    result = await body(server, f"127.0.0.1:{port}")
+                except BluebellyokeError as error:
+                    # Outside of the task group it would come as an exception group.
+                    result = error
+                tasks.cancel_scope.cancel()
+            await listener.aclose()
+        return result
+
+    result = anyio.run(run)
+    if isinstance(result, BluebellyokeError):
+        raise result
+    return result
+
+
+def start_once(answer):
+    async def body(server, address):
+        workers = PlatformWorkers()
+        try:
+            return await workers.start(create_worker("i-1", address=address), START)
+        finally:
+            await workers.close()
+
+    return run_against([answer], body)
+
+
+@pytest.mark.parametrize(
+    ("answer", "expected"),
+    [
+        ((200, {"CurrentTimeMs": 1}), StartAnswer.STARTED),
+        ((409, {"Reason": "fence"}), StartAnswer.FENCED),
+        ((409, {"Reason": "old"}), StartAnswer.OUTDATED),
+        ((409, {"Reason": "late"}), StartAnswer.LATE),
+        ((409, {"Reason": "room"}), StartAnswer.NO_ROOM),
+        ((409, {"Reason": "ticket"}), StartAnswer.BAD_TICKET),
+        ((429, {}), StartAnswer.UNHEALTHY),
+        ((503, {}), StartAnswer.UNHEALTHY),
+        ((400, {}), StartAnswer.INVALID),
+    ],
+)
+def test_answers_to_a_start_are_translated(answer, expected):
+    assert start_once(answer) is expected
+
+
+def test_another_life_is_told_apart():
+    with pytest.raises(OtherLifeError):
+        start_once((421, {}))
+
+
+def test_connection_that_breaks_off_leaves_the_fate_unknown():
+    with pytest.raises(NoAnswerError):
+        start_once(None)
+
+
+def test_nobody_listening_means_that_nothing_ran():
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{unused.getsockname()[1]}"
+
+        async def run():
+            await PlatformWorkers().start(create_worker("i-1", address=address), START)
+
+        with pytest.raises(NotReachedError) as caught:
+            anyio.run(run)
+    assert caught.value.refused
+
+
+def test_calls_carry_what_the_worker_needs_and_share_a_connection():
+    answers = [
+        (200, {"CurrentTimeMs": 1}),
+        (200, {"CurrentTimeMs": 2}),
+        (200, {"CurrentTimeMs": 3, "born": 9}),
+    ]
+
+    async def body(server, address):
+        workers = PlatformWorkers()
+        worker = create_worker("i-1", address=address)
+        await workers.start(worker, START)
+        assert await workers.stop(worker, StopOrder(task=TASK, run=2, fence=7))
+        order = HoldOrder(deadline_ms=486000, fence=7, seen=57, wait_ms=1000)
+        report = await workers.hold(worker, order)
+        await workers.close()
+        return server, report
+
+    server, report = run_against(answers, body)
+    start, stop, hold = server.requests
+    assert start[0].startswith("POST /-/run-start ")
+    assert "Expected-Instance: i-1" in start[0]
+    assert start[1] == {
+        "Task": "5c0e7a21d94b36f8.0.1.17",
+        "RunId": 2,
+        "TaskSpec": "(text)",
+        "DeadlineMs": 486000,
+        "FencingToken": 7,
+        "Ticket": "t",
+    }
+    assert stop[1] == {
+        "Task": "5c0e7a21d94b36f8.0.1.17",
+        "RunId": 2,
+        "FencingToken": 7,
+    }
+    assert hold[1] == {
+        "DeadlineMs": 486000,
+        "FencingToken": 7,
+        "SeenUpto": 57,
+        "WaitMs": 1000,
+    }
+    assert (report.clock_ms, report.born) == (3, 9)
+    assert server.connections == 1
+
+
+def ask_once(answer):
+    async def body(server, address):
+        advisor = PlatformAdvisor(address)
+        try:
+            return await advisor.ask(("5c0e", 0, 1), ("i-1", "i-2"))
+        finally:
+            await advisor.close()
+
+    return run_against([answer], body)
+
+
+def test_advice_is_translated():
+    assert ask_once((200, {"Allowed": [["i-2", "c81e"]]})) == {"i-2": "c81e"}
+
+
+@pytest.mark.parametrize("answer", [(429, {}), (200, {}), (200, [1]), None])
+def test_no_advice_is_told(answer):
+    with pytest.raises(AdvisorBusyError):
+        ask_once(answer)
--- /dev/null
+++ b/tests/platform/test_listeners.py
@@ -0,0 +1,186 @@
+"""Answers to the platform, with a leader that is replaced by prepared replies."""
+
+import json
+
+import anyio
+import pytest
+
+from bluebellyoke.cell.result import Result, refuse
+from bluebellyoke.instance import wire as w
+from bluebellyoke.instance.gateway import GatewayParts
+from bluebellyoke.metrics import Metrics
+from bluebellyoke.platform.listeners import ControlApp, FrontApp, ReadyApp
+from tests.platform.test_bodies import CONFIG, HEARTBEAT, encode
+
+JOB = {"TaskSpec": "(text)", "Steps": [{"Count": 1, "Cpu": 500}]}
+
+
+class Queues:
+    """Stands for the calls to the leader."""
+
+    def __init__(self):
+        self.reply = w.QueueReply("accepted")
+        self.result = Result(accepted=True)
+        self.document = None
+        self.calls = []
+
+    async def request(self, action, host, path, *, timeout_s, draft=None):
+        self.calls.append((action, host, path, timeout_s, draft))
+        return self.reply
+
+    async def announce(self, announcement):
+        self.calls.append(announcement)
+        return self.result
+
+    async def change_configuration(self, configuration):
+        self.calls.append(configuration)
+        return self.result
+
+    async def read_configuration(self):
+        return self.document
+
+
+@pytest.fixture
+def queues():
+    return Queues()
+
+
+@pytest.fixture
+def parts(queues):
+    return GatewayParts(
+        queues=queues,
+        metrics=Metrics(),
+        is_ready=lambda: True,
+        is_leaving=lambda: False,
+    )
+
+
+def call(app, method, path, body=b"", headers=()):
+    """Return status, headers and decoded body of an answer."""
+    sent = []
+
+    async def receive():
+        return {"type": "http.request", "body": body}
+
+    async def send(message):
+        sent.append(message)
+
+    scope = {
+        "type": "http",
+        "method": method,
+        "path": path,
+        "headers": [(b"host", b"nony24.example"), *headers],
+    }
+    anyio.run(app, scope, receive, send)
+    return sent[0]["status"], dict(sent[0]["headers"]), json.loads(sent[1]["body"])
+
+
+@pytest.mark.parametrize(
+    ("code", "status"),
+    [
+        ("accepted", 200),
+        ("unknown-queue", 404),
+        ("unknown-job", 410),
+        ("malformed", 400),
+        ("bad-id", 400),
+        ("unavailable", 503),
+        ("unanswered", 504),
+    ],
+)
+def test_codes_become_statuses(parts, queues, code, status):
+    queues.reply = w.QueueReply(code)
+    found, headers, _ = call(FrontApp(parts), "DELETE", "/lohu930/1")
+    assert found == status
+    assert (b"retry-after" in headers) == (status == 503)
+
+
+def test_job_is_handed_in_with_the_client_s_time(parts, queues):
+    headers = [(b"deadline-ms", b"2000")]
+    status, _, _ = call(FrontApp(parts), "POST", "/lohu930/1", encode(JOB), headers)
+    action, host, path, timeout_s, draft = queues.calls[0]
+    assert status == 200
+    assert (action, host, path) == ("submit", "nony24.example", "/lohu930/1")
+    assert timeout_s == pytest.approx(1.85)
+    assert draft.payload == "(text)"
+
+
+def test_unreadable_job_is_refused_and_not_handed_in(parts, queues):
+    status, _, _ = call(FrontApp(parts), "POST", "/lohu930/1", encode(JOB)[:-4])
+    assert status == 400
+    assert queues.calls == []
+
+
+def test_state_and_number_of_waiting_jobs_are_told(parts, queues):
+    queues.reply = w.QueueReply("accepted", state="running")
+    assert call(FrontApp(parts), "GET", "/lohu930/1")[2] == {"State": "running"}
+    queues.reply = w.QueueReply("accepted", waiting=12)
+    assert call(FrontApp(parts), "GET", "/lohu930/")[2] == {"Waiting": 12}
+
+
+@pytest.mark.parametrize(
+    ("result", "status"),
+    [
+        (Result(accepted=True), 200),
+        (Result(accepted=True, code="overtaken"), 200),
+        (refuse("malformed", "why"), 400),
+        (refuse("unanswered", "why"), 503),
+    ],
+)
+def test_configuration_is_acknowledged_only_when_accepted(
+    parts, queues, result, status
+):
+    queues.result = result
+    found, _, _ = call(ControlApp(parts), "PUT", "/-/config", encode(CONFIG))
+    assert found == status
+    assert queues.calls[0].version == 7
+
+
+def test_configuration_cut_short_is_refused(parts, queues):
+    body = encode(CONFIG)[:-30]
+    assert call(ControlApp(parts), "PUT", "/-/config", body)[0] == 400
+    assert queues.calls == []
+
+
+def test_configuration_is_read_back_as_it_was_sent_or_not_at_all(parts, queues):
+    assert call(ControlApp(parts), "GET", "/-/config")[0] == 503
+    queues.document = encode(CONFIG)
+    status, _, value = call(ControlApp(parts), "GET", "/-/config")
+    assert (status, value) == (200, CONFIG)
+
+
+def test_heartbeat_and_leave_are_passed_on(parts, queues):
+    path = "/-/instances/i-1"
+    assert call(ControlApp(parts), "PUT", path, encode(HEARTBEAT))[0] == 200
+    assert call(ControlApp(parts), "DELETE", path)[0] == 200
+    beat, leave = queues.calls
+    assert (beat.worker, beat.spec.id, beat.leaving) == ("i-1", "i-1", False)
+    assert (leave.worker, leave.spec, leave.leaving) == ("i-1", None, True)
+
+
+def test_readiness_follows_the_instance(parts, queues):
+    assert call(ReadyApp(parts), "GET", "/-/ready")[0] == 200
+    away = GatewayParts(
+        queues=queues,
+        metrics=Metrics(),
+        is_ready=lambda: False,
+        is_leaving=lambda: True,
+    )
+    status, headers, _ = call(ReadyApp(away), "GET", "/-/ready")
+    assert status == 503
+    assert headers[b"connection"] == b"close"
+
+
+def test_metrics_are_served_to_operators(parts):
+    status = []
+
+    async def receive():
+        return {"type": "http.request", "body": b""}
+
+    async def send(message):
+        status.append(message.get("status") or message["body"])
+
+    parts.metrics.note_queue_request("submit", "accepted", 0.01)
+    scope = {"type": "http", "method": "GET", "path": "/-/metrics", "headers": []}
+    anyio.run(ControlApp(parts), scope, receive, send)
+    assert status[0] == 200
+    assert b"queue_requests_total" in status[1]
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,62 @@
+from pathlib import Path
+
+import pytest
+
+from bluebellyoke.platform.settings import read_settings, translate_settings
+from bluebellyoke.settings import SettingsError
+
+TEXT = """
+Node = "front-my-west-a-1"
+Ip = "10.1.0.13"
+Zone = "my-west-a"
+PortRange = [7720,7735]
+Seeds = ["10.1.0.13:8166","10.2.0.30:8166","10.3.0.36:8166"]
+Bootstrap = true
+DataDir = "/data/my-front"
+Advisor = "10.200.1.9:8169"
+NewField = 7
+[Listen]
+Front = "10.1.0.13:8161"
+Ready = "10.1.0.13:8167"
+Control = "10.1.0.13:8166"
+[FaultTolerance]
+Machines = 1
+[Bounds]
+GraceS = 6
+MaxHoldMs = 6000
+"""
+
+
+def write(tmp_path, text):
+    path = tmp_path / "boot.toml"
+    path.write_text(text)
+    return path
+
+
+def test_settings_are_translated(tmp_path):
+    settings = translate_settings(read_settings(write(tmp_path, TEXT)))
+    own = settings.instance
+    assert (own.address, own.peer_port, own.http_port) == ("10.1.0.13", 7720, 7721)
+    assert own.seeds == ("10.1.0.13:7720", "10.2.0.30:7720", "10.3.0.36:7720")
+    assert (own.founder, own.data_folder) == (True, Path("/data/my-front"))
+    assert settings.cell.voters == 3
+    assert settings.limits.longest_called_worker_lease_s == 6.0
+
+
+def test_instance_without_a_disk_has_no_data_folder(tmp_path):
+    text = TEXT.replace('DataDir = "/data/my-front"', "")
+    settings = translate_settings(read_settings(write(tmp_path, text)))
+    assert settings.instance.data_folder is None
+
+
+@pytest.mark.parametrize(
+    "text", ["Node = ", TEXT.replace("Ip", "Ipp"), TEXT.replace("10.1.0.13:8166", "x")]
+)
+def test_faulty_settings_are_refused(tmp_path, text):
+    with pytest.raises(SettingsError):
+        read_settings(write(tmp_path, text))
+
+
+def test_missing_file_is_told(tmp_path):
+    with pytest.raises(SettingsError):
+        read_settings(tmp_path / "none.toml")
