--- /dev/null
+++ b/tests/dispatch/test_planner.py
@@ -0,0 +1,232 @@
+"""Patterns of load, each with what planning must make of it."""
+
+import pytest
+
+from bluebellyoke.dispatch.advice import AdviceDuties
+from bluebellyoke.dispatch.members import Member
+from bluebellyoke.dispatch.planner import Planner
+from bluebellyoke.workflow import commands as wc
+from tests.workflow.factories import (
+    ADVISOR,
+    create_book,
+    create_configuration,
+    create_queue,
+    create_spec,
+    create_step,
+    create_worker,
+)
+
+NOW = 100.0
+
+
+class Cell:
+    """A book with members that are ready, and a planner."""
+
+    def __init__(self, workers=3, cpu=4000, queues=None):
+        configuration = create_configuration(queues=queues)
+        self.book = create_book(0, configuration)
+        self.members = {}
+        self.advice = AdviceDuties()
+        self.planner = Planner(self.advice)
+        self.count = 0
+        for number in range(workers):
+            self.add_worker(create_worker(f"w{number + 1}", cpu=cpu))
+
+    def add_worker(self, spec):
+        self.book.apply(wc.EnrolWorker(spec=spec))
+        self.members[spec.id] = Member(spec, NOW, heard_at=NOW, is_held=True)
+
+    def submit(self, steps, queue="q", **fields):
+        self.count += 1
+        spec = create_spec(f"{self.count:016x}", steps, queue, **fields)
+        self.book.apply(wc.SubmitWorkflow(time=NOW + self.count, spec=spec))
+        return spec.id
+
+    def plan(self, now=NOW):
+        return self.planner.plan(self.book, self.members, now, now)
+
+    def plan_and_start(self):
+        planned = self.plan()
+        starts = tuple(item.start for item in planned)
+        result = self.book.apply(wc.AssignRuns(starts=starts))
+        assert set(result.detail["done"]) <= {"1"}
+        for start in starts:
+            step = self.book.workflows[start.task.workflow].spec.steps[start.task.step]
+            member = self.members[start.worker]
+            member.add_run((start.task, start.run), step.need, None, NOW)
+        return starts
+
+
+@pytest.fixture
+def cell():
+    return Cell()
+
+
+def list_jobs(starts):
+    return [start.task.workflow for start in starts]
+
+
+def test_no_worker_is_overcommitted(cell):
+    for _ in range(5):
+        cell.submit([create_step(4, cpu=1500)])
+    cell.plan_and_start()
+    for member in cell.members.values():
+        assert member.taken.fits_in(member.spec.capacity)
+    assert sum(len(member.runs) for member in cell.members.values()) == 6
+
+
+def test_queue_of_lower_priority_number_goes_first():
+    queues = [create_queue("q", priority=2), create_queue("fast", priority=0)]
+    cell = Cell(workers=1, cpu=1000, queues=queues)
+    cell.submit([create_step(1)])
+    fast = cell.submit([create_step(1)], queue="fast")
+    assert list_jobs(cell.plan_and_start()) == [fast]
+
+
+def test_older_job_goes_first_within_a_queue():
+    cell = Cell(workers=1, cpu=1000)
+    first = cell.submit([create_step(1)])
+    cell.submit([create_step(1)])
+    assert list_jobs(cell.plan_and_start()) == [first]
+
+
+def test_gang_that_does_not_fit_starts_nothing_and_reserves(cell):
+    cell.submit([create_step(1, cpu=3000, estimate_ms=5000)])
+    cell.plan_and_start()
+    gang = cell.submit([create_step(3, cpu=3000, gang=True)])
+    cell.submit([create_step(6, cpu=1000, estimate_ms=5000)])
+    starts = cell.plan_and_start()
+    assert gang not in list_jobs(starts)
+    assert starts == ()
+
+
+def test_short_tasks_use_what_a_gang_has_reserved(cell):
+    cell.submit([create_step(1, cpu=3000, estimate_ms=5000)])
+    cell.plan_and_start()
+    cell.submit([create_step(3, cpu=3000, gang=True)])
+    short = cell.submit([create_step(2, cpu=1000, estimate_ms=600)])
+    assert list_jobs(cell.plan_and_start()) == [short, short]
+
+
+def test_gang_starts_whole_with_one_run_number(cell):
+    cell.submit([create_step(5, cpu=2000, gang=True)])
+    starts = cell.plan_and_start()
+    assert len(starts) == 5
+    assert {start.run for start in starts} == {1}
+
+
+def test_gang_of_one_rack_stands_in_one_rack():
+    cell = Cell(workers=0)
+    for number in range(4):
+        labels = ("a", f"r-{number % 2}")
+        cell.add_worker(create_worker(f"w{number}", labels=labels))
+    cell.submit([create_step(6, cpu=1000, gang=True, same_rack=True)])
+    workers = {start.worker for start in cell.plan_and_start()}
+    assert workers in ({"w0", "w2"}, {"w1", "w3"})
+
+
+def test_task_goes_to_its_data():
+    cell = Cell(workers=0)
+    for number in range(3):
+        cell.add_worker(create_worker(f"w{number}", labels=("a", f"r-{number}")))
+    cell.submit([create_step(1, data_rack="r-2")])
+    assert [start.worker for start in cell.plan_and_start()] == ["w2"]
+
+
+def test_required_label_is_kept():
+    cell = Cell(workers=2)
+    cell.add_worker(create_worker("w9", labels=("b",)))
+    cell.submit([create_step(2, required_label="b")])
+    assert {start.worker for start in cell.plan_and_start()} == {"w9"}
+
+
+def test_bound_for_one_worker_counts_what_runs_there(cell):
+    cell.submit([create_step(7, cpu=100, per_worker=2)])
+    starts = cell.plan_and_start()
+    assert sorted(start.worker for start in starts) == [
+        "w1",
+        "w1",
+        "w2",
+        "w2",
+        "w3",
+        "w3",
+    ]
+    assert cell.plan_and_start() == ()
+
+
+def test_step_waits_for_what_it_depends_on(cell):
+    cell.submit([create_step(1), create_step(1, depends_on=(0,))])
+    assert [start.task.step for start in cell.plan_and_start()] == [0]
+    assert cell.plan_and_start() == ()
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"is_held": False},
+        {"heard_at": NOW - 3.0},
+        {"suspect_until": NOW + 1.0},
+        {"has_left": True},
+    ],
+)
+def test_worker_that_is_not_sound_gets_nothing(change):
+    cell = Cell(workers=1)
+    for name, value in change.items():
+        setattr(cell.members["w1"], name, value)
+    cell.submit([create_step(1)])
+    assert cell.plan() == []
+
+
+def test_repetition_starts_at_its_time(cell):
+    due_ms = int(NOW * 1000) + 500
+    cell.submit([create_step(1)], repeats=2, first_at_ms=due_ms, interval_ms=1000)
+    assert cell.plan(NOW + 0.4) == []
+    planned = cell.plan(NOW + 0.6)
+    assert [item.start.task.repetition for item in planned] == [0]
+
+
+# Advice.
+
+
+@pytest.fixture
+def advised():
+    return Cell(queues=[create_queue(advisor=ADVISOR)])
+
+
+def give_advice(cell, job, tickets, now=NOW):
+    """Let the advisor have said this of all workers."""
+    entry = cell.advice.find((job, 0, 0))
+    entry.known = {member.spec.key for member in cell.members.values()}
+    entry.tickets = {
+        cell.members[name].spec.key: (text, now + 1.0) for name, text in tickets.items()
+    }
+
+
+def test_nothing_starts_before_advice(advised):
+    job = advised.submit([create_step(1)])
+    assert advised.plan() == []
+    assert advised.advice.find((job, 0, 0)).is_asking
+
+
+def test_only_allowed_workers_are_used_with_their_tickets(advised):
+    job = advised.submit([create_step(8, cpu=1000)])
+    give_advice(advised, job, {"w2": "t2"})
+    planned = advised.plan()
+    assert {(item.start.worker, item.ticket) for item in planned} == {("w2", "t2")}
+    assert len(planned) == 4
+
+
+def test_expired_tickets_start_nothing_and_are_asked_for_again(advised):
+    job = advised.submit([create_step(2)])
+    give_advice(advised, job, {"w1": "t1"})
+    assert advised.plan(NOW + 1.5) == []
+    assert advised.advice.find((job, 0, 0)).is_asking
+
+
+def test_room_is_kept_for_a_gang_whose_tickets_are_on_their_way(advised):
+    gang = advised.submit([create_step(3, cpu=4000, gang=True)])
+    other = advised.submit([create_step(3, cpu=1000)])
+    everywhere = {"w1": "a", "w2": "b", "w3": "c"}
+    give_advice(advised, gang, everywhere, now=NOW - 5.0)
+    give_advice(advised, other, everywhere)
+    assert advised.plan() == []
