Answer many mismatches of old messages with one resend

A count of bytes by kind of message showed 40 MB of appends in 2 s after a cut had healed, for 14 s. 860 messages had waited for the follower; each was answered with a mismatch at the same entry, and each such answer made the leader send all 860 entries again.

Change: a mismatch at the entry of the latest resend, for a message sent before it, changes nothing.

--- a/src/bluebellyoke/consensus/followers.py
+++ b/src/bluebellyoke/consensus/followers.py
@@ -44,6 +44,8 @@
         snapshot_index: Snapshot that is being sent, or zero.
         snapshot_offset: Bytes of it that the follower holds.
         chunk_sent_at: Leader's time of the latest chunk.
+        resent_from: First entry of the latest resend after a mismatch.
+        resent_at: Leader's time of that resend.
     """
 
     next: int
@@ -54,6 +56,16 @@
     snapshot_index: int = 0
     snapshot_offset: int = 0
     chunk_sent_at: float = float("-inf")
+    resent_from: int = 0
+    resent_at: float = float("-inf")
+
+    def is_resent(self, reply: m.AppendReply) -> bool:
+        """Return whether what a follower lacked has been sent since then.
+
+        After a cut many messages that wait for the follower arrive at once, and each
+        of them is answered so.
+        """
+        return reply.index + 1 == self.resent_from and reply.sent_at <= self.resent_at
 
     @property
     def present_at(self) -> float:
@@ -104,9 +116,11 @@
         if reply.matched:
             progress.match = max(progress.match, reply.index)
             progress.next = max(progress.next, progress.match + 1)
-        else:
+        elif not progress.is_resent(reply):
             backed = min(reply.index + 1, progress.next)
             progress.next = max(progress.match + 1, backed)
+            progress.resent_from = reply.index + 1
+            progress.resent_at = now
         return True
 
     def note_snapshot(
--- a/src/bluebellyoke/instance/peers.py
+++ b/src/bluebellyoke/instance/peers.py
@@ -5,6 +5,7 @@
 silently does not hold messages back after it has healed.
 """
 
+import contextlib
 import logging
 from collections import deque
 from collections.abc import Callable
@@ -69,6 +70,7 @@
                     "peers: lost a stream",
                     extra={"peer": address, "error": str(errors.exceptions[0])},
                 )
+            _drop_waiting(inbox)
             await anyio.sleep(RECONNECT_S)
 
     async def _pump(self, address: str, inbox: anyio.abc.ObjectReceiveStream) -> None:
@@ -85,6 +87,13 @@
                     await stream.send_message(batch)
 
 
+def _drop_waiting(inbox: anyio.abc.ObjectReceiveStream) -> None:
+    """Drop what waits for a peer that is out of reach; the core sends it again."""
+    with contextlib.suppress(anyio.WouldBlock):
+        while True:
+            inbox.receive_nowait()
+
+
 async def _read_acknowledgements(stream, unacknowledged: deque[float]) -> None:
     while await stream.recv_message() is not None:
         unacknowledged.popleft()
