Set workers aside that fail several workflows; retry a task elsewhere

Change: three workflows that fail one after the other set a worker aside for 1 s, doubled up to 8 s, then it is tried with few; a task that failed goes to another worker if one fits.

--- a/src/bluebellyoke/dispatch/duties.py
+++ b/src/bluebellyoke/dispatch/duties.py
@@ -498,8 +498,22 @@
             self._after_ends(ends)
 
         self._log_ends(member, ends)
+        self._learn_from(member, ends)
         self._proposals.add(wc.RecordEnds(time=wall, ends=tuple(ends)), finish)
 
+    def _learn_from(self, member: Member, ends: list[wc.RunEnd]) -> None:
+        for end in ends:
+            if member.note_outcome(end.task.workflow, end.outcome, self._now):
+                logger.info(
+                    "dispatch: sets a worker aside",
+                    extra={
+                        "worker": member.spec.id,
+                        "pauses": member.pauses,
+                        "until_s": round(member.suspect_until - self._now, 3),
+                        "failed": sorted(member.failed_workflows)[:5],
+                    },
+                )
+
     def _log_ends(self, member: Member, ends: list[wc.RunEnd]) -> None:
         for end in ends:
             name = end.task
--- a/src/bluebellyoke/dispatch/members.py
+++ b/src/bluebellyoke/dispatch/members.py
@@ -8,10 +8,18 @@
 
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.workflow.book import RunKey
+from bluebellyoke.workflow.commands import RunOutcome
 from bluebellyoke.workflow.specs import WorkerSpec
 
 __all__ = ["LeaseTimes", "Member", "RunPhase"]
 
+#: Workflows that fail one after the other before a worker is set aside.
+FAILED_WORKFLOWS = 3
+
+#: Time for which such a worker is set aside at first and at most, in seconds.
+PAUSE_S = 1.0
+LONGEST_PAUSE_S = 8.0
+
 #: Largest relative lag of a worker's clock.
 CLOCK_LAG = 0.02
 
@@ -73,6 +81,9 @@
         foreign: Runs that it lists and that are not assigned to it.
         failures: Holds that failed since the last answer.
         suspect_until: Monotonic time until which it gets no new task.
+        failed_workflows: Workflows of which a task failed here since one was done.
+        pauses: Times that it was set aside for failures since one was done; until
+            then it gets tasks only while it runs none.
     """
 
     spec: WorkerSpec
@@ -88,6 +99,8 @@
     failures: int = 0
     suspect_until: float = 0.0
     has_left: bool = False
+    failed_workflows: set[str] = field(default_factory=set)
+    pauses: int = 0
     runs: dict[RunKey, Run] = field(default_factory=dict)
     foreign: dict[RunKey, float] = field(default_factory=dict)
     taken: Resources = field(default_factory=Resources)
@@ -118,6 +131,28 @@
             run.phase = phase
             run.since = now
 
+    # Soundness.
+
+    def note_outcome(self, workflow: str, outcome: RunOutcome, now: float) -> bool:
+        """Learn from an end; return whether the worker is set aside for it.
+
+        Tasks of one workflow may fail by their own fault, those of several rarely do
+        one after the other.
+        """
+        if outcome is RunOutcome.DONE:
+            self.failed_workflows.clear()
+            self.pauses = 0
+            return False
+        if outcome is not RunOutcome.FAILED:
+            return False
+        self.failed_workflows.add(workflow)
+        if len(self.failed_workflows) < FAILED_WORKFLOWS or now < self.suspect_until:
+            return False
+        pause = min(PAUSE_S * 2**self.pauses, LONGEST_PAUSE_S)
+        self.suspect_until = max(self.suspect_until, now + pause)
+        self.pauses += 1
+        return True
+
     # Lease.
 
     def note_clock(self, clock_ms: int, now: float) -> None:
@@ -153,4 +188,5 @@
             and not self.foreign
             and now - self.heard_at < silence_s
             and now >= self.suspect_until
+            and not (self.pauses and self.runs)
         )
--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -18,7 +18,7 @@
 from bluebellyoke.workflow.book import WorkflowBook
 from bluebellyoke.workflow.commands import RunStart, TaskName
 from bluebellyoke.workflow.specs import QueueSpec, StepSpec
-from bluebellyoke.workflow.workflow import TaskState, Workflow
+from bluebellyoke.workflow.workflow import TaskProgress, TaskState, Workflow
 
 __all__ = ["Planner", "PlannedStart"]
 
@@ -199,7 +199,7 @@
         lives = {member.spec.id: member.spec.key for member in members}
         tasks = _find_tasks(step)
         for index in step.indexes:
-            room = place_single(step.spec, rooms)
+            room = self._choose_room(step, tasks[index], rooms)
             if room is None:
                 return
             life = lives[room.worker]
@@ -211,6 +211,17 @@
             run = tasks[index].run + 1
             self._add_start(step, index, run, life, planning, advice)
 
+    def _choose_room(
+        self, step: WaitingStep, task: TaskProgress, rooms: list[Room]
+    ) -> Room | None:
+        """Return a worker; one where the task has just failed only if need be."""
+        if task.failures:
+            others = [room for room in rooms if room.worker != task.worker]
+            chosen = place_single(step.spec, others)
+            if chosen is not None:
+                return chosen
+        return place_single(step.spec, rooms)
+
     def _lacks_tickets(
         self, step: WaitingStep, advice: StepAdvice | None, lives: set, now: float
     ) -> bool:
--- a/tests/dispatch/test_planner.py
+++ b/tests/dispatch/test_planner.py
@@ -230,3 +230,60 @@
     give_advice(advised, gang, everywhere, now=NOW - 5.0)
     give_advice(advised, other, everywhere)
     assert advised.plan() == []
+
+
+# Workers that fail what they start.
+
+
+def fail(cell, start, time=NOW):
+    end = wc.RunEnd(start.task, start.run, wc.RunOutcome.FAILED)
+    cell.book.apply(wc.RecordEnds(time=time, ends=(end,)))
+    member = cell.members[start.worker]
+    member.drop_run((start.task, start.run))
+    member.note_outcome(start.task.workflow, wc.RunOutcome.FAILED, time)
+
+
+def test_task_that_failed_goes_to_another_worker(cell):
+    cell.submit([create_step(1)])
+    (first,) = cell.plan_and_start()
+    fail(cell, first)
+    (second,) = cell.plan_and_start()
+    assert second.worker != first.worker
+
+
+def test_task_that_failed_goes_back_if_there_is_no_other():
+    cell = Cell(workers=1)
+    cell.submit([create_step(1)])
+    (first,) = cell.plan_and_start()
+    fail(cell, first)
+    assert [start.worker for start in cell.plan_and_start()] == ["w1"]
+
+
+def test_worker_that_fails_several_workflows_is_set_aside_and_tried_again():
+    cell = Cell(workers=1)
+    for _ in range(3):
+        cell.submit([create_step(1)])
+    for start in cell.plan_and_start():
+        fail(cell, start)
+    assert cell.plan(NOW + 0.5) == []
+    cell.members["w1"].heard_at = NOW + 1.1
+    assert len(cell.plan(NOW + 1.1)) == 3
+    cell.members["w1"].add_run(("probe", 1), create_step().need, None, NOW)
+    assert cell.plan(NOW + 1.1) == []
+
+
+def test_workflow_that_fails_by_its_own_fault_sets_no_worker_aside():
+    cell = Cell(workers=1)
+    cell.submit([create_step(3)])
+    for start in cell.plan_and_start():
+        fail(cell, start)
+    assert len(cell.plan(NOW)) == 3
+
+
+def test_runs_that_fail_while_a_worker_is_set_aside_do_not_lengthen_the_pause():
+    cell = Cell(workers=1)
+    for _ in range(4):
+        cell.submit([create_step(1)])
+    for start in cell.plan_and_start():
+        fail(cell, start)
+    assert cell.members["w1"].pauses == 1
