Stop a gang whose start has no answer; plan as soon as a worker has answered

A start without an answer keeps its task until its fate is known, up to 5 s at a worker that is cut off, and the other members waited for it with their room until their 3 s were over. Beside that, a new leader planned only 0.1 s after its workers had answered, since nothing asked for it.

Ruled out: starts that leave too far apart (all of a gang go out in one turn).

Change: the members that have started are stopped at once, and so is a member that turns out to run later. tests/dispatch/test_duties.py holds both and failed before.

--- a/src/bluebellyoke/dispatch/duties.py
+++ b/src/bluebellyoke/dispatch/duties.py
@@ -393,6 +393,7 @@
                 "dispatch: reached a worker",
                 extra={"worker": member.spec.id, "failures": member.failures},
             )
+            self._plan_wanted = True
         member.failures = 0
         member.is_held = True
         member.heard_at = now
@@ -434,6 +435,7 @@
                 continue
             if run.phase in (RunPhase.UNSURE, RunPhase.BARRED, RunPhase.BARRING):
                 member.set_phase(key, RunPhase.STARTED, now)
+                self._stop_incomplete_gangs((running.task,))
             is_stuck = (
                 run.phase is RunPhase.STOPPING and now - run.since > STOP_REPEAT_S
             )
@@ -648,7 +650,10 @@
             step = (key[0].workflow, key[0].repetition, key[0].step)
             self.advice.find(step).expire(member.spec.key)
         member.set_phase(key, RunPhase.UNSURE, now)
-        if never_ran:
+        if not never_ran:
+            # The other members of its gang would wait for it in vain.
+            self._stop_incomplete_gangs((key[0],), is_lost=True)
+        else:
             end = wc.RunEnd(*key, wc.RunOutcome.NEVER_STARTED)
             self._proposals.add(
                 wc.RecordEnds(time=wall, ends=(end,)),
@@ -668,8 +673,15 @@
         for name, task in workflow.iterate_placed():
             self._stop_if_started(name, task)
 
-    def _stop_incomplete_gangs(self, names: Iterable[wc.TaskName]) -> None:
-        """Stop the members of gangs of which one has ended without being done."""
+    def _stop_incomplete_gangs(
+        self, names: Iterable[wc.TaskName], *, is_lost: bool = False
+    ) -> None:
+        """Stop the members of gangs of which one has ended without being done.
+
+        Args:
+            is_lost: Whether the fate of the named members is unknown, which ends
+                their gangs too.
+        """
         steps = {(x.workflow, x.repetition, x.step) for x in names}
         for workflow_id, repetition, step in steps:
             workflow = self._book.workflows.get(workflow_id)
@@ -677,7 +689,8 @@
                 continue
             progress = workflow.repetitions[repetition].steps[step]
             placed = [task.placed for task in progress.tasks]
-            if progress.is_done or all(placed) or not any(placed):
+            is_whole = all(placed) and not is_lost
+            if progress.is_done or is_whole or not any(placed):
                 continue
             for index, task in enumerate(progress.tasks):
                 if task.placed:
--- /dev/null
+++ b/tests/dispatch/test_duties.py
@@ -0,0 +1,131 @@
+"""Single cases of the leader's duties towards workers."""
+
+import pytest
+
+from bluebellyoke.workflow import commands as wc
+from tests.dispatch.world import World
+from tests.workflow.factories import create_spec, create_step
+
+ID = "0000000000000001"
+
+
+@pytest.fixture
+def world():
+    """A cell whose workers have answered a first hold."""
+    world = World()
+    world.tick()
+    move(world)
+    return world
+
+
+def move(world, kinds=("hold", "start", "stop")):
+    """Carry out what is on its way, of some kinds, and take the answers."""
+    for sent in [x for x in world.orders if x.kind in kinds and not x.is_answered]:
+        world.orders.remove(sent)
+        world.deliver(sent)
+    answers, world.answers = world.answers, []
+    for event in answers:
+        world.receive(event)
+
+
+def find_orders(world, kind):
+    return [x for x in world.orders if x.kind == kind and not x.is_answered]
+
+
+def plan(world):
+    world.advance(0.02)
+    world.tick()
+
+
+def test_start_is_committed_before_the_worker_is_called(world):
+    world.submit(create_spec(ID))
+    world.advance(0.02)
+    world.duties.tick(world.now, world.now)
+    assert find_orders(world, "start") == []
+    world.commit()
+    (sent,) = find_orders(world, "start")
+    assert world.book.workflows[ID].find_task(sent.order.task).run == 1
+
+
+def test_new_leader_calls_nobody_before_a_hold(world):
+    world.submit(create_spec(ID))
+    world.change_leader()
+    plan(world)
+    assert find_orders(world, "start") == []
+    move(world)
+    plan(world)
+    assert len(find_orders(world, "start")) == 1
+
+
+def test_gang_with_a_start_without_an_answer_is_stopped(world):
+    """The others would wait for it until their time is over."""
+    world.submit(create_spec(ID, [create_step(3, cpu=3000, gang=True)]))
+    plan(world)
+    lost, *others = find_orders(world, "start")
+    world.orders.remove(lost)
+    move(world, ("start",))
+    world.give_up(lost)
+    move(world, ())
+    stopped = {sent.order.task for sent in find_orders(world, "stop")}
+    assert stopped == {sent.order.task for sent in others}
+
+
+def test_member_of_a_stopped_gang_that_turns_out_to_run_is_stopped(world):
+    world.submit(create_spec(ID, [create_step(3, cpu=3000, gang=True)]))
+    plan(world)
+    late, *_ = find_orders(world, "start")
+    world.orders.remove(late)
+    move(world, ("start",))
+    world.give_up(late)
+    move(world, ())
+    world.deliver(late)
+    for _ in range(4):
+        plan(world)
+        move(world, ("hold", "stop"))
+    assert not world.workers[late.spec.id].runs
+
+
+def test_cancelled_workflow_is_stopped_wherever_it_runs(world):
+    world.submit(create_spec(ID, [create_step(2)]))
+    plan(world)
+    move(world, ("start",))
+    world.cancel(ID)
+    assert len(find_orders(world, "stop")) == 2
+    move(world)
+    for _ in range(3):
+        plan(world)
+        move(world)
+    assert ID not in world.book.active
+
+
+def test_draining_worker_is_acknowledged_only_once_it_is_committed(world):
+    spec = world.workers["w1"].spec
+    answers = []
+    leaving = type(spec)(
+        **{name: getattr(spec, name) for name in spec.__struct_fields__}
+        | {"draining": True}
+    )
+    world.duties.announce(leaving, world.now, answers.append)
+    assert answers == []
+    world.commit()
+    assert answers[0].accepted
+    world.submit(create_spec(ID, [create_step(9, cpu=1000)]))
+    plan(world)
+    assert "w1" not in {sent.spec.id for sent in find_orders(world, "start")}
+
+
+def test_end_is_acknowledged_to_the_worker_after_its_commit(world):
+    world.submit(create_spec(ID))
+    plan(world)
+    move(world, ("start",))
+    (worker,) = [x for x in world.workers.values() if x.runs]
+    worker.end(next(iter(worker.runs)), wc.RunOutcome.DONE)
+    world.advance(1.1)
+    plan(world)
+    (hold,) = [x for x in find_orders(world, "hold") if x.spec.id == worker.spec.id]
+    assert hold.order.seen == 0
+    move(world, ("hold",))
+    plan(world)
+    seen = [x.order.seen for x in find_orders(world, "hold") if x.spec == worker.spec]
+    assert seen == [1]
+    assert world.book.workflows[ID].state == "completed"
