Test the whole path on the platform's settings with real processes

Three instances with a disk, one without, called workers and an advisor of our own on loopback: a job through the instance without a disk, invalid calls, a killed leader, the loss of all processes with seeds that name only the instance without a disk, a planned stop. The workers' ledgers are checked for runs that overlap or follow a done end.

--- /dev/null
+++ b/tests/integration/test_platform.py
@@ -0,0 +1,262 @@
+"""The whole path on the platform's settings: instances as real processes, with called
+workers and an advisor of our own."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+
+import httpcore
+import pytest
+
+from standins.called import CalledWorker, StandInAdvisor
+from standins.cell import ROOT, find_ports, wait_until
+
+QUEUE_HOST = "nony24.example"
+PREFIX = "/lohu930/"
+WAIT_S = 60.0
+
+SETTINGS = """
+Node = "{name}"
+Ip = "{ip}"
+Zone = "dc{number}"
+PortRange = [{peer}, {last}]
+Seeds = [{seeds}]
+Bootstrap = {bootstrap}
+Advisor = "{advisor}"
+{disk}
+[Listen]
+Front = "{ip}:{front}"
+Ready = "{ip}:{ready}"
+Control = "{ip}:{control}"
+[FaultTolerance]
+Machines = 1
+"""
+
+CONFIG = {
+    "Version": 3,
+    "Routes": [
+        {
+            "Name": "r-1",
+            "Host": QUEUE_HOST,
+            "PathPrefix": PREFIX,
+            "TimeoutMs": 3000,
+            "TargetDurationMs": 250,
+            "Service": "huvo11a",
+            "Attempts": 3,
+            "SlackFactor": 2.0,
+            "Advisor": {"DecisionMs": 1.0, "PerWorkerMs": 0.1, "ValidityMs": 1500},
+        }
+    ],
+    "Services": [{"Name": "huvo11a", "EnforceCapacity": False}],
+}
+
+
+def ask(method, url, value=None, headers=None):
+    """Return status and decoded body, or 0 and nothing without an answer."""
+    body = json.dumps(value).encode() if value is not None else b""
+    try:
+        response = httpcore.request(
+            method,
+            url,
+            headers={"Host": QUEUE_HOST, "Connection": "close", **(headers or {})},
+            content=body,
+            extensions={"timeout": {"connect": 1.0, "read": 5.0}},
+        )
+    except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
+        return 0, None
+    return response.status, json.loads(response.content or b"null")
+
+
+class Deployment:
+    """Instances on loopback addresses of their own, and what they talk to."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.front, self.ready, self.control, self.peer = find_ports(4)
+        self.advisor = StandInAdvisor()
+        self.processes = {}
+        self.workers = []
+
+    def find_ip(self, number):
+        return f"127.0.{os.getpid() % 200 + 1}.{number}"
+
+    def start(self, number, *, has_disk, bootstrap=True, seeds=(1, 2, 3)):
+        disk = f'DataDir = "{self.folder}/data-{number}"' if has_disk else ""
+        path = self.folder / f"boot-{number}.toml"
+        path.write_text(
+            SETTINGS.format(
+                name=f"i{number}",
+                ip=self.find_ip(number),
+                number=number,
+                peer=self.peer,
+                last=self.peer + 15,
+                seeds=", ".join(f'"{self.find_ip(x)}:{self.control}"' for x in seeds),
+                bootstrap=str(bootstrap).lower(),
+                advisor=self.advisor.address,
+                disk=disk,
+                front=self.front,
+                ready=self.ready,
+                control=self.control,
+            )
+        )
+        with open(self.folder / f"log-{number}", "ab") as log:
+            self.processes[number] = subprocess.Popen(
+                [sys.executable, str(ROOT / "deploy" / "start.py")],
+                env={**os.environ, "BLUEBELLYOKE_CONFIG": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def kill(self, number):
+        self.processes[number].kill()
+        self.processes.pop(number).wait()
+
+    def add_worker(self, name, **options):
+        controls = [f"{self.find_ip(x)}:{self.control}" for x in self.processes]
+        self.workers.append(CalledWorker(name, controls=controls, **options))
+
+    def is_ready(self, number):
+        return (
+            ask("GET", f"http://{self.find_ip(number)}:{self.ready}/-/ready")[0] == 200
+        )
+
+    def put(self, config, number=1):
+        url = f"http://{self.find_ip(number)}:{self.control}/-/config"
+        return ask("PUT", url, config)[0]
+
+    def call(self, method, identity, value=None, number=1):
+        url = f"http://{self.find_ip(number)}:{self.front}{PREFIX}{identity}"
+        return ask(method, url, value)
+
+    def find_state(self, identity):
+        for number in self.processes:
+            status, value = self.call("GET", identity, number=number)
+            if status == 200:
+                return value["State"]
+        return None
+
+    def find_leader(self):
+        for number in self.processes:
+            text = (self.folder / f"log-{number}").read_text()
+            parts = [
+                json.loads(line)
+                for line in text.splitlines()
+                if "replica: changes its part" in line
+            ]
+            if parts and parts[-1]["role"] == "leader":
+                return number
+        return None
+
+    def check_ledgers(self):
+        """Fail if two runs of one task overlapped, or one began after a done end."""
+        events = sorted(event for worker in self.workers for event in worker.ledger)
+        running, done = {}, set()
+        for _, what, task, run in events:
+            if what == "start":
+                assert task not in running, f"{task} runs twice"
+                assert task not in done, f"{task} was done"
+                running[task] = run
+            else:
+                running.pop(task, None)
+                if what == "done":
+                    done.add(task)
+        return done
+
+    def close(self):
+        for number in list(self.processes):
+            self.kill(number)
+        for worker in self.workers:
+            worker.close()
+        self.advisor.shutdown()
+        self.advisor.server_close()
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    """Three instances with a disk and one without, two workers, a queue."""
+    deployment = Deployment(tmp_path)
+    for number in (1, 2, 3):
+        deployment.start(number, has_disk=True)
+    deployment.start(4, has_disk=False)
+    wait_until(
+        lambda: all(map(deployment.is_ready, deployment.processes)), WAIT_S, "instances"
+    )
+    for name in ("w1", "w2"):
+        deployment.add_worker(name)
+    wait_until(lambda: deployment.put(CONFIG) == 200, WAIT_S, "the configuration")
+    yield deployment
+    deployment.close()
+
+
+def create_job(steps):
+    return {"TaskSpec": "(text)", "Steps": steps}
+
+
+STEPS = [{"Count": 3, "Cpu": 500}, {"Count": 2, "Cpu": 500, "DependsOn": [0]}]
+
+
+def test_job_is_served_through_an_instance_without_a_disk(deployment):
+    identity = "00000000000000a1"
+    assert deployment.call("POST", identity, create_job(STEPS), number=4)[0] == 200
+    assert deployment.call("POST", identity, create_job(STEPS), number=2)[0] == 200
+    wait_until(
+        lambda: deployment.find_state(identity) == "completed", WAIT_S, "the job"
+    )
+    done = deployment.check_ledgers()
+    assert done == {f"{identity}.0.{x}" for x in ("0.0", "0.1", "0.2", "1.0", "1.1")}
+
+
+def test_invalid_calls_are_refused_and_change_nothing(deployment):
+    bad = {**CONFIG, "Version": 9, "Services": []}
+    assert deployment.put(bad) == 400
+    assert deployment.put({**CONFIG, "Version": 2}) == 200
+    url = f"http://{deployment.find_ip(4)}:{deployment.control}/-/config"
+    assert ask("GET", url) == (200, CONFIG)
+    itself = create_job([{"Count": 1, "DependsOn": [0]}])
+    assert deployment.call("POST", "00000000000000b1", itself)[0] == 400
+    long = {"TaskSpec": "x" * 4001, "Steps": [{"Count": 1}]}
+    assert deployment.call("POST", "00000000000000b2", long)[0] == 400
+    assert deployment.call("GET", "00000000000000b1")[0] == 410
+    elsewhere = f"http://{deployment.find_ip(1)}:{deployment.front}/other/1"
+    assert ask("GET", elsewhere)[0] == 404
+
+
+def test_jobs_survive_the_leader_and_run_once(deployment):
+    identities = [f"{number:016x}" for number in range(1, 9)]
+    for worker in deployment.workers:
+        worker.run_s = 0.6
+    for identity in identities:
+        assert deployment.call("POST", identity, create_job(STEPS), number=4)[0] == 200
+    leader = deployment.find_leader()
+    deployment.kill(leader)
+    wait_until(
+        lambda: all(deployment.find_state(x) == "completed" for x in identities),
+        WAIT_S,
+        "the jobs",
+    )
+    assert len(deployment.check_ledgers()) == 5 * len(identities)
+
+
+def test_accepted_state_survives_the_loss_of_all_processes(deployment):
+    identity = "00000000000000c1"
+    assert deployment.call("POST", identity, create_job(STEPS))[0] == 200
+    for number in (1, 2, 3, 4):
+        deployment.kill(number)
+    for number in (1, 2, 3):
+        deployment.start(number, has_disk=True, bootstrap=False, seeds=(4,))
+    deployment.start(4, has_disk=False, bootstrap=False, seeds=(4,))
+    wait_until(
+        lambda: deployment.find_state(identity) == "completed", WAIT_S, "the job"
+    )
+    url = f"http://{deployment.find_ip(4)}:{deployment.control}/-/config"
+    assert ask("GET", url) == (200, CONFIG)
+    deployment.check_ledgers()
+
+
+def test_planned_stop_ends_the_process_with_0(deployment):
+    process = deployment.processes[4]
+    process.send_signal(signal.SIGTERM)
+    wait_until(lambda: not deployment.is_ready(4), WAIT_S, "the check to fail")
+    assert process.wait(WAIT_S) == 0
