--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from bench import agreement, capacity, placement, policies, routing, tickets
+from bench import agreement, capacity, dispatch, placement, policies, routing, tickets
 
 MODULES = {
     "placement": placement,
@@ -11,6 +11,7 @@
     "agreement": agreement,
     "tickets": tickets,
     "capacity": capacity,
+    "dispatch": dispatch,
 }
 
 for name in sys.argv[1:] or MODULES:
