--- a/src/bluebellyoke/platform/bodies.py
+++ b/src/bluebellyoke/platform/bodies.py
@@ -28,7 +28,7 @@
     "format_task",
 ]
 
-#: Labels of a worker's kind have one letter, those of its rack more.
+#: States of a worker in its heartbeats.
 READY = "ready"
 DRAINING = "draining"
 
--- a/src/bluebellyoke/platform/settings.py
+++ b/src/bluebellyoke/platform/settings.py
@@ -5,7 +5,6 @@
 from pathlib import Path
 from typing import Annotated
 
-import msgspec
 import pydantic
 
 from bluebellyoke.settings import (
@@ -16,7 +15,13 @@
     SettingsError,
 )
 
-__all__ = ["PlatformSettings", "read_settings", "translate_settings"]
+__all__ = [
+    "PlatformSettings",
+    "find_path",
+    "read_settings",
+    "split_endpoint",
+    "translate_settings",
+]
 
 #: Environment variable that holds the path of the settings file.
 PATH_VARIABLE = "BLUEBELLYOKE_CONFIG"
@@ -152,8 +157,3 @@
     """Return IP number and port."""
     host, _, port = endpoint.rpartition(":")
     return host, int(port)
-
-
-def describe_settings(given: PlatformSettings) -> str:
-    """Return the settings as JSON, for the log line at the start."""
-    return msgspec.json.encode(given.model_dump(mode="json")).decode()
