--- a/src/bluebellyoke/dispatch/holds.py
+++ b/src/bluebellyoke/dispatch/holds.py
@@ -67,13 +67,20 @@
             self._roster.remove(member, "its lease has ended without an answer")
 
     def _send_hold(self, member: Member, now: float) -> None:
+        """Send a hold; one to a worker that did not answer the last renews nothing.
+
+        Otherwise the leader could never be sure that the lease of a lost worker ends.
+        """
         member.is_holding = True
+        deadline_ms = None
+        if not member.failures:
+            deadline_ms = member.promise(now, self._context.times)
         waits = member.is_held and not any(
             run.phase in (RunPhase.UNSURE, RunPhase.BARRED)
             for run in member.runs.values()
         )
         order = HoldOrder(
-            deadline_ms=member.promise(now, self._context.times),
+            deadline_ms=deadline_ms,
             fence=self._context.fence,
             seen=member.seen,
             wait_ms=HOLD_WAIT_MS if waits else 0,
--- a/tests/dispatch/test_duties.py
+++ b/tests/dispatch/test_duties.py
@@ -150,3 +150,24 @@
     world.duties.tick(world.now, world.now)
     (hold,) = [x for x in find_orders(world, "hold") if x.spec.id == worker.spec.id]
     assert hold.order.seen == 1
+
+
+def test_tasks_of_a_worker_that_never_answers_again_run_elsewhere(world):
+    """Its lease ends although the leader goes on to call it."""
+    world.submit(create_spec(ID))
+    plan(world)
+    move(world, ("start",))
+    (lost,) = [x for x in world.workers.values() if x.runs]
+    for _ in range(120):
+        world.advance(0.1)
+        world.tick()
+        for sent in find_orders(world, "hold"):
+            world.orders.remove(sent)
+            if sent.spec.id == lost.spec.id:
+                world.give_up(sent)
+            else:
+                world.deliver(sent)
+        move(world, ("start",))
+    (other,) = [x for x in world.workers.values() if x.runs]
+    assert other is not lost
+    assert world.book.workflows[ID].placed == 1
