Read and send whole bodies over ASGI in one place

Cause: instance/http.py and platform/listeners.py each had a reader of bodies, a sender of JSON, an exception for bodies that are too long and one for callers that leave. Ruled out: letting the adapter use private functions of the product's HTTP interface, which also routes. Now instance/asgi.py holds them once; Retry-After is worked out there for both.

--- a/src/bluebellyoke/instance/http.py
+++ b/src/bluebellyoke/instance/http.py
@@ -5,16 +5,23 @@
 
 import hashlib
 import logging
-import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 
-import msgspec
 from returns.pipeline import is_successful
 
 from bluebellyoke.clock import Clock
 from bluebellyoke.errors import BluebellyokeError
 from bluebellyoke.instance import border
 from bluebellyoke.instance.api import Api
+from bluebellyoke.instance.asgi import (
+    BodyTooLongError,
+    CallerLeftError,
+    Receive,
+    Scope,
+    Send,
+    read_body,
+    send_answer,
+)
 from bluebellyoke.instance.entry import Entry
 from bluebellyoke.instance.exchange import HOP_HEADERS, ExchangeRequest, Fate
 from bluebellyoke.instance.requests import CallerRequest, FinalAnswer
@@ -48,23 +55,6 @@
 #: Codes of unknown outcomes that only time has run out for.
 _TIMEOUT_CODES = frozenset({"timeout", "in-progress", "outcome-unknown"})
 
-Scope = dict
-Receive = Callable[[], Awaitable[dict]]
-Send = Callable[[dict], Awaitable[None]]
-
-
-class BodyTooLongError(BluebellyokeError):
-    """A body of the project's own paths exceeds its bound."""
-
-    def __init__(self) -> None:
-        super().__init__(
-            f"the body has more than {API_BODY_BYTES} bytes", remedy="split it"
-        )
-
-
-class CallerLeftError(Exception):
-    """The caller closed the connection before its request was whole."""
-
 
 class HttpInterface:
     """The ASGI application.
@@ -204,16 +194,18 @@
             status = 504 if answer.code in _TIMEOUT_CODES else 502
         else:
             status = _FIXED_STATUS.get(answer.code, 503)
-        headers = [(b"bluebellyoke-outcome", answer.fate.value.encode())]
-        if status in (429, 503):
-            wait = max(math.ceil(answer.retry_after_s), 1)
-            headers.append((b"retry-after", str(wait).encode()))
         body = {
             "outcome": answer.fate.value,
             "code": answer.code,
             "reason": answer.reason,
         }
-        await _send_json(send, status, body, headers)
+        await send_answer(
+            send,
+            status,
+            body,
+            headers=((b"bluebellyoke-outcome", answer.fate.value.encode()),),
+            retry_after_s=answer.retry_after_s,
+        )
 
     async def _send_done(
         self, answer: FinalAnswer, send: Send, *, is_head: bool
@@ -249,20 +241,14 @@
         method = scope["method"]
         parts = tuple(part for part in path.split("/") if part)
         try:
-            body = await _read_body(receive)
+            body = await read_body(receive, API_BODY_BYTES)
             status, value = await self._api.answer(method, parts, body)
         except BodyTooLongError as error:
             status, value = 413, {"code": "body-too-long", "reason": str(error)}
         except BluebellyokeError as error:
             status = 503
             value = {"code": "unavailable", "reason": str(error)}
-        headers = [(b"retry-after", b"1")] if status == 503 else []
-        if isinstance(value, bytes):
-            await _send_bytes(send, status, value, headers)
-        elif isinstance(value, str):
-            await _send_bytes(send, status, value.encode(), headers, b"text/plain")
-        else:
-            await _send_json(send, status, value, headers)
+        await send_answer(send, status, value)
 
 
 class TruncatedAnswerError(Exception):
@@ -320,46 +306,3 @@
         yield message.get("body", b"")
         if not message.get("more_body"):
             return
-
-
-async def _read_body(receive: Receive) -> bytes:
-    chunks: list[bytes] = []
-    size = 0
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            raise CallerLeftError()
-        chunk = message.get("body", b"")
-        size += len(chunk)
-        if size > API_BODY_BYTES:
-            raise BodyTooLongError()
-        chunks.append(chunk)
-        if not message.get("more_body"):
-            return b"".join(chunks)
-
-
-async def _send_json(
-    send: Send, status: int, value, headers: list[tuple[bytes, bytes]]
-) -> None:
-    await _send_bytes(send, status, msgspec.json.encode(value), headers)
-
-
-async def _send_bytes(
-    send: Send,
-    status: int,
-    body: bytes,
-    headers: list[tuple[bytes, bytes]],
-    content_type: bytes = b"application/json",
-) -> None:
-    await send(
-        {
-            "type": "http.response.start",
-            "status": status,
-            "headers": [
-                (b"content-type", content_type),
-                (b"content-length", str(len(body)).encode()),
-                *headers,
-            ],
-        }
-    )
-    await send({"type": "http.response.body", "body": body})
--- a/src/bluebellyoke/platform/listeners.py
+++ b/src/bluebellyoke/platform/listeners.py
@@ -1,11 +1,17 @@
 """What the platform, its clients, workers and operators call, as ASGI applications."""
 
 import logging
-from collections.abc import Callable
-
-import msgspec
 
 from bluebellyoke.instance import wire as w
+from bluebellyoke.instance.asgi import (
+    BodyTooLongError,
+    CallerLeftError,
+    Receive,
+    Scope,
+    Send,
+    read_body,
+    send_answer,
+)
 from bluebellyoke.instance.gateway import GatewayParts
 from bluebellyoke.platform import bodies
 from bluebellyoke.workflow.specs import WorkerSpec
@@ -44,63 +50,41 @@
 INSTANCES = "/-/instances/"
 
 
-class ClientLeftError(Exception):
-    """The client closed the connection before its request was whole."""
-
-
-class BodyTooLongError(Exception):
-    """The body is longer than any that is allowed."""
-
-
 class _App:
     """Common parts of the applications."""
 
     def __init__(self, parts: GatewayParts) -> None:
         self.parts = parts
 
-    async def __call__(self, scope: dict, receive: Callable, send: Callable) -> None:
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one HTTP request."""
         if scope["type"] != "http":
             return
         try:
-            body = await _read_body(receive)
+            body = await read_body(receive, BODY_BYTES)
             status, value = await self.answer(scope, body)
-        except ClientLeftError:
+        except CallerLeftError:
             return
-        except BodyTooLongError:
-            status, value = 413, {"Error": f"more than {BODY_BYTES} bytes"}
+        except BodyTooLongError as error:
+            status, value = 413, {"Error": str(error)}
         except bodies.UnreadableBodyError as error:
             logger.info(
                 "platform: refuses a body",
                 extra={"path": scope["path"], "fault": str(error)},
             )
             status, value = 400, {"Error": str(error)}
-        await self._send(send, status, value)
+        leaving = ((b"connection", b"close"),) if self.parts.is_leaving() else ()
+        await send_answer(send, status, value, headers=leaving)
 
-    async def answer(self, scope: dict, body: bytes) -> tuple[int, object]:
+    async def answer(self, scope: Scope, body: bytes) -> tuple[int, object]:
         """Return status code and value of the answer."""
         raise NotImplementedError
 
-    async def _send(self, send: Callable, status: int, value) -> None:
-        body = value if isinstance(value, bytes) else msgspec.json.encode(value)
-        headers = [
-            (b"content-type", b"application/json"),
-            (b"content-length", str(len(body)).encode()),
-        ]
-        if status in (429, 503):
-            headers.append((b"retry-after", b"1"))
-        if self.parts.is_leaving():
-            headers.append((b"connection", b"close"))
-        await send(
-            {"type": "http.response.start", "status": status, "headers": headers}
-        )
-        await send({"type": "http.response.body", "body": body})
-
 
 class ReadyApp(_App):
     """The platform's readiness check."""
 
-    async def answer(self, scope: dict, body: bytes) -> tuple[int, object]:
+    async def answer(self, scope: Scope, body: bytes) -> tuple[int, object]:
         """Tell whether clients may be sent here."""
         return (200 if self.parts.is_ready() else 503), {}
 
@@ -108,7 +92,7 @@
 class FrontApp(_App):
     """Clients' requests to queues."""
 
-    async def answer(self, scope: dict, body: bytes) -> tuple[int, object]:
+    async def answer(self, scope: Scope, body: bytes) -> tuple[int, object]:
         """Pass a request on and translate what comes back."""
         action = _ACTIONS.get(scope["method"])
         if action is None:
@@ -133,7 +117,7 @@
 class ControlApp(_App):
     """Workers' heartbeats and the operator's calls."""
 
-    async def answer(self, scope: dict, body: bytes) -> tuple[int, object]:
+    async def answer(self, scope: Scope, body: bytes) -> tuple[int, object]:
         """Pass a call on and translate what comes back."""
         method, path = scope["method"], scope["path"]
         if path == "/-/config":
@@ -182,19 +166,3 @@
     if not text.isdigit():
         return DEFAULT_TIMEOUT_S
     return max(int(text) / 1000 - RETURN_S, 0.1)
-
-
-async def _read_body(receive: Callable) -> bytes:
-    chunks = []
-    size = 0
-    while True:
-        message = await receive()
-        if message["type"] == "http.disconnect":
-            raise ClientLeftError()
-        chunk = message.get("body", b"")
-        size += len(chunk)
-        if size > BODY_BYTES:
-            raise BodyTooLongError()
-        chunks.append(chunk)
-        if not message.get("more_body"):
-            return b"".join(chunks)
