--- a/src/bluebellyoke/instance/link.py
+++ b/src/bluebellyoke/instance/link.py
@@ -16,6 +16,7 @@
 from bluebellyoke.errors import BluebellyokeError
 from bluebellyoke.instance import wire as w
 from bluebellyoke.instance.codec import LINK_METHOD
+from bluebellyoke.instance.search import LeaderSearch
 from bluebellyoke.instance.streams import (
     CONNECTION_ERRORS,
     StreamClosedError,
@@ -30,6 +31,10 @@
 RETRY_MIN_S = 0.03
 RETRY_MAX_S = 0.1
 
+#: Part of the time that a leader may be silent in which a replica has to welcome or
+#: redirect an instance.
+WELCOME_SHARE = 0.6
+
 #: Calls that wait for the leader, at most.
 CALLS_LIMIT = 10_000
 
@@ -91,10 +96,8 @@
         list_known: Callable[[], Iterable[str]] = tuple,
     ) -> None:
         self._silence_s = silence_s
-        self._list_known = list_known
+        self._search = LeaderSearch(seeds=seeds, list_known=list_known)
         self._hello = hello
-        self._seeds = tuple(seeds)
-        self._peers: tuple[str, ...] = ()
         self._clock = clock
         self._begin_stream = begin_stream
         self._build_poll = build_poll
@@ -105,8 +108,6 @@
         self._outbox: list[w.FromInstance] = []
         self._wake = anyio.Event()
         self._poll_wanted = False
-        self._leader = ""
-        self._attempts = 0
         self._joined = anyio.Event()
         self.connected = False
 
@@ -150,7 +151,7 @@
 
     def set_seeds(self, seeds: Iterable[str]) -> None:
         """Use other addresses to find the cell."""
-        self._seeds = tuple(seeds)
+        self._search.set_seeds(seeds)
 
     def poll_soon(self) -> None:
         """Send the next poll without waiting for its time."""
@@ -168,7 +169,7 @@
     async def run(self) -> None:
         """Keep a stream to the leader until cancelled."""
         while True:
-            address = self._choose_address()
+            address = self._search.choose()
             try:
                 await self._serve(address)
             except* CONNECTION_ERRORS as errors:
@@ -183,19 +184,10 @@
                 self.connected = False
             await anyio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
 
-    def _choose_address(self) -> str:
-        """Return the known leader, or the members and seeds in turn."""
-        leader, self._leader = self._leader, ""
-        if leader:
-            return leader
-        known = list(dict.fromkeys((*self._peers, *self._list_known(), *self._seeds)))
-        self._attempts += 1
-        return known[self._attempts % len(known)]
-
     # One stream.
 
     async def _serve(self, address: str) -> None:
-        with anyio.fail_after(self._silence_s) as scope:
+        with anyio.fail_after(self._silence_s * WELCOME_SHARE) as scope:
             async with open_stream(
                 address, LINK_METHOD, "FromInstance", "FromLeader"
             ) as stream:
@@ -205,7 +197,7 @@
                     self._follow_redirect(first)
                     return
                 scope.deadline = float("inf")
-                self._leader = address
+                self._search.note_reached(address)
                 self.connected = True
                 self._joined.set()
                 self._begin_stream()
@@ -219,14 +211,14 @@
                 heard = [self._clock.monotonic()]
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self._send, stream)
-                    tasks.start_soon(self._watch, heard)
+                    tasks.start_soon(self._watch, address, heard)
                     await self._receive(stream, heard)
                     raise StreamClosedError()
 
     def _follow_redirect(self, message: w.FromLeader | None) -> None:
         if isinstance(message, w.Redirect):
-            self._leader = message.address
-            self._peers = message.peers or self._peers
+            self._search.note_hint(message.address)
+            self._search.note_peers(message.peers)
 
     async def _send(self, stream) -> None:
         due = self._clock.monotonic()
@@ -250,7 +242,6 @@
             heard[0] = self._clock.monotonic()
             for message in batch:
                 if isinstance(message, w.Redirect):
-                    self._leader = ""
                     self._follow_redirect(message)
                     return
                 self._take(message)
@@ -260,7 +251,7 @@
             self._finish_call(message)
             return
         if isinstance(message, w.PollReply):
-            self._peers = message.peers or self._peers
+            self._search.note_peers(message.peers)
         self._on_message(message)
 
     def _finish_call(self, reply: w.Reply) -> None:
@@ -269,10 +260,10 @@
             pending.answer = reply.body
             pending.done.set()
 
-    async def _watch(self, heard: list[float]) -> None:
+    async def _watch(self, address: str, heard: list[float]) -> None:
         """End the stream when the leader has been silent."""
         while True:
             await anyio.sleep(self._silence_s / 4)
             if self._clock.monotonic() - heard[0] > self._silence_s:
-                self._leader = ""
+                self._search.note_silent(address)
                 raise StreamClosedError()
--- a/src/bluebellyoke/leader/director.py
+++ b/src/bluebellyoke/leader/director.py
@@ -173,13 +173,22 @@
                 body, wall, lambda result: session.send(w.Reply(call.id, result))
             )
         elif isinstance(body, w.Query):
-            session.send(w.Reply(call.id, reports.answer(self, body, now, wall)))
+            session.send(w.Reply(call.id, self._answer_query(body, now, wall)))
         else:
             self._proposals.add(
                 _stamp(body, wall),
                 lambda result: self._finish_call(session, call, result, now),
             )
 
+    def _answer_query(self, query: w.Query, now: float, wall: float) -> w.QueryReply:
+        evidence = reports.Evidence(
+            state=self.state,
+            sessions=self.sessions,
+            slots=self.slots,
+            obstacles=self.engine.obstacles,
+        )
+        return reports.answer(evidence, query, now, wall)
+
     def _finish_call(
         self, session: Session, call: w.Call, result: c.Result, now: float
     ) -> None:
--- a/src/bluebellyoke/leader/reports.py
+++ b/src/bluebellyoke/leader/reports.py
@@ -1,40 +1,54 @@
 """Answers to questions about the cell: status, jobs, tickets and explanations."""
 
-from typing import TYPE_CHECKING
+from collections.abc import Mapping
+from dataclasses import dataclass
 
 import msgspec
 from msgspec.structs import asdict
 
 from bluebellyoke.cell.jobs import Job, Task, TaskState
+from bluebellyoke.cell.state import CellState
 from bluebellyoke.instance import wire as w
+from bluebellyoke.leader.sessions import Session
+from bluebellyoke.leader.slots import SlotDuties
 
-if TYPE_CHECKING:
-    from bluebellyoke.leader.director import Director
-
-__all__ = ["answer"]
+__all__ = ["Evidence", "answer"]
 
 #: Tasks that one answer lists, at most.
 LISTED_TASKS = 100
 
 
-def answer(
-    director: "Director", query: w.Query, now: float, wall: float
-) -> w.QueryReply:
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Evidence:
+    """What the leader's answers are drawn from.
+
+    Attributes:
+        sessions: Streams of the instances, by number.
+        obstacles: Why jobs found no place in the last round, by job.
+    """
+
+    state: CellState
+    sessions: Mapping[int, Session]
+    slots: SlotDuties
+    obstacles: Mapping[str, str]
+
+
+def answer(evidence: Evidence, query: w.Query, now: float, wall: float) -> w.QueryReply:
     """Return the answer to a query, as JSON."""
     if query.topic == "configuration":
-        document = director.state.workflows.configuration.document
+        document = evidence.state.workflows.configuration.document
         return w.QueryReply(bool(document), document)
     build = _TOPICS.get(query.topic)
-    report = build(director, query.subject, now, wall) if build else None
+    report = build(evidence, query.subject, now, wall) if build else None
     if report is None:
         missing = {"reason": f"nothing is known of {query.topic} {query.subject!r}"}
         return w.QueryReply(False, msgspec.json.encode(missing))
     return w.QueryReply(True, msgspec.json.encode(report))
 
 
-def report_status(director: "Director", subject: str, now: float, wall: float) -> dict:
+def report_status(evidence: Evidence, subject: str, now: float, wall: float) -> dict:
     """Return the cell at a glance, and which instance has which view in force."""
-    state = director.state
+    state = evidence.state
     book = state.book
     counts = [0] * len(TaskState)
     for job in book.jobs.values():
@@ -47,11 +61,11 @@
             session.instance: {
                 "version": session.view_version,
                 "in_force": session.view_version == state.version,
-                "live": director.slots.is_live(session.holder, now),
+                "live": evidence.slots.is_live(session.holder, now),
                 "draining": session.draining,
                 "data_centre": session.data_centre,
             }
-            for session in director.sessions.values()
+            for session in evidence.sessions.values()
         },
         "workers": {
             "live": sum(worker.alive for worker in book.workers.values()),
@@ -81,10 +95,10 @@
 
 
 def report_job(
-    director: "Director", subject: str, now: float, wall: float
+    evidence: Evidence, subject: str, now: float, wall: float
 ) -> dict | None:
     """Return a job and the tasks that have not simply ended."""
-    job = director.state.book.jobs.get(subject)
+    job = evidence.state.book.jobs.get(subject)
     if job is None:
         return None
     return {
@@ -112,16 +126,16 @@
 
 
 def report_explanation(
-    director: "Director", subject: str, now: float, wall: float
+    evidence: Evidence, subject: str, now: float, wall: float
 ) -> dict | None:
     """Return why the tasks of a job wait, or where they went."""
-    job = director.state.book.jobs.get(subject)
+    job = evidence.state.book.jobs.get(subject)
     if job is None:
         return None
     return {
         "id": subject,
         "state": job.describe(),
-        "why": _explain(director, job, wall),
+        "why": _explain(evidence, job, wall),
         "need": asdict(job.need),
         "declared_need": asdict(job.spec.need),
         "expected_s": job.expected_s,
@@ -130,33 +144,33 @@
     }
 
 
-def _explain(director: "Director", job: Job, wall: float) -> str:
+def _explain(evidence: Evidence, job: Job, wall: float) -> str:
     if job.finished_at:
         return job.reason or f"it has finished: {job.describe()}"
     if job.counts[TaskState.BACKOFF]:
         return "a task failed and waits before its next start"
     if not job.waiting:
         return "every task has a place"
-    obstacle = director.engine.obstacles.get(job.spec.id)
+    obstacle = evidence.obstacles.get(job.spec.id)
     if obstacle:
         return f"waits: {obstacle}"
-    if not director.state.book.total.cpu_millis:
+    if not evidence.state.book.total.cpu_millis:
         return "waits: no worker is in the cell"
     return "waits for its turn by the fair order of the workspaces"
 
 
 def report_ticket(
-    director: "Director", subject: str, now: float, wall: float
+    evidence: Evidence, subject: str, now: float, wall: float
 ) -> dict | None:
     """Return the outcome of a ticket, or the objects in force without a number."""
-    state = director.state
+    state = evidence.state
     if subject:
         record = state.tickets.records.get(int(subject)) if subject.isdigit() else None
         if record is None:
             return None
         waiting = sorted(
             session.instance
-            for session in director.sessions.values()
+            for session in evidence.sessions.values()
             if session.view_version < record.version
         )
         return {
--- a/src/bluebellyoke/platform/settings.py
+++ b/src/bluebellyoke/platform/settings.py
@@ -36,10 +36,10 @@
 REPLACE_AFTER_S = 30.0
 
 #: Shortest election timeout. A short task is late after 0.6 s without a leader.
-ELECTION_S = 0.4
+ELECTION_S = 0.25
 
 #: Silence after which an instance seeks another leader, in seconds.
-LEADER_SILENCE_S = 0.5
+LEADER_SILENCE_S = 0.3
 
 #: Log size after which a snapshot is taken, in MiB.
 SNAPSHOT_MB = 8
