Settle starts without an answer at once, by looks beside the waiting hold

The leader noticed after 1 s, then waited up to 1 s for the hold under way, barred the run, and waited for the next hold: jobs of 0.6 s took 2.5 to 4.6 s. Ruled out: the plan and the commit (0.02 to 0.05 s from arrival to the first start, also in the burst). Change: a start, a stop or a look has 0.35 s; a run in doubt is asked for by a look, which renews nothing, and again once its stop is accepted; a worker that did not answer a start gets no other until it has answered something since. Three tests, which fail without it.

--- a/src/bluebellyoke/dispatch/calls.py
+++ b/src/bluebellyoke/dispatch/calls.py
@@ -27,8 +27,9 @@
 
 logger = logging.getLogger("bluebellyoke.dispatch")
 
-#: Time for the answer of a start or stop, in seconds.
-ORDER_TIMEOUT_S = 1.0
+#: Time for the answer of a start, a stop or a look, in seconds. A worker answers them
+#: in milliseconds; what is late is settled by another call.
+ORDER_TIMEOUT_S = 0.35
 
 #: Time for the answer of a hold beyond its own wait, in seconds.
 HOLD_SLACK_S = 0.8
@@ -109,10 +110,11 @@
 
     async def _hold(self, worker: WorkerSpec, order: HoldOrder, term: int) -> None:
         sent_at = self._clock.monotonic()
+        timeout_s = order.wait_ms / 1000 + HOLD_SLACK_S
         report, fault = await _attempt(
             self._caller.hold(worker, order),
             worker,
-            order.wait_ms / 1000 + HOLD_SLACK_S,
+            ORDER_TIMEOUT_S if order.is_look else timeout_s,
         )
         self._post(
             HoldFinished(
@@ -122,6 +124,7 @@
                 fault=fault,
                 sent_at=sent_at,
                 report=report,
+                is_look=order.is_look,
             )
         )
 
--- a/src/bluebellyoke/dispatch/duties.py
+++ b/src/bluebellyoke/dispatch/duties.py
@@ -17,6 +17,7 @@
 from bluebellyoke.dispatch.calls import WorkerCalls
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.holds import Holds
+from bluebellyoke.dispatch.looks import Looks
 from bluebellyoke.dispatch.members import LeaseTimes, Member
 from bluebellyoke.dispatch.records import Records
 from bluebellyoke.dispatch.roster import Roster
@@ -63,10 +64,13 @@
     ) -> None:
         context = DispatchContext(proposals, calls, times or LeaseTimes())
         self._context = context
-        self._stops = Stops(context)
+        looks = Looks(context)
+        self._stops = Stops(context, looks=looks)
         self._records = Records(context, self._stops)
         self._roster = Roster(context, self._stops)
-        self._starts = Starts(context, stops=self._stops, records=self._records)
+        self._starts = Starts(
+            context, stops=self._stops, records=self._records, looks=looks
+        )
         self._holds = Holds(
             context, stops=self._stops, records=self._records, roster=self._roster
         )
--- a/src/bluebellyoke/dispatch/events.py
+++ b/src/bluebellyoke/dispatch/events.py
@@ -30,6 +30,7 @@
 
     sent_at: float
     report: HoldReport | None = None
+    is_look: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/bluebellyoke/dispatch/holds.py
+++ b/src/bluebellyoke/dispatch/holds.py
@@ -93,13 +93,14 @@
         """Compare a worker's lists with the book."""
         report = event.report
         if report is None:
-            member.is_holding = False
-            self._on_failed_hold(member, event, now)
+            self._note_end(member, event)
+            if not event.is_look:
+                self._on_failed_hold(member, event, now)
             return
         if report.born and report.born != member.spec.born:
             self._roster.remove(member, "another life answers")
             return
-        if member.failures or not member.is_held:
+        if member.failures or not member.is_held or member.is_doubted:
             logger.info(
                 "dispatch: reached a worker",
                 extra={"worker": member.spec.id, "failures": member.failures},
@@ -114,7 +115,15 @@
         if report.complete:
             ends += self._settle_absent(member, report, event.sent_at, now)
         last = max((end.number for end in report.ended), default=member.seen)
-        self._record_ends(member, ends, last, wall)
+        self._record_ends(member, ends, last, event, wall)
+
+    def _note_end(self, member: Member, event: HoldFinished) -> None:
+        """Note that the next hold or look may be sent."""
+        if event.is_look:
+            member.is_looking = False
+        else:
+            member.is_holding = False
+            member.hold_due = self._context.now
 
     def _on_failed_hold(self, member: Member, event: HoldFinished, now: float) -> None:
         member.failures += 1
@@ -198,14 +207,18 @@
         return ends
 
     def _record_ends(
-        self, member: Member, ends: list[wc.RunEnd], last: int, wall: float
+        self,
+        member: Member,
+        ends: list[wc.RunEnd],
+        last: int,
+        event: HoldFinished,
+        wall: float,
     ) -> None:
         """Commit ends, and only then acknowledge them by the next hold."""
 
         def acknowledge() -> None:
             member.seen = max(member.seen, last)
-            member.is_holding = False
-            member.hold_due = self._context.now
+            self._note_end(member, event)
 
         if ends:
             self._records.commit(member, ends, wall, acknowledge)
--- a/src/bluebellyoke/dispatch/members.py
+++ b/src/bluebellyoke/dispatch/members.py
@@ -81,6 +81,8 @@
         foreign: Runs that it lists and that are not assigned to it.
         failures: Holds that failed since the last answer.
         suspect_until: Monotonic time until which it gets no new task.
+        doubted_at: Time of the latest start that it did not answer; it gets no new
+            task until it has answered a hold or a look after that.
         failed_workflows: Workflows of which a task failed here since one was done.
         pauses: Times that it was set aside for failures since one was done; until
             then it gets tasks only while it runs none.
@@ -95,9 +97,11 @@
     seen: int = 0
     is_held: bool = False
     is_holding: bool = False
+    is_looking: bool = False
     hold_due: float = 0.0
     failures: int = 0
     suspect_until: float = 0.0
+    doubted_at: float = 0.0
     has_left: bool = False
     failed_workflows: set[str] = field(default_factory=set)
     pauses: int = 0
@@ -110,6 +114,11 @@
         """Room that no run may take."""
         return self.spec.capacity - self.taken
 
+    @property
+    def is_doubted(self) -> bool:
+        """Whether it has not answered since a start went without an answer."""
+        return self.heard_at < self.doubted_at
+
     def add_run(
         self, key: RunKey, need: Resources, phase: RunPhase, now: float
     ) -> None:
@@ -188,5 +197,6 @@
             and not self.foreign
             and now - self.heard_at < silence_s
             and now >= self.suspect_until
+            and not self.is_doubted
             and not (self.pauses and self.runs)
         )
--- a/src/bluebellyoke/dispatch/ports.py
+++ b/src/bluebellyoke/dispatch/ports.py
@@ -117,12 +117,14 @@
     Attributes:
         seen: Number of the last end that is recorded.
         wait_ms: Time for which the answer may wait for an end.
+        is_look: Whether it is sent beside a hold that may wait.
     """
 
     deadline_ms: int | None
     fence: int
     seen: int
     wait_ms: int = 0
+    is_look: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -5,6 +5,7 @@
 from bluebellyoke.cell.result import Result
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.events import StartFinished
+from bluebellyoke.dispatch.looks import Looks
 from bluebellyoke.dispatch.members import Member, RunPhase
 from bluebellyoke.dispatch.planner import PlannedStart, Planner
 from bluebellyoke.dispatch.ports import (
@@ -21,7 +22,7 @@
 
 logger = logging.getLogger("bluebellyoke.dispatch")
 
-#: Time for which a worker that was unhealthy or not reached gets no new task.
+#: Time for which a worker that was unhealthy gets no new task, in seconds.
 SUSPECT_S = 0.7
 
 #: Answers to a start that make the worker suspect.
@@ -35,12 +36,19 @@
         context: State of the duties.
         stops: Stops of runs.
         records: Records of ends.
+        looks: Requests for the workers' lists.
     """
 
     def __init__(
-        self, context: DispatchContext, *, stops: Stops, records: Records
+        self,
+        context: DispatchContext,
+        *,
+        stops: Stops,
+        records: Records,
+        looks: Looks,
     ) -> None:
         self._context = context
+        self._looks = looks
         self._stops = stops
         self._records = records
         self._planner = Planner(context.advice)
@@ -130,8 +138,11 @@
         never_ran = event.answer not in (None, StartAnswer.FENCED) or isinstance(
             event.fault, (NotReachedError, OtherLifeError)
         )
-        if event.fault is not None or event.answer in _SUSPICIOUS:
-            member.suspect_until = now + SUSPECT_S
+        if event.fault is not None:
+            member.doubted_at = now
+            self._looks.request(member)
+        if event.answer in _SUSPICIOUS:
+            member.suspect_until = max(member.suspect_until, now + SUSPECT_S)
         if event.answer is StartAnswer.BAD_TICKET:
             step = (key[0].workflow, key[0].repetition, key[0].step)
             self._context.advice.find(step).expire(member.spec.key)
--- a/src/bluebellyoke/dispatch/stops.py
+++ b/src/bluebellyoke/dispatch/stops.py
@@ -4,6 +4,7 @@
 
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.events import StopFinished
+from bluebellyoke.dispatch.looks import Looks
 from bluebellyoke.dispatch.members import Member, RunPhase
 from bluebellyoke.dispatch.ports import StopOrder
 from bluebellyoke.workflow import commands as wc
@@ -18,10 +19,12 @@
 
     Args:
         context: State of the duties.
+        looks: Requests for the workers' lists.
     """
 
-    def __init__(self, context: DispatchContext) -> None:
+    def __init__(self, context: DispatchContext, *, looks: Looks) -> None:
         self._context = context
+        self._looks = looks
 
     def is_over(self, name: wc.TaskName) -> bool:
         """Return whether a task's workflow has ended or is unknown."""
@@ -84,3 +87,4 @@
             return
         phase = RunPhase.BARRED if event.accepted else RunPhase.UNSURE
         member.set_phase(event.key, phase, now)
+        self._looks.request(member)
--- a/tests/dispatch/test_duties.py
+++ b/tests/dispatch/test_duties.py
@@ -171,3 +171,71 @@
     (other,) = [x for x in world.workers.values() if x.runs]
     assert other is not lost
     assert world.book.workflows[ID].placed == 1
+
+
+def lose_start(world):
+    """Let a start go unanswered while the holds wait; return it."""
+    world.submit(create_spec(ID))
+    plan(world)
+    (lost,) = find_orders(world, "start")
+    world.orders.remove(lost)
+    world.advance(0.4)
+    world.give_up(lost)
+    move(world, ())
+    return lost
+
+
+def find_looks(world):
+    return [sent for sent in find_orders(world, "hold") if sent.order.is_look]
+
+
+def move_looks(world):
+    for sent in find_looks(world):
+        world.orders.remove(sent)
+        world.deliver(sent)
+    move(world, ())
+
+
+def test_start_without_an_answer_is_settled_while_the_hold_still_waits(world):
+    lost = lose_start(world)
+    world.advance(0.01)
+    move_looks(world)
+    move(world, ("stop",))
+    world.advance(0.01)
+    move_looks(world)
+    plan(world)
+    (again,) = find_orders(world, "start")
+    assert again.order.run == lost.order.run + 1
+    assert world.now - lost.sent_at < 0.5
+
+
+def test_worker_that_did_not_answer_a_start_gets_none_until_it_answers(world):
+    lost = lose_start(world)
+    for number in range(2, 12):
+        world.submit(create_spec(f"{number:016x}"))
+    plan(world)
+    assert lost.spec.id not in {x.spec.id for x in find_orders(world, "start")}
+    world.advance(0.01)
+    move_looks(world)
+    plan(world)
+    assert lost.spec.id in {x.spec.id for x in find_orders(world, "start")}
+
+
+def test_run_that_a_look_shows_keeps_running(world):
+    """Its answer was only late."""
+    world.submit(create_spec(ID))
+    plan(world)
+    (late,) = find_orders(world, "start")
+    world.orders.remove(late)
+    world.deliver(late)
+    world.answers.clear()
+    late.is_answered = False
+    world.advance(0.4)
+    world.give_up(late)
+    move(world, ())
+    world.advance(0.01)
+    move_looks(world)
+    plan(world)
+    assert find_orders(world, "stop") == []
+    assert find_orders(world, "start") == []
+    assert world.workers[late.spec.id].runs
--- a/tests/dispatch/world.py
+++ b/tests/dispatch/world.py
@@ -28,6 +28,8 @@
 
 LONGEST_MS = 6000
 
+CALL_DELAY_S = 1e-6
+
 
 @dataclass
 class Order:
@@ -91,7 +93,8 @@
         self._add("hold", spec, order)
 
     def _add(self, kind, spec, order):
-        sent = Order(kind, spec, order, self.term, self.world.now)
+        # A call leaves just after the turn that wants it.
+        sent = Order(kind, spec, order, self.term, self.world.now + CALL_DELAY_S)
         self.world.orders.append(sent)
 
 
@@ -195,7 +198,12 @@
         sent.is_answered = True
         base = {"term": sent.term, "worker": sent.spec.id, "born": sent.spec.born}
         if sent.kind == "hold":
-            event = e.HoldFinished(**base, sent_at=sent.sent_at, **fields)
+            event = e.HoldFinished(
+                **base,
+                sent_at=sent.sent_at,
+                is_look=sent.order.is_look,
+                **fields,
+            )
         else:
             key = (sent.order.task, sent.order.run)
             kind = e.StartFinished if sent.kind == "start" else e.StopFinished
