End calls once no leader has been found for long

Ruled out: calls that wait for a stream, which end after 0.9 s. Change: a call is given up when there has been no stream for its patience: 1.2 s for what may have been carried out, 0.5 s for reads, which are answered 503 since they change nothing.

--- a/src/bluebellyoke/instance/link.py
+++ b/src/bluebellyoke/instance/link.py
@@ -7,6 +7,7 @@
 
 import itertools
 import logging
+import math
 import random
 from collections.abc import Callable, Iterable
 
@@ -58,10 +59,11 @@
 class _PendingCall:
     """A call that waits for its answer."""
 
-    __slots__ = ("answer", "body", "done")
+    __slots__ = ("answer", "body", "done", "patience_s")
 
-    def __init__(self, body) -> None:
+    def __init__(self, body, patience_s: float) -> None:
         self.body = body
+        self.patience_s = patience_s
         self.done = anyio.Event()
         self.answer = None
 
@@ -109,21 +111,27 @@
         self._wake = anyio.Event()
         self._poll_wanted = False
         self._joined = anyio.Event()
+        self._parted_at = clock.monotonic()
         self.connected = False
 
     # What others use.
 
-    async def call(self, body, timeout_s: float):
+    async def call(self, body, timeout_s: float, patience_s: float = math.inf):
         """Send a call to the leader and return its answer.
 
+        Args:
+            timeout_s: Time for the answer.
+            patience_s: Time without a stream to any leader after which the call is
+                given up before that.
+
         Raises:
-            NoLeaderError: No answer came within `timeout_s`; the call may have worked.
+            NoLeaderError: No answer came in time; the call may have worked.
             TooManyCallsError: Too many calls wait already; this one was not sent.
         """
         if len(self._calls) >= CALLS_LIMIT:
             raise TooManyCallsError()
         number = next(self._numbers)
-        pending = self._calls[number] = _PendingCall(body)
+        pending = self._calls[number] = _PendingCall(body, patience_s)
         self._outbox.append(w.Call(number, body))
         self._wake.set()
         try:
@@ -178,12 +186,24 @@
                     extra={"peer": address, "error": str(errors.exceptions[0])},
                 )
             finally:
-                if self.connected:
-                    logger.info("link: lost the leader", extra={"peer": address})
-                    self._joined = anyio.Event()
-                self.connected = False
+                self._note_parted(address)
+            self._give_up_calls()
             await anyio.sleep(random.uniform(RETRY_MIN_S, RETRY_MAX_S))
 
+    def _note_parted(self, address: str) -> None:
+        if self.connected:
+            logger.info("link: lost the leader", extra={"peer": address})
+            self._joined = anyio.Event()
+            self._parted_at = self._clock.monotonic()
+        self.connected = False
+
+    def _give_up_calls(self) -> None:
+        """End the calls that have waited long enough for a leader to be found."""
+        parted_s = self._clock.monotonic() - self._parted_at
+        for pending in self._calls.values():
+            if parted_s > pending.patience_s:
+                pending.done.set()
+
     # One stream.
 
     async def _serve(self, address: str) -> None:
--- a/src/bluebellyoke/instance/queues.py
+++ b/src/bluebellyoke/instance/queues.py
@@ -21,7 +21,11 @@
 #: Time for which a request waits for a stream to the leader, in seconds. An election
 #: takes less; a caller that is refused comes back after a whole second at the earliest.
 LINK_WAIT_S = 0.9
-READ_LINK_WAIT_S = 0.3
+READ_LINK_WAIT_S = 0.5
+
+#: Time without a leader after which a request that was on its way to one is given up,
+#: in seconds. It may have been carried out, so it is worth a longer wait.
+SENT_PATIENCE_S = 1.2
 
 #: Time within which a worker or an operator gets an answer, in seconds.
 ANNOUNCE_TIMEOUT_S = 0.9
@@ -103,9 +107,12 @@
             return w.QueueReply(UNAVAILABLE, reason="no leader is known now")
         body = w.QueueRequest(action, host, path, draft)
         try:
-            return await self._link.call(body, timeout_s)
+            patience_s = READ_LINK_WAIT_S if is_read else SENT_PATIENCE_S
+            return await self._link.call(body, timeout_s, patience_s)
         except NoLeaderError:
-            return w.QueueReply(UNANSWERED, reason="the leader has not answered")
+            # A read changes nothing, so whoever asked may simply ask again.
+            code = UNAVAILABLE if is_read else UNANSWERED
+            return w.QueueReply(code, reason="the leader has not answered")
         except TooManyCallsError as error:
             return w.QueueReply(UNAVAILABLE, reason=str(error))
 
