--- a/src/bluebellyoke/dispatch/members.py
+++ b/src/bluebellyoke/dispatch/members.py
@@ -21,6 +21,10 @@
 PAUSE_S = 1.0
 LONGEST_PAUSE_S = 8.0
 
+#: Part of its estimate for which a run may last before it is looked for; estimates of
+#: jobs are rough, and the worker's own figures replace them with its next answer.
+ESTIMATE_SLACK = 1.5
+
 #: Time after its expected end at which a run is looked for, and shortest time from an
 #: answer of a worker to a look, in seconds. A look costs about as much as a hold.
 OVERDUE_S = 0.15
@@ -160,7 +164,7 @@
         self.taken = self.taken + need
         if estimate_s:
             run.begun_at = now
-            run.due_at = now + estimate_s
+            run.due_at = now + estimate_s * ESTIMATE_SLACK
             self.look_due = min(self.look_due, run.due_at + OVERDUE_S)
 
     def set_look_due(self, now: float) -> None:
--- a/src/bluebellyoke/explanation.py
+++ b/src/bluebellyoke/explanation.py
@@ -10,13 +10,16 @@
 import json
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
-from datetime import datetime
+from datetime import datetime, timedelta
 
 __all__ = ["Explanation", "LogLine", "Part", "Verdict", "explain_request", "read_lines"]
 
 #: Time around a refusal in which a change of the leader explains it, in seconds.
 LEADER_CHANGE_S = 3.0
 
+#: Largest difference between two instances' clocks that is expected.
+CLOCK_SKEW = timedelta(milliseconds=100)
+
 #: Workers on which a failed workflow failed before the workflow itself is blamed.
 BLAMED_WORKERS = 2
 
@@ -188,7 +191,7 @@
     elections = [line for line in others if line.message == _LEADS]
     parts = []
     for before, after in itertools.pairwise(way):
-        seconds = (after.time - before.time).total_seconds()
+        seconds = max((after.time - before.time).total_seconds(), 0.0)
         why = _name_wait(after)
         if any(before.time < line.time <= after.time for line in elections):
             why += ", with a change of the leader meanwhile"
@@ -201,7 +204,7 @@
     way: list[LogLine] = []
     current = _find_last(own, _OVER) or (own[-1] if own else None)
     rest = [line for line in own if line.message != _ANSWERED]
-    while current is not None:
+    while current is not None and current not in way:
         way.append(current)
         current = _find_cause_of(current, rest)
     return way[::-1]
@@ -209,7 +212,8 @@
 
 def _find_cause_of(line: LogLine, own: list[LogLine]) -> LogLine | None:
     """Return the latest line that had to come before another, or None."""
-    earlier = [item for item in own if item.time <= line.time and item is not line]
+    latest = line.time + CLOCK_SKEW
+    earlier = [item for item in own if item.time <= latest and item is not line]
     if line.message in (_RUN_ENDED, _START_FAILED):
         wanted = [
             item
@@ -221,7 +225,8 @@
     elif line.message == _STARTED:
         wanted = [item for item in earlier if _may_release(item, line)]
     elif line.message == _OVER:
-        wanted = [item for item in earlier if item.message == _RUN_ENDED]
+        # Lines of ends may have been left out when many came at once.
+        wanted = [item for item in earlier if item.message in (_RUN_ENDED, _STARTED)]
     elif line.message == _ADVISED:
         wanted = [item for item in earlier if item.message in (_TAKEN, _RUN_ENDED)]
     else:
@@ -232,8 +237,10 @@
 def _may_release(item: LogLine, start: LogLine) -> bool:
     """Return whether a line tells of something that a start had to wait for."""
     if item.message == _RUN_ENDED:
-        # The same task's earlier run, or a task of an earlier step.
-        return item.run == start.run or item.run[1] != start.run[1]
+        if item.run == start.run:
+            return item.fields.get("run") < start.fields.get("run")
+        # A task of an earlier step.
+        return item.run[1] != start.run[1]
     if item.message == _ADVISED:
         return item.fields.get("step") == list(start.run[:2])
     return item.message == _TAKEN
