--- a/src/bluebellyoke/dispatch/holds.py
+++ b/src/bluebellyoke/dispatch/holds.py
@@ -5,7 +5,7 @@
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.events import HoldFinished
 from bluebellyoke.dispatch.looks import Looks
-from bluebellyoke.dispatch.members import LOOK_PAUSE_S, Member, RunPhase
+from bluebellyoke.dispatch.members import Member, RunPhase
 from bluebellyoke.dispatch.ports import (
     HoldOrder,
     HoldReport,
@@ -68,8 +68,9 @@
         if not member.is_holding and now >= member.hold_due:
             self._send_hold(member, now)
         elif now >= member.look_due:
-            member.look_due = now + LOOK_PAUSE_S
-            self._looks.request(member)
+            if member.is_overdue(now):
+                self._looks.request(member)
+            member.set_look_due(now)
         silent = now - member.heard_at > HOLD_WAIT_MS / 1000
         if silent and member.failures and member.has_lapsed(now, self._context.times):
             self._roster.remove(member, "its lease has ended without an answer")
--- a/src/bluebellyoke/dispatch/members.py
+++ b/src/bluebellyoke/dispatch/members.py
@@ -167,10 +167,16 @@
             run.due_at = now + estimate_s * ESTIMATE_SLACK
             self.look_due = min(self.look_due, run.due_at + OVERDUE_S)
 
+    def is_overdue(self, now: float) -> bool:
+        """Return whether a run should have ended a while ago."""
+        return now >= self._find_first_due() + OVERDUE_S
+
     def set_look_due(self, now: float) -> None:
-        """Work out when the next end is overdue, after an answer of the worker."""
-        due_at = min((run.due_at for run in self.runs.values()), default=math.inf)
-        self.look_due = max(due_at + OVERDUE_S, now + LOOK_PAUSE_S)
+        """Work out when to ask next whether a run is overdue."""
+        self.look_due = max(self._find_first_due() + OVERDUE_S, now + LOOK_PAUSE_S)
+
+    def _find_first_due(self) -> float:
+        return min((run.due_at for run in self.runs.values()), default=math.inf)
 
     def drop_run(self, key: RunKey) -> None:
         """Give back the room of a run that has ended."""
--- a/tests/dispatch/test_duties.py
+++ b/tests/dispatch/test_duties.py
@@ -299,3 +299,18 @@
     move(world, ())
     (again,) = find_orders(world, "stop")
     assert again.order == lost.order
+
+
+def test_end_that_was_heard_of_causes_no_look(world):
+    steps = [create_step(estimate_ms=400.0), create_step(estimate_ms=9000.0)]
+    world.submit(create_spec(ID, steps))
+    plan(world)
+    move(world, ("start",))
+    (worker,) = [x for x in world.workers.values() if x.runs]
+    short = next(key for key in worker.runs if key[0].step == 0)
+    world.advance(0.4)
+    worker.end(short, wc.RunOutcome.DONE)
+    move(world, ("hold",))
+    for _ in range(40):
+        plan(world)
+        assert find_looks(world) == []
