--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -172,7 +172,7 @@
         planning: Round,
         advice: StepAdvice | None,
     ) -> None:
-        chosen = place_gang(step.spec, rooms)
+        chosen = self._choose_rooms(step, rooms)
         if chosen is None:
             self._reserve(step, members, planning)
             return
@@ -188,6 +188,16 @@
             self._add_start(step, index, run, lives[room.worker], planning, advice)
             room.free = room.free - step.spec.need
 
+    def _choose_rooms(self, step: WaitingStep, rooms: list[Room]) -> list[Room] | None:
+        """Return workers for a gang; those where a member failed only if need be."""
+        failed_on = {task.worker for task in _find_tasks(step) if task.failures}
+        if failed_on:
+            others = [room for room in rooms if room.worker not in failed_on]
+            chosen = place_gang(step.spec, others)
+            if chosen is not None:
+                return chosen
+        return place_gang(step.spec, rooms)
+
     def _plan_tasks(
         self,
         step: WaitingStep,
--- a/tests/dispatch/test_planner.py
+++ b/tests/dispatch/test_planner.py
@@ -259,6 +259,25 @@
     assert [start.worker for start in cell.plan_and_start()] == ["w1"]
 
 
+def test_gang_whose_member_failed_goes_to_other_workers(cell):
+    cell.submit([create_step(2, gang=True)])
+    first, second = cell.plan_and_start()
+    assert first.worker == second.worker
+    fail(cell, first)
+    end = wc.RunEnd(second.task, second.run, wc.RunOutcome.BROKEN)
+    cell.book.apply(wc.RecordEnds(ends=(end,)))
+    cell.members[second.worker].drop_run((second.task, second.run))
+    assert first.worker not in {start.worker for start in cell.plan_and_start()}
+
+
+def test_gang_whose_member_failed_goes_back_if_there_is_no_other():
+    cell = Cell(workers=1)
+    cell.submit([create_step(1, gang=True)])
+    (first,) = cell.plan_and_start()
+    fail(cell, first)
+    assert [start.worker for start in cell.plan_and_start()] == ["w1"]
+
+
 def test_worker_that_fails_several_workflows_is_set_aside_and_tried_again():
     cell = Cell(workers=1)
     for _ in range(3):
