--- a/src/bluebellyoke/consensus/core.py
+++ b/src/bluebellyoke/consensus/core.py
@@ -20,25 +20,18 @@
 
 import enum
 import random
-from dataclasses import dataclass, field
 
 import msgspec
 
 from bluebellyoke.consensus import messages as m
+from bluebellyoke.consensus.effects import Effects
 from bluebellyoke.consensus.followers import Followers, Progress, SnapshotSource
 from bluebellyoke.consensus.log import EntryLog
+from bluebellyoke.consensus.memberships import MembershipLog, decode_membership
+from bluebellyoke.consensus.timing import Timing
 from bluebellyoke.errors import BluebellyokeError
 
-__all__ = ["Core", "Effects", "MembershipBusyError", "Role", "Timing"]
-
-#: Largest relative difference in speed between two instances' clocks.
-CLOCK_DRIFT = 0.05
-
-#: Heartbeats within the shortest election timeout; some may be lost or late.
-HEARTBEATS_PER_ELECTION = 6
-
-#: Longest election timeout by the shortest one; the spread keeps candidates apart.
-ELECTION_SPREAD = 1.8
+__all__ = ["Core", "MembershipBusyError", "Role"]
 
 
 class MembershipBusyError(BluebellyokeError):
@@ -59,52 +52,6 @@
     LEADER = "leader"
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Timing:
-    """Durations of the election, in seconds."""
-
-    heartbeat: float = 0.15
-    election_min: float = 0.9
-    election_max: float = 1.6
-
-    @classmethod
-    def scale_to(cls, election_min: float) -> "Timing":
-        """Return the durations that fit a shortest election timeout."""
-        return cls(
-            heartbeat=election_min / HEARTBEATS_PER_ELECTION,
-            election_min=election_min,
-            election_max=election_min * ELECTION_SPREAD,
-        )
-
-    @property
-    def lease(self) -> float:
-        """Time for which a majority's answer makes a leader sure of its part."""
-        return self.election_min * (1 - 2 * CLOCK_DRIFT)
-
-
-@dataclass(slots=True)
-class Effects:
-    """What the shell has to do, in the order of the fields.
-
-    Attributes:
-        snapshot: Snapshot received from the leader, to store and restore.
-        hard_state: Term and vote to sync.
-        truncate_from: First entry to remove from the stored log.
-        entries: Entries to append and sync.
-        early_messages: Messages that may be sent before the sync.
-        messages: Messages to send after the sync.
-        committed: Entries to apply.
-    """
-
-    snapshot: tuple[m.SnapshotMeta, bytes] | None = None
-    hard_state: m.HardState | None = None
-    truncate_from: int | None = None
-    entries: list[m.Entry] = field(default_factory=list)
-    early_messages: list[tuple[str, m.Message]] = field(default_factory=list)
-    messages: list[tuple[str, m.Message]] = field(default_factory=list)
-    committed: list[m.Entry] = field(default_factory=list)
-
-
 class Core:
     """One replica's part in the agreement.
 
@@ -150,8 +97,7 @@
         self._lead_index = 0
         self._heartbeat_due = now
         self._incoming: tuple[m.SnapshotMeta, bytearray] | None = None
-        self._membership_index = log.base.index
-        self.membership = self._find_membership()
+        self._memberships = MembershipLog(log)
         self._reset_election_timer(now)
 
     # What others ask.
@@ -196,7 +142,7 @@
         return (
             self.role is Role.LEADER
             and self.commit >= self._lead_index
-            and self.commit >= self._membership_index
+            and self.commit >= self._memberships.index
         )
 
     def take_effects(self) -> Effects:
@@ -390,7 +336,7 @@
             send=self._send_early,
         )
         self._followers.track(self.membership, now)
-        self._membership_index = self.log.last_index
+        self._memberships.index = self.log.last_index
         self._lead_index = self._append_own(m.EntryKind.NOOP, b"").index
         self._send_entries(now, heartbeat=True)
 
@@ -446,7 +392,7 @@
             self._step_down_if_removed()
 
     def _step_down_if_removed(self) -> None:
-        settled = self.commit >= self._membership_index
+        settled = self.commit >= self._memberships.index
         if self.role is Role.LEADER and settled and not self.is_voter:
             self.role = Role.FOLLOWER
             self.leader = ""
@@ -508,7 +454,7 @@
             self.log.append(entry)
             self._effects.entries.append(entry)
             if entry.kind is m.EntryKind.MEMBERSHIP:
-                self._adopt_membership(_decode_membership(entry), index)
+                self._adopt_membership(decode_membership(entry), index)
         return index
 
     def _truncate(self, first: int) -> None:
@@ -519,8 +465,7 @@
         self._effects.entries = [x for x in self._effects.entries if x.index < first]
         earlier = self._effects.truncate_from
         self._effects.truncate_from = min(first, earlier or first)
-        if first <= self._membership_index:
-            self.membership = self._find_membership()
+        self._memberships.note_truncation(first)
 
     def _commit_up_to(self, index: int) -> None:
         if index > self.commit:
@@ -560,32 +505,19 @@
 
     # Membership.
 
+    @property
+    def membership(self) -> m.Membership:
+        """Latest membership in the log, committed or not."""
+        return self._memberships.current
+
     def _adopt_membership(self, membership: m.Membership, index: int) -> None:
-        self.membership = membership
-        self._membership_index = index
+        self._memberships.adopt(membership, index)
         if self.role is Role.LEADER:
             self._followers.track(membership, self._time)
 
-    def _find_membership(self) -> m.Membership:
-        """Return the latest membership of the log and note its index."""
-        index, membership = self._search_membership(self.log.last_index)
-        self._membership_index = index
-        return membership
-
     def find_membership_at(self, last: int) -> m.Membership:
         """Return the membership that was in the log at entry `last`."""
-        return self._search_membership(last)[1]
-
-    def _search_membership(self, last: int) -> tuple[int, m.Membership]:
-        for index in range(last, self.log.base.index, -1):
-            entry = self.log.read_between(index, index)[0]
-            if entry.kind is m.EntryKind.MEMBERSHIP:
-                return index, _decode_membership(entry)
-        return self.log.base.index, self.log.base.membership
-
-
-def _decode_membership(entry: m.Entry) -> m.Membership:
-    return msgspec.msgpack.decode(entry.payload, type=m.Membership)
+        return self._memberships.find_at(last)
 
 
 def _is_pre_vote_grant(message: m.Message) -> bool:
--- a/src/bluebellyoke/instance/application.py
+++ b/src/bluebellyoke/instance/application.py
@@ -20,10 +20,10 @@
 
 from bluebellyoke.clock import Clock
 from bluebellyoke.consensus.bootstrap import found_cell, join_cell
-from bluebellyoke.consensus.core import Timing
 from bluebellyoke.consensus.messages import Envelope
 from bluebellyoke.consensus.repair import RepairOptions
 from bluebellyoke.consensus.storage import holds_replica
+from bluebellyoke.consensus.timing import Timing
 from bluebellyoke.dispatch.calls import WorkerCalls
 from bluebellyoke.dispatch.members import LeaseTimes
 from bluebellyoke.dispatch.ports import UnusedCaller
--- a/src/bluebellyoke/instance/replica.py
+++ b/src/bluebellyoke/instance/replica.py
@@ -15,16 +15,20 @@
 from anyio.abc import TaskGroup
 
 from bluebellyoke.cell import commands as c
-from bluebellyoke.cell.snapshot import dump_state, load_state
+from bluebellyoke.cell.snapshot import load_state
 from bluebellyoke.cell.state import CellState
 from bluebellyoke.clock import Clock
 from bluebellyoke.consensus import messages as m
-from bluebellyoke.consensus.core import Core, Effects, Timing
-from bluebellyoke.consensus.repair import RepairOptions, plan_membership
+from bluebellyoke.consensus.core import Core
+from bluebellyoke.consensus.effects import Effects
+from bluebellyoke.consensus.repair import RepairOptions
 from bluebellyoke.consensus.storage import Storage, read_identity
+from bluebellyoke.consensus.timing import Timing
 from bluebellyoke.dispatch.events import WorkerEvent
 from bluebellyoke.instance import wire as w
 from bluebellyoke.instance.directory import Directory
+from bluebellyoke.instance.joining import Joining
+from bluebellyoke.instance.snapshots import SnapshotTaker
 from bluebellyoke.leader.director import Director
 from bluebellyoke.leader.sessions import Proposal
 from bluebellyoke.logs import PlacementLog
@@ -47,12 +51,6 @@
 #: Proposals that wait for a commit, at most.
 PENDING_LIMIT = 20_000
 
-#: Time between two offers to join, or two messages to the seeds, in seconds.
-OFFER_EVERY_S = 1.0
-
-#: Time for which an offer to join is remembered, in seconds.
-OFFER_S = 5.0
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReplicaOptions:
@@ -149,8 +147,25 @@
         self._applied = recovered.log.base.index
         self._hard_state = recovered.hard_state
         self._pending: dict[int, PendingEntry] = {}
-        self._offers: dict[str, tuple[float, m.Member]] = {}
-        self._offer_due = 0.0
+        self._joining = Joining(
+            core=self.core,
+            member=m.Member(
+                self.core.replica,
+                options.name,
+                options.address,
+                options.port,
+                options.data_centre,
+            ),
+            repair=options.repair,
+            seeds=options.seeds,
+            directory=self._directory,
+            send=lambda address, message: send(address, self._wrap("", message)),
+        )
+        self._snapshots = SnapshotTaker(
+            core=self.core,
+            storage=self._storage,
+            limit_bytes=options.snapshot_bytes,
+        )
         self._origins: dict[str, str] = {}
         self._senders: dict[int, Callable[[w.FromLeader | None], None]] = {}
         self._waiting: list[SessionInput] = []
@@ -158,10 +173,7 @@
         self._was_leader = False
         self._stopping = False
         self._logged_part: tuple[str, int, str] | None = None
-        self._seeds = options.seeds
         self._tasks: TaskGroup | None = None
-        self._snapshot_under_way = False
-        self._saved: m.SnapshotMeta | None = None
 
     # What others use.
 
@@ -184,8 +196,7 @@
     @property
     def peers(self) -> tuple[str, ...]:
         """Addresses of all members."""
-        members = self.core.membership.members.values()
-        return tuple(f"{item.address}:{item.port}" for item in members)
+        return self._joining.peers
 
     def describe(self) -> dict:
         """Return this replica's part in the agreement, for status reports."""
@@ -210,7 +221,7 @@
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Offer to other addresses while in no membership."""
-        self._seeds = seeds
+        self._joining.set_seeds(seeds)
 
     # The task.
 
@@ -228,12 +239,12 @@
                 now = self._clock.monotonic()
                 self._feed(inputs, now)
                 self.core.tick(now)
-                self._offer_to_join(now)
+                self._joining.tick(now)
                 self._direct(now)
                 await self._perform()
                 self._log_part()
-                self._begin_snapshot_if_due()
-                await self._finish_snapshot()
+                self._snapshots.begin_if_due(self.state, self._applied, self._tasks)
+                await self._snapshots.finish(self._hard_state)
         finally:
             self._storage.close()
 
@@ -292,8 +303,7 @@
         if isinstance(envelope.message, m.PeerList):
             self._directory.note(envelope.message.addresses)
         elif isinstance(envelope.message, m.JoinRequest):
-            member = envelope.message.member
-            self._offers[member.replica] = (now, member)
+            self._joining.note_offer(envelope.message.member, now)
         elif envelope.target == self.core.replica:
             self._origins[envelope.source] = envelope.origin
             self.core.receive(envelope.source, envelope.message, now)
@@ -315,7 +325,7 @@
         self._was_leader = leads
         if not leads or not self.core.is_lease_valid(now):
             return
-        self._change_membership(now)
+        self._joining.change_membership(now)
         if not self.is_serving() or not self._begin_directing(now):
             return
         wall = self._clock.now().timestamp()
@@ -364,24 +374,6 @@
             if self.core.transfer(replica, now):
                 return
 
-    def _change_membership(self, now: float) -> None:
-        self._offers = {
-            replica: offer
-            for replica, offer in self._offers.items()
-            if now - offer[0] < OFFER_S and replica not in self.core.membership.members
-        }
-        candidates = {replica: offer[1] for replica, offer in self._offers.items()}
-        membership = plan_membership(self.core, candidates, now, self.options.repair)
-        if membership is not None:
-            logger.info(
-                "replica: changes the membership",
-                extra={
-                    "voters": [item.name for item in membership.voters.values()],
-                    "learners": [item.name for item in membership.learners.values()],
-                },
-            )
-            self.core.propose_membership(membership, now)
-
     def _propose_commands(self, now: float) -> None:
         """Put the director's commands into log entries.
 
@@ -484,67 +476,3 @@
         else:
             self.state.book.touched_workers.clear()
             self.state.book.resized_workers.clear()
-
-    # Joining and snapshots.
-
-    def _offer_to_join(self, now: float) -> None:
-        """Offer to become a member while in none; else tell the seeds the members."""
-        if now < self._offer_due:
-            return
-        self._offer_due = now + OFFER_EVERY_S
-        if self.core.replica in self.core.membership.members:
-            self._tell_seeds()
-            return
-        member = m.Member(
-            self.core.replica,
-            self.options.name,
-            self.options.address,
-            self.options.port,
-            self.options.data_centre,
-        )
-        envelope = self._wrap("", m.JoinRequest(0, member))
-        for address in {*self._seeds, *self.peers, *self._directory.addresses}:
-            self._send_peer(address, envelope)
-
-    def _tell_seeds(self) -> None:
-        """Tell seeds that are no members where the members are."""
-        peers = self.peers
-        envelope = self._wrap("", m.PeerList(0, peers))
-        for address in set(self._seeds) - set(peers):
-            self._send_peer(address, envelope)
-
-    def _begin_snapshot_if_due(self) -> None:
-        """Copy the state and write it beside the log, which goes on meanwhile."""
-        if self._snapshot_under_way or self._applied <= self.core.log.base.index:
-            return
-        if self._storage.segment_bytes < self.options.snapshot_bytes:
-            return
-        term = self.core.log.find_term(self._applied)
-        data = dump_state(self.state)
-        meta = m.SnapshotMeta(
-            self._applied, term, self.core.find_membership_at(self._applied), len(data)
-        )
-        self._snapshot_under_way = True
-        self._tasks.start_soon(self._save_snapshot, meta, data)
-
-    async def _save_snapshot(self, meta: m.SnapshotMeta, data: bytes) -> None:
-        await anyio.to_thread.run_sync(self._storage.save_snapshot, meta, data)
-        self._saved = meta
-
-    async def _finish_snapshot(self) -> None:
-        """Drop the log behind a snapshot that has been written."""
-        meta, self._saved = self._saved, None
-        if meta is None:
-            return
-        self._snapshot_under_way = False
-        if meta.index <= self.core.log.base.index:
-            # A snapshot of the leader was installed meanwhile.
-            return
-        self._storage.adopt_snapshot(meta)
-        self.core.compact(meta)
-        await anyio.to_thread.run_sync(
-            self._storage.compact, self.core.log, self._hard_state
-        )
-        logger.info(
-            "replica: took a snapshot", extra={"index": meta.index, "bytes": meta.size}
-        )
--- a/src/bluebellyoke/leader/leases.py
+++ b/src/bluebellyoke/leader/leases.py
@@ -6,7 +6,7 @@
 leader counts every lease as renewed at its own start.
 """
 
-from bluebellyoke.consensus.core import CLOCK_DRIFT
+from bluebellyoke.consensus.timing import CLOCK_DRIFT
 
 __all__ = ["LeaseTable"]
 
--- a/src/bluebellyoke/leader/slots.py
+++ b/src/bluebellyoke/leader/slots.py
@@ -13,7 +13,7 @@
 
 from bluebellyoke.cell import commands as c
 from bluebellyoke.cell.state import CellState
-from bluebellyoke.consensus.core import CLOCK_DRIFT
+from bluebellyoke.consensus.timing import CLOCK_DRIFT
 from bluebellyoke.instance import wire as w
 from bluebellyoke.leader.leases import LeaseTable
 from bluebellyoke.leader.sessions import DirectorOptions, Proposals, Session
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -4,8 +4,10 @@
 from dataclasses import dataclass
 
 from bluebellyoke.consensus import messages as m
-from bluebellyoke.consensus.core import Core, Effects, Timing
+from bluebellyoke.consensus.core import Core
+from bluebellyoke.consensus.effects import Effects
 from bluebellyoke.consensus.log import EntryLog
+from bluebellyoke.consensus.timing import Timing
 
 TIMING = Timing()
 
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -81,7 +81,7 @@
     Case(
         "one membership change at a time",
         "consensus/core.py",
-        "            and self.commit >= self._membership_index\n",
+        "            and self.commit >= self._memberships.index\n",
         "",
         "tests/consensus",
     ),
@@ -478,7 +478,7 @@
     ),
     Case(
         "a replica tells seeds outside the membership where the members are",
-        "instance/replica.py",
+        "instance/joining.py",
         "            self._tell_seeds()\n",
         "",
         "tests/integration/test_platform.py -k loss_of_all",
@@ -504,6 +504,34 @@
             ),
         ),
     ),
+    Case(
+        "a worker that left a start unanswered gets none until it answers",
+        "dispatch/members.py",
+        "            and not self.is_doubted\n",
+        "",
+        "tests/dispatch -k gets_none_until_it_answers",
+    ),
+    Case(
+        "a run in doubt is looked for before it is stopped",
+        "dispatch/starts.py",
+        "            self._looks.request(member)\n",
+        "            self._stops.send_stop(member, key)\n",
+        "tests/dispatch -k look_shows",
+    ),
+    Case(
+        "an end is found though the hold that waits for it is lost",
+        "dispatch/holds.py",
+        "            if member.is_overdue(now):",
+        "            if False:",
+        "tests/dispatch -k hold_that_waits_for_it_is_lost",
+    ),
+    Case(
+        "a submission that may have been taken is not called refused",
+        "instance/queues.py",
+        "code = UNAVAILABLE if is_read else UNANSWERED",
+        "code = UNAVAILABLE",
+        "tests/instance -k may_have_been_carried_out",
+    ),
 ]
 
 
