Turn jobs away beyond a bound of open tasks, and say when to come back

Cause: nothing bounded the jobs that a cell keeps, so a flood would have ended its replicas by their memory limit. Change: 200,000 open tasks at most, checked where the command is applied, so that a job that was taken before is always acknowledged again; 429 with Retry-After from the rate at which tasks end. Answers of the adapter are a type of their own. Ruled out: refusing at the leader before the log, which could call a job refused that an earlier attempt has just handed in.

--- a/src/bluebellyoke/dispatch/context.py
+++ b/src/bluebellyoke/dispatch/context.py
@@ -4,6 +4,7 @@
 
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.dispatch.advice import AdviceDuties
+from bluebellyoke.dispatch.backlog import Backlog
 from bluebellyoke.dispatch.calls import WorkerCalls
 from bluebellyoke.dispatch.members import LeaseTimes, Member
 from bluebellyoke.leader.sessions import Proposals
@@ -29,6 +30,7 @@
     calls: WorkerCalls
     times: LeaseTimes
     advice: AdviceDuties = field(default_factory=AdviceDuties)
+    backlog: Backlog = field(default_factory=Backlog)
     book: WorkflowBook = field(default_factory=WorkflowBook)
     members: dict[str, Member] = field(default_factory=dict)
     fence: int = 0
--- a/src/bluebellyoke/dispatch/desk.py
+++ b/src/bluebellyoke/dispatch/desk.py
@@ -12,7 +12,7 @@
 from bluebellyoke.workflow import commands as wc
 from bluebellyoke.workflow.book import WorkflowBook
 from bluebellyoke.workflow.configuration import find_queue
-from bluebellyoke.workflow.specs import QueueSpec
+from bluebellyoke.workflow.specs import QueueSpec, WorkflowSpec
 
 __all__ = ["QueueDesk"]
 
@@ -58,7 +58,16 @@
         else:
             spec = msgspec.structs.replace(body.draft, id=identity, queue=queue.name)
             command = wc.SubmitWorkflow(spec=spec)
-            self._duties.submit(command, wall, lambda x: reply(_convert(x)))
+            self._duties.submit(
+                command, wall, lambda x: reply(self._convert_submission(x, spec))
+            )
+
+    def _convert_submission(self, result: Result, spec: WorkflowSpec) -> w.QueueReply:
+        """Return the answer to a submission; one that is turned away names a time."""
+        if result.code != "overloaded":
+            return _convert(result)
+        wait_s = self._duties.estimate_wait(spec)
+        return w.QueueReply(result.code, reason=result.reason, retry_after_s=wait_s)
 
     def announce(
         self,
--- a/src/bluebellyoke/dispatch/duties.py
+++ b/src/bluebellyoke/dispatch/duties.py
@@ -231,11 +231,18 @@
                     "tasks": [step.count for step in spec.steps],
                 },
             )
+            if not result.accepted:
+                self.advice.forget(spec.id)
             self._context.is_plan_wanted = True
             answer(result)
 
         self._context.proposals.add(wc.SubmitWorkflow(time=wall, spec=spec), finish)
 
+    def estimate_wait(self, spec: WorkflowSpec) -> float:
+        """Return the time until there is room for a workflow's tasks, in seconds."""
+        open_tasks = self._context.book.open_tasks
+        return self._context.backlog.estimate_wait(open_tasks, spec.count_tasks())
+
     def _ask_early(self, spec: WorkflowSpec, wall: float) -> None:
         queue = self._context.book.find_queue_named(spec.queue)
         if queue is None or queue.advisor is None:
--- a/src/bluebellyoke/dispatch/records.py
+++ b/src/bluebellyoke/dispatch/records.py
@@ -39,6 +39,7 @@
 
         def finish(result: Result) -> None:
             on_commit()
+            self._context.backlog.note_ends(len(ends), self._context.now)
             self._after_ends(ends)
 
         for end in ends:
--- a/src/bluebellyoke/instance/wire.py
+++ b/src/bluebellyoke/instance/wire.py
@@ -169,12 +169,14 @@
         code: `accepted`, `unknown-queue`, `unknown-job`, `bad-id` or another refusal.
         state: State of the workflow, if one was asked for.
         waiting: Workflows that wait, if they were asked for.
+        retry_after_s: Time after which a caller that is turned away may come back.
     """
 
     code: str
     state: str = ""
     waiting: int = -1
     reason: str = ""
+    retry_after_s: float = 0.0
 
 
 class WorkerAnnouncement(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/src/bluebellyoke/platform/listeners.py
+++ b/src/bluebellyoke/platform/listeners.py
@@ -1,6 +1,7 @@
 """What the platform, its clients, workers and operators call, as ASGI applications."""
 
 import logging
+from dataclasses import dataclass
 
 from bluebellyoke.instance import wire as w
 from bluebellyoke.instance.asgi import (
@@ -37,6 +38,7 @@
     "bad-id": 400,
     "malformed": 400,
     "id-taken": 400,
+    "overloaded": 429,
     "unavailable": 503,
     "unanswered": 504,
 }
@@ -50,6 +52,20 @@
 INSTANCES = "/-/instances/"
 
 
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a request is answered.
+
+    Attributes:
+        value: Bytes as they are, or what to encode as JSON.
+        retry_after_s: Time after which a caller that is turned away may come back.
+    """
+
+    status: int
+    value: object
+    retry_after_s: float = 0.0
+
+
 class _App:
     """Common parts of the applications."""
 
@@ -62,41 +78,47 @@
             return
         try:
             body = await read_body(receive, BODY_BYTES)
-            status, value = await self.answer(scope, body)
+            answer = await self.answer(scope, body)
         except CallerLeftError:
             return
         except BodyTooLongError as error:
-            status, value = 413, {"Error": str(error)}
+            answer = Answer(413, {"Error": str(error)})
         except bodies.UnreadableBodyError as error:
             logger.info(
                 "platform: refuses a body",
                 extra={"path": scope["path"], "fault": str(error)},
             )
-            status, value = 400, {"Error": str(error)}
+            answer = Answer(400, {"Error": str(error)})
         leaving = ((b"connection", b"close"),) if self.parts.is_leaving() else ()
-        await send_answer(send, status, value, headers=leaving)
+        await send_answer(
+            send,
+            answer.status,
+            answer.value,
+            headers=leaving,
+            retry_after_s=answer.retry_after_s,
+        )
 
-    async def answer(self, scope: Scope, body: bytes) -> tuple[int, object]:
-        """Return status code and value of the answer."""
+    async def answer(self, scope: Scope, body: bytes) -> Answer:
+        """Return what to answer."""
         raise NotImplementedError
 
 
 class ReadyApp(_App):
     """The platform's readiness check."""
 
-    async def answer(self, scope: Scope, body: bytes) -> tuple[int, object]:
+    async def answer(self, scope: Scope, body: bytes) -> Answer:
         """Tell whether clients may be sent here."""
-        return (200 if self.parts.is_ready() else 503), {}
+        return Answer(200 if self.parts.is_ready() else 503, {})
 
 
 class FrontApp(_App):
     """Clients' requests to queues."""
 
-    async def answer(self, scope: Scope, body: bytes) -> tuple[int, object]:
+    async def answer(self, scope: Scope, body: bytes) -> Answer:
         """Pass a request on and translate what comes back."""
         action = _ACTIONS.get(scope["method"])
         if action is None:
-            return 405, {"Error": "use POST, GET or DELETE"}
+            return Answer(405, {"Error": "use POST, GET or DELETE"})
         headers = dict(scope["headers"])
         draft = bodies.decode_job(body) if action is w.QueueAction.SUBMIT else None
         reply = await self.parts.queues.request(
@@ -108,16 +130,16 @@
         )
         status = _FRONT_STATUS.get(reply.code, 400)
         if status != 200:
-            return status, {"Error": reply.reason}
+            return Answer(status, {"Error": reply.reason}, reply.retry_after_s)
         if reply.waiting >= 0:
-            return 200, {"Waiting": reply.waiting}
-        return 200, {"State": reply.state} if reply.state else {}
+            return Answer(200, {"Waiting": reply.waiting})
+        return Answer(200, {"State": reply.state} if reply.state else {})
 
 
 class ControlApp(_App):
     """Workers' heartbeats and the operator's calls."""
 
-    async def answer(self, scope: Scope, body: bytes) -> tuple[int, object]:
+    async def answer(self, scope: Scope, body: bytes) -> Answer:
         """Pass a call on and translate what comes back."""
         method, path = scope["method"], scope["path"]
         if path == "/-/config":
@@ -126,7 +148,7 @@
             if method == "GET":
                 return await self._get_configuration()
         if path == "/-/metrics" and method == "GET":
-            return 200, self.parts.metrics.render().encode()
+            return Answer(200, self.parts.metrics.render().encode())
         if path.startswith(INSTANCES):
             worker = path[len(INSTANCES) :]
             if method == "PUT":
@@ -135,30 +157,28 @@
                 )
             if method == "DELETE":
                 return await self._announce(worker, None)
-        return 404, {"Error": "unknown path"}
+        return Answer(404, {"Error": "unknown path"})
 
-    async def _put_configuration(self, body: bytes) -> tuple[int, object]:
+    async def _put_configuration(self, body: bytes) -> Answer:
         configuration = bodies.decode_configuration(body)
         result = await self.parts.queues.change_configuration(configuration)
         if result.accepted:
-            return 200, {}
+            return Answer(200, {})
         status = 400 if result.code == "malformed" else 503
-        return status, {"Error": result.reason}
+        return Answer(status, {"Error": result.reason})
 
-    async def _get_configuration(self) -> tuple[int, object]:
+    async def _get_configuration(self) -> Answer:
         document = await self.parts.queues.read_configuration()
         if document is None:
-            return 503, {"Error": "the newest configuration is not known here"}
-        return 200, document
+            return Answer(503, {"Error": "the newest configuration is not known here"})
+        return Answer(200, document)
 
-    async def _announce(
-        self, worker: str, spec: WorkerSpec | None
-    ) -> tuple[int, object]:
+    async def _announce(self, worker: str, spec: WorkerSpec | None) -> Answer:
         announcement = w.WorkerAnnouncement(worker, spec, leaving=spec is None)
         result = await self.parts.queues.announce(announcement)
         if result.accepted:
-            return 200, {}
-        return 503, {"Error": result.reason}
+            return Answer(200, {})
+        return Answer(503, {"Error": result.reason})
 
 
 def _find_timeout(headers: dict[bytes, bytes]) -> float:
--- a/src/bluebellyoke/workflow/book.py
+++ b/src/bluebellyoke/workflow/book.py
@@ -7,7 +7,11 @@
 from bluebellyoke.workflow.specs import Configuration, QueueSpec, WorkerSpec
 from bluebellyoke.workflow.workflow import Workflow
 
-__all__ = ["BookImage", "RunKey", "WorkflowBook"]
+__all__ = ["MAX_OPEN_TASKS", "BookImage", "RunKey", "WorkflowBook"]
+
+#: Tasks of the workflows that have not ended, at most. A task takes about 500 bytes of
+#: an instance's memory.
+MAX_OPEN_TASKS = 200_000
 
 #: Name and number of a run.
 RunKey = tuple[wc.TaskName, int]
@@ -28,6 +32,7 @@
         workers: Present life of each called worker, by identity.
         runs: Runs that may take room on each life of a worker.
         active: Workflows that have not ended or still have placed runs.
+        open_tasks: Tasks of these.
     """
 
     def __init__(self) -> None:
@@ -35,6 +40,7 @@
         self.workers: dict[str, WorkerSpec] = {}
         self.workflows: dict[str, Workflow] = {}
         self.active: dict[str, Workflow] = {}
+        self.open_tasks = 0
         self.runs: dict[tuple[str, int], dict[RunKey, None]] = {}
         self._queues: dict[str, QueueSpec] = {}
 
@@ -80,11 +86,17 @@
         queue = self._queues.get(spec.queue)
         if queue is None:
             return refuse("unknown-queue", "no such queue is in force")
+        if self.open_tasks + spec.count_tasks() > MAX_OPEN_TASKS:
+            return refuse("overloaded", "too many tasks wait; submit later")
         workflow = Workflow(spec, command.time, queue.attempts, queue.pool)
         self.workflows[spec.id] = workflow
-        self.active[spec.id] = workflow
+        self._open(workflow)
         return Result(accepted=True)
 
+    def _open(self, workflow: Workflow) -> None:
+        self.active[workflow.spec.id] = workflow
+        self.open_tasks += workflow.spec.count_tasks()
+
     def _cancel(self, command: wc.CancelWorkflow) -> Result:
         workflow = self.workflows.get(command.workflow)
         if workflow is None or workflow.spec.queue != command.queue:
@@ -98,12 +110,13 @@
             workflow = self.workflows.get(name)
             if workflow is not None and workflow.outcome and not workflow.placed:
                 del self.workflows[name]
-                self.active.pop(name, None)
         return Result(accepted=True)
 
     def _retire_if_over(self, workflow: Workflow) -> None:
-        if workflow.outcome and not workflow.placed:
-            self.active.pop(workflow.spec.id, None)
+        if not workflow.outcome or workflow.placed:
+            return
+        if self.active.pop(workflow.spec.id, None) is not None:
+            self.open_tasks -= workflow.spec.count_tasks()
 
     # Workers.
 
@@ -233,7 +246,7 @@
         for workflow in image.workflows:
             book.workflows[workflow.spec.id] = workflow
             if not workflow.outcome or workflow.placed:
-                book.active[workflow.spec.id] = workflow
+                book._open(workflow)
             for name, task in workflow.iterate_placed():
                 life = (task.worker, task.born)
                 book.runs.setdefault(life, {})[(name, task.run)] = None
--- a/src/bluebellyoke/workflow/specs.py
+++ b/src/bluebellyoke/workflow/specs.py
@@ -145,6 +145,10 @@
     first_at_ms: int = 0
     interval_ms: int = 0
 
+    def count_tasks(self) -> int:
+        """Return the number of tasks of one repetition."""
+        return sum(step.count for step in self.steps)
+
 
 class WorkerSpec(msgspec.Struct, frozen=True, kw_only=True):
     """A worker that the cell calls, as it describes itself.
--- a/tests/platform/test_listeners.py
+++ b/tests/platform/test_listeners.py
@@ -85,13 +85,20 @@
         ("bad-id", 400),
         ("unavailable", 503),
         ("unanswered", 504),
+        ("overloaded", 429),
     ],
 )
 def test_codes_become_statuses(parts, queues, code, status):
     queues.reply = w.QueueReply(code)
     found, headers, _ = call(FrontApp(parts), "DELETE", "/lohu930/1")
     assert found == status
-    assert (b"retry-after" in headers) == (status == 503)
+    assert (b"retry-after" in headers) == (status in (429, 503))
+
+
+def test_caller_that_is_turned_away_is_told_when_to_come_back(parts, queues):
+    queues.reply = w.QueueReply("overloaded", retry_after_s=6.2)
+    _, headers, _ = call(FrontApp(parts), "POST", "/lohu930/1", encode(JOB))
+    assert headers[b"retry-after"] == b"7"
 
 
 def test_job_is_handed_in_with_the_client_s_time(parts, queues):
--- /dev/null
+++ b/tests/workflow/test_memory.py
@@ -0,0 +1,76 @@
+"""Memory of the book under many times the jobs of a busy day."""
+
+import gc
+import tracemalloc
+
+from bluebellyoke.cell.resources import Resources
+from bluebellyoke.workflow import commands as wc
+from bluebellyoke.workflow.specs import StepSpec, WorkflowSpec
+from tests.workflow.factories import create_book
+
+#: Jobs of a busy day on the deployments that the users have described, times ten.
+JOBS = 15_000
+
+#: Mean width of a job there.
+TASKS = 4
+
+#: Half of the memory that an instance has on the smallest of these machines.
+LIMIT_BYTES = 100 * 1024 * 1024
+
+
+def create_workflow(number):
+    need = Resources(1000 + number % 7, 100, 0)
+    return WorkflowSpec(
+        id=f"{number:016x}",
+        queue="q",
+        payload=f"payload {number:0100d}",
+        steps=(StepSpec(count=TASKS, need=need),),
+    )
+
+
+def run_workflow(book, number):
+    identity = f"{number:016x}"
+    book.apply(wc.SubmitWorkflow(time=float(number), spec=create_workflow(number)))
+    names = [wc.TaskName(identity, 0, 0, index) for index in range(TASKS)]
+    starts = tuple(wc.RunStart(name, 1, "w1", 1) for name in names)
+    book.apply(wc.AssignRuns(starts=starts))
+    ends = tuple(wc.RunEnd(name, 1, wc.RunOutcome.DONE) for name in names)
+    book.apply(wc.RecordEnds(time=float(number), ends=ends))
+
+
+def measure(fill):
+    """Return the bytes that a book holds after it was filled."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        book = create_book(1)
+        fill(book)
+        gc.collect()
+        return book, tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+
+
+def test_records_of_ten_busy_days_fit():
+    def fill(book):
+        for number in range(JOBS):
+            run_workflow(book, number)
+
+    book, held = measure(fill)
+    assert len(book.workflows) == JOBS
+    assert not book.active
+    assert not book.open_tasks
+    assert held < LIMIT_BYTES
+    book.apply(wc.ForgetWorkflows(workflows=tuple(book.workflows)))
+    assert not book.workflows
+
+
+def test_waiting_jobs_of_ten_busy_days_fit():
+    def fill(book):
+        for number in range(JOBS):
+            command = wc.SubmitWorkflow(time=1.0, spec=create_workflow(number))
+            book.apply(command)
+
+    book, held = measure(fill)
+    assert len(book.active) == JOBS
+    assert held < LIMIT_BYTES
