--- a/src/bluebellyoke/explanation.py
+++ b/src/bluebellyoke/explanation.py
@@ -32,13 +32,17 @@
 _CANCELLED = "dispatch: cancels a workflow"
 _OVER = "dispatch: a workflow ended"
 _SET_ASIDE = "dispatch: sets a worker aside"
+_SILENT = "dispatch: lost a worker's answer"
 _LEADS = "replica: leads"
 
+#: Lines of no single request that may explain one.
+_SHARED = (_LEADS, _SET_ASIDE, _SILENT)
+
 _TIME_FORMAT = "%Y-%m-%d %H:%M:%S,%f"
 
 #: What a wait before an event means, by that event and its outcome.
 _WAITS = {
-    _TAKEN: "until a leader had taken it over",
+    _TAKEN: "from a first attempt without success until a leader took it over",
     _ADVISED: "for the advisor",
     _STARTED: "for a worker with room and a valid ticket",
     _START_FAILED: "for the answer of a worker to a start",
@@ -144,7 +148,7 @@
     for line in lines:
         if _is_about(line, identity):
             own.append(line)
-        elif line.message in (_LEADS, _SET_ASIDE):
+        elif line.message in _SHARED:
             others.append(line)
     own.sort(key=lambda line: line.time)
     verdict = _judge(own)
@@ -188,25 +192,33 @@
 
 def _find_parts(own: list[LogLine], others: list[LogLine]) -> tuple[Part, ...]:
     way = _follow_back(own)
-    elections = [line for line in others if line.message == _LEADS]
     parts = []
     for before, after in itertools.pairwise(way):
         seconds = max((after.time - before.time).total_seconds(), 0.0)
-        why = _name_wait(after)
-        if any(before.time < line.time <= after.time for line in elections):
-            why += ", with a change of the leader meanwhile"
+        meanwhile = [x for x in others if before.time < x.time <= after.time]
+        why = _name_wait(after) + _name_events(meanwhile, after.fields.get("worker"))
         parts.append(Part(seconds, why, after))
     return tuple(parts)
 
 
+def _name_events(lines: list[LogLine], worker: str | None) -> str:
+    """Return what happened to the cell or to a worker in a part of the way."""
+    why = ""
+    if any(line.message == _LEADS for line in lines):
+        why += ", with a change of the leader meanwhile"
+    silent = [line for line in lines if line.message == _SILENT]
+    if any(line.fields.get("worker") == worker for line in silent):
+        why += ", and its worker left a hold unanswered"
+    return why
+
+
 def _follow_back(own: list[LogLine]) -> list[LogLine]:
     """Return the lines that led to the last one, oldest first."""
     way: list[LogLine] = []
     current = _find_last(own, _OVER) or (own[-1] if own else None)
-    rest = [line for line in own if line.message != _ANSWERED]
     while current is not None and current not in way:
         way.append(current)
-        current = _find_cause_of(current, rest)
+        current = _find_cause_of(current, own)
     return way[::-1]
 
 
@@ -227,6 +239,9 @@
     elif line.message == _OVER:
         # Lines of ends may have been left out when many came at once.
         wanted = [item for item in earlier if item.message in (_RUN_ENDED, _STARTED)]
+    elif line.message == _TAKEN:
+        # The first of the attempts that brought nothing.
+        wanted = [item for item in earlier if _is_turned_away(item)][:1]
     elif line.message == _ADVISED:
         wanted = [item for item in earlier if item.message in (_TAKEN, _RUN_ENDED)]
     else:
@@ -234,6 +249,15 @@
     return wanted[-1] if wanted else None
 
 
+def _is_turned_away(item: LogLine) -> bool:
+    is_submission = item.fields.get("action") == "submit"
+    return (
+        item.message == _ANSWERED
+        and is_submission
+        and item.fields.get("code") != "accepted"
+    )
+
+
 def _may_release(item: LogLine, start: LogLine) -> bool:
     """Return whether a line tells of something that a start had to wait for."""
     if item.message == _RUN_ENDED:
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -122,6 +122,36 @@
     assert "with a change of the leader meanwhile" in log.explain().cause
 
 
+def test_end_that_was_heard_of_late_is_told(log):
+    log.take(1.0)
+    log.start(1.1, 1, "w1")
+    log.add(2.9, "dispatch: lost a worker's answer", worker="w1", fault="no answer")
+    log.add(2.9, "dispatch: lost a worker's answer", worker="w2", fault="no answer")
+    log.end(5.0, 1, "w1", "done")
+    log.finish(5.1, "completed")
+    assert log.explain().cause == (
+        "3.90 s were spent while its task ran, and its worker left a hold unanswered "
+        "(worker w1)"
+    )
+
+
+def test_attempts_before_a_job_was_taken_belong_to_its_way(log):
+    for seconds, code in ((1.0, "unanswered"), (1.2, "unavailable")):
+        log.add(
+            seconds,
+            "queues: answers a request",
+            action="submit",
+            path=f"/q/{ID}",
+            code=code,
+            reason="r",
+        )
+    log.take(6.0)
+    log.start(6.1, 1, "w1")
+    log.end(6.5, 1, "w1", "done")
+    log.finish(6.6, "completed")
+    assert log.explain().cause.startswith("5.00 s were spent from a first attempt")
+
+
 def test_refusal_names_the_instance_and_the_next_leader(log):
     log.add(
         1.0,
