--- a/src/bluebellyoke/explanation.py
+++ b/src/bluebellyoke/explanation.py
@@ -42,7 +42,7 @@
 
 #: What a wait before an event means, by that event and its outcome.
 _WAITS = {
-    _TAKEN: "from a first attempt without success until a leader took it over",
+    _TAKEN: "until a leader had taken it over",
     _ADVISED: "for the advisor",
     _STARTED: "for a worker with room and a valid ticket",
     _START_FAILED: "for the answer of a worker to a start",
@@ -196,7 +196,9 @@
     for before, after in itertools.pairwise(way):
         seconds = max((after.time - before.time).total_seconds(), 0.0)
         meanwhile = [x for x in others if before.time < x.time <= after.time]
-        why = _name_wait(after) + _name_events(meanwhile, after.fields.get("worker"))
+        why = _name_wait(before, after) + _name_events(
+            meanwhile, after.fields.get("worker")
+        )
         parts.append(Part(seconds, why, after))
     return tuple(parts)
 
@@ -239,14 +241,13 @@
     elif line.message == _OVER:
         # Lines of ends may have been left out when many came at once.
         wanted = [item for item in earlier if item.message in (_RUN_ENDED, _STARTED)]
-    elif line.message == _TAKEN:
-        # The first of the attempts that brought nothing.
-        wanted = [item for item in earlier if _is_turned_away(item)][:1]
     elif line.message == _ADVISED:
         wanted = [item for item in earlier if item.message in (_TAKEN, _RUN_ENDED)]
     else:
         wanted = []
-    return wanted[-1] if wanted else None
+    if wanted or _is_turned_away(line):
+        return wanted[-1] if wanted else None
+    return next((item for item in earlier if _is_turned_away(item)), None)
 
 
 def _is_turned_away(item: LogLine) -> bool:
@@ -270,7 +271,9 @@
     return item.message == _TAKEN
 
 
-def _name_wait(line: LogLine) -> str:
+def _name_wait(before: LogLine, line: LogLine) -> str:
+    if _is_turned_away(before):
+        return "from a first attempt without success until a leader took it over"
     if line.message == _RUN_ENDED:
         outcome = str(line.fields.get("outcome"))
         return _RUN_WAITS.get(outcome, f"until a run ended as {outcome}")
