--- a/src/bluebellyoke/dispatch/context.py
+++ b/src/bluebellyoke/dispatch/context.py
@@ -24,6 +24,7 @@
         fence: Fencing token of this leader.
         now: Monotonic time of the present turn, in seconds.
         is_plan_wanted: Whether something has changed that planning depends on.
+        woken: Workers that are due for another call, besides those whose time comes.
     """
 
     proposals: Proposals
@@ -36,6 +37,7 @@
     fence: int = 0
     now: float = 0.0
     is_plan_wanted: bool = True
+    woken: set[str] = field(default_factory=set)
 
     def find_need(self, key: RunKey) -> Resources:
         """Return the room that a run takes."""
--- a/src/bluebellyoke/dispatch/duties.py
+++ b/src/bluebellyoke/dispatch/duties.py
@@ -39,6 +39,9 @@
 #: Longest time between two rounds of planning, in seconds.
 PLAN_EVERY_S = 0.1
 
+#: Time between two rounds through all workers, in seconds.
+ROUND_EVERY_S = 0.02
+
 #: Time for which the record of an ended workflow is kept, in seconds.
 RECORD_S = 240.0
 
@@ -78,6 +81,7 @@
             roster=self._roster,
             looks=looks,
         )
+        self._rounds_due = 0.0
         self._plan_due = 0.0
         self._sweep_due = 0.0
 
@@ -104,7 +108,7 @@
         self._context.fence = fence
         self._context.calls.term = fence
         self._context.now = now
-        self._plan_due = self._sweep_due = now
+        self._rounds_due = self._plan_due = self._sweep_due = now
         self._roster.follow_book(now)
 
     def end(self) -> None:
@@ -116,14 +120,26 @@
     def tick(self, now: float, wall: float) -> None:
         """Act on the passing of time."""
         self._context.now = now
-        for member in list(self.members.values()):
-            self._holds.look_after(member, now)
+        self._look_after_members(now)
         if now >= self._sweep_due:
             self._sweep_due = now + SWEEP_S
             self._forget_old(wall)
         self._plan_if_due(now, wall)
         self.advice.tick(now)
 
+    def _look_after_members(self, now: float) -> None:
+        """Send what is due: to all workers now and then, to some in each turn."""
+        context = self._context
+        names = tuple(context.woken)
+        if now >= self._rounds_due:
+            self._rounds_due = now + ROUND_EVERY_S
+            names = tuple(context.members)
+        context.woken.clear()
+        for name in names:
+            member = context.members.get(name)
+            if member is not None:
+                self._holds.look_after(member, now)
+
     def _plan_if_due(self, now: float, wall: float) -> None:
         due = self._plan_due
         if not self._context.is_plan_wanted:
--- a/src/bluebellyoke/dispatch/holds.py
+++ b/src/bluebellyoke/dispatch/holds.py
@@ -134,6 +134,7 @@
         else:
             member.is_holding = False
             member.hold_due = self._context.now
+            self._context.woken.add(member.spec.id)
 
     def _on_failed_hold(self, member: Member, event: HoldFinished, now: float) -> None:
         if isinstance(event.fault, NoAnswerError) and member.heard_at > event.sent_at:
--- a/src/bluebellyoke/dispatch/records.py
+++ b/src/bluebellyoke/dispatch/records.py
@@ -40,7 +40,7 @@
         def finish(result: Result) -> None:
             on_commit()
             self._context.backlog.note_ends(len(ends), self._context.now)
-            self._after_ends(ends)
+            self._after_ends(member, ends)
 
         for end in ends:
             log_run_end((end.task, end.run), member.spec.id, end.outcome.value)
@@ -61,20 +61,19 @@
                     },
                 )
 
-    def _after_ends(self, ends: Iterable[wc.RunEnd]) -> None:
-        """Follow the book after ends were recorded."""
+    def _after_ends(self, member: Member, ends: Iterable[wc.RunEnd]) -> None:
+        """Follow the book after ends of runs on a worker were recorded."""
         self._context.is_plan_wanted = True
         workflows: dict[str, Workflow] = {}
         for end in ends:
             workflow = self._context.book.workflows.get(end.task.workflow)
             if workflow is not None:
                 workflows[end.task.workflow] = workflow
-        for member in self._context.members.values():
-            present = self._context.book.runs.get(member.spec.key, {})
-            for key in [x for x in member.runs if x not in present]:
-                # A start that is planned but not committed keeps its room.
-                if member.runs[key].phase is not RunPhase.CALLING:
-                    member.drop_run(key)
+        present = self._context.book.runs.get(member.spec.key, {})
+        for key in [x for x in member.runs if x not in present]:
+            # A start that is planned but not committed keeps its room.
+            if member.runs[key].phase is not RunPhase.CALLING:
+                member.drop_run(key)
         for name, workflow in workflows.items():
             if workflow.outcome:
                 self._context.advice.forget(name)
--- a/tests/dispatch/world.py
+++ b/tests/dispatch/world.py
@@ -45,7 +45,12 @@
 
 @dataclass
 class FakeWorker:
-    """One life of a worker."""
+    """One life of a worker.
+
+    Attributes:
+        void: Number of the last end before the latest lapse of the lease. It counts as
+            not noted for good, whatever is acknowledged later.
+    """
 
     spec: WorkerSpec
     rate: float
@@ -56,11 +61,13 @@
     ended: list = field(default_factory=list)
     count: int = 0
     seen: int = 0
+    void: int = 0
     barred: dict = field(default_factory=dict)
 
     def advance(self, seconds):
         self.clock_ms += seconds * 1000 * self.rate
-        if self.runs and self.clock_ms > self.lease_ms:
+        if self.clock_ms > self.lease_ms:
+            self.void = self.count
             for key in list(self.runs):
                 self.end(key, wc.RunOutcome.LAPSED)
 
@@ -249,7 +256,8 @@
         if order.deadline_ms is not None:
             worker.extend(order.deadline_ms)
         for end in worker.ended:
-            if end.number <= order.seen and end.outcome is wc.RunOutcome.DONE:
+            is_done = end.outcome is wc.RunOutcome.DONE
+            if worker.void < end.number <= order.seen and is_done:
                 self.acknowledged.add(end.task)
         worker.seen = max(worker.seen, order.seen)
         worker.ended = [x for x in worker.ended if x.number > worker.seen]
