Rank the workers for a step once, and skip steps that fit nowhere

Ruled out: the duties' loops through members (0.3 ms). Still linear in the workers: docs/CAPACITY.md.

--- a/src/bluebellyoke/dispatch/placement.py
+++ b/src/bluebellyoke/dispatch/placement.py
@@ -4,6 +4,7 @@
 of planning uses up.
 """
 
+import heapq
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -11,7 +12,7 @@
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.workflow.specs import StepSpec
 
-__all__ = ["Room", "count_fits", "place_gang", "place_single"]
+__all__ = ["Candidates", "Room", "count_fits", "place_gang"]
 
 #: Tasks that need nothing still count as one in this many on a worker.
 MOST_TASKS = 10_000
@@ -53,12 +54,47 @@
     return max(fits, 0)
 
 
-def place_single(step: StepSpec, rooms: Iterable[Room]) -> Room | None:
-    """Return the worker for one task: near its data, then the tightest fit."""
-    fitting = [room for room in rooms if count_allowed(step, room, room.free) > 0]
-    if not fitting:
-        return None
-    return min(fitting, key=lambda room: _rank_room(step, room))
+class Candidates:
+    """Workers for the single tasks of a step: near its data, then the tightest fit.
+
+    The order is worked out once for all tasks of the step and kept as they are placed.
+
+    Args:
+        rooms: Workers to choose from.
+    """
+
+    def __init__(self, step: StepSpec, rooms: Iterable[Room]) -> None:
+        self._step = step
+        # The rank ends with the worker's identity, so rooms are never compared.
+        self._ranked = [
+            (_rank_room(step, room), room) for room in rooms if _has_place(step, room)
+        ]
+        heapq.heapify(self._ranked)
+
+    def take(self, avoid: str = "") -> Room | None:
+        """Place one task and return its worker, or None if it fits nowhere.
+
+        Args:
+            avoid: Worker that is taken only if there is no other.
+        """
+        if not self._ranked:
+            return None
+        best = heapq.heappop(self._ranked)
+        if best[1].worker == avoid and self._ranked:
+            best = heapq.heapreplace(self._ranked, best)
+        room = best[1]
+        room.taken_by_step += 1
+        if not self._step.fills:
+            room.free = room.free - self._step.need
+        if _has_place(self._step, room):
+            heapq.heappush(self._ranked, (_rank_room(self._step, room), room))
+        return room
+
+
+def _has_place(step: StepSpec, room: Room) -> bool:
+    if step.per_worker and room.taken_by_step >= step.per_worker:
+        return False
+    return step.fills or step.need.fits_in(room.free)
 
 
 def _rank_room(step: StepSpec, room: Room) -> tuple:
--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -7,18 +7,19 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from bluebellyoke.cell.resources import Resources
 from bluebellyoke.dispatch.advice import AdviceDuties, StepAdvice, StepKey
 from bluebellyoke.dispatch.members import Member
 from bluebellyoke.dispatch.placement import (
+    Candidates,
     Room,
     count_allowed,
     place_gang,
-    place_single,
 )
 from bluebellyoke.workflow.book import WorkflowBook
 from bluebellyoke.workflow.commands import RunStart, TaskName
 from bluebellyoke.workflow.specs import QueueSpec, StepSpec
-from bluebellyoke.workflow.workflow import TaskProgress, TaskState, Workflow
+from bluebellyoke.workflow.workflow import TaskState, Workflow
 
 __all__ = ["Planner", "PlannedStart"]
 
@@ -60,11 +61,16 @@
 
 @dataclass(slots=True)
 class Round:
-    """What one round of planning uses up."""
+    """What one round of planning uses up.
+
+    Attributes:
+        most_free: The most of each resource that any worker had free at its start.
+    """
 
     now: float
     rooms: dict[str, Room]
     pools: dict[str, list[Member]]
+    most_free: Resources
     reserved: set[str] = field(default_factory=set)
     reserving: int = 0
     starts: list[PlannedStart] = field(default_factory=list)
@@ -112,6 +118,8 @@
     def _plan_step(
         self, book: WorkflowBook, step: WaitingStep, planning: Round, is_head: bool
     ) -> None:
+        if not is_head and not _may_fit(step.spec, planning):
+            return
         pool = book.find_pool(step.workflow)
         members = [
             member
@@ -208,30 +216,18 @@
     ) -> None:
         lives = {member.spec.id: member.spec.key for member in members}
         tasks = _find_tasks(step)
+        candidates = Candidates(step.spec, rooms)
         for index in step.indexes:
-            room = self._choose_room(step, tasks[index], rooms)
+            task = tasks[index]
+            room = candidates.take(avoid=task.worker if task.failures else "")
             if room is None:
                 return
             life = lives[room.worker]
-            room.taken_by_step += 1
-            if not step.spec.fills:
-                room.free = room.free - step.spec.need
             if self._lacks_tickets(step, advice, {life}, planning.now):
                 continue
             run = tasks[index].run + 1
             self._add_start(step, index, run, life, planning, advice)
 
-    def _choose_room(
-        self, step: WaitingStep, task: TaskProgress, rooms: list[Room]
-    ) -> Room | None:
-        """Return a worker; one where the task has just failed only if need be."""
-        if task.failures:
-            others = [room for room in rooms if room.worker != task.worker]
-            chosen = place_single(step.spec, others)
-            if chosen is not None:
-                return chosen
-        return place_single(step.spec, rooms)
-
     def _lacks_tickets(
         self, step: WaitingStep, advice: StepAdvice | None, lives: set, now: float
     ) -> bool:
@@ -289,7 +285,21 @@
         spec = member.spec
         rooms[spec.id] = Room(spec.id, spec.labels, member.free, spec.capacity)
         pools.setdefault(spec.pool, []).append(member)
-    return Round(now, rooms, pools)
+    free = [room.free for room in rooms.values()]
+    most_free = Resources(
+        max((item.cpu_millis for item in free), default=0),
+        max((item.memory_mb for item in free), default=0),
+        max((item.accelerators for item in free), default=0),
+    )
+    return Round(now, rooms, pools, most_free)
+
+
+def _may_fit(spec: StepSpec, planning: Round) -> bool:
+    """Return whether it is worth to look for a worker at all.
+
+    A gang may reserve workers also while it fits nowhere.
+    """
+    return spec.gang or spec.fills or spec.need.fits_in(planning.most_free)
 
 
 def _find_waiting(book: WorkflowBook, wall: float) -> Iterator[WaitingStep]:
