Repeat a stop only once a look has shown that its run goes on

Cause: a stop that failed at once, as when a worker resets connections, was sent again in the same turn, without end. Now a look follows, and the stop is repeated 0.3 s after the last at the earliest. Ruled out: a counter of attempts, which would need a time of its own.

--- a/src/bluebellyoke/dispatch/holds.py
+++ b/src/bluebellyoke/dispatch/holds.py
@@ -33,8 +33,9 @@
 #: Refused connections in a row after which a worker's process is known to be gone.
 REFUSALS_OF_THE_DEAD = 2
 
-#: Time after which a stop without effect is repeated, in seconds.
-STOP_REPEAT_S = 0.4
+#: Time after which a stop without effect is repeated, in seconds. It is shorter than
+#: the time for its answer, so that the look after that repeats it.
+STOP_REPEAT_S = 0.3
 
 
 class Holds:
--- a/src/bluebellyoke/dispatch/stops.py
+++ b/src/bluebellyoke/dispatch/stops.py
@@ -6,7 +6,7 @@
 from bluebellyoke.dispatch.events import StopFinished
 from bluebellyoke.dispatch.looks import Looks
 from bluebellyoke.dispatch.members import Member, RunPhase
-from bluebellyoke.dispatch.ports import NoAnswerError, StopOrder
+from bluebellyoke.dispatch.ports import StopOrder
 from bluebellyoke.workflow import commands as wc
 from bluebellyoke.workflow.book import RunKey
 from bluebellyoke.workflow.workflow import TaskProgress, Workflow
@@ -83,13 +83,14 @@
     def receive(self, member: Member, event: StopFinished, now: float) -> None:
         """Note whether a run that the worker did not have is barred now.
 
-        A stop without an answer is sent again, on another connection.
+        When a stop of a run that the worker has gets no answer, a look tells whether
+        it has to be sent again.
         """
         run = member.runs.get(event.key)
         if run is None:
             return
-        if run.phase is RunPhase.STOPPING and isinstance(event.fault, NoAnswerError):
-            self.send_stop(member, event.key)
+        if run.phase is RunPhase.STOPPING and event.fault is not None:
+            self._looks.request(member)
         if run.phase is not RunPhase.BARRING:
             return
         phase = RunPhase.BARRED if event.accepted else RunPhase.UNSURE
