Measure the stages of a workflow and the calls to workers

Tests of the calls to workers, which had none of their own: a broken caller never ends the leader. Ruled out: measuring the wait at each task, whose dependencies would blur it.

--- a/src/bluebellyoke/dispatch/calls.py
+++ b/src/bluebellyoke/dispatch/calls.py
@@ -21,6 +21,7 @@
     WorkerCaller,
 )
 from bluebellyoke.errors import BluebellyokeError
+from bluebellyoke.metrics import Metrics
 from bluebellyoke.workflow.specs import WorkerSpec
 
 __all__ = ["WorkerCalls"]
@@ -41,9 +42,13 @@
     Args:
         caller: Interface to the workers.
         clock: Source of time.
+        metrics: Histograms and counters.
     """
 
-    def __init__(self, *, caller: WorkerCaller, clock: Clock) -> None:
+    def __init__(
+        self, *, caller: WorkerCaller, clock: Clock, metrics: Metrics | None = None
+    ) -> None:
+        self.metrics = metrics or Metrics()
         self._caller = caller
         self._clock = clock
         self._tasks: TaskGroup | None = None
@@ -79,8 +84,8 @@
             self._tasks.start_soon(function, *args)
 
     async def _start(self, worker: WorkerSpec, order: StartOrder, term: int) -> None:
-        answer, fault = await _attempt(
-            self._caller.start(worker, order), worker, ORDER_TIMEOUT_S
+        answer, fault = await self._attempt(
+            "start", self._caller.start(worker, order), worker, ORDER_TIMEOUT_S
         )
         self._post(
             StartFinished(
@@ -94,8 +99,8 @@
         )
 
     async def _stop(self, worker: WorkerSpec, order: StopOrder, term: int) -> None:
-        accepted, fault = await _attempt(
-            self._caller.stop(worker, order), worker, ORDER_TIMEOUT_S
+        accepted, fault = await self._attempt(
+            "stop", self._caller.stop(worker, order), worker, ORDER_TIMEOUT_S
         )
         self._post(
             StopFinished(
@@ -111,7 +116,8 @@
     async def _hold(self, worker: WorkerSpec, order: HoldOrder, term: int) -> None:
         sent_at = self._clock.monotonic()
         timeout_s = order.wait_ms / 1000 + HOLD_SLACK_S
-        report, fault = await _attempt(
+        report, fault = await self._attempt(
+            "look" if order.is_look else "hold",
             self._caller.hold(worker, order),
             worker,
             ORDER_TIMEOUT_S if order.is_look else timeout_s,
@@ -128,6 +134,17 @@
             )
         )
 
+    async def _attempt(
+        self, kind: str, call: Awaitable, worker: WorkerSpec, timeout_s: float
+    ) -> tuple:
+        """Return the value of a call and None, or None and the fault."""
+        begun = self._clock.monotonic()
+        value, fault = await _attempt(call, worker, timeout_s)
+        outcome = "answered" if fault is None else type(fault).__name__
+        took = self._clock.monotonic() - begun
+        self.metrics.note_worker_call(kind, outcome, took)
+        return value, fault
+
 
 async def _attempt(call: Awaitable, worker: WorkerSpec, timeout_s: float) -> tuple:
     """Return the value of a call and None, or None and the fault."""
--- a/src/bluebellyoke/dispatch/context.py
+++ b/src/bluebellyoke/dispatch/context.py
@@ -8,6 +8,7 @@
 from bluebellyoke.dispatch.calls import WorkerCalls
 from bluebellyoke.dispatch.members import LeaseTimes, Member
 from bluebellyoke.leader.sessions import Proposals
+from bluebellyoke.metrics import Metrics
 from bluebellyoke.workflow.book import RunKey, WorkflowBook
 from bluebellyoke.workflow.specs import StepSpec
 
@@ -39,6 +40,11 @@
     is_plan_wanted: bool = True
     woken: set[str] = field(default_factory=set)
 
+    @property
+    def metrics(self) -> Metrics:
+        """Histograms and counters."""
+        return self.calls.metrics
+
     def find_need(self, key: RunKey) -> Resources:
         """Return the room that a run takes."""
         step = self._find_step(key)
--- a/src/bluebellyoke/dispatch/records.py
+++ b/src/bluebellyoke/dispatch/records.py
@@ -43,6 +43,7 @@
             self._after_ends(member, ends)
 
         for end in ends:
+            self._context.metrics.note_run(end.outcome.value)
             log_run_end((end.task, end.run), member.spec.id, end.outcome.value)
         self._learn_from(member, ends)
         command = wc.RecordEnds(time=wall, ends=tuple(ends))
@@ -82,13 +83,15 @@
         self._stops.stop_incomplete_gangs(end.task for end in ends)
 
     def _log_outcome(self, workflow: Workflow) -> None:
+        took = workflow.finished_at - workflow.submitted_at
+        self._context.metrics.note_workflow(workflow.outcome, took)
         logger.info(
             "dispatch: a workflow ended",
             extra={
                 "job": workflow.spec.id,
                 "outcome": workflow.outcome,
                 "reason": workflow.reason,
-                "took_s": round(workflow.finished_at - workflow.submitted_at, 3),
+                "took_s": round(took, 3),
             },
         )
 
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -77,10 +77,12 @@
         starts = tuple(item.start for item in planned)
         self._context.proposals.add(
             wc.AssignRuns(time=wall, starts=starts),
-            lambda result: self._after_assignment(planned, result),
+            lambda result: self._after_assignment(planned, result, wall),
         )
 
-    def _after_assignment(self, planned: list[PlannedStart], result: Result) -> None:
+    def _after_assignment(
+        self, planned: list[PlannedStart], result: Result, wall: float
+    ) -> None:
         self.is_pending = False
         for item, done in zip(planned, result.detail["done"], strict=True):
             start = item.start
@@ -88,11 +90,20 @@
             if member is None or member.spec.born != start.born:
                 continue
             if done == "1":
+                self._measure_wait(start, wall)
                 self._send_start(member, item)
             else:
                 member.drop_run((start.task, start.run))
                 self._context.is_plan_wanted = True
 
+    def _measure_wait(self, start: wc.RunStart, wall: float) -> None:
+        """Measure how long a workflow waited for its first start."""
+        name = start.task
+        is_first = start.run == 1 and not (name.repetition or name.step or name.index)
+        workflow = self._context.book.workflows[name.workflow]
+        if is_first and not workflow.spec.repeats:
+            self._context.metrics.note_first_start(wall - workflow.submitted_at)
+
     def _send_start(self, member: Member, item: PlannedStart) -> None:
         start = item.start
         workflow = self._context.book.workflows[start.task.workflow]
--- a/src/bluebellyoke/instance/application.py
+++ b/src/bluebellyoke/instance/application.py
@@ -431,7 +431,7 @@
         caller = UnusedCaller()
         if self._gateway is not None:
             caller = self._gateway.create_caller()
-        return WorkerCalls(caller=caller, clock=self._clock)
+        return WorkerCalls(caller=caller, clock=self._clock, metrics=self._metrics)
 
     # Stop.
 
--- a/src/bluebellyoke/metrics.py
+++ b/src/bluebellyoke/metrics.py
@@ -43,6 +43,24 @@
         """Record a call to the advisor."""
         self._record("advice_seconds", seconds)
 
+    def note_worker_call(self, kind: str, outcome: str, seconds: float) -> None:
+        """Record a call to a worker; that of a hold includes its wait."""
+        self._counters["worker_calls_total", f"{kind}/{outcome}"] += 1
+        self._record(f"worker_call_seconds_{kind}", seconds)
+
+    def note_first_start(self, seconds: float) -> None:
+        """Record the time from a workflow's acceptance to its first start."""
+        self._record("workflow_start_wait_seconds", seconds)
+
+    def note_workflow(self, outcome: str, seconds: float) -> None:
+        """Record the time from a workflow's acceptance to its end."""
+        self._counters["workflows_total", outcome] += 1
+        self._record(f"workflow_seconds_{outcome}", seconds)
+
+    def note_run(self, outcome: str) -> None:
+        """Count a run by how it ended."""
+        self._counters["runs_total", outcome] += 1
+
     def _record(self, name: str, seconds: float) -> None:
         histogram = self._histograms.get(name)
         if histogram is None:
--- /dev/null
+++ b/tests/dispatch/test_calls.py
@@ -0,0 +1,79 @@
+"""Calls to workers, as tasks of their own."""
+
+import anyio
+import pytest
+
+from bluebellyoke.clock import SystemClock
+from bluebellyoke.dispatch.calls import WorkerCalls
+from bluebellyoke.dispatch.ports import (
+    HoldOrder,
+    HoldReport,
+    NoAnswerError,
+    StopOrder,
+    WorkerCaller,
+)
+from bluebellyoke.workflow.commands import TaskName
+from tests.workflow.factories import create_worker
+
+STOP = StopOrder(task=TaskName("a", 0, 0, 0), run=1, fence=1)
+
+
+class Caller(WorkerCaller):
+    """A worker that answers holds, loses stops and breaks starts."""
+
+    async def start(self, worker, order):
+        raise ValueError("what the worker sent makes no sense")
+
+    async def stop(self, worker, order):
+        raise NoAnswerError(worker.address, "reset")
+
+    async def hold(self, worker, order):
+        return HoldReport(1, worker.born, (), ())
+
+    async def close(self):
+        pass
+
+
+def call(function):
+    """Make one call; return its event and the metrics."""
+    calls = WorkerCalls(caller=Caller(), clock=SystemClock())
+    events = []
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            arrived = anyio.Event()
+
+            def post(event):
+                events.append(event)
+                arrived.set()
+
+            tasks.start_soon(calls.run, post)
+            await anyio.sleep(0)
+            function(calls, create_worker("w1"))
+            await arrived.wait()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    return events[0], calls.metrics.render()
+
+
+@pytest.mark.parametrize("is_look", [False, True])
+def test_hold_and_look_tell_their_lists_and_which_they_are(is_look):
+    order = HoldOrder(deadline_ms=None, fence=1, seen=0, is_look=is_look)
+    event, text = call(lambda calls, worker: calls.hold(worker, order))
+    assert event.report is not None
+    assert event.is_look is is_look
+    kind = "look" if is_look else "hold"
+    assert f'worker_calls_total{{outcome="{kind}/answered"}} 1' in text
+
+
+def test_lost_answer_becomes_an_event_with_its_fault():
+    event, text = call(lambda calls, worker: calls.stop(worker, STOP))
+    assert not event.accepted
+    assert isinstance(event.fault, NoAnswerError)
+    assert 'worker_calls_total{outcome="stop/NoAnswerError"} 1' in text
+
+
+def test_whatever_a_worker_sends_does_not_end_the_leader():
+    event, _ = call(lambda calls, worker: calls.start(worker, STOP))
+    assert isinstance(event.fault, NoAnswerError)
--- a/tests/dispatch/test_duties.py
+++ b/tests/dispatch/test_duties.py
@@ -333,3 +333,14 @@
     for _ in range(40):
         plan(world)
         assert find_looks(world) == []
+
+
+def test_stages_of_a_workflow_are_measured(world):
+    worker = start_run(world)
+    worker.end(next(iter(worker.runs)), wc.RunOutcome.DONE)
+    move(world, ("hold",))
+    text = world.calls.metrics.render()
+    assert "bluebellyoke_workflow_start_wait_seconds_count 1" in text
+    assert "bluebellyoke_workflow_seconds_completed_count 1" in text
+    assert 'bluebellyoke_workflows_total{outcome="completed"} 1' in text
+    assert 'bluebellyoke_runs_total{outcome="done"} 1' in text
--- a/tests/dispatch/world.py
+++ b/tests/dispatch/world.py
@@ -22,6 +22,7 @@
     StopOrder,
 )
 from bluebellyoke.leader.sessions import Proposals
+from bluebellyoke.metrics import Metrics
 from bluebellyoke.workflow import commands as wc
 from bluebellyoke.workflow.specs import WorkerSpec
 from tests.workflow.factories import create_book, create_worker
@@ -89,6 +90,7 @@
     def __init__(self, world):
         self.world = world
         self.term = 0
+        self.metrics = Metrics()
 
     def start(self, spec, order):
         self._add("start", spec, order)
