Leave out workers whose work stands still

Cause: a worker that stalls keeps its percents and answers all calls, so it got new tasks for as long as it had room. Now each run's percent is followed: when all runs that a worker lists stand still for 0.7 s, and for five times the time that a percent took so far, it gets no new task until one goes on or none is left. Ruled out: the figure of processor use, which stays.

--- a/src/bluebellyoke/dispatch/holds.py
+++ b/src/bluebellyoke/dispatch/holds.py
@@ -122,12 +122,25 @@
         member.note_clock(report.clock_ms, now)
         self._compare_running(member, report, now)
         member.set_look_due(now)
+        self._note_stall(member, report, now)
         ends = self._find_ends(member, report)
         if report.complete:
             ends += self._settle_absent(member, report, event.sent_at, now)
         last = max((end.number for end in report.ended), default=member.seen)
         self._record_ends(member, ends, last, event, wall)
 
+    def _note_stall(self, member: Member, report: HoldReport, now: float) -> None:
+        listed = {(item.task, item.run) for item in report.running}
+        if not member.note_stall(listed, now):
+            return
+        self._context.is_plan_wanted = True
+        logger.info(
+            "dispatch: a worker stands still"
+            if member.is_stalled
+            else "dispatch: a worker goes on",
+            extra={"worker": member.spec.id, "runs": len(member.runs)},
+        )
+
     def _note_end(self, member: Member, event: HoldFinished) -> None:
         """Note that the next hold or look may be sent."""
         if event.is_look:
--- a/src/bluebellyoke/dispatch/members.py
+++ b/src/bluebellyoke/dispatch/members.py
@@ -30,6 +30,13 @@
 OVERDUE_S = 0.15
 LOOK_PAUSE_S = 0.3
 
+#: Time for which a run's percent stays the same, in seconds, and in the time that it
+#: took for a percent so far, after which the run is taken for standing still.
+STALL_S = 0.7
+STALL_PERCENTS = 5
+
+WHOLE_PERCENT = 100
+
 #: Largest relative lag of a worker's clock.
 CLOCK_LAG = 0.02
 
@@ -72,6 +79,7 @@
         since: Monotonic time of the last change of the phase.
         due_at: Monotonic time at which it is expected to end.
         begun_at: Time at which `begun_percent` of its work was done, if known.
+        moved_at: Time at which the worker first listed `percent`, the latest figure.
     """
 
     need: Resources
@@ -80,14 +88,36 @@
     due_at: float = math.inf
     begun_at: float | None = None
     begun_percent: int = 0
+    moved_at: float = 0.0
+    percent: int = 0
 
     def note_progress(self, percent: int, now: float) -> None:
         """Learn from the part of the work that is done when it is to end."""
+        if percent != self.percent:
+            self.moved_at, self.percent = now, percent
         if self.begun_at is None:
             self.begun_at, self.begun_percent = now, percent
         elif percent > self.begun_percent and now > self.begun_at:
             rate = (percent - self.begun_percent) / (now - self.begun_at)
-            self.due_at = now + (100 - percent) / rate
+            self.due_at = now + (WHOLE_PERCENT - percent) / rate
+
+    @property
+    def has_moved(self) -> bool:
+        """Whether its work has gone on, so that its pace is known, and is not whole.
+
+        A task that lasts stays at 100 while it is at work.
+        """
+        known = self.begun_at is not None
+        return known and self.begun_percent < self.percent < WHOLE_PERCENT
+
+    def is_stalled(self, now: float) -> bool:
+        """Return whether its work has stood still for long by its own pace."""
+        if not self.has_moved:
+            return False
+        percent_s = (self.moved_at - self.begun_at) / (
+            self.percent - self.begun_percent
+        )
+        return now - self.moved_at > max(STALL_S, STALL_PERCENTS * percent_s)
 
 
 @dataclass(slots=True)
@@ -107,6 +137,7 @@
         suspect_until: Monotonic time until which it gets no new task.
         doubted_at: Time of the latest start that it did not answer; it gets no new
             task until it has answered a hold or a look after that.
+        is_stalled: Whether all its runs stand still; it gets no new task meanwhile.
         failed_workflows: Workflows of which a task failed here since one was done.
         pauses: Times that it was set aside for failures since one was done; until
             then it gets tasks only while it runs none.
@@ -127,6 +158,7 @@
     failures: int = 0
     suspect_until: float = 0.0
     doubted_at: float = 0.0
+    is_stalled: bool = False
     has_left: bool = False
     failed_workflows: set[str] = field(default_factory=set)
     pauses: int = 0
@@ -175,6 +207,19 @@
         """Work out when to ask next whether a run is overdue."""
         self.look_due = max(self._find_first_due() + OVERDUE_S, now + LOOK_PAUSE_S)
 
+    def note_stall(self, listed: set[RunKey], now: float) -> bool:
+        """Work out whether all its work stands still; return whether that changed.
+
+        Args:
+            listed: Runs that it has just listed as running.
+        """
+        runs = [run for key, run in self.runs.items() if key in listed]
+        moved = [run for run in runs if run.has_moved]
+        stalled = bool(moved) and all(run.is_stalled(now) for run in moved)
+        changed = stalled is not self.is_stalled
+        self.is_stalled = stalled
+        return changed
+
     def _find_first_due(self) -> float:
         return min((run.due_at for run in self.runs.values()), default=math.inf)
 
@@ -249,5 +294,6 @@
             and now - self.heard_at < silence_s
             and now >= self.suspect_until
             and not self.is_doubted
+            and not self.is_stalled
             and not (self.pauses and self.runs)
         )
--- a/tests/dispatch/test_duties.py
+++ b/tests/dispatch/test_duties.py
@@ -344,3 +344,60 @@
     assert "bluebellyoke_workflow_seconds_completed_count 1" in text
     assert 'bluebellyoke_workflows_total{outcome="completed"} 1' in text
     assert 'bluebellyoke_runs_total{outcome="done"} 1' in text
+
+
+def report_percent(world, worker, percent, after_s):
+    """Let a worker list its only run with a percent some time later."""
+    worker.percents[next(iter(worker.runs))] = percent
+    world.advance(after_s)
+    move(world, ("hold",))
+    plan(world)
+
+
+def test_worker_whose_work_stands_still_gets_none_until_it_goes_on(world):
+    worker = start_run(world, estimate_ms=60_000.0)
+    report_percent(world, worker, 5, after_s=0.5)
+    report_percent(world, worker, 10, after_s=0.5)
+    member = world.duties.members[worker.spec.id]
+    report_percent(world, worker, 10, after_s=0.6)
+    assert not member.is_stalled
+    report_percent(world, worker, 10, after_s=0.6)
+    assert member.is_stalled
+    for number in range(2, 12):
+        world.submit(create_spec(f"{number:016x}"))
+    plan(world)
+    assert worker.spec.id not in {x.spec.id for x in find_orders(world, "start")}
+    report_percent(world, worker, 11, after_s=0.1)
+    plan(world)
+    assert worker.spec.id in {x.spec.id for x in find_orders(world, "start")}
+
+
+def test_slow_steady_work_is_not_taken_for_standing_still(world):
+    """A task of five minutes moves by a percent every three seconds."""
+    worker = start_run(world, estimate_ms=300_000.0)
+    member = world.duties.members[worker.spec.id]
+    for percent in (0, 0, 1, 1, 1, 2, 2, 2, 3, 3, 3):
+        report_percent(world, worker, percent, after_s=1.0)
+        assert not member.is_stalled
+
+
+def test_lasting_work_is_not_taken_for_standing_still(world):
+    worker = start_run(world, estimate_ms=0.0)
+    for percent in (40, 100, 100, 100, 100):
+        report_percent(world, worker, percent, after_s=1.0)
+    assert not world.duties.members[worker.spec.id].is_stalled
+
+
+def test_end_after_a_while_without_news_is_not_taken_for_standing_still(world):
+    worker = start_run(world, estimate_ms=60_000.0)
+    report_percent(world, worker, 5, after_s=0.5)
+    report_percent(world, worker, 99, after_s=0.5)
+    worker.end(next(iter(worker.runs)), wc.RunOutcome.DONE)
+    world.advance(2.0)
+    for sent in find_orders(world, "hold"):
+        if sent.spec.id == worker.spec.id:
+            world.orders.remove(sent)
+            world.deliver(sent)
+    (event,) = world.answers
+    world.duties.receive(event, world.now, world.now)
+    assert not world.duties.members[worker.spec.id].is_stalled
--- a/tests/dispatch/world.py
+++ b/tests/dispatch/world.py
@@ -64,6 +64,7 @@
     seen: int = 0
     void: int = 0
     barred: dict = field(default_factory=dict)
+    percents: dict = field(default_factory=dict)
 
     def advance(self, seconds):
         self.clock_ms += seconds * 1000 * self.rate
@@ -263,7 +264,10 @@
                 self.acknowledged.add(end.task)
         worker.seen = max(worker.seen, order.seen)
         worker.ended = [x for x in worker.ended if x.number > worker.seen]
-        running = tuple(RunningRun(task, run, "") for task, run in worker.runs)
+        running = tuple(
+            RunningRun(task, run, "", worker.percents.get((task, run), 0))
+            for task, run in worker.runs
+        )
         report = HoldReport(
             int(worker.clock_ms), worker.spec.born, running, tuple(worker.ended)
         )
