--- a/src/bluebellyoke/dispatch/holds.py
+++ b/src/bluebellyoke/dispatch/holds.py
@@ -58,11 +58,11 @@
         roster: Roster,
         looks: Looks,
     ) -> None:
-        self._looks = looks
         self._context = context
         self._stops = stops
         self._records = records
         self._roster = roster
+        self._looks = looks
 
     def look_after(self, member: Member, now: float) -> None:
         """Send the next hold if it is due; give up a worker whose lease has ended."""
@@ -176,11 +176,10 @@
         for running in report.running:
             key = (running.task, running.run)
             run = member.runs.get(key)
-            if run is not None:
-                run.note_progress(running.percent, now)
-            else:
+            if run is None:
                 foreign[key] = member.foreign.get(key, 0.0)
                 continue
+            run.note_progress(running.percent, now)
             if run.phase in (RunPhase.UNSURE, RunPhase.BARRED, RunPhase.BARRING):
                 member.set_phase(key, RunPhase.STARTED, now)
                 self._stops.stop_incomplete_gangs((running.task,))
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -48,9 +48,9 @@
         looks: Looks,
     ) -> None:
         self._context = context
-        self._looks = looks
         self._stops = stops
         self._records = records
+        self._looks = looks
         self._planner = Planner(context.advice)
         self.is_pending = False
 
