Prove true refusals and a planned stop under load with real processes

Callers hand in jobs through all four instances while the leader is stopped or killed: no request is cut by a planned stop, and no job runs whose caller was told 429 or 503 or found the port closed. Ruled out: callers that go on connecting to an instance that has not been ready for long, as no balancer does.

--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -6,6 +6,8 @@
 import signal
 import subprocess
 import sys
+import threading
+import time
 
 import httpcore
 import pytest
@@ -17,6 +19,14 @@
 PREFIX = "/lohu930/"
 WAIT_S = 60.0
 
+#: Pause between two jobs of a caller, in seconds, and jobs that each has handed in
+#: before a fault, and again after it.
+PAUSE_S = 0.01
+JOBS_BEFORE = 20
+
+#: Time for which new connections reach an instance that is not ready, in seconds.
+BALANCER_S = 1.0
+
 SETTINGS = """
 Node = "{name}"
 Ip = "{ip}"
@@ -260,3 +270,123 @@
     process.send_signal(signal.SIGTERM)
     wait_until(lambda: not deployment.is_ready(4), WAIT_S, "the check to fail")
     assert process.wait(WAIT_S) == 0
+
+
+class Caller(threading.Thread):
+    """Hands in jobs one after the other, each once and on a connection of its own.
+
+    Like the platform's balancer it makes no new connections some time after the
+    instance is not ready any more; the instance lingers for longer.
+    """
+
+    def __init__(self, deployment, number):
+        super().__init__()
+        self.deployment = deployment
+        self.number = number
+        self.stopped = threading.Event()
+        self.outcomes = {}
+
+    def run(self):
+        count = 0
+        missed_at = None
+        while not self.stopped.wait(PAUSE_S):
+            if self.deployment.is_ready(self.number):
+                missed_at = None
+            elif missed_at is None:
+                missed_at = time.monotonic()
+            if missed_at is not None and time.monotonic() - missed_at > BALANCER_S:
+                return
+            count += 1
+            identity = f"{self.number:08x}{count:08x}"
+            self.outcomes[identity] = self.hand_in(identity)
+
+    def hand_in(self, identity):
+        """Return the status, or how the connection failed."""
+        host = self.deployment.find_ip(self.number)
+        try:
+            response = httpcore.request(
+                "POST",
+                f"http://{host}:{self.deployment.front}{PREFIX}{identity}",
+                headers={"Host": QUEUE_HOST, "Connection": "close"},
+                content=json.dumps(create_job([{"Count": 1, "Cpu": 100}])).encode(),
+                extensions={"timeout": {"connect": 5.0, "read": WAIT_S}},
+            )
+        except httpcore.ConnectError:
+            return "refused"
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            return "cut"
+        return response.status
+
+    def list_with(self, *outcomes):
+        return {key for key, value in self.outcomes.items() if value in outcomes}
+
+
+@pytest.fixture
+def callers(deployment):
+    """Callers of the leader and of another instance, under way."""
+    for worker in deployment.workers:
+        worker.run_s = 0.01
+    callers = [Caller(deployment, number) for number in deployment.processes]
+    for caller in callers:
+        caller.start()
+    wait_until(
+        lambda: all(len(x.list_with(200)) >= JOBS_BEFORE for x in callers),
+        WAIT_S,
+        "the first jobs",
+    )
+    yield callers
+    for caller in callers:
+        caller.stopped.set()
+        caller.join()
+
+
+def finish(deployment, callers):
+    """Stop the callers and wait until every accepted job is done."""
+    for caller in callers:
+        caller.stopped.set()
+        caller.join()
+    accepted = set().union(*(caller.list_with(200) for caller in callers))
+    wait_until(
+        lambda: (
+            accepted <= {task.partition(".")[0] for task in deployment.check_ledgers()}
+        ),
+        WAIT_S,
+        "the accepted jobs",
+    )
+
+
+def list_started(deployment):
+    return {
+        task.partition(".")[0]
+        for worker in deployment.workers
+        for _, what, task, _ in worker.ledger
+        if what == "start"
+    }
+
+
+def test_planned_stop_under_load_cuts_no_request(deployment, callers):
+    leader = deployment.find_leader()
+    process = deployment.processes.pop(leader)
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(WAIT_S) == 0
+    finish(deployment, callers)
+    assert [caller.list_with("cut") for caller in callers] == [set()] * len(callers)
+
+
+def test_job_that_is_turned_away_while_a_leader_is_lost_never_runs(deployment, callers):
+    leader = deployment.find_leader()
+    deployment.kill(leader)
+    survivors = [caller for caller in callers if caller.number != leader]
+    before = {caller.number: len(caller.list_with(200)) for caller in survivors}
+    wait_until(
+        lambda: all(
+            len(x.list_with(200)) >= before[x.number] + JOBS_BEFORE for x in survivors
+        ),
+        WAIT_S,
+        "jobs under the next leader",
+    )
+    finish(deployment, callers)
+    rejected = set().union(
+        *(caller.list_with(429, 503, "refused") for caller in callers)
+    )
+    assert rejected & list_started(deployment) == set()
