Remove the old self of a wiped instance, never a live voter in its place

A wiped replica comes back under a new identity, learns and votes. From then on nothing told that its old self was dead, so of four voters the last by name of the fullest data centre was removed; that was a live one in half of the cases, and the next loss left one voter of three. Change: a silent voter is dead also when its newer self is a voter; a silent voter leaves before a live one. Two tests, both failed first. Members of tests have ports of their own, as real ones have.

--- a/src/bluebellyoke/consensus/repair.py
+++ b/src/bluebellyoke/consensus/repair.py
@@ -58,7 +58,7 @@
     if learner is not None and wanted:
         return _promote(members, learner)
     if len(members.voters) > options.target_voters:
-        leaving = _choose_leaving(core, dead)
+        leaving = _choose_leaving(core, dead, now)
         if leaving is not None:
             return _without(members, leaving)
     gone = _find_dead_learner(core, candidates, now, options)
@@ -79,23 +79,34 @@
 def _find_dead_voters(
     core: Core, candidates: Mapping[str, Member], now: float, options: RepairOptions
 ) -> set[str]:
-    newer = [*candidates.values(), *core.membership.learners.values()]
-    newer_names = {member.name for member in newer}
-    newer_places = {(member.address, member.port) for member in newer}
+    present = [
+        member
+        for replica, member in core.membership.members.items()
+        if not _is_silent(core, replica, now, PRESENT_S)
+    ]
+    others = [*candidates.values(), *present]
     return {
         replica
         for replica, member in core.membership.voters.items()
         if _is_silent(core, replica, now, options.replace_after_s)
         or (
-            (
-                member.name in newer_names
-                or (member.address, member.port) in newer_places
-            )
-            and _is_silent(core, replica, now, PRESENT_S)
+            _is_silent(core, replica, now, PRESENT_S)
+            and any(_is_same_instance(member, other) for other in others)
         )
     }
 
 
+def _is_same_instance(member: Member, other: Member) -> bool:
+    """Return whether two replicas are identities of one instance, one after the other.
+
+    The replacement counts also once it votes: until then it is a candidate or learner.
+    """
+    if member.replica == other.replica:
+        return False
+    same_place = (member.address, member.port) == (other.address, other.port)
+    return same_place or member.name == other.name
+
+
 def _find_ready_learner(core: Core, now: float) -> str | None:
     for replica in core.membership.learners:
         progress = core.progress[replica]
@@ -117,10 +128,17 @@
     return None
 
 
-def _choose_leaving(core: Core, dead: set[str]) -> str | None:
-    """Return a dead voter, or else one of the fullest data centre."""
+def _choose_leaving(core: Core, dead: set[str], now: float) -> str | None:
+    """Return a dead voter, or a silent one, or else one of the fullest data centre."""
     if dead:
         return min(dead)
+    silent = [
+        replica
+        for replica in core.membership.voters
+        if _is_silent(core, replica, now, PRESENT_S)
+    ]
+    if silent:
+        return min(silent, key=lambda replica: core.progress[replica].present_at)
     places = Counter(x.data_centre for x in core.membership.voters.values())
     others = [
         (places[member.data_centre], replica)
--- a/tests/consensus/cluster.py
+++ b/tests/consensus/cluster.py
@@ -33,7 +33,9 @@
 
 
 def create_member(replica):
-    return m.Member(replica, replica, "127.0.0.1", 1, f"dc-{replica}")
+    # No two instances share a port.
+    port = 1000 + sum(replica.encode())
+    return m.Member(replica, replica, "127.0.0.1", port, f"dc-{replica}")
 
 
 class Cluster:
--- a/tests/consensus/test_repair.py
+++ b/tests/consensus/test_repair.py
@@ -117,6 +117,35 @@
     assert lost not in voters
 
 
+def test_wiped_instance_replaces_its_old_self_and_no_live_voter(cluster):
+    """Also where the data centres tell nothing of which of four voters may go."""
+    leader = cluster.find_leader()
+    lost = lose_follower(cluster)
+    alive = next(x for x in cluster.cores if x not in (leader, lost))
+    cluster.add_replica("new")
+    member = m.Member("new", lost, "127.0.0.1", 1, "dc-new")
+    Repairer(cluster, {"new": member}).run(10.0)
+    voters = cluster.cores[cluster.find_leader()].membership.voters
+    assert set(voters) == {leader, alive, "new"}
+
+
+def test_silent_voter_leaves_before_a_live_one(cluster):
+    """There is one voter too many, and nothing else tells which is to go."""
+    leader = cluster.find_leader()
+    cluster.add_replica("r9")
+    voters = dict(cluster.cores[leader].membership.voters)
+    voters["r9"] = create_member("r9")
+    cluster.cores[leader].propose_membership(m.Membership(voters, {}), cluster.now)
+    cluster.pump(leader)
+    cluster.settle(1.0)
+    lost = lose_follower(cluster)
+    cluster.settle(3.0)
+    Repairer(cluster, {}).run(6.0)
+    left = cluster.cores[cluster.find_leader()].membership.voters
+    assert lost not in left
+    assert len(left) == 3
+
+
 def test_replacement_goes_to_the_emptiest_data_centre(cluster):
     lost = lose_follower(cluster)
     place = f"dc-{cluster.find_leader()}"
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -532,6 +532,20 @@
         "code = UNAVAILABLE",
         "tests/instance -k may_have_been_carried_out",
     ),
+    Case(
+        "a wiped instance's old self is known also once its new self votes",
+        "consensus/repair.py",
+        "    others = [*candidates.values(), *present]\n",
+        "    others = list(candidates.values())\n",
+        "tests/consensus -k replaces_its_old_self",
+        also=(
+            (
+                "consensus/repair.py",
+                "    if silent:\n",
+                "    if False:\n",
+            ),
+        ),
+    ),
 ]
 
 
