Replace lost voters by spares within two seconds

A newcomer has another name and address than the machine it replaces, so it does not count as the same instance, and the dead voter was replaced only after 30 s of silence. Ruled out: elections (the survivor stood again and again), finding the cell through the seeds (all instances reloaded them within 5 s).

Change: the platform's cells replace a voter after 2 s without contact if a spare is there. What that needs besides: a stopping replica asks the leader for its replacement from the start of its drain (a planned replacement may be followed by the next loss at once); a voter that was removed while it was down asks to join again, and the leader tells whoever asks where the members are; a leader that was paused observes its followers for a second before it judges them; a learner that was removed as dead makes room for another spare.

Tests, each failing without its part (tried by hand, listed in tests/unprotected.py): a state machine of replacements, planned ones, restarts and losses beside a spare; a platform deployment of real processes whose three founders are all replaced.

--- a/src/bluebellyoke/consensus/membership_planner.py
+++ b/src/bluebellyoke/consensus/membership_planner.py
@@ -2,16 +2,17 @@
 
 Rules:
     * A replica becomes a voter only after it has caught up as a learner.
-    * A dead voter is removed only after its replacement votes, so the number of
-      synced copies never decreases.
-    * A voter is dead once it has been unreachable for `replace_after_s`. It is dead
-      as soon as it is unreachable if its instance returns with another replica
-      ID, because that proves that its data folder is lost.
+    * A voter is replaced once it has been unreachable for `replace_after_s` or while
+      its instance shuts down. It is replaced as soon as it is unreachable if its
+      instance returns with another replica ID, because that proves that its data
+      folder is lost.
+    * It is removed only after its replacement votes, so the number of synced copies
+      never decreases. Without a spare replica, the membership stays as it is.
     * New members are added in the data centre that has the fewest.
 """
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 from bluebellyoke.consensus.messages import Member, Membership
@@ -32,8 +33,8 @@
 
     Attributes:
         target_voters: Number of voters to maintain; should be odd.
-        replace_after_s: Time without a reply after which a member is considered
-            dead and replaced, in seconds.
+        replace_after_s: Time without a reply after which a spare replica replaces a
+            member, in seconds.
     """
 
     target_voters: int = 3
@@ -45,6 +46,7 @@
     joining: Mapping[str, Member],
     now: float,
     options: MembershipOptions,
+    leaving: Collection[str] = (),
 ) -> Membership | None:
     """Return the next membership to propose, or None if no change is needed.
 
@@ -54,26 +56,29 @@
             by ID.
         now: Monotonic time, in seconds.
         options: Target size and timeout.
+        leaving: Replicas whose instances shut down.
     """
     if not raft.can_change_membership:
         return None
     membership = raft.membership
-    dead_voters = _find_dead_voters(raft, joining, now, options)
-    learner = _find_promotable_learner(raft, now)
-    needs_voter = len(membership.voters) - len(dead_voters) < options.target_voters
+    departing_voters = _find_departing_voters(raft, joining, now, options, leaving)
+    learner = _find_promotable_learner(raft, now, leaving)
+    needs_voter = len(membership.voters) - len(departing_voters) < options.target_voters
     if learner is not None and needs_voter:
         return _promote(membership, learner)
     if len(membership.voters) > options.target_voters:
-        surplus_voter = _choose_voter_to_remove(raft, dead_voters, now)
+        surplus_voter = _choose_voter_to_remove(raft, departing_voters, now)
         if surplus_voter is not None:
             return _remove_member(membership, surplus_voter)
     dead_learner = _find_dead_learner(raft, joining, now, options)
     if dead_learner is not None:
         return _remove_member(membership, dead_learner)
-    live_count = len(membership.voters) - len(dead_voters) + len(membership.learners)
+    live_count = (
+        len(membership.voters) - len(departing_voters) + len(membership.learners)
+    )
     if joining and live_count < options.target_voters:
         return _add_learner(
-            membership, _choose_joining_replica(membership, dead_voters, joining)
+            membership, _choose_joining_replica(membership, departing_voters, joining)
         )
     return None
 
@@ -84,11 +89,12 @@
     return now - raft.progress[replica].last_seen_at > timeout_s
 
 
-def _find_dead_voters(
+def _find_departing_voters(
     raft: RaftNode,
     joining: Mapping[str, Member],
     now: float,
     options: MembershipOptions,
+    leaving: Collection[str],
 ) -> set[str]:
     reachable = [
         member
@@ -100,7 +106,8 @@
     return {
         replica
         for replica, member in raft.membership.voters.items()
-        if _is_unreachable(raft, replica, now, options.replace_after_s)
+        if replica in leaving
+        or _is_unreachable(raft, replica, now, options.replace_after_s)
         or (
             _is_unreachable(raft, replica, now, UNREACHABLE_AFTER_S)
             and any(_is_same_instance(member, other) for other in replacements)
@@ -119,8 +126,12 @@
     return same_address or member.name == other.name
 
 
-def _find_promotable_learner(raft: RaftNode, now: float) -> str | None:
+def _find_promotable_learner(
+    raft: RaftNode, now: float, leaving: Collection[str]
+) -> str | None:
     for replica in raft.membership.learners:
+        if replica in leaving:
+            continue
         progress = raft.progress[replica]
         if (
             now - progress.last_reply_at > UNREACHABLE_AFTER_S
@@ -149,22 +160,25 @@
 
 
 def _choose_voter_to_remove(
-    raft: RaftNode, dead_voters: set[str], now: float
+    raft: RaftNode, departing_voters: set[str], now: float
 ) -> str | None:
-    """Return a dead voter, else the one unreachable for longest, else a live one.
+    """Return the voter that can be spared best.
 
-    A live voter is taken from the data centre with the most voters. The leader itself
-    is never chosen.
+    Departing voters come first, then unreachable ones, those without contact for
+    longest first. A live voter is taken from the data centre with the most voters. The
+    leader itself is never chosen.
     """
-    if dead_voters:
-        return min(dead_voters)
+    departing = departing_voters - {raft.replica}
     unreachable = [
         replica
         for replica in raft.membership.voters
         if _is_unreachable(raft, replica, now, UNREACHABLE_AFTER_S)
     ]
-    if unreachable:
-        return min(unreachable, key=lambda replica: raft.progress[replica].last_seen_at)
+    candidates = departing or unreachable
+    if candidates:
+        return min(
+            candidates, key=lambda item: (raft.progress[item].last_seen_at, item)
+        )
     data_centre_counts = Counter(x.data_centre for x in raft.membership.voters.values())
     others = [
         (data_centre_counts[member.data_centre], replica)
@@ -175,12 +189,12 @@
 
 
 def _choose_joining_replica(
-    membership: Membership, dead_voters: set[str], joining: Mapping[str, Member]
+    membership: Membership, departing_voters: set[str], joining: Mapping[str, Member]
 ) -> Member:
     data_centre_counts = Counter(
         member.data_centre
         for replica, member in membership.members.items()
-        if replica not in dead_voters
+        if replica not in departing_voters
     )
     return min(
         joining.values(),
--- a/src/bluebellyoke/consensus/messages.py
+++ b/src/bluebellyoke/consensus/messages.py
@@ -12,6 +12,7 @@
     "Envelope",
     "HardState",
     "JoinRequest",
+    "LeaveNotice",
     "Member",
     "Membership",
     "Message",
@@ -105,7 +106,7 @@
 
     Attributes:
         term: Current term of the sender. A pre-vote and its grant carry the next
-            term, join requests and peer lists carry 0.
+            term; join requests, leave notices and peer lists carry 0.
     """
 
     term: int
@@ -207,6 +208,10 @@
     member: Member
 
 
+class LeaveNotice(Message, frozen=True, array_like=True, tag=True):
+    """Notice to the leader that the sender's instance shuts down."""
+
+
 class PeerList(Message, frozen=True, array_like=True, tag=True):
     """Addresses of the members, for instances that do not know them."""
 
@@ -222,6 +227,7 @@
     | SnapshotReply
     | TransferRequest
     | JoinRequest
+    | LeaveNotice
     | PeerList
 )
 
--- a/src/bluebellyoke/consensus/raft.py
+++ b/src/bluebellyoke/consensus/raft.py
@@ -73,6 +73,8 @@
 
     Attributes:
         leader: ID of the current leader, or an empty string if unknown.
+        leader_contact_at: Monotonic time of the latest message from a leader, in
+            seconds; at first the time of the start.
         commit_index: Index of the last committed entry.
     """
 
@@ -102,7 +104,7 @@
         self._synced_index = log.last_index
         self._votes: set[str] = set()
         self._last_input_at = now
-        self._leader_contact_at = now
+        self.leader_contact_at = now
         self._transfer_target = ""
         self._transfer_deadline = now
         self._term_start_index = 0
@@ -331,7 +333,7 @@
         """Return whether a leader was in contact too recently to vote for another."""
         if self.role is Role.LEADER:
             return now < self.compute_lease_end(now)
-        return now - self._leader_contact_at < self.timing.election_min_s
+        return now - self.leader_contact_at < self.timing.election_min_s
 
     def _handle_vote_reply(
         self, source: str, reply: messages.VoteReply, now: float
@@ -438,7 +440,7 @@
     def _follow_leader(self, source: str, term: int, now: float) -> None:
         if self.role is not Role.FOLLOWER or self.leader != source:
             self._become_follower(term, source, now)
-        self._leader_contact_at = now
+        self.leader_contact_at = now
         self._reset_election_timer(now)
 
     def _handle_append_request(
--- a/src/bluebellyoke/instance/application.py
+++ b/src/bluebellyoke/instance/application.py
@@ -6,7 +6,8 @@
 2. After `linger_s`, new requests are refused as not run.
 3. Open requests finish.
 4. The instance returns its slots to the leader.
-5. If the replica is the leader, it transfers the leadership.
+5. If the replica is the leader, it transfers the leadership. From the first step on,
+   it asks the leader for its replacement by a spare replica.
 6. The process exits.
 """
 
@@ -472,6 +473,8 @@
     async def _drain(self, server: _HttpServer) -> None:
         limits = self._settings.limits
         self._status.leaving = True
+        if self._replica is not None:
+            self._replica.start_leaving()
         logger.info("instance: started draining", extra={"linger_s": limits.linger_s})
         await anyio.sleep(limits.linger_s)
         self._router.draining = True
@@ -482,7 +485,17 @@
         await self._link.send_bye()
         server.should_exit = True
         if self._replica is not None:
-            await self._replica.transfer_leadership()
+            await self._leave_membership(self._replica)
         with anyio.move_on_after(HTTP_CLOSE_TIMEOUT_S):
             while server.server_state.connections:
                 await anyio.sleep(0.02)
+
+    async def _leave_membership(self, replica: Replica) -> None:
+        """Hand the leadership over; a former leader then waits for its replacement.
+
+        A follower has asked for its replacement since the start of the shutdown.
+        """
+        was_leader = replica.raft.is_leader
+        await replica.transfer_leadership()
+        if was_leader:
+            await replica.wait_until_replaced()
--- a/src/bluebellyoke/instance/membership.py
+++ b/src/bluebellyoke/instance/membership.py
@@ -1,6 +1,7 @@
 """Join requests of a replica, and membership changes by the leader."""
 
 import logging
+import math
 from collections.abc import Callable
 
 from bluebellyoke.consensus import messages
@@ -15,8 +16,25 @@
 #: Interval of join requests, or of member lists sent to the seeds, in seconds.
 SEND_INTERVAL_S = 1.0
 
-#: Time after which the leader forgets a join request, in seconds.
+#: Interval of leave notices, in seconds. It is short because the process ends soon.
+LEAVE_NOTICE_INTERVAL_S = 0.2
+
+#: Times after which the leader forgets a join request or a leave notice, in seconds.
 JOIN_REQUEST_TTL_S = 5.0
+LEAVE_NOTICE_TTL_S = 2.0
+
+#: Time without a leader after which a member sends join requests, in seconds. It may
+#: have been removed while its instance was down, and nobody else tells it so.
+REJOIN_AFTER_S = 1.0
+
+#: Time for which a learner that was removed as dead cannot join again, in seconds.
+#: Its requests may arrive although no reply of the leader reaches it.
+REJECTION_S = 10.0
+
+#: Pause of the process after which the leader observes its followers anew, and the
+#: time for which it does, in seconds.
+MAX_OBSERVATION_GAP_S = 0.5
+OBSERVATION_S = 1.0
 
 
 class MembershipManager:
@@ -48,7 +66,12 @@
         self._directory = directory
         self._send = send
         self._join_requests: dict[str, tuple[float, messages.Member]] = {}
+        self._leave_notices: dict[str, float] = {}
+        self._rejected_until: dict[str, float] = {}
+        self._leaving = False
         self._next_send_at = 0.0
+        self._observed_at = math.inf
+        self._observing_since = -math.inf
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the seed addresses."""
@@ -60,22 +83,60 @@
         members = self._raft.membership.members.values()
         return tuple(f"{item.address}:{item.port}" for item in members)
 
+    def start_leaving(self) -> None:
+        """Ask the leader from now on to replace this replica by a spare one."""
+        self._leaving = True
+        self._next_send_at = 0.0
+
     def record_join_request(self, member: messages.Member, now: float) -> None:
-        """Store a replica's request to become a member."""
+        """Store a replica's request to become a member.
+
+        The leader replies with the addresses of the members. The sender may only know
+        former ones.
+        """
         self._join_requests[member.replica] = (now, member)
+        if self._raft.is_leader and member.replica not in self._raft.membership.members:
+            self._send(
+                f"{member.address}:{member.port}", messages.PeerList(0, self.peers)
+            )
+
+    def record_leave_notice(self, replica: str, now: float) -> None:
+        """Store a replica's notice that its instance shuts down."""
+        self._leave_notices[replica] = now
 
     def tick(self, now: float) -> None:
-        """Send join requests while not a member; else send the members to the seeds."""
+        """Send the notice or request that is due, or else the members to the seeds."""
         if now < self._next_send_at:
             return
+        if self._leaving:
+            self._next_send_at = now + LEAVE_NOTICE_INTERVAL_S
+            self._send_leave_notice()
+            return
         self._next_send_at = now + SEND_INTERVAL_S
         if self._member.replica in self._raft.membership.members:
             self._send_members_to_seeds()
-            return
+        if not self._is_active_member(now):
+            self._send_join_requests()
+
+    def _is_active_member(self, now: float) -> bool:
+        raft = self._raft
+        if raft.is_leader:
+            return True
+        is_member = self._member.replica in raft.membership.members
+        return is_member and now - raft.leader_contact_at <= REJOIN_AFTER_S
+
+    def _send_join_requests(self) -> None:
         request = messages.JoinRequest(0, self._member)
-        for address in {*self._seeds, *self.peers, *self._directory.addresses}:
+        own_address = f"{self._member.address}:{self._member.port}"
+        addresses = {*self._seeds, *self.peers, *self._directory.addresses}
+        for address in addresses - {own_address}:
             self._send(address, request)
 
+    def _send_leave_notice(self) -> None:
+        leader = self._raft.membership.members.get(self._raft.leader)
+        if leader is not None and leader.replica != self._member.replica:
+            self._send(f"{leader.address}:{leader.port}", messages.LeaveNotice(0))
+
     def _send_members_to_seeds(self) -> None:
         """Send the addresses of the members to the seeds that are not members."""
         peers = self.peers
@@ -84,23 +145,63 @@
 
     def propose_change(self, now: float) -> None:
         """Propose the next membership change, if one is due; only on the leader."""
+        if not self._has_observed_followers(now):
+            return
+        self._forget_old_notices(now)
         members = self._raft.membership.members
-        self._join_requests = {
-            replica: request
-            for replica, request in self._join_requests.items()
-            if now - request[0] < JOIN_REQUEST_TTL_S and replica not in members
-        }
         joining = {
-            replica: request[1] for replica, request in self._join_requests.items()
+            replica: request[1]
+            for replica, request in self._join_requests.items()
+            if replica not in self._rejected_until
         }
-        membership = plan_membership(self._raft, joining, now, self._options)
+        membership = plan_membership(
+            self._raft, joining, now, self._options, self.list_leaving()
+        )
         if membership is None:
             return
+        for learner in set(self._raft.membership.learners) - set(membership.members):
+            self._rejected_until[learner] = now + REJECTION_S
         logger.info(
             "replica: proposes a membership change",
             extra={
+                "added": sorted(set(membership.members) - set(members)),
+                "removed": sorted(set(members) - set(membership.members)),
+                "leaving": sorted(self.list_leaving()),
                 "voters": [item.name for item in membership.voters.values()],
                 "learners": [item.name for item in membership.learners.values()],
             },
         )
         self._raft.propose_membership(membership, now)
+
+    def list_leaving(self) -> set[str]:
+        """Return the replicas whose instances shut down."""
+        own = {self._member.replica} if self._leaving else set()
+        return own | set(self._leave_notices)
+
+    def _has_observed_followers(self, now: float) -> bool:
+        """Return whether this process has run long enough to judge its followers.
+
+        After a pause, replies of sound followers wait unread and look overdue.
+        """
+        if now - self._observed_at > MAX_OBSERVATION_GAP_S:
+            self._observing_since = now
+        self._observed_at = now
+        return now - self._observing_since >= OBSERVATION_S
+
+    def _forget_old_notices(self, now: float) -> None:
+        members = self._raft.membership.members
+        self._join_requests = {
+            replica: request
+            for replica, request in self._join_requests.items()
+            if now - request[0] < JOIN_REQUEST_TTL_S and replica not in members
+        }
+        self._leave_notices = {
+            replica: received_at
+            for replica, received_at in self._leave_notices.items()
+            if now - received_at < LEAVE_NOTICE_TTL_S
+        }
+        self._rejected_until = {
+            replica: until
+            for replica, until in self._rejected_until.items()
+            if now < until
+        }
--- a/src/bluebellyoke/instance/replica.py
+++ b/src/bluebellyoke/instance/replica.py
@@ -41,6 +41,9 @@
 #: Maximum time between two ticks, in seconds.
 TICK_INTERVAL_S = 0.02
 
+#: Time that a stopping former leader waits for its replacement, in seconds.
+REPLACEMENT_WAIT_S = 0.6
+
 #: Maximum number of inputs processed per iteration.
 MAX_INPUTS_PER_ITERATION = 2_000
 
@@ -227,6 +230,14 @@
         """Addresses of all members."""
         return self._membership_manager.peers
 
+    @property
+    def known_addresses(self) -> tuple[str, ...]:
+        """Addresses of all members, and those that other replicas have sent.
+
+        A replica that was removed while it was down knows only former members itself.
+        """
+        return tuple(dict.fromkeys((*self.peers, *self._directory.addresses)))
+
     def describe(self) -> dict:
         """Return the state of the Raft node for status reports."""
         raft = self.raft
@@ -305,6 +316,19 @@
             while self.raft.is_leader:
                 await anyio.sleep(TICK_INTERVAL_S)
 
+    def start_leaving(self) -> None:
+        """Ask the leader to replace this replica by a spare one, if there is any."""
+        self._membership_manager.start_leaving()
+
+    async def wait_until_replaced(self) -> None:
+        """Wait until a spare replica votes in place of this one, or for a short time.
+
+        Without a spare, the leader keeps this replica as a voter.
+        """
+        with anyio.move_on_after(REPLACEMENT_WAIT_S):
+            while self.raft.is_voter:
+                await anyio.sleep(TICK_INTERVAL_S)
+
     async def _collect_inputs(self) -> list:
         """Wait for inputs until the next tick and return the queued ones."""
         inputs = []
@@ -337,13 +361,15 @@
             self._directory.update(envelope.message.addresses)
         elif isinstance(envelope.message, messages.JoinRequest):
             self._membership_manager.record_join_request(envelope.message.member, now)
+        elif isinstance(envelope.message, messages.LeaveNotice):
+            self._membership_manager.record_leave_notice(envelope.source, now)
         elif envelope.target == self.raft.replica:
             self._origin_addresses[envelope.source] = envelope.origin
             self.raft.receive(envelope.source, envelope.message, now)
 
     def _receive_session_input(self, item: SessionInput) -> None:
         if not self.raft.is_leader:
-            item.send(wire.Redirect(self.leader_address, self.peers))
+            item.send(wire.Redirect(self.leader_address, self.known_addresses))
             item.send(None)
             return
         self._session_senders[item.session] = item.send
@@ -405,15 +431,17 @@
         self._controller.deactivate()
         self._pending_entries.clear()
         self._session_inputs.clear()
-        redirect = wire.Redirect(self.leader_address, self.peers)
+        redirect = wire.Redirect(self.leader_address, self.known_addresses)
         for send in self._session_senders.values():
             send(redirect)
             send(None)
         self._session_senders.clear()
 
     def _request_leadership_transfer(self, now: float) -> None:
+        leaving = self._membership_manager.list_leaving()
         followers = sorted(
-            self.raft.progress.items(), key=lambda item: -item[1].match_index
+            self.raft.progress.items(),
+            key=lambda item: (item[0] in leaving, -item[1].match_index),
         )
         for replica, _ in followers:
             if self.raft.transfer_leadership(replica, now):
--- a/src/bluebellyoke/platform/settings.py
+++ b/src/bluebellyoke/platform/settings.py
@@ -32,8 +32,9 @@
 #: The platform checks readiness once a second, and the check has to fail twice.
 LINGER_S = 2.2
 
-#: Time without contact after which a spare replica replaces a voter.
-REPLACE_AFTER_S = 30.0
+#: Time without contact after which a spare replica replaces a voter. A machine may be
+#: gone for good, and the next one may be lost seconds later.
+REPLACE_AFTER_S = 2.0
 
 #: Minimum election timeout. Short tasks are late after 0.6 s without a leader.
 ELECTION_TIMEOUT_S = 0.25
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -174,6 +174,16 @@
                 return number
         return None
 
+    def list_voters(self):
+        """Return the names of the voters as the leader sees them."""
+        for number in self.processes:
+            url = f"http://{self.get_ip(number)}:{self.peer_port + 1}/v1/instance"
+            status, value = request_json("GET", url)
+            replica = value.get("replica") if status == 200 else None
+            if replica and replica["role"] == "leader":
+                return replica["voters"]
+        return []
+
     def check_ledgers(self):
         """Check that runs of a task never overlap or start after the task is done.
 
@@ -285,6 +295,45 @@
     deployment.check_ledgers()
 
 
+def test_cell_survives_the_replacement_of_all_founders(deployment):
+    """Three machines are lost for good, one after the other; empty ones replace them.
+
+    At the end, no founder is left and the seeds of the first start are gone.
+    """
+    job_id = "00000000000000d1"
+    assert deployment.call_queue("POST", job_id, create_job(STEPS))[0] == 200
+    members = [1, 2, 3]
+    for newcomer in (5, 6, 7):
+        deployment.kill(members.pop(0))
+        members.append(newcomer)
+        deployment.start(newcomer, has_disk=True, bootstrap=False, seeds=members)
+        wait_until(
+            lambda name=f"i{newcomer}": (
+                name in deployment.list_voters() and len(deployment.list_voters()) == 3
+            ),
+            WAIT_S,
+            "the newcomer to vote",
+        )
+    late_job_id = "00000000000000d2"
+    wait_until(
+        lambda: (
+            deployment.call_queue("POST", late_job_id, create_job(STEPS), number=4)[0]
+            == 200
+        ),
+        WAIT_S,
+        "the second job to be accepted",
+    )
+    for item in (job_id, late_job_id):
+        wait_until(
+            lambda item=item: deployment.find_state(item) == "completed",
+            WAIT_S,
+            "the job",
+        )
+    url = f"http://{deployment.get_ip(5)}:{deployment.control_port}/-/config"
+    assert request_json("GET", url) == (200, CONFIG)
+    deployment.check_ledgers()
+
+
 def test_planned_stop_exits_with_status_0(deployment):
     process = deployment.processes[4]
     process.send_signal(signal.SIGTERM)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -47,6 +47,12 @@
     assert settings.limits.longest_called_worker_lease_s == 6.0
 
 
+def test_lost_voter_is_replaced_within_the_time_for_a_new_machine(tmp_path):
+    """A new machine must vote within 4 s; joining and catching up take part of it."""
+    settings = translate_settings(read_settings(write(tmp_path, TEXT)))
+    assert settings.cell.replace_after_s <= 2.0
+
+
 def test_instance_without_data_dir_has_no_data_folder(tmp_path):
     text = TEXT.replace('DataDir = "/data/my-front"', "")
     settings = translate_settings(read_settings(write(tmp_path, text)))
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -42,6 +42,41 @@
 
 
 CASES = [
+    Case(
+        "a removed voter that returns asks to join again",
+        "instance/membership.py",
+        "return is_member and now - raft.leader_contact_at <= REJOIN_AFTER_S",
+        "return is_member",
+        "tests/instance/test_membership_stateful.py",
+    ),
+    Case(
+        "a stopping voter asks for its replacement",
+        "instance/membership.py",
+        "            self._send_leave_notice()\n",
+        "            pass\n",
+        "tests/instance/test_membership_stateful.py",
+    ),
+    Case(
+        "a voter that is gone for good is replaced by a spare in time",
+        "platform/settings.py",
+        "REPLACE_AFTER_S = 2.0",
+        "REPLACE_AFTER_S = 30.0",
+        "tests/platform/test_settings.py",
+    ),
+    Case(
+        "a leader that was paused observes its followers anew",
+        "instance/membership.py",
+        "        return now - self._observing_since >= OBSERVATION_S\n",
+        "        return True\n",
+        "tests/instance/test_membership.py",
+    ),
+    Case(
+        "a learner that was removed as dead cannot join at once",
+        "instance/membership.py",
+        "            self._rejected_until[learner] = now + REJECTION_S\n",
+        "            pass\n",
+        "tests/instance/test_membership.py",
+    ),
     Case(
         "voters reject candidates while they have a live leader",
         "consensus/raft.py",
@@ -52,8 +87,8 @@
     Case(
         "a restarted voter waits before it votes",
         "consensus/raft.py",
-        "        self._leader_contact_at = now\n        self._transfer_target",
-        "        self._leader_contact_at = -1e9\n        self._transfer_target",
+        "        self.leader_contact_at = now\n        self._transfer_target",
+        "        self.leader_contact_at = -1e9\n        self._transfer_target",
         "tests/consensus",
     ),
     Case(
