Call workers with a parser in C and one write a call

Cause: a call of the leader to a worker costs 1.1 ms of processor time (8 at a time; 1.7 ms one at a time) on a busy machine, measured with calls of WorkerCalls against a local server: 1,650 Python calls each, half of them cancel scopes and locks of httpcore's streams, a fifth h11's parser.

Change: calls with short bodies to workers and to the advisor go over asyncio's transports; httptools, already a dependency of the listeners, parses the responses. httpcore stays for the requests of callers to upstreams, whose bodies are streams. Weighed: aiohttp's client, another parser in C, costs a second HTTP stack in memory and start of each of a hundred instances.

Tests: a late, second, broken, oversized or refused response; a cancelled call's response never answers a later one (a second response in one packet did at first).

--- a/src/bluebellyoke/platform/clients.py
+++ b/src/bluebellyoke/platform/clients.py
@@ -1,9 +1,5 @@
 """HTTP clients of the platform's workers and of its advisor."""
 
-import errno
-
-import anyio
-import httpcore
 import msgspec
 
 from bluebellyoke.dispatch.ports import (
@@ -19,20 +15,12 @@
     StopRequest,
     WorkerClient,
 )
-from bluebellyoke.instance.connections import ConnectionPool
+from bluebellyoke.instance.http_calls import HttpCaller, HttpResponse
 from bluebellyoke.platform import bodies
-from bluebellyoke.platform.settings import split_endpoint
 from bluebellyoke.workflow.specs import WorkerSpec
 
 __all__ = ["PlatformAdvisor", "PlatformWorkerClient"]
 
-CONNECT_TIMEOUT_S = 0.6
-
-IDLE_TIMEOUT_S = 20.0
-
-#: Timeout for closing a connection after a failed call.
-CLOSE_TIMEOUT_S = 0.5
-
 #: Results by the `Reason` of a 409 response.
 _CONFLICT_RESULTS = {
     "fence": StartResult.FENCED,
@@ -43,88 +31,11 @@
 }
 
 
-class _JsonClient:
-    """Client for HTTP calls with JSON bodies."""
-
-    def __init__(self) -> None:
-        self._connections = ConnectionPool(idle_timeout_s=IDLE_TIMEOUT_S)
-
-    async def post(
-        self, address: str, path: str, value: dict, headers: list
-    ) -> httpcore.Response:
-        """Send a call and return the response with its whole body.
-
-        Raises:
-            NotReachedError: No connection could be opened.
-            NoAnswerError: The connection failed before the response was complete.
-        """
-        request = _build_request(address, path, msgspec.json.encode(value), headers)
-        host, port = split_endpoint(address)
-        connection = await self._connections.acquire(host, port)
-        try:
-            response = await connection.handle_async_request(request)
-            await response.aread()
-            await response.aclose()
-            if connection.is_idle():
-                self._connections.release(host, port, connection)
-                connection = None
-            return response
-        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
-            raise NotReachedError(address, refused=_is_refused(error)) from error
-        except (httpcore.NetworkError, httpcore.ProtocolError, OSError) as error:
-            raise NoAnswerError(address, f"{type(error).__name__} {error}") from error
-        finally:
-            if connection is not None:
-                with (
-                    anyio.CancelScope(shield=True),
-                    anyio.move_on_after(CLOSE_TIMEOUT_S),
-                ):
-                    await connection.aclose()
-
-    async def close(self) -> None:
-        """Close all connections."""
-        await self._connections.close()
-
-
-def _build_request(
-    address: str, path: str, body: bytes, headers: list
-) -> httpcore.Request:
-    host, port = split_endpoint(address)
-    return httpcore.Request(
-        method=b"POST",
-        url=httpcore.URL(
-            scheme=b"http", host=host.encode(), port=port, target=path.encode()
-        ),
-        headers=[
-            (b"Host", address.encode()),
-            (b"Content-Type", b"application/json"),
-            (b"Content-Length", str(len(body)).encode()),
-            *headers,
-        ],
-        content=body,
-        extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
-    )
-
-
-def _is_refused(error: BaseException) -> bool:
-    """Return whether the host refused the connection, so that no process listens."""
-    current: BaseException | None = error
-    while current is not None:
-        if isinstance(current, ConnectionRefusedError):
-            return True
-        if isinstance(current, OSError) and current.errno == errno.ECONNREFUSED:
-            return True
-        if isinstance(current, BaseExceptionGroup):
-            return all(_is_refused(item) for item in current.exceptions)
-        current = current.__cause__ or current.__context__
-    return False
-
-
 class PlatformWorkerClient(WorkerClient):
     """Client of the platform's workers."""
 
     def __init__(self) -> None:
-        self._client = _JsonClient()
+        self._caller = HttpCaller()
 
     async def start(self, worker: WorkerSpec, request: StartRequest) -> StartResult:
         """Start a run."""
@@ -178,18 +89,18 @@
         except bodies.UnreadableBodyError as error:
             raise NoAnswerError(worker.address, str(error)) from error
 
-    async def _call(
-        self, worker: WorkerSpec, path: str, value: dict
-    ) -> httpcore.Response:
-        headers = [(b"Expected-Instance", worker.id.encode())]
-        response = await self._client.post(worker.address, path, value, headers)
+    async def _call(self, worker: WorkerSpec, path: str, value: dict) -> HttpResponse:
+        headers = [("Expected-Instance", worker.id)]
+        response = await self._caller.post(
+            worker.address, path, msgspec.json.encode(value), headers
+        )
         if response.status == 421:
             raise OtherLifeError(worker.address)
         return response
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._client.close()
+        await self._caller.close()
 
 
 class PlatformAdvisor(Advisor):
@@ -201,7 +112,7 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        self._client = _JsonClient()
+        self._caller = HttpCaller()
 
     async def request_tickets(
         self, step: tuple[str, int, int], workers: tuple[str, ...]
@@ -209,7 +120,9 @@
         """Return the advisor's ticket for each worker that is allowed to run a step."""
         value = {"Step": ".".join(map(str, step)), "Workers": workers}
         try:
-            response = await self._client.post(self._address, "/-/advise", value, [])
+            response = await self._caller.post(
+                self._address, "/-/advise", msgspec.json.encode(value)
+            )
         except (NotReachedError, NoAnswerError) as error:
             raise AdvisorBusyError(str(error)) from error
         if response.status != 200:
@@ -222,10 +135,10 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._client.close()
+        await self._caller.close()
 
 
-def _decode_object(worker: WorkerSpec, response: httpcore.Response) -> dict:
+def _decode_object(worker: WorkerSpec, response: HttpResponse) -> dict:
     try:
         value = msgspec.json.decode(response.content)
     except msgspec.DecodeError as error:
