Keep an index of waiting steps between rounds of planning

Cause: each round, up to a hundred a second, looked at all active workflows with all their tasks, at all workers, and for each waiting step again at all workers of its pool to find those that the advisor has not evaluated.

Change: the store records which workflows changed; the planner keeps their waiting and next steps and their order. A round works out what a worker has free on first use, looks at the workers with a ticket instead of all, and asks for missing advice only if no call is pending and the set of workers is not covered.

--- a/bench/dispatch.py
+++ b/bench/dispatch.py
@@ -18,6 +18,7 @@
 from bluebellyoke.dispatch.workers import RunPhase, TrackedWorker
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.specs import (
+    AdvisorSpec,
     Configuration,
     PoolSpec,
     QueueSpec,
@@ -29,6 +30,10 @@
 
 WORKER_COUNTS = (24, 100, 400, 1600)
 PLANNING_ROUNDS = 5
+
+#: Workers that the advisor evaluates for a step, and one in how many it allows.
+ADVISED_WORKERS = 100
+ADVISED_DIVISOR = 4
 NOW_S = 1000.0
 
 STEPS = (
@@ -38,10 +43,17 @@
 )
 
 
-def create_store(workers):
+def create_store(workers, advisor=None):
     """Return a store with one queue and some workers, and the tracked workers by ID."""
     store = WorkflowStore()
-    queue = QueueSpec(name="q", host="h", prefix="/q/", pool="p", timeout_ms=3000)
+    queue = QueueSpec(
+        name="q",
+        host="h",
+        prefix="/q/",
+        pool="p",
+        timeout_ms=3000,
+        advisor=advisor,
+    )
     configuration = Configuration(
         version=1, queues=(queue,), pools=(PoolSpec(name="p"),)
     )
@@ -124,6 +136,32 @@
     emit("dispatch.plan_full_cell", round(cpu_s * 1e3, 2), "ms", workers=workers)
 
 
+def measure_advised_round(workers):
+    """Measure a round for steps with advice, of which one job is new."""
+    advisor = AdvisorSpec(decision_ms=10.0, per_worker_ms=0.1, validity_ms=2500.0)
+    store, tracked_workers = create_store(workers, advisor)
+    advice = AdviceManager()
+    planner = Planner(advice)
+    submit_workflows(store, workers // 2)
+    for number, workflow in enumerate(store.active.values()):
+        found = advice.get_step_advice((workflow.spec.id, 0, 0))
+        for worker in list(tracked_workers.values())[:ADVISED_WORKERS]:
+            found.evaluated.add(worker.spec.key)
+        for worker in list(tracked_workers.values())[number % ADVISED_DIVISOR :][
+            : ADVISED_WORKERS // ADVISED_DIVISOR
+        ]:
+            found.tickets[worker.spec.key] = ("ticket", NOW_S + 3600.0)
+    for tracked_worker in tracked_workers.values():
+        tracked_worker.add_run(0, tracked_worker.spec.capacity, RunPhase.STARTED, NOW_S)
+    planner.plan(store, tracked_workers, NOW_S, NOW_S)
+    started_at = time.process_time()
+    for number in range(PLANNING_ROUNDS):
+        submit_workflows(store, 1, first=workers + number)
+        planner.plan(store, tracked_workers, NOW_S, NOW_S)
+    cpu_s = (time.process_time() - started_at) / PLANNING_ROUNDS
+    emit("dispatch.plan_advised_full", round(cpu_s * 1e3, 2), "ms", workers=workers)
+
+
 def measure_log_size():
     """Measure the size of the log entries for the start and the end of a task."""
     name = workflow_commands.TaskName("5c0e7a21d94b36f8", 0, 1, 17)
@@ -166,5 +204,6 @@
     for workers in WORKER_COUNTS:
         measure_planning(workers)
         measure_full_cell(workers)
+        measure_advised_round(workers)
     measure_log_size()
     measure_memory()
--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -118,7 +118,7 @@
         """Stop dispatching and drop everything that is not in the replicated state."""
         self.advice.clear()
         self._registry.clear()
-        self._starter.is_pending = False
+        self._starter.reset()
 
     def tick(self, now: float, wall_time: float) -> None:
         """Poll workers, plan runs and drop old records as they become due."""
--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -4,22 +4,21 @@
 that smaller tasks behind it do not delay its start forever.
 """
 
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from bluebellyoke.cell.resources import Resources
-from bluebellyoke.dispatch.advice import AdviceManager, StepAdvice, StepKey
+from bluebellyoke.dispatch.advice import AdviceManager, StepAdvice, StepKey, WorkerKey
 from bluebellyoke.dispatch.placement import (
     Candidate,
     CandidateQueue,
     count_allowed,
     select_gang_workers,
 )
+from bluebellyoke.dispatch.waiting import WaitingStep, WaitingSteps
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.commands import RunStart, TaskName
 from bluebellyoke.workflow.specs import QueueSpec, StepSpec
 from bluebellyoke.workflow.store import WorkflowStore
-from bluebellyoke.workflow.workflow import TaskState, Workflow
 
 __all__ = ["Planner", "PlannedStart"]
 
@@ -47,43 +46,98 @@
     ticket: str
 
 
-@dataclass(slots=True)
-class WaitingStep:
-    """A step with waiting tasks.
-
-    Attributes:
-        indexes: Indexes of the waiting tasks.
-        rank: Sort key; steps with a lower rank are planned first.
-    """
-
-    workflow: Workflow
-    queue: QueueSpec | None
-    key: StepKey
-    spec: StepSpec
-    indexes: list[int]
-    rank: tuple
-
-
 @dataclass(slots=True)
 class PlanningRound:
     """State of one round of planning.
 
+    What it needs of the workers is worked out on first use: a round often looks at a
+    few of them only.
+
     Attributes:
-        candidates: Workers that may get tasks, by ID.
-        pools: These workers by pool.
-        max_free: Maximum of each resource that any worker had free at the start of the
-            round.
+        workers: All workers, by ID.
         reserved: IDs of workers that gangs have reserved.
         reserving: Number of gangs that have reserved workers.
     """
 
     now: float
-    candidates: dict[str, Candidate]
-    pools: dict[str, list[TrackedWorker]]
-    max_free: Resources
+    workers: dict[str, TrackedWorker]
     reserved: set[str] = field(default_factory=set)
     reserving: int = 0
     starts: list[PlannedStart] = field(default_factory=list)
+    _candidates: dict[str, Candidate | None] = field(default_factory=dict)
+    _pools: dict[tuple[str, str], list[TrackedWorker]] = field(default_factory=dict)
+    _keys: dict[tuple[str, str], frozenset[WorkerKey]] = field(default_factory=dict)
+    _max_free: Resources | None = None
+
+    def find_candidate(self, worker: TrackedWorker) -> Candidate | None:
+        """Return what a worker has free, or None if it accepts no tasks."""
+        name = worker.spec.id
+        if name in self._candidates:
+            return self._candidates[name]
+        candidate = None
+        if worker.can_accept_tasks(self.now, MAX_WORKER_SILENCE_S):
+            spec = worker.spec
+            candidate = Candidate(name, spec.labels, worker.free, spec.capacity)
+        self._candidates[name] = candidate
+        return candidate
+
+    def list_workers(self, pool: str, label: str) -> list[TrackedWorker]:
+        """Return the workers of a pool that accept tasks and have a label.
+
+        Args:
+            label: Label that the workers must have, or an empty text for all.
+        """
+        found = self._pools.get((pool, label))
+        if found is None:
+            found = self._pools[(pool, label)] = [
+                worker
+                for worker in self.workers.values()
+                if worker.spec.pool == pool
+                and (not label or label in worker.spec.labels)
+                and self.find_candidate(worker) is not None
+            ]
+        return found
+
+    def list_worker_keys(self, pool: str, label: str) -> frozenset[WorkerKey]:
+        """Return the keys of the workers that `list_workers` returns."""
+        found = self._keys.get((pool, label))
+        if found is None:
+            workers = self.list_workers(pool, label)
+            found = frozenset(worker.spec.key for worker in workers)
+            self._keys[(pool, label)] = found
+        return found
+
+    def list_allowed(
+        self, pool: str, label: str, advice: StepAdvice
+    ) -> list[TrackedWorker]:
+        """Return those of `list_workers` that have a ticket, valid or not."""
+        found = []
+        for worker_key in advice.tickets:
+            worker = self.workers.get(worker_key[0])
+            if (
+                worker is not None
+                and worker.spec.incarnation == worker_key[1]
+                and worker.spec.pool == pool
+                and (not label or label in worker.spec.labels)
+                and self.find_candidate(worker) is not None
+            ):
+                found.append(worker)
+        return found
+
+    def get_max_free(self) -> Resources:
+        """Return the most of each resource that any worker has free.
+
+        It is worked out before the round uses up resources, so it never is too low.
+        """
+        if self._max_free is None:
+            candidates = map(self.find_candidate, self.workers.values())
+            free = [item.free for item in candidates if item is not None]
+            self._max_free = Resources(
+                max((item.cpu_millis for item in free), default=0),
+                max((item.memory_mb for item in free), default=0),
+                max((item.accelerators for item in free), default=0),
+            )
+        return self._max_free
 
 
 class Planner:
@@ -91,6 +145,11 @@
 
     def __init__(self, advice: AdviceManager) -> None:
         self._advice = advice
+        self._steps = WaitingSteps()
+
+    def reset(self) -> None:
+        """Forget what is known of the store, whose changes may have been missed."""
+        self._steps = WaitingSteps()
 
     def plan(
         self,
@@ -100,36 +159,29 @@
         wall_time: float,
     ) -> list[PlannedStart]:
         """Return the starts to make now; those of a gang are next to each other."""
-        waiting = sorted(_find_waiting(store, wall_time), key=lambda step: step.rank)
-        if not waiting:
-            return []
-        planning = _create_round(workers, now)
+        self._steps.update(store, wall_time)
+        planning = PlanningRound(now, workers)
+        waiting = self._steps.list_waiting()
+        if len(waiting) > RENEWED_STEPS:
+            planning.get_max_free()
         for position, step in enumerate(waiting):
             if len(planning.starts) >= MAX_STARTS_PER_ROUND:
                 break
             self._plan_step(store, step, planning, position < RENEWED_STEPS)
+        self._prefetch_advice(store, planning)
         return planning.starts
 
-    def prefetch_advice(
-        self, store: WorkflowStore, workers: dict[str, TrackedWorker], now: float
-    ) -> None:
+    def _prefetch_advice(self, store: WorkflowStore, planning: PlanningRound) -> None:
         """Request advice on steps that can begin once the placed tasks have ended."""
-        for workflow in store.active.values():
-            queue = store.get_queue(workflow.spec.queue)
-            if workflow.outcome or queue is None or queue.advisor is None:
-                continue
-            for number, repetition in workflow.repetitions.items():
-                for index, spec in enumerate(workflow.spec.steps):
-                    if not spec.depends_on or repetition.steps[index].tasks[0].run:
-                        continue
-                    if _is_next(repetition, spec):
-                        key = (workflow.spec.id, number, index)
-                        worker_keys = _list_worker_keys(
-                            workers, store.find_pool(workflow), spec
-                        )
-                        self._request_missing_advice(
-                            key, worker_keys, queue, _rank(workflow, queue)
-                        )
+        for step in self._steps.iter_next():
+            self._request_missing_advice(
+                step.key,
+                store.find_pool(step.workflow),
+                step.spec.required_label,
+                step.queue,
+                step.rank,
+                planning,
+            )
 
     # One step.
 
@@ -142,21 +194,18 @@
     ) -> None:
         if not is_head and not _might_fit(step.spec, planning):
             return
-        pool = store.find_pool(step.workflow)
-        workers = [
-            worker
-            for worker in planning.pools.get(pool, ())
-            if not step.spec.required_label
-            or step.spec.required_label in worker.spec.labels
-        ]
+        pool, label = store.find_pool(step.workflow), step.spec.required_label
         advice = None
         if step.queue is not None and step.queue.advisor is not None:
             advice = self._advice.get_step_advice(step.key)
-            worker_keys = [worker.spec.key for worker in workers]
-            self._request_missing_advice(step.key, worker_keys, step.queue, step.rank)
+            self._request_missing_advice(
+                step.key, pool, label, step.queue, step.rank, planning
+            )
             if is_head:
                 self._renew_tickets(step, advice, planning.now)
-            workers = [x for x in workers if x.spec.key in advice.tickets]
+            workers = planning.list_allowed(pool, label, advice)
+        else:
+            workers = planning.list_workers(pool, label)
         if not workers:
             return
         candidates = self._collect_candidates(step, workers, planning)
@@ -166,10 +215,25 @@
             self._plan_tasks(step, workers, candidates, planning, advice)
 
     def _request_missing_advice(
-        self, key: StepKey, worker_keys: list, queue: QueueSpec, rank: tuple
+        self,
+        key: StepKey,
+        pool: str,
+        label: str,
+        queue: QueueSpec,
+        rank: tuple,
+        planning: PlanningRound,
     ) -> None:
-        known = self._advice.get_step_advice(key).evaluated
-        unknown = [worker_key for worker_key in worker_keys if worker_key not in known]
+        """Request advice on workers that the advisor has not evaluated yet."""
+        advice = self._advice.get_step_advice(key)
+        if advice.is_requested:
+            return
+        if planning.list_worker_keys(pool, label) <= advice.evaluated:
+            return
+        unknown = [
+            worker.spec.key
+            for worker in planning.list_workers(pool, label)
+            if worker.spec.key not in advice.evaluated
+        ]
         self._advice.request(key, unknown, queue.advisor, rank)
 
     def _renew_tickets(self, step: WaitingStep, advice: StepAdvice, now: float) -> None:
@@ -188,7 +252,7 @@
         for worker in workers:
             if worker.spec.id in planning.reserved and not is_short:
                 continue
-            candidate = planning.candidates[worker.spec.id]
+            candidate = planning.find_candidate(worker)
             if step.spec.max_per_worker:
                 candidate.step_runs = _count_step_runs(worker, step.key)
             candidates.append(candidate)
@@ -299,111 +363,24 @@
         missing = step.spec.count
         order = sorted(
             workers,
-            key=lambda x: (-planning.candidates[x.spec.id].free.cpu_millis, x.spec.id),
+            key=lambda x: (-planning.find_candidate(x).free.cpu_millis, x.spec.id),
         )
         for worker in order:
             if missing <= 0:
                 return
             if worker.spec.id in planning.reserved:
                 continue
-            candidate = planning.candidates[worker.spec.id]
+            candidate = planning.find_candidate(worker)
             missing -= count_allowed(step.spec, candidate, worker.spec.capacity)
             planning.reserved.add(worker.spec.id)
 
 
-def _create_round(workers: dict[str, TrackedWorker], now: float) -> PlanningRound:
-    candidates: dict[str, Candidate] = {}
-    pools: dict[str, list[TrackedWorker]] = {}
-    for worker in workers.values():
-        if not worker.can_accept_tasks(now, MAX_WORKER_SILENCE_S):
-            continue
-        spec = worker.spec
-        candidates[spec.id] = Candidate(
-            spec.id, spec.labels, worker.free, spec.capacity
-        )
-        pools.setdefault(spec.pool, []).append(worker)
-    free = [candidate.free for candidate in candidates.values()]
-    max_free = Resources(
-        max((item.cpu_millis for item in free), default=0),
-        max((item.memory_mb for item in free), default=0),
-        max((item.accelerators for item in free), default=0),
-    )
-    return PlanningRound(now, candidates, pools, max_free)
-
-
 def _might_fit(spec: StepSpec, planning: PlanningRound) -> bool:
     """Return whether planning a step can have an effect.
 
     Planning a gang always can, since it reserves workers even while it does not fit.
     """
-    return spec.gang or spec.backfill or spec.need.fits_in(planning.max_free)
-
-
-def _find_waiting(store: WorkflowStore, wall_time: float) -> Iterator[WaitingStep]:
-    for workflow in store.active.values():
-        if workflow.outcome:
-            continue
-        queue = store.get_queue(workflow.spec.queue)
-        rank = _rank(workflow, queue)
-        for number in _find_due_repetitions(workflow, wall_time):
-            yield from _find_waiting_steps(workflow, queue, number, rank)
-
-
-def _find_due_repetitions(workflow: Workflow, wall_time: float) -> Iterator[int]:
-    """Yield the repetitions that are due and not done."""
-    spec = workflow.spec
-    for number in range(workflow.count_repetitions()):
-        due_ms = spec.first_at_ms + number * spec.interval_ms if spec.repeats else 0
-        if wall_time * 1000 < due_ms:
-            return
-        begun = workflow.repetitions.get(number)
-        if begun is None or not begun.is_done:
-            yield number
-
-
-def _find_waiting_steps(
-    workflow: Workflow, queue: QueueSpec | None, number: int, rank: tuple
-) -> Iterator[WaitingStep]:
-    repetition = workflow.get_repetition(number)
-    for index, spec in enumerate(workflow.spec.steps):
-        progress = repetition.steps[index]
-        if progress.is_done or not workflow.is_ready(repetition, index):
-            continue
-        indexes = [
-            position
-            for position, task in enumerate(progress.tasks)
-            if task.state is TaskState.WAITING and not task.placed
-        ]
-        if not indexes or (spec.gang and len(indexes) < spec.count):
-            continue
-        key = (workflow.spec.id, number, index)
-        yield WaitingStep(workflow, queue, key, spec, indexes, rank)
-
-
-def _rank(workflow: Workflow, queue: QueueSpec | None) -> tuple:
-    priority = queue.priority if queue is not None else 0
-    return priority, workflow.submitted_at, workflow.spec.id
-
-
-def _is_next(repetition, spec: StepSpec) -> bool:
-    """Return whether all tasks that a step depends on are placed or done."""
-    return all(
-        task.placed or task.state is TaskState.DONE
-        for other in spec.depends_on
-        for task in repetition.steps[other].tasks
-    )
-
-
-def _list_worker_keys(
-    workers: dict[str, TrackedWorker], pool: str, spec: StepSpec
-) -> list:
-    return [
-        worker.spec.key
-        for worker in workers.values()
-        if worker.spec.pool == pool
-        and not worker.spec.draining
-        and (not spec.required_label or spec.required_label in worker.spec.labels)
-    ]
+    return spec.gang or spec.backfill or spec.need.fits_in(planning.get_max_free())
 
 
 def _get_tasks(step: WaitingStep) -> list:
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -57,9 +57,13 @@
         self._planner = Planner(context.advice)
         self.is_pending = False
 
+    def reset(self) -> None:
+        """Forget planned runs and what is known of the store."""
+        self.is_pending = False
+        self._planner.reset()
+
     def plan(self, now: float, wall_time: float) -> None:
         """Plan a round of starts and propose the assignment of its runs."""
-        self._planner.prefetch_advice(self._context.store, self._context.workers, now)
         planned = self._planner.plan(
             self._context.store, self._context.workers, now, wall_time
         )
--- /dev/null
+++ b/src/bluebellyoke/dispatch/waiting.py
@@ -0,0 +1,172 @@
+"""Steps with waiting tasks, kept in the order in which they are planned.
+
+The index follows the changes that the store records, so a round of planning costs
+nothing for the workflows that have not changed since the last one.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from bluebellyoke.dispatch.advice import StepKey
+from bluebellyoke.workflow.specs import QueueSpec, StepSpec
+from bluebellyoke.workflow.store import WorkflowStore
+from bluebellyoke.workflow.workflow import Repetition, TaskState, Workflow
+
+__all__ = ["NextStep", "WaitingStep", "WaitingSteps"]
+
+
+@dataclass(slots=True)
+class WaitingStep:
+    """A step with waiting tasks.
+
+    Attributes:
+        indexes: Indexes of the waiting tasks.
+        rank: Sort key; steps with a lower rank are planned first.
+    """
+
+    workflow: Workflow
+    queue: QueueSpec | None
+    key: StepKey
+    spec: StepSpec
+    indexes: list[int]
+    rank: tuple
+
+
+@dataclass(frozen=True, slots=True)
+class NextStep:
+    """A step that can begin once the placed tasks before it have ended."""
+
+    workflow: Workflow
+    queue: QueueSpec
+    key: StepKey
+    spec: StepSpec
+    rank: tuple
+
+
+class WaitingSteps:
+    """Index of the steps that wait for workers or will do so next."""
+
+    def __init__(self) -> None:
+        self._store: WorkflowStore | None = None
+        self._version = -1
+        self._waiting: dict[str, list[WaitingStep]] = {}
+        self._next: dict[str, list[NextStep]] = {}
+        self._repeating: set[str] = set()
+        self._ordered: list[WaitingStep] = []
+
+    def update(self, store: WorkflowStore, wall_time: float) -> None:
+        """Take over the changes of the store since the last update."""
+        changed = store.pop_changed()
+        version = store.configuration.version
+        if store is not self._store or version != self._version:
+            self._store, self._version = store, version
+            self._clear()
+            changed = set(store.active)
+        if self._repeating:
+            # Repetitions become due without a change of the store.
+            changed |= self._repeating
+        if not changed:
+            return
+        for workflow_id in changed:
+            self._update_workflow(store, workflow_id, wall_time)
+        steps = [step for steps in self._waiting.values() for step in steps]
+        self._ordered = sorted(steps, key=lambda step: step.rank)
+
+    def list_waiting(self) -> list[WaitingStep]:
+        """Return the steps with waiting tasks, in the order of their rank."""
+        return self._ordered
+
+    def iter_next(self) -> Iterator[NextStep]:
+        """Yield the steps that can begin once the placed tasks have ended."""
+        for steps in self._next.values():
+            yield from steps
+
+    def _clear(self) -> None:
+        self._waiting.clear()
+        self._next.clear()
+        self._repeating.clear()
+        self._ordered = []
+
+    def _update_workflow(
+        self, store: WorkflowStore, workflow_id: str, wall_time: float
+    ) -> None:
+        self._waiting.pop(workflow_id, None)
+        self._next.pop(workflow_id, None)
+        self._repeating.discard(workflow_id)
+        workflow = store.active.get(workflow_id)
+        if workflow is None or workflow.outcome:
+            return
+        if workflow.spec.repeats:
+            self._repeating.add(workflow_id)
+        queue = store.get_queue(workflow.spec.queue)
+        waiting = list(_find_waiting(workflow, queue, wall_time))
+        if waiting:
+            self._waiting[workflow_id] = waiting
+        following = list(_find_next(workflow, queue))
+        if following:
+            self._next[workflow_id] = following
+
+
+def _find_waiting(
+    workflow: Workflow, queue: QueueSpec | None, wall_time: float
+) -> Iterator[WaitingStep]:
+    rank = _rank(workflow, queue)
+    for number in _find_due_repetitions(workflow, wall_time):
+        yield from _find_waiting_steps(workflow, queue, number, rank)
+
+
+def _find_due_repetitions(workflow: Workflow, wall_time: float) -> Iterator[int]:
+    """Yield the repetitions that are due and not done."""
+    spec = workflow.spec
+    for number in range(workflow.count_repetitions()):
+        due_ms = spec.first_at_ms + number * spec.interval_ms if spec.repeats else 0
+        if wall_time * 1000 < due_ms:
+            return
+        begun = workflow.repetitions.get(number)
+        if begun is None or not begun.is_done:
+            yield number
+
+
+def _find_waiting_steps(
+    workflow: Workflow, queue: QueueSpec | None, number: int, rank: tuple
+) -> Iterator[WaitingStep]:
+    repetition = workflow.get_repetition(number)
+    for index, spec in enumerate(workflow.spec.steps):
+        progress = repetition.steps[index]
+        if progress.is_done or not workflow.is_ready(repetition, index):
+            continue
+        indexes = [
+            position
+            for position, task in enumerate(progress.tasks)
+            if task.state is TaskState.WAITING and not task.placed
+        ]
+        if not indexes or (spec.gang and len(indexes) < spec.count):
+            continue
+        key = (workflow.spec.id, number, index)
+        yield WaitingStep(workflow, queue, key, spec, indexes, rank)
+
+
+def _find_next(workflow: Workflow, queue: QueueSpec | None) -> Iterator[NextStep]:
+    if queue is None or queue.advisor is None:
+        return
+    for number, repetition in workflow.repetitions.items():
+        for index, spec in enumerate(workflow.spec.steps):
+            if not spec.depends_on or repetition.steps[index].tasks[0].run:
+                continue
+            if _is_next(repetition, spec):
+                key = (workflow.spec.id, number, index)
+                yield NextStep(workflow, queue, key, spec, _rank(workflow, queue))
+
+
+def _rank(workflow: Workflow, queue: QueueSpec | None) -> tuple:
+    priority = queue.priority if queue is not None else 0
+    return priority, workflow.submitted_at, workflow.spec.id
+
+
+def _is_next(repetition: Repetition, spec: StepSpec) -> bool:
+    """Return whether all tasks that a step depends on are placed or done."""
+    return all(
+        task.placed or task.state is TaskState.DONE
+        for other in spec.depends_on
+        for task in repetition.steps[other].tasks
+    )
--- a/src/bluebellyoke/instance/replica.py
+++ b/src/bluebellyoke/instance/replica.py
@@ -561,3 +561,4 @@
         else:
             self.state.scheduling.workers_with_changed_orders.clear()
             self.state.scheduling.workers_with_changed_capacity.clear()
+            self.state.workflows.pop_changed()
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -46,6 +46,15 @@
         self.open_tasks = 0
         self.runs: dict[tuple[str, int], dict[RunKey, None]] = {}
         self._queues: dict[str, QueueSpec] = {}
+        self._changed: set[str] = set()
+
+    def pop_changed(self) -> set[str]:
+        """Return the IDs of the workflows changed since the last call, and clear them.
+
+        This is no replicated state. Replicas that do not lead have to clear it too.
+        """
+        changed, self._changed = self._changed, set()
+        return changed
 
     def apply(self, command: workflow_commands.WorkflowCommand) -> Result:
         """Apply one command and return its result."""
@@ -103,6 +112,7 @@
         return Result(accepted=True)
 
     def _activate(self, workflow: Workflow) -> None:
+        self._changed.add(workflow.spec.id)
         self.active[workflow.spec.id] = workflow
         self.open_tasks += workflow.spec.count_tasks()
 
@@ -111,6 +121,7 @@
         if workflow is None or workflow.spec.queue != command.queue:
             return refuse("unknown-job", "no such workflow is known")
         workflow.cancel(command.time)
+        self._changed.add(command.workflow)
         self._deactivate_if_finished(workflow)
         return Result(accepted=True)
 
@@ -224,6 +235,7 @@
     def _assign_one(self, start: workflow_commands.RunStart) -> None:
         workflow = self.workflows[start.task.workflow]
         workflow.assign(start)
+        self._changed.add(start.task.workflow)
         key = (start.task, start.run)
         self.runs.setdefault((start.worker, start.incarnation), {})[key] = None
 
@@ -238,6 +250,7 @@
         if task is None or task.run != end.run:
             return
         workflow.record_end(end, time)
+        self._changed.add(end.task.workflow)
         worker_key = (task.worker, task.incarnation)
         self.runs.get(worker_key, {}).pop((end.task, end.run), None)
         self._deactivate_if_finished(workflow)
