--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -266,8 +266,7 @@
     """Measure the CPU time of logging a placement decision."""
     # The consensus benchmark disables logging for the process.
     logging.disable(logging.NOTSET)
-    configure_logs(level="info", instance="i1")
-    logging.getLogger().handlers[0].setStream(io.StringIO())
+    configure_logs(level="info", instance="i1", stream=io.StringIO())
     log = PlacementLog()
     decision = Decision(
         action="place",
--- a/src/bluebellyoke/commands.py
+++ b/src/bluebellyoke/commands.py
@@ -258,7 +258,7 @@
     A job of a workspace is looked up on an instance. For a request to a queue, pass
     the logs of the instances. Examples:
     `bluebellyoke explain stock-2026-12-04`
-    `bluebellyoke explain 5c0e7a21d94b36f8 --logs a.log --logs b.log`
+    `bluebellyoke explain 5c0e7a21d94b36f8 --logs a.log b.log`
 
     :param job_id: ID of the job.
     :param logs: Log file of an instance, or - for standard input; may be repeated.
--- a/src/bluebellyoke/instance/replica.py
+++ b/src/bluebellyoke/instance/replica.py
@@ -54,9 +54,6 @@
 #: Maximum number of commands per log entry.
 MAX_COMMANDS_PER_ENTRY = 2_000
 
-#: Maximum number of proposals that wait for their commit.
-MAX_PENDING_PROPOSALS = 20_000
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReplicaOptions:
