Revert the selection of workers to ask the advisor about

Cause: about 17 workers asked, of which four are allowed, are too few where many short jobs compete for them; only the first eight steps in order asked for more, and while these wait for gangs, the steps behind them never do, although workers have room; each widening call takes near a second for heavy queues and tickets lapse after 2.5 s.

--- a/src/bluebellyoke/dispatch/advice.py
+++ b/src/bluebellyoke/dispatch/advice.py
@@ -7,13 +7,11 @@
 """
 
 import itertools
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from bluebellyoke.dispatch.advice_selection import AllowedShares, select_workers
-from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.instance import wire
-from bluebellyoke.workflow.specs import AdvisorSpec, StepSpec
+from bluebellyoke.workflow.specs import AdvisorSpec
 
 __all__ = ["AdviceManager", "StepAdvice", "StepKey", "WorkerKey"]
 
@@ -52,13 +50,11 @@
         tickets: Ticket of each allowed worker, with the monotonic time of its expiry.
         evaluated: Workers that the advisor has evaluated.
         is_requested: Whether a call is queued or in flight.
-        widening_due: Monotonic time before which no more workers are looked for.
     """
 
     tickets: dict[WorkerKey, tuple[str, float]] = field(default_factory=dict)
     evaluated: set[WorkerKey] = field(default_factory=set)
     is_requested: bool = False
-    widening_due: float = 0.0
 
     def find_ticket(self, worker_key: WorkerKey, now: float) -> str | None:
         """Return the ticket of a worker, or None without a valid one."""
@@ -115,14 +111,9 @@
 
 
 class AdviceManager:
-    """Caches advice on steps and schedules the calls that request it.
-
-    Attributes:
-        shares: Share of the evaluated workers that is allowed, by advisor.
-    """
+    """Caches advice on steps and schedules the calls that request it."""
 
     def __init__(self) -> None:
-        self.shares = AllowedShares()
         self._steps: dict[StepKey, StepAdvice] = {}
         self._requests: list[AdviceRequest] = []
         self._instances: dict[int, AdvisingInstance] = {}
@@ -179,32 +170,6 @@
         advice.is_requested = True
         self._requests.append(AdviceRequest(rank, step, selected, spec))
 
-    def request_for(
-        self,
-        key: StepKey,
-        step: StepSpec,
-        workers: Collection[TrackedWorker],
-        spec: AdvisorSpec,
-        rank: tuple,
-    ) -> None:
-        """Queue a call about those of some workers that suit a step best.
-
-        Args:
-            workers: Workers that the advisor has not evaluated for the step.
-            rank: Sort key; calls with a lower rank are sent first.
-        """
-        if self.get_step_advice(key).is_requested:
-            return
-        selected = select_workers(
-            step,
-            workers,
-            share=self.shares.get(spec),
-            seed=".".join(map(str, key)),
-            limit=MAX_WORKERS_PER_CALL,
-        )
-        worker_keys = [worker.spec.key for worker in selected]
-        self.request(key, worker_keys, spec, rank)
-
     def receive(self, session: int, reply: wire.AdviceReply, now: float) -> None:
         """Process an instance's reply to its latest call."""
         instance = self._instances.get(session)
@@ -219,10 +184,6 @@
         if advice is None:
             return
         advice.is_requested = False
-        allowed = sum(key[0] in reply.tickets for key in request.worker_keys)
-        self.shares.record(
-            request.spec, evaluated=len(request.worker_keys), allowed=allowed
-        )
         expires_at = now + request.spec.validity_ms / 1000 - TICKET_EXPIRY_MARGIN_S
         for worker_key in request.worker_keys:
             advice.evaluated.add(worker_key)
--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -270,20 +270,17 @@
         queue = self._context.store.get_queue(spec.queue)
         if queue is None or queue.advisor is None:
             return
-        workers = [
-            worker
+        worker_keys = [
+            worker.spec.key
             for worker in self.workers.values()
             if worker.spec.pool == queue.pool and not worker.spec.draining
         ]
         rank = (queue.priority, wall_time, spec.id)
         for index, step in enumerate(spec.steps):
-            if step.depends_on or spec.repeats:
-                continue
-            label = step.required_label
-            labelled = [x for x in workers if not label or label in x.spec.labels]
-            self.advice.request_for(
-                (spec.id, 0, index), step, labelled, queue.advisor, rank
-            )
+            if not step.depends_on and not spec.repeats:
+                self.advice.request(
+                    (spec.id, 0, index), worker_keys, queue.advisor, rank
+                )
 
     def cancel(
         self,
--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -14,10 +14,10 @@
     count_allowed,
     select_gang_workers,
 )
-from bluebellyoke.dispatch.waiting import NextStep, WaitingStep, WaitingSteps
+from bluebellyoke.dispatch.waiting import WaitingStep, WaitingSteps
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.commands import RunStart, TaskName
-from bluebellyoke.workflow.specs import StepSpec
+from bluebellyoke.workflow.specs import QueueSpec, StepSpec
 from bluebellyoke.workflow.store import WorkflowStore
 
 __all__ = ["Planner", "PlannedStart"]
@@ -25,10 +25,6 @@
 #: Number of steps at the head of the order whose tickets are renewed while they wait.
 RENEWED_STEPS = 8
 
-#: Minimum time between two searches for more workers to ask about, in seconds. Each of
-#: them looks at all workers.
-MIN_WIDENING_INTERVAL_S = 0.1
-
 #: Maximum number of gangs that reserve workers at the same time.
 MAX_RESERVING_GANGS = 2
 
@@ -178,8 +174,14 @@
     def _prefetch_advice(self, store: WorkflowStore, planning: PlanningRound) -> None:
         """Request advice on steps that can begin once the placed tasks have ended."""
         for step in self._steps.iter_next():
-            if not self._advice.get_step_advice(step.key).evaluated:
-                self._request_advice(step, store.find_pool(step.workflow), planning)
+            self._request_missing_advice(
+                step.key,
+                store.find_pool(step.workflow),
+                step.spec.required_label,
+                step.queue,
+                step.rank,
+                planning,
+            )
 
     # One step.
 
@@ -196,57 +198,43 @@
         advice = None
         if step.queue is not None and step.queue.advisor is not None:
             advice = self._advice.get_step_advice(step.key)
+            self._request_missing_advice(
+                step.key, pool, label, step.queue, step.rank, planning
+            )
             if is_head:
                 self._renew_tickets(step, advice, planning.now)
             workers = planning.list_allowed(pool, label, advice)
         else:
             workers = planning.list_workers(pool, label)
-        is_placed = self._place(step, workers, planning, advice)
-        if advice is None or is_placed:
-            return
-        if not advice.evaluated or is_head:
-            self._request_advice(step, pool, planning)
-
-    def _place(
-        self,
-        step: WaitingStep,
-        workers: list[TrackedWorker],
-        planning: PlanningRound,
-        advice: StepAdvice | None,
-    ) -> bool:
-        """Plan the starts of a step; return whether all its tasks have found room."""
         if not workers:
-            return False
+            return
         candidates = self._collect_candidates(step, workers, planning)
         if step.spec.gang:
-            return self._plan_gang(step, workers, candidates, planning, advice)
-        return self._plan_tasks(step, workers, candidates, planning, advice)
+            self._plan_gang(step, workers, candidates, planning, advice)
+        else:
+            self._plan_tasks(step, workers, candidates, planning, advice)
 
-    def _request_advice(
-        self, step: WaitingStep | NextStep, pool: str, planning: PlanningRound
+    def _request_missing_advice(
+        self,
+        key: StepKey,
+        pool: str,
+        label: str,
+        queue: QueueSpec,
+        rank: tuple,
+        planning: PlanningRound,
     ) -> None:
         """Request advice on workers that the advisor has not evaluated yet."""
-        advice = self._advice.get_step_advice(step.key)
-        label = step.spec.required_label
-        if advice.is_requested or planning.now < advice.widening_due:
+        advice = self._advice.get_step_advice(key)
+        if advice.is_requested:
             return
-        advice.widening_due = planning.now + MIN_WIDENING_INTERVAL_S
         if planning.list_worker_keys(pool, label) <= advice.evaluated:
             return
         unknown = [
-            worker
+            worker.spec.key
             for worker in planning.list_workers(pool, label)
             if worker.spec.key not in advice.evaluated
         ]
-        if advice.evaluated and not any(
-            step.spec.backfill or step.spec.need.fits_in(worker.free)
-            for worker in unknown
-        ):
-            # More tickets would not help before a worker has room.
-            return
-        self._advice.request_for(
-            step.key, step.spec, unknown, step.queue.advisor, step.rank
-        )
+        self._advice.request(key, unknown, queue.advisor, rank)
 
     def _renew_tickets(self, step: WaitingStep, advice: StepAdvice, now: float) -> None:
         """Request new tickets for a waiting step before its tickets expire."""
@@ -277,25 +265,24 @@
         candidates: list[Candidate],
         planning: PlanningRound,
         advice: StepAdvice | None,
-    ) -> bool:
+    ) -> None:
         chosen = self._choose_gang_workers(step, candidates)
         if chosen is None:
             self._reserve(step, workers, planning)
-            return False
+            return
         worker_keys = {worker.spec.id: worker.spec.key for worker in workers}
         used = {worker_keys[candidate.worker] for candidate in chosen}
         if self._lacks_tickets(step, advice, used, planning.now):
             # Keep the resources free until the new tickets arrive.
             for candidate in chosen:
                 candidate.free = candidate.free - step.spec.need
-            return True
+            return
         run = 1 + max(task.run for task in _get_tasks(step))
         for index, candidate in zip(step.indexes, chosen, strict=True):
             self._add_start(
                 step, index, run, worker_keys[candidate.worker], planning, advice
             )
             candidate.free = candidate.free - step.spec.need
-        return True
 
     def _choose_gang_workers(
         self, step: WaitingStep, candidates: list[Candidate]
@@ -320,7 +307,7 @@
         candidates: list[Candidate],
         planning: PlanningRound,
         advice: StepAdvice | None,
-    ) -> bool:
+    ) -> None:
         worker_keys = {worker.spec.id: worker.spec.key for worker in workers}
         tasks = _get_tasks(step)
         ranked = CandidateQueue(step.spec, candidates)
@@ -328,13 +315,12 @@
             task = tasks[index]
             candidate = ranked.take(avoid=task.worker if task.failures else "")
             if candidate is None:
-                return False
+                return
             worker_key = worker_keys[candidate.worker]
             if self._lacks_tickets(step, advice, {worker_key}, planning.now):
                 continue
             run = tasks[index].run + 1
             self._add_start(step, index, run, worker_key, planning, advice)
-        return True
 
     def _lacks_tickets(
         self, step: WaitingStep, advice: StepAdvice | None, worker_keys: set, now: float
