--- a/src/bluebellyoke/commands.py
+++ b/src/bluebellyoke/commands.py
@@ -261,7 +261,7 @@
     `bluebellyoke explain 5c0e7a21d94b36f8 --logs a.log b.log`
 
     :param job_id: ID of the job.
-    :param logs: Log file of an instance, or - for standard input; may be repeated.
+    :param logs: Log files of instances, or - for standard input.
     :param server: HTTP address of an instance; may be repeated.
     :param json: Print the response as JSON.
     """
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -42,6 +42,35 @@
 
 
 CASES = [
+    Case(
+        "the planner learns of a workflow whose run has ended",
+        "workflow/store.py",
+        "        self._changed.add(end.task.workflow)\n",
+        "",
+        "tests/dispatch/test_planner_differential.py",
+    ),
+    Case(
+        "the planner learns of a cancelled workflow",
+        "workflow/store.py",
+        "        self._changed.add(command.workflow)\n",
+        "",
+        "tests/dispatch/test_planner_differential.py",
+    ),
+    Case(
+        "a response after the end of its call is not taken for the next one",
+        "instance/http_calls.py",
+        "            # A second response could be mistaken for that of the next call.\n"
+        "            self.close()\n",
+        "",
+        "tests/instance/test_http_calls.py",
+    ),
+    Case(
+        "a peer that acknowledges nothing gets a new stream",
+        "instance/peers.py",
+        "            tasks.start_soon(_watch_acknowledgements, pending_since)\n",
+        "",
+        "tests/instance/test_peers.py",
+    ),
     Case(
         "a message that cannot be decoded ends its stream only",
         "instance/streams.py",
