Send no poll after an answered call

Cause: a call leaves the list of pending ones only once its caller has run, which is after the link has looked whether a reply is outstanding. Each answered call therefore counted as unanswered and caused a poll 0.12 s later unless another message came.

Change: a call with a reply counts as answered.

--- a/src/bluebellyoke/instance/link.py
+++ b/src/bluebellyoke/instance/link.py
@@ -309,7 +309,10 @@
 
     def _record_contact(self, now: float) -> None:
         """Measure the silence from now on, or not at all if no reply is outstanding."""
-        is_expecting = self._is_poll_unanswered or bool(self._pending_calls)
+        # An answered call stays pending until its caller has run.
+        is_expecting = self._is_poll_unanswered or any(
+            pending.reply is None for pending in self._pending_calls.values()
+        )
         self._silent_since = now if is_expecting else math.inf
 
     def _handle_message(self, message: wire.FromLeader) -> None:
--- a/tests/instance/test_link.py
+++ b/tests/instance/test_link.py
@@ -9,6 +9,7 @@
 from grpclib.server import Server
 
 from bluebellyoke.cell import commands
+from bluebellyoke.cell.result import Result
 from bluebellyoke.clock import Clock, SystemClock
 from bluebellyoke.instance import wire
 from bluebellyoke.instance.codec import MessageCodec
@@ -128,7 +129,8 @@
     Attributes:
         streams: Number of streams that instances have opened.
         polls: Number of polls that have arrived.
-        answers_polls: Whether it replies to polls. It never replies to calls.
+        answers_polls: Whether it replies to polls.
+        answers_calls: Whether it replies to calls.
         welcome: First message on each stream.
         changed: Set when a count has changed; the waiting test replaces it.
     """
@@ -137,6 +139,7 @@
         self.streams = 0
         self.polls = 0
         self.answers_polls = True
+        self.answers_calls = False
         self.welcome = wire.Welcome("l", 1)
         self.changed = anyio.Event()
 
@@ -152,6 +155,8 @@
                 item.send(
                     wire.PollReply(sent_at=item.message.sent_at, lease_s=1.0, peers=())
                 )
+        elif isinstance(item.message, wire.Call) and self.answers_calls:
+            item.send(wire.Reply(item.message.id, Result(accepted=True)))
         self.changed.set()
         return True
 
@@ -204,7 +209,7 @@
     async def body(leader, link):
         await leader.wait_for(lambda: leader.polls == 1)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(call_in_vain, link)
+            tasks.start_soon(make_call, link)
             await leader.wait_for(lambda: leader.polls >= 3)
             assert leader.streams == 1
             tasks.cancel_scope.cancel()
@@ -212,12 +217,26 @@
     run_with_leader(body, poll_interval_s=3600.0, silence_timeout_s=0.3)
 
 
+def test_answered_call_causes_no_poll():
+    """Pattern: instances with some calls a second, each answered at once."""
+
+    async def body(leader, link):
+        leader.answers_calls = True
+        await leader.wait_for(lambda: leader.polls == 1)
+        for _ in range(3):
+            await make_call(link)
+            await anyio.sleep(0.3)
+        assert leader.polls == 1
+
+    run_with_leader(body, poll_interval_s=3600.0, silence_timeout_s=0.3)
+
+
 def test_link_leaves_a_leader_that_is_silent_during_a_call():
     async def body(leader, link):
         await leader.wait_for(lambda: leader.polls == 1)
         leader.answers_polls = False
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(call_in_vain, link)
+            tasks.start_soon(make_call, link)
             await leader.wait_for(lambda: leader.streams >= 2)
             tasks.cancel_scope.cancel()
 
@@ -230,14 +249,14 @@
         leader.welcome = "no message of this protocol"
         leader.answers_polls = False
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(call_in_vain, link)
+            tasks.start_soon(make_call, link)
             await leader.wait_for(lambda: leader.streams >= 3)
             tasks.cancel_scope.cancel()
 
     run_with_leader(body, poll_interval_s=3600.0, silence_timeout_s=0.3)
 
 
-async def call_in_vain(link):
+async def make_call(link):
     with contextlib.suppress(NoLeaderError):
         claim = commands.ClaimRequest(key="k", digest="d", holder="h", expires=1.0)
         await link.call(claim, timeout_s=3600.0)
