--- a/tests/dispatch/test_advice_renewal.py
+++ b/tests/dispatch/test_advice_renewal.py
@@ -1,7 +1,7 @@
 """Expired tickets in pools that are larger than one question to the advisor.
 
-A call names at most 100 workers; a queue that is allowed on most workers of a pool of 176
-holds more tickets than that.
+A call names at most 100 workers; a queue that is allowed on most workers of a pool of
+176 holds more tickets than that.
 """
 
 import heapq
@@ -25,8 +25,8 @@
 
 POOL_SIZE = 176
 
-#: Of ten workers, the advisor allows a short job on the first seven and the heaviest jobs
-#: on the first two or three.
+#: Of ten workers, the advisor allows a short job on the first seven and a heavy one on
+#: the first two.
 SHORT_ALLOWED = 7
 HEAVY_ALLOWED = 2
 
@@ -103,7 +103,7 @@
             worker.drop_run("other")
 
     def run_while_workers_arrive(self, seconds):
-        """Let time pass as `run` does; a new worker, which is not used, arrives often."""
+        """Do as `run` while workers arrive that are too small to be used."""
         started = {}
         for _ in range(round(seconds / ARRIVAL_INTERVAL_S)):
             self.add_worker(f"w{len(self.workers):03}", cpu=100)
