Ask the advisor about all workers of a large pool, in as many calls as it takes

Seen by callers: on a pool of 176 workers a short job whose tickets had expired (a retry, a backlog) has nothing running although workers are idle.

Cause: a list that is cut at the limit of a call, always at the same place. The advisor allows a short job on 7 of 10 workers, so it holds 123 tickets; a renewal named the first 100 of them. The other 23 stayed expired, and as the planner takes the tightest fit it came back to one of these in each round. Class: a bounded batch without a cursor, retried from the start.

Change: a question is split into calls that differ by one worker at most and go to idle instances at the same time; a step counts as asked about until all are answered. First questions about a large pool are no longer answered one after the other either.

Why it works: no ticket is left out, so the tightest worker's is renewed within one call.

--- a/src/bluebellyoke/dispatch/advice.py
+++ b/src/bluebellyoke/dispatch/advice.py
@@ -7,7 +7,8 @@
 """
 
 import itertools
-from collections.abc import Callable, Iterable
+import math
+from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass, field
 
 from bluebellyoke.instance import wire
@@ -49,12 +50,17 @@
     Attributes:
         tickets: Ticket of each allowed worker, with the monotonic time of its expiry.
         evaluated: Workers that the advisor has evaluated.
-        is_requested: Whether a call is queued or in flight.
+        pending: Workers that calls queued or in flight are about.
     """
 
     tickets: dict[WorkerKey, tuple[str, float]] = field(default_factory=dict)
     evaluated: set[WorkerKey] = field(default_factory=set)
-    is_requested: bool = False
+    pending: set[WorkerKey] = field(default_factory=set)
+
+    @property
+    def is_requested(self) -> bool:
+        """Whether a call is queued or in flight."""
+        return bool(self.pending)
 
     def find_ticket(self, worker_key: WorkerKey, now: float) -> str | None:
         """Return the ticket of a worker, or None without a valid one."""
@@ -162,23 +168,22 @@
     def request(
         self,
         step: StepKey,
-        worker_keys: Iterable[WorkerKey],
+        worker_keys: Collection[WorkerKey],
         spec: AdvisorSpec,
         rank: tuple,
     ) -> None:
-        """Queue a call about some workers unless one about the step is pending.
+        """Queue calls about some workers unless one about the step is pending.
 
         Args:
-            worker_keys: Workers to evaluate; those beyond the limit of a call are
-                left out.
+            worker_keys: Workers to evaluate.
             rank: Sort key; calls with a lower rank are sent first.
         """
         advice = self.get_step_advice(step)
-        selected = tuple(worker_keys)[:MAX_WORKERS_PER_CALL]
-        if advice.is_requested or not selected:
+        if advice.is_requested:
             return
-        advice.is_requested = True
-        self._requests.append(AdviceRequest(rank, step, selected, spec))
+        advice.pending.update(worker_keys)
+        for batch in _split_evenly(tuple(worker_keys), MAX_WORKERS_PER_CALL):
+            self._requests.append(AdviceRequest(rank, step, batch, spec))
 
     def receive(self, session: int, reply: wire.AdviceReply, now: float) -> None:
         """Process an instance's reply to its latest call."""
@@ -193,7 +198,7 @@
         advice = self._steps.get(request.step)
         if advice is None:
             return
-        advice.is_requested = False
+        advice.pending.difference_update(request.worker_keys)
         expires_at = now + request.spec.validity_ms / 1000 - TICKET_EXPIRY_MARGIN_S
         for worker_key in request.worker_keys:
             advice.evaluated.add(worker_key)
@@ -240,3 +245,12 @@
         instance.timeout_at = now + request.duration_s * 2 + CALL_TIMEOUT_SLACK_S
         workers = tuple(worker_key[0] for worker_key in request.worker_keys)
         instance.send(wire.AdviceCall(instance.call, request.step, workers))
+
+
+def _split_evenly(
+    worker_keys: tuple[WorkerKey, ...], max_size: int
+) -> Iterator[tuple[WorkerKey, ...]]:
+    """Yield the workers in as few batches as possible, which differ by one at most."""
+    count = math.ceil(len(worker_keys) / max_size)
+    for number in range(count):
+        yield worker_keys[number::count]
--- a/tests/dispatch/test_advice.py
+++ b/tests/dispatch/test_advice.py
@@ -69,6 +69,24 @@
     assert len(instances.list_calls()) == 2
 
 
+def test_question_about_many_workers_is_split_between_instances(instances):
+    worker_keys = [(f"w{number}", 1) for number in range(176)]
+    instances.request(worker_keys=worker_keys)
+    (_, first), (_, second) = instances.list_calls()
+    assert (len(first.workers), len(second.workers)) == (88, 88)
+    assert {*first.workers, *second.workers} == {name for name, _ in worker_keys}
+
+
+def test_step_is_requested_until_all_parts_of_a_question_are_answered(instances):
+    instances.request(worker_keys=[(f"w{number}", 1) for number in range(101)])
+    advice = instances.advice.get_step_advice(STEP)
+    for number, call in instances.list_calls():
+        assert advice.is_requested
+        instances.advice.receive(number, wire.AdviceReply(call.id, {}), 1.0)
+    assert not advice.is_requested
+    assert len(advice.evaluated) == 101
+
+
 def test_lower_rank_is_requested_first(instances):
     for rank in ((2,), (0,), (1,)):
         instances.advice.request((f"job{rank}", 0, 0), WORKER_KEYS, ADVISOR, rank)
