Renew the tickets of a step while new workers are evaluated for it

Seen by callers: while workers arrive one after the other (a pool that is replaced or grows), jobs of a heavy queue have nothing running although workers are idle.

Cause: a step had one question to the advisor in flight, of whichever kind, and a question about a worker that has just arrived came first. On a heavy queue one takes 0.7 s; workers that arrive faster than that keep the step from ever renewing tickets, which live 1.5 s. Class: one slot shared by two kinds of request, of which one may starve the other.

Change: calls are noted by worker. New workers are evaluated by one question at a time as before; tickets are renewed beside it, once an expired one is not asked about already. Expired tickets are asked for once a step and round, not once a task.

The former planner in the tests asks through the new calls; its decisions stay equal.

--- a/src/bluebellyoke/dispatch/advice.py
+++ b/src/bluebellyoke/dispatch/advice.py
@@ -58,18 +58,18 @@
     pending: set[WorkerKey] = field(default_factory=set)
 
     @property
-    def is_requested(self) -> bool:
-        """Whether a call is queued or in flight."""
-        return bool(self.pending)
+    def is_evaluating(self) -> bool:
+        """Whether a call about workers not evaluated yet is queued or in flight."""
+        return not self.pending <= self.evaluated
 
     def find_ticket(self, worker_key: WorkerKey, now: float) -> str | None:
         """Return the ticket of a worker, or None without a valid one."""
         ticket, expires_at = self.tickets.get(worker_key, ("", 0.0))
         return ticket if now < expires_at else None
 
-    def are_tickets_valid(self, now: float) -> bool:
-        """Return whether all tickets are valid at monotonic time `now`."""
-        return all(now < expires_at for _, expires_at in self.tickets.values())
+    def is_ticket_valid(self, worker_key: WorkerKey, now: float) -> bool:
+        """Return whether a worker has a ticket that is valid at a monotonic time."""
+        return self.find_ticket(worker_key, now) is not None
 
     def expire_ticket(self, worker_key: WorkerKey) -> None:
         """Mark a ticket that a worker has refused as expired."""
@@ -165,23 +165,42 @@
         for step in [x for x in self._steps if x[0] == workflow]:
             del self._steps[step]
 
-    def request(
+    def evaluate(
         self,
         step: StepKey,
         worker_keys: Collection[WorkerKey],
         spec: AdvisorSpec,
         rank: tuple,
     ) -> None:
-        """Queue calls about some workers unless one about the step is pending.
+        """Queue calls about workers not evaluated yet, unless such calls are pending.
 
         Args:
-            worker_keys: Workers to evaluate.
             rank: Sort key; calls with a lower rank are sent first.
         """
         advice = self.get_step_advice(step)
-        if advice.is_requested:
-            return
-        advice.pending.update(worker_keys)
+        if not advice.is_evaluating:
+            self._queue(step, worker_keys, spec, rank)
+
+    def renew(
+        self, step: StepKey, spec: AdvisorSpec, rank: tuple, *, until: float
+    ) -> None:
+        """Queue calls for new tickets if one expires before a monotonic time.
+
+        Tickets that calls are pending for are left to these calls.
+        """
+        advice = self.get_step_advice(step)
+        worker_keys = [x for x in advice.tickets if x not in advice.pending]
+        if not all(advice.is_ticket_valid(x, until) for x in worker_keys):
+            self._queue(step, worker_keys, spec, rank)
+
+    def _queue(
+        self,
+        step: StepKey,
+        worker_keys: Collection[WorkerKey],
+        spec: AdvisorSpec,
+        rank: tuple,
+    ) -> None:
+        self.get_step_advice(step).pending.update(worker_keys)
         for batch in _split_evenly(tuple(worker_keys), MAX_WORKERS_PER_CALL):
             self._requests.append(AdviceRequest(rank, step, batch, spec))
 
--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -280,7 +280,7 @@
         rank = (queue.priority, wall_time, spec.id)
         for index, step in enumerate(spec.steps):
             if not step.depends_on and not spec.repeats:
-                self.advice.request(
+                self.advice.evaluate(
                     (spec.id, 0, index), worker_keys, queue.advisor, rank
                 )
 
--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -4,7 +4,15 @@
 that smaller tasks behind it do not delay its start forever.
 """
 
-from bluebellyoke.dispatch.advice import AdviceManager, StepAdvice, StepKey
+from collections.abc import Collection
+
+from bluebellyoke.dispatch.advice import (
+    MAX_WORKERS_PER_CALL,
+    AdviceManager,
+    StepAdvice,
+    StepKey,
+    WorkerKey,
+)
 from bluebellyoke.dispatch.placement import (
     Candidate,
     CandidateQueue,
@@ -131,7 +139,7 @@
     ) -> None:
         """Request advice on workers that the advisor has not evaluated yet."""
         advice = self._advice.get_step_advice(key)
-        if advice.is_requested:
+        if advice.is_evaluating:
             return
         if planning.list_worker_keys(pool, label) <= advice.evaluated:
             return
@@ -140,15 +148,18 @@
             for worker in planning.list_workers(pool, label)
             if worker.spec.key not in advice.evaluated
         ]
-        self._advice.request(key, unknown, queue.advisor, rank)
+        self._advice.evaluate(key, unknown, queue.advisor, rank)
 
     def _renew_tickets(self, step: WaitingStep, advice: StepAdvice, now: float) -> None:
         """Request new tickets for a waiting step before its tickets expire."""
         spec = step.queue.advisor
-        count = len(advice.tickets)
-        duration_s = (spec.decision_ms + spec.per_worker_ms * count) / 1000
-        if count and not advice.are_tickets_valid(now + duration_s):
-            self._advice.request(step.key, advice.tickets, spec, step.rank)
+        call_size = min(len(advice.tickets), MAX_WORKERS_PER_CALL)
+        duration_s = (spec.decision_ms + spec.per_worker_ms * call_size) / 1000
+        self._advice.renew(step.key, spec, step.rank, until=now + duration_s)
+
+    def _replace_expired_tickets(self, step: WaitingStep, now: float) -> None:
+        """Request new tickets for a step that could start with them."""
+        self._advice.renew(step.key, step.queue.advisor, step.rank, until=now)
 
     def _collect_candidates(
         self, step: WaitingStep, workers: list[TrackedWorker], planning: PlanningRound
@@ -179,8 +190,9 @@
             return
         worker_keys = {worker.spec.id: worker.spec.key for worker in workers}
         used = {worker_keys[candidate.worker] for candidate in chosen}
-        if self._lacks_tickets(step, advice, used, planning.now):
+        if not _have_tickets(advice, used, planning.now):
             planning.wait_reasons[step.key] = WaitReason.NO_TICKET
+            self._replace_expired_tickets(step, planning.now)
             # Keep the resources free until the new tickets arrive.
             for candidate in chosen:
                 candidate.free = candidate.free - step.spec.need
@@ -228,29 +240,17 @@
                 reason = reason or _explain_lack(workers, candidates)
                 break
             worker_key = worker_keys[candidate.worker]
-            if self._lacks_tickets(step, advice, {worker_key}, planning.now):
+            if not _have_tickets(advice, {worker_key}, planning.now):
                 reason = WaitReason.NO_TICKET
                 continue
             run = tasks[index].run + 1
             self._add_start(step, index, run, worker_key, planning, advice)
             has_started = True
+        if reason is WaitReason.NO_TICKET:
+            self._replace_expired_tickets(step, planning.now)
         if reason is not None and not has_started:
             planning.wait_reasons[step.key] = reason
 
-    def _lacks_tickets(
-        self, step: WaitingStep, advice: StepAdvice | None, worker_keys: set, now: float
-    ) -> bool:
-        """Return whether a ticket has expired, and request new ones in that case."""
-        if advice is None:
-            return False
-        if all(
-            advice.find_ticket(worker_key, now) is not None
-            for worker_key in worker_keys
-        ):
-            return False
-        self._advice.request(step.key, advice.tickets, step.queue.advisor, step.rank)
-        return True
-
     def _add_start(
         self,
         step: WaitingStep,
@@ -298,6 +298,13 @@
     return spec.gang or spec.backfill or spec.need.fits_in(planning.get_max_free())
 
 
+def _have_tickets(
+    advice: StepAdvice | None, worker_keys: Collection[WorkerKey], now: float
+) -> bool:
+    """Return whether a step may start on workers; without advice it always may."""
+    return advice is None or all(advice.is_ticket_valid(x, now) for x in worker_keys)
+
+
 def _explain_lack(
     workers: list[TrackedWorker], candidates: list[Candidate]
 ) -> WaitReason:
--- a/src/bluebellyoke/dispatch/waits.py
+++ b/src/bluebellyoke/dispatch/waits.py
@@ -95,7 +95,7 @@
                 "expired": sum(
                     advice.find_ticket(worker, now) is None for worker in tickets
                 ),
-                "asking": advice.is_requested,
+                "asking": len(advice.pending),
             },
         )
 
--- a/tests/dispatch/reference_planner.py
+++ b/tests/dispatch/reference_planner.py
@@ -154,15 +154,14 @@
     ) -> None:
         known = self._advice.get_step_advice(key).evaluated
         unknown = [worker_key for worker_key in worker_keys if worker_key not in known]
-        self._advice.request(key, unknown, queue.advisor, rank)
+        self._advice.evaluate(key, unknown, queue.advisor, rank)
 
     def _renew_tickets(self, step: WaitingStep, advice: StepAdvice, now: float) -> None:
         """Request new tickets for a waiting step before its tickets expire."""
         spec = step.queue.advisor
         count = len(advice.tickets)
         duration_s = (spec.decision_ms + spec.per_worker_ms * count) / 1000
-        if count and not advice.are_tickets_valid(now + duration_s):
-            self._advice.request(step.key, advice.tickets, spec, step.rank)
+        self._advice.renew(step.key, spec, step.rank, until=now + duration_s)
 
     def _collect_candidates(
         self, step: WaitingStep, workers: list[TrackedWorker], planning: PlanningRound
@@ -253,7 +252,7 @@
             for worker_key in worker_keys
         ):
             return False
-        self._advice.request(step.key, advice.tickets, step.queue.advisor, step.rank)
+        self._advice.renew(step.key, step.queue.advisor, step.rank, until=now)
         return True
 
     def _add_start(
--- a/tests/dispatch/test_advice.py
+++ b/tests/dispatch/test_advice.py
@@ -21,9 +21,13 @@
     def request(
         self, step=STEP, worker_keys=WORKER_KEYS, spec=ADVISOR, rank=RANK, now=0.0
     ):
-        self.advice.request(step, worker_keys, spec, rank)
+        self.advice.evaluate(step, worker_keys, spec, rank)
         self.advice.tick(now)
 
+    def renew(self, until):
+        self.advice.renew(STEP, ADVISOR, RANK, until=until)
+        self.advice.tick(until)
+
     def list_calls(self):
         return [(n, call) for n, calls in self.calls.items() for call in calls]
 
@@ -65,7 +69,7 @@
     instances.reply({"w1": "t", "w2": "u"}, now=1.0)
     instances.advice.get_step_advice(STEP).expire_ticket(("w1", 1))
     assert instances.advice.get_step_advice(STEP).find_ticket(("w1", 1), 1.0) is None
-    instances.request(now=1.0)
+    instances.renew(1.0)
     assert len(instances.list_calls()) == 2
 
 
@@ -81,15 +85,41 @@
     instances.request(worker_keys=[(f"w{number}", 1) for number in range(101)])
     advice = instances.advice.get_step_advice(STEP)
     for number, call in instances.list_calls():
-        assert advice.is_requested
+        assert advice.is_evaluating
         instances.advice.receive(number, wire.AdviceReply(call.id, {}), 1.0)
-    assert not advice.is_requested
+    assert not advice.is_evaluating
     assert len(advice.evaluated) == 101
 
 
+def test_valid_tickets_are_not_renewed(instances):
+    instances.request()
+    instances.reply({"w1": "t", "w2": "u"}, now=1.0)
+    instances.renew(2.3)
+    assert len(instances.list_calls()) == 1
+    instances.renew(2.5)
+    assert len(instances.list_calls()) == 2
+
+
+def test_tickets_are_renewed_once_while_a_call_is_pending(instances):
+    instances.request()
+    instances.reply({"w1": "t", "w2": "u"}, now=1.0)
+    instances.renew(2.5)
+    instances.renew(2.6)
+    assert len(instances.list_calls()) == 2
+
+
+def test_tickets_are_renewed_while_a_new_worker_is_evaluated(instances):
+    instances.request()
+    instances.reply({"w1": "t", "w2": "u"}, now=1.0)
+    instances.request(worker_keys=(("w3", 1),), now=2.4)
+    instances.renew(2.5)
+    calls = sorted((call for _, call in instances.list_calls()), key=lambda x: x.id)
+    assert [call.workers for call in calls[1:]] == [("w3",), ("w1", "w2")]
+
+
 def test_lower_rank_is_requested_first(instances):
     for rank in ((2,), (0,), (1,)):
-        instances.advice.request((f"job{rank}", 0, 0), WORKER_KEYS, ADVISOR, rank)
+        instances.advice.evaluate((f"job{rank}", 0, 0), WORKER_KEYS, ADVISOR, rank)
     instances.advice.tick(0.0)
     requested = {call.step[0] for _, call in instances.list_calls()}
     assert requested == {"job(0,)", "job(1,)"}
--- a/tests/dispatch/test_planner.py
+++ b/tests/dispatch/test_planner.py
@@ -209,7 +209,8 @@
 def test_no_task_starts_before_advice_has_arrived(advised_cell):
     job = advised_cell.submit([create_step(1)])
     assert advised_cell.plan() == []
-    assert advised_cell.advice.get_step_advice((job, 0, 0)).is_requested
+    advice = advised_cell.advice.get_step_advice((job, 0, 0))
+    assert advice.pending == {w.spec.key for w in advised_cell.workers.values()}
 
 
 def test_only_allowed_workers_are_used_with_their_tickets(advised_cell):
@@ -224,7 +225,7 @@
     job = advised_cell.submit([create_step(2)])
     give_advice(advised_cell, job, {"w1": "t1"})
     assert advised_cell.plan(NOW + 1.5) == []
-    assert advised_cell.advice.get_step_advice((job, 0, 0)).is_requested
+    assert advised_cell.advice.get_step_advice((job, 0, 0)).pending == {("w1", 1)}
 
 
 def test_resources_are_kept_for_a_gang_that_waits_for_tickets(advised_cell):
--- a/tests/dispatch/test_waits.py
+++ b/tests/dispatch/test_waits.py
@@ -39,7 +39,7 @@
     check(reporter, until=1.3, reasons={STEP: WaitReason.NO_TICKET})
     (report,) = list_reports(caplog)
     assert (report.job, report.step) == ("job", [0, 1])
-    assert (report.reason, report.tickets, report.asking) == ("no-ticket", 0, False)
+    assert (report.reason, report.tickets, report.asking) == ("no-ticket", 0, 0)
     assert 'overdue_steps_total{outcome="no-ticket"} 1' in metrics.render()
 
 
