Ask about further workers only for steps that still wait

Seen by callers: jobs of the heavy queues wait for seconds without having been put to the advisor at all, and those with tickets see them expire; worst after a change of leader or a loss of instances.

Cause: each step asked about the whole pool (two calls on 176 workers), the second call being queued in the round in which the first one's tickets placed all its tasks; queued calls were sent even for steps that had been placed meanwhile; and a new leader asks all of this again. A heavy question takes 1.7 s of an instance. Class: a limit that holds at 24 workers, where a pool is one call, and not at 176.

Change: a step is placed first and asks further only if tasks are left over; placed steps withdraw queued calls. A first question names the workers with room for a task before full ones, in an order of the workflow's own, so that not all steps compete for the same hundred.

Evidence: test_placed_step_asks_about_no_further_workers failed before.

--- a/src/bluebellyoke/dispatch/advice.py
+++ b/src/bluebellyoke/dispatch/advice.py
@@ -8,7 +8,7 @@
 
 import itertools
 import math
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from bluebellyoke.instance import wire
@@ -168,18 +168,21 @@
     def evaluate(
         self,
         step: StepKey,
-        worker_keys: Collection[WorkerKey],
+        worker_keys: Iterable[WorkerKey],
         spec: AdvisorSpec,
         rank: tuple,
     ) -> None:
-        """Queue calls about workers not evaluated yet, unless such calls are pending.
+        """Queue a call about workers not evaluated yet, unless one is pending.
 
         Args:
+            worker_keys: Workers, the most useful first. Those beyond the limit of a
+                call are left to the next one, if the step still waits then.
             rank: Sort key; calls with a lower rank are sent first.
         """
         advice = self.get_step_advice(step)
         if not advice.is_evaluating:
-            self._queue(step, worker_keys, spec, rank)
+            selected = tuple(itertools.islice(worker_keys, MAX_WORKERS_PER_CALL))
+            self._queue(step, selected, spec, rank)
 
     def renew(
         self, step: StepKey, spec: AdvisorSpec, rank: tuple, *, until: float
@@ -193,6 +196,15 @@
         if not all(advice.is_ticket_valid(x, until) for x in worker_keys):
             self._queue(step, worker_keys, spec, rank)
 
+    def withdraw(self, step: StepKey) -> None:
+        """Drop the queued calls about a step that no longer waits."""
+        advice = self._steps.get(step)
+        if advice is None or not advice.pending:
+            return
+        for request in [x for x in self._requests if x.step == step]:
+            self._requests.remove(request)
+            advice.pending.difference_update(request.worker_keys)
+
     def _queue(
         self,
         step: StepKey,
--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -21,6 +21,7 @@
 from bluebellyoke.dispatch.probes import WorkerProber
 from bluebellyoke.dispatch.registry import WorkerRegistry
 from bluebellyoke.dispatch.run_ends import RunEndRecorder
+from bluebellyoke.dispatch.selection import order_by_room
 from bluebellyoke.dispatch.starts import RunStarter
 from bluebellyoke.dispatch.stops import RunStopper
 from bluebellyoke.dispatch.workers import LeaseTimes, TrackedWorker
@@ -272,17 +273,17 @@
         queue = self._context.store.get_queue(spec.queue)
         if queue is None or queue.advisor is None:
             return
-        worker_keys = [
-            worker.spec.key
+        workers = [
+            worker
             for worker in self.workers.values()
             if worker.spec.pool == queue.pool and not worker.spec.draining
         ]
         rank = (queue.priority, wall_time, spec.id)
         for index, step in enumerate(spec.steps):
             if not step.depends_on and not spec.repeats:
-                self.advice.evaluate(
-                    (spec.id, 0, index), worker_keys, queue.advisor, rank
-                )
+                key = (spec.id, 0, index)
+                worker_keys = order_by_room(key, step.need, workers)
+                self.advice.evaluate(key, worker_keys, queue.advisor, rank)
 
     def cancel(
         self,
--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -24,10 +24,11 @@
     PlanningRound,
     WaitReason,
 )
-from bluebellyoke.dispatch.waiting import WaitingStep, WaitingSteps
+from bluebellyoke.dispatch.selection import order_by_room
+from bluebellyoke.dispatch.waiting import NextStep, WaitingStep, WaitingSteps
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.commands import RunStart, TaskName
-from bluebellyoke.workflow.specs import QueueSpec, StepSpec
+from bluebellyoke.workflow.specs import StepSpec
 from bluebellyoke.workflow.store import WorkflowStore
 
 __all__ = ["Planner"]
@@ -86,14 +87,8 @@
     def _prefetch_advice(self, store: WorkflowStore, planning: PlanningRound) -> None:
         """Request advice on steps that can begin once the placed tasks have ended."""
         for step in self._steps.iter_next():
-            self._request_missing_advice(
-                step.key,
-                store.find_pool(step.workflow),
-                step.spec.required_label,
-                step.queue,
-                step.rank,
-                planning,
-            )
+            pool = store.find_pool(step.workflow)
+            self._request_missing_advice(step, pool, planning)
 
     # One step.
 
@@ -108,47 +103,51 @@
             planning.wait_reasons[step.key] = WaitReason.NO_ROOM
             return
         pool, label = store.find_pool(step.workflow), step.spec.required_label
-        advice = None
-        if step.queue is not None and step.queue.advisor is not None:
-            advice = self._advice.get_step_advice(step.key)
-            self._request_missing_advice(
-                step.key, pool, label, step.queue, step.rank, planning
-            )
-            if is_head:
-                self._renew_tickets(step, advice, planning.now)
-            workers = planning.list_allowed(pool, label, advice)
+        if step.queue is None or step.queue.advisor is None:
+            self._place(step, planning.list_workers(pool, label), planning, None)
+            return
+        advice = self._advice.get_step_advice(step.key)
+        if is_head:
+            self._renew_tickets(step, advice, planning.now)
+        workers = planning.list_allowed(pool, label, advice)
+        if self._place(step, workers, planning, advice):
+            self._advice.withdraw(step.key)
         else:
-            workers = planning.list_workers(pool, label)
+            self._request_missing_advice(step, pool, planning)
+
+    def _place(
+        self,
+        step: WaitingStep,
+        workers: list[TrackedWorker],
+        planning: PlanningRound,
+        advice: StepAdvice | None,
+    ) -> bool:
+        """Start what is possible on some workers; return whether nothing waits."""
         if not workers:
             planning.wait_reasons[step.key] = WaitReason.NO_WORKER
-            return
+            return False
         candidates = self._collect_candidates(step, workers, planning)
         if step.spec.gang:
-            self._plan_gang(step, workers, candidates, planning, advice)
-        else:
-            self._plan_tasks(step, workers, candidates, planning, advice)
+            return self._plan_gang(step, workers, candidates, planning, advice)
+        return self._plan_tasks(step, workers, candidates, planning, advice)
 
     def _request_missing_advice(
-        self,
-        key: StepKey,
-        pool: str,
-        label: str,
-        queue: QueueSpec,
-        rank: tuple,
-        planning: PlanningRound,
+        self, step: WaitingStep | NextStep, pool: str, planning: PlanningRound
     ) -> None:
         """Request advice on workers that the advisor has not evaluated yet."""
-        advice = self._advice.get_step_advice(key)
+        advice = self._advice.get_step_advice(step.key)
+        label = step.spec.required_label
         if advice.is_evaluating:
             return
         if planning.list_worker_keys(pool, label) <= advice.evaluated:
             return
         unknown = [
-            worker.spec.key
+            worker
             for worker in planning.list_workers(pool, label)
             if worker.spec.key not in advice.evaluated
         ]
-        self._advice.evaluate(key, unknown, queue.advisor, rank)
+        worker_keys = order_by_room(step.key, step.spec.need, unknown)
+        self._advice.evaluate(step.key, worker_keys, step.queue.advisor, step.rank)
 
     def _renew_tickets(self, step: WaitingStep, advice: StepAdvice, now: float) -> None:
         """Request new tickets for a waiting step before its tickets expire."""
@@ -182,12 +181,12 @@
         candidates: list[Candidate],
         planning: PlanningRound,
         advice: StepAdvice | None,
-    ) -> None:
+    ) -> bool:
         chosen = self._choose_gang_workers(step, candidates)
         if chosen is None:
             planning.wait_reasons[step.key] = _explain_lack(workers, candidates)
             self._reserve(step, workers, planning)
-            return
+            return False
         worker_keys = {worker.spec.id: worker.spec.key for worker in workers}
         used = {worker_keys[candidate.worker] for candidate in chosen}
         if not _have_tickets(advice, used, planning.now):
@@ -196,13 +195,14 @@
             # Keep the resources free until the new tickets arrive.
             for candidate in chosen:
                 candidate.free = candidate.free - step.spec.need
-            return
+            return False
         run = 1 + max(task.run for task in _get_tasks(step))
         for index, candidate in zip(step.indexes, chosen, strict=True):
             self._add_start(
                 step, index, run, worker_keys[candidate.worker], planning, advice
             )
             candidate.free = candidate.free - step.spec.need
+        return True
 
     def _choose_gang_workers(
         self, step: WaitingStep, candidates: list[Candidate]
@@ -227,7 +227,7 @@
         candidates: list[Candidate],
         planning: PlanningRound,
         advice: StepAdvice | None,
-    ) -> None:
+    ) -> bool:
         worker_keys = {worker.spec.id: worker.spec.key for worker in workers}
         tasks = _get_tasks(step)
         ranked = CandidateQueue(step.spec, candidates)
@@ -250,6 +250,7 @@
             self._replace_expired_tickets(step, planning.now)
         if reason is not None and not has_started:
             planning.wait_reasons[step.key] = reason
+        return reason is None
 
     def _add_start(
         self,
--- a/tests/dispatch/test_planner.py
+++ b/tests/dispatch/test_planner.py
@@ -228,6 +228,26 @@
     assert advised_cell.advice.get_step_advice((job, 0, 0)).pending == {("w1", 1)}
 
 
+# Guards against SHORT on the grown sites: each step asked about all of a large pool,
+# also once it was placed, until steps behind it got no advice for seconds.
+def test_placed_step_asks_about_no_further_workers(advised_cell):
+    job = advised_cell.submit([create_step(1)])
+    give_advice(advised_cell, job, {"w1": "t1"})
+    advice = advised_cell.advice.get_step_advice((job, 0, 0))
+    advice.evaluated.remove(("w3", 1))
+    assert len(advised_cell.plan()) == 1
+    assert advice.pending == set()
+
+
+def test_step_without_room_asks_about_further_workers(advised_cell):
+    job = advised_cell.submit([create_step(9, cpu=1000)])
+    give_advice(advised_cell, job, {"w1": "t1"})
+    advice = advised_cell.advice.get_step_advice((job, 0, 0))
+    advice.evaluated.remove(("w3", 1))
+    assert len(advised_cell.plan()) == 4
+    assert advice.pending == {("w3", 1)}
+
+
 def test_resources_are_kept_for_a_gang_that_waits_for_tickets(advised_cell):
     gang = advised_cell.submit([create_step(3, cpu=4000, gang=True)])
     other = advised_cell.submit([create_step(3, cpu=1000)])
