--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -42,6 +42,49 @@
 
 
 CASES = [
+    Case(
+        "a renewal asks about all tickets of a large pool",
+        "dispatch/advice.py",
+        "        for batch in _split_evenly(worker_keys, MAX_WORKERS_PER_CALL):\n",
+        "        for batch in [worker_keys[:MAX_WORKERS_PER_CALL]]:\n",
+        "tests/dispatch/test_advice.py",
+    ),
+    Case(
+        "tickets are renewed beside a question about new workers",
+        "dispatch/advice.py",
+        "        if all(advice.is_ticket_valid(x, until) for x in worker_keys):\n",
+        "        if advice.pending:\n",
+        "tests/dispatch/test_advice.py",
+    ),
+    Case(
+        "a placed step asks about no further workers",
+        "dispatch/planner.py",
+        "        else:\n"
+        "            self._request_missing_advice(step, pool, planning)\n",
+        "        self._request_missing_advice(step, pool, planning)\n",
+        "tests/dispatch/test_planner.py",
+    ),
+    Case(
+        "a placed step withdraws its queued calls",
+        "dispatch/advice.py",
+        "            self._requests.remove(request)\n",
+        "",
+        "tests/dispatch/test_advice.py",
+    ),
+    Case(
+        "first questions about a step go before further ones",
+        "dispatch/advice.py",
+        "        return is_deferred, self.rank\n",
+        "        return self.rank\n",
+        "tests/dispatch/test_advice.py",
+    ),
+    Case(
+        "a further question is not put off for ever",
+        "dispatch/advice.py",
+        " and now - self.queued_at < MAX_DEFERRAL_S",
+        "",
+        "tests/dispatch/test_advice.py",
+    ),
     Case(
         "the planner learns of a workflow whose run has ended",
         "workflow/store.py",
