Revert the order of first questions before those that widen a choice

Cause: it let jobs of a queue with lower priority go before waiting jobs of a more urgent one, which then found no room.

--- a/src/bluebellyoke/dispatch/advice.py
+++ b/src/bluebellyoke/dispatch/advice.py
@@ -8,7 +8,7 @@
 
 import itertools
 import math
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 
 from bluebellyoke.instance import wire
@@ -39,9 +39,6 @@
 #: wait.
 RESERVED_INSTANCE_DIVISOR = 4
 
-#: Time for which a request that can wait lets others go first, in seconds.
-MAX_DEFERRAL_S = 2.0
-
 #: Time for which an instance whose call failed gets no other call, in seconds.
 FAILURE_BACKOFF_S = 0.5
 
@@ -86,16 +83,12 @@
 
     Attributes:
         rank: Sort key; requests with a lower rank are sent first.
-        can_wait: Whether other requests go first for `MAX_DEFERRAL_S`.
-        queued_at: Monotonic time at which it was first considered, if it was.
     """
 
     rank: tuple
     step: StepKey
     worker_keys: tuple[WorkerKey, ...]
     spec: AdvisorSpec
-    can_wait: bool = False
-    queued_at: float | None = None
 
     @property
     def duration_s(self) -> float:
@@ -103,13 +96,6 @@
         total = self.spec.decision_ms + self.spec.per_worker_ms * len(self.worker_keys)
         return total / 1000
 
-    def get_order(self, now: float) -> tuple:
-        """Return the sort key of the request at a monotonic time."""
-        if self.queued_at is None:
-            self.queued_at = now
-        is_deferred = self.can_wait and now - self.queued_at < MAX_DEFERRAL_S
-        return is_deferred, self.rank
-
 
 @dataclass(slots=True)
 class AdvisingInstance:
@@ -188,20 +174,15 @@
     ) -> None:
         """Queue a call about workers not evaluated yet, unless one is pending.
 
-        The first call about a step goes before further ones, which only widen its
-        choice.
-
         Args:
             worker_keys: Workers, the most useful first. Those beyond the limit of a
                 call are left to the next one, if the step still waits then.
             rank: Sort key; calls with a lower rank are sent first.
         """
         advice = self.get_step_advice(step)
-        if advice.is_evaluating:
-            return
-        selected = tuple(itertools.islice(worker_keys, MAX_WORKERS_PER_CALL))
-        can_wait = bool(advice.evaluated)
-        self._queue(AdviceRequest(rank, step, selected, spec, can_wait))
+        if not advice.is_evaluating:
+            selected = tuple(itertools.islice(worker_keys, MAX_WORKERS_PER_CALL))
+            self._queue(step, selected, spec, rank)
 
     def renew(
         self, step: StepKey, spec: AdvisorSpec, rank: tuple, *, until: float
@@ -212,10 +193,8 @@
         """
         advice = self.get_step_advice(step)
         worker_keys = [x for x in advice.tickets if x not in advice.pending]
-        if all(advice.is_ticket_valid(x, until) for x in worker_keys):
-            return
-        for batch in _split_evenly(worker_keys, MAX_WORKERS_PER_CALL):
-            self._queue(AdviceRequest(rank, step, tuple(batch), spec))
+        if not all(advice.is_ticket_valid(x, until) for x in worker_keys):
+            self._queue(step, worker_keys, spec, rank)
 
     def withdraw(self, step: StepKey) -> None:
         """Drop the queued calls about a step that no longer waits."""
@@ -226,9 +205,16 @@
             self._requests.remove(request)
             advice.pending.difference_update(request.worker_keys)
 
-    def _queue(self, request: AdviceRequest) -> None:
-        self.get_step_advice(request.step).pending.update(request.worker_keys)
-        self._requests.append(request)
+    def _queue(
+        self,
+        step: StepKey,
+        worker_keys: Collection[WorkerKey],
+        spec: AdvisorSpec,
+        rank: tuple,
+    ) -> None:
+        self.get_step_advice(step).pending.update(worker_keys)
+        for batch in _split_evenly(tuple(worker_keys), MAX_WORKERS_PER_CALL):
+            self._requests.append(AdviceRequest(rank, step, batch, spec))
 
     def receive(self, session: int, reply: wire.AdviceReply, now: float) -> None:
         """Process an instance's reply to its latest call."""
@@ -264,7 +250,7 @@
             if instance.request is None and now >= instance.paused_until
         ]
         reserved = len(self._instances) // RESERVED_INSTANCE_DIVISOR
-        self._requests.sort(key=lambda request: request.get_order(now))
+        self._requests.sort(key=lambda request: request.rank)
         remaining = []
         for request in self._requests:
             if request.step not in self._steps:
@@ -293,8 +279,8 @@
 
 
 def _split_evenly(
-    worker_keys: Sequence[WorkerKey], max_size: int
-) -> Iterator[Sequence[WorkerKey]]:
+    worker_keys: tuple[WorkerKey, ...], max_size: int
+) -> Iterator[tuple[WorkerKey, ...]]:
     """Yield the workers in as few batches as possible, which differ by one at most."""
     count = math.ceil(len(worker_keys) / max_size)
     for number in range(count):
