Reserve no workers for a gang that does not fit even on an idle cell

Seen by callers: a job of 1 core stands still on idle workers while a gang waits that can never be placed, because a task is larger than any worker it may use or because the workers that accept tasks (or that the advisor allows) have too few places in total.

Cause: a gang without a placement reserved workers until they had enough places by their capacity. It also used up one of the two reserving gangs, so two such gangs kept a third, which fits, from ever reserving. A worker on which no task of the gang fits was reserved too.

Change: the places by capacity are counted first. A gang with too few reserves nothing and does not count as a reserving one; a worker without a place is never reserved. The runs of the step per worker are counted for reserved workers too, as the places need them.

--- a/tests/dispatch/reference_planner.py
+++ b/tests/dispatch/reference_planner.py
@@ -169,12 +169,11 @@
         is_short = 0 < step.spec.estimate_ms < SHORT_TASK_MS
         candidates = []
         for worker in workers:
-            if worker.spec.id in planning.reserved and not is_short:
-                continue
             candidate = planning.candidates[worker.spec.id]
             if step.spec.max_per_worker:
                 candidate.step_runs = _count_step_runs(worker, step.key)
-            candidates.append(candidate)
+            if is_short or worker.spec.id not in planning.reserved:
+                candidates.append(candidate)
         return candidates
 
     def _plan_gang(
@@ -278,6 +277,14 @@
         """Reserve the workers with the most free CPU for a waiting gang."""
         if planning.reserving >= MAX_RESERVING_GANGS:
             return
+        places = {
+            worker.spec.id: count_allowed(
+                step.spec, planning.candidates[worker.spec.id], worker.spec.capacity
+            )
+            for worker in workers
+        }
+        if sum(places.values()) < step.spec.count:
+            return
         planning.reserving += 1
         missing = step.spec.count
         order = sorted(
@@ -285,13 +292,13 @@
             key=lambda x: (-planning.candidates[x.spec.id].free.cpu_millis, x.spec.id),
         )
         for worker in order:
+            name = worker.spec.id
             if missing <= 0:
                 return
-            if worker.spec.id in planning.reserved:
+            if name in planning.reserved or not places[name]:
                 continue
-            candidate = planning.candidates[worker.spec.id]
-            missing -= count_allowed(step.spec, candidate, worker.spec.capacity)
-            planning.reserved.add(worker.spec.id)
+            missing -= places[name]
+            planning.reserved.add(name)
 
 
 def _create_round(workers: dict[str, TrackedWorker], now: float) -> PlanningRound:
--- a/tests/dispatch/test_planner.py
+++ b/tests/dispatch/test_planner.py
@@ -3,7 +3,7 @@
 import pytest
 
 from bluebellyoke.dispatch.advice import AdviceManager
-from bluebellyoke.dispatch.planner import Planner
+from bluebellyoke.dispatch.planner import MAX_RESERVING_GANGS, Planner
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.workflow.factories import (
@@ -104,6 +104,44 @@
     assert starts == ()
 
 
+# Guards against an idle cell on which other jobs stand still: a gang that can never be
+# placed kept all its workers reserved in every round.
+@pytest.mark.parametrize(
+    ("count", "cpu"), [(3, 5000), (4, 4000)], ids=["large-tasks", "many-tasks"]
+)
+def test_gang_that_can_never_fit_reserves_no_workers(cell, count, cpu):
+    """Its tasks are larger than any worker, or too many for all workers together."""
+    cell.submit([create_step(count, cpu=cpu, gang=True, estimate_ms=5000)])
+    job = cell.submit([create_step(1, estimate_ms=5000)])
+    assert list_jobs(cell.plan_and_start()) == [job]
+
+
+# Guards against a gang that waits for ever: gangs that can never be placed used up the
+# number of gangs that may reserve workers at the same time.
+def test_gangs_that_can_never_fit_do_not_keep_another_from_reserving(cell):
+    cell.submit([create_step(1, cpu=3000, estimate_ms=5000)])
+    cell.plan_and_start()
+    cell.add_worker(create_worker("labelled", cpu=500, labels=("a",)))
+    for _ in range(MAX_RESERVING_GANGS):
+        cell.submit([create_step(3, cpu=5000, gang=True, required_label="a")])
+    cell.submit([create_step(3, cpu=3000, gang=True)])
+    cell.submit([create_step(6, cpu=1000, estimate_ms=5000)])
+    assert cell.plan_and_start() == ()
+
+
+# Guards against idle workers that stay reserved although the gang cannot use them.
+def test_gang_reserves_only_workers_on_which_its_tasks_fit():
+    cell = Cell(workers=2)
+    cell.submit([create_step(2, cpu=1000, max_per_worker=1, estimate_ms=5000)])
+    cell.plan_and_start()
+    cell.add_worker(create_worker("small", cpu=3500))
+    cell.submit([create_step(2, cpu=4000, gang=True)])
+    job = cell.submit([create_step(1, cpu=500, estimate_ms=5000)])
+    assert [(x.task.workflow, x.worker) for x in cell.plan_and_start()] == [
+        (job, "small")
+    ]
+
+
 def test_short_tasks_use_workers_reserved_by_a_gang(cell):
     cell.submit([create_step(1, cpu=3000, estimate_ms=5000)])
     cell.plan_and_start()
