Bound the calls that renew the tickets of one step

Cause: since a step renews the tickets that no call is pending for, whenever one of them is about to expire. Workers that arrive one by one get tickets at different times. While the call about the first ones is pending, the others get a call of their own, and on a heavy queue a call takes about as long as a ticket lives, so the groups seldom meet.

Change: the renewals of a step are bounded by the calls that all its tickets take, and one more. Tickets beyond that wait for one of these calls and are renewed with its tickets. A call belongs to the advice that it was queued for: one that is left over from a dropped workflow is no longer sent if its ID is submitted again, and its reply does not change the bookkeeping of the new advice.

--- a/src/bluebellyoke/dispatch/advice.py
+++ b/src/bluebellyoke/dispatch/advice.py
@@ -25,6 +25,11 @@
 #: Maximum number of workers in one call.
 MAX_WORKERS_PER_CALL = 100
 
+#: Number of calls that may renew a step's tickets at the same time, beyond those that
+#: all tickets take. It lets the others be renewed while one call takes long, and keeps
+#: the tickets from being renewed by ever more calls about ever fewer workers.
+EXTRA_RENEWAL_CALLS = 1
+
 #: Time before its expiry from which a ticket is no longer used, in seconds.
 TICKET_EXPIRY_MARGIN_S = 0.12
 
@@ -51,11 +56,13 @@
         tickets: Ticket of each allowed worker, with the monotonic time of its expiry.
         evaluated: Workers that the advisor has evaluated.
         pending: Workers that calls queued or in flight are about.
+        renewal_calls: Number of these calls that renew tickets.
     """
 
     tickets: dict[WorkerKey, tuple[str, float]] = field(default_factory=dict)
     evaluated: set[WorkerKey] = field(default_factory=set)
     pending: set[WorkerKey] = field(default_factory=set)
+    renewal_calls: int = 0
 
     @property
     def is_evaluating(self) -> bool:
@@ -83,12 +90,16 @@
 
     Attributes:
         rank: Sort key; requests with a lower rank are sent first.
+        advice: Advice that the reply completes; it may have been dropped meanwhile.
+        is_renewal: Whether the call renews tickets.
     """
 
     rank: tuple
     step: StepKey
     worker_keys: tuple[WorkerKey, ...]
     spec: AdvisorSpec
+    advice: StepAdvice
+    is_renewal: bool
 
     @property
     def duration_s(self) -> float:
@@ -179,19 +190,23 @@
         """
         advice = self.get_step_advice(step)
         if not advice.is_evaluating:
-            self._queue(step, worker_keys, spec, rank)
+            self._queue(step, worker_keys, spec, rank, is_renewal=False)
 
     def renew(
         self, step: StepKey, spec: AdvisorSpec, rank: tuple, *, until: float
     ) -> None:
         """Queue calls for new tickets if one expires before a monotonic time.
 
-        Tickets that calls are pending for are left to these calls.
+        Tickets that calls are pending for are left to these calls. The others wait for
+        one of these calls if too many are pending, so that they are renewed together.
         """
         advice = self.get_step_advice(step)
         worker_keys = [x for x in advice.tickets if x not in advice.pending]
-        if not all(advice.is_ticket_valid(x, until) for x in worker_keys):
-            self._queue(step, worker_keys, spec, rank)
+        if all(advice.is_ticket_valid(x, until) for x in worker_keys):
+            return
+        max_calls = _count_calls(len(advice.tickets)) + EXTRA_RENEWAL_CALLS
+        if advice.renewal_calls + _count_calls(len(worker_keys)) <= max_calls:
+            self._queue(step, worker_keys, spec, rank, is_renewal=True)
 
     def _queue(
         self,
@@ -199,10 +214,16 @@
         worker_keys: Collection[WorkerKey],
         spec: AdvisorSpec,
         rank: tuple,
+        *,
+        is_renewal: bool,
     ) -> None:
-        self.get_step_advice(step).pending.update(worker_keys)
-        for batch in _split_evenly(tuple(worker_keys), MAX_WORKERS_PER_CALL):
-            self._requests.append(AdviceRequest(rank, step, batch, spec))
+        advice = self.get_step_advice(step)
+        advice.pending.update(worker_keys)
+        for batch in _split_evenly(tuple(worker_keys)):
+            advice.renewal_calls += is_renewal
+            self._requests.append(
+                AdviceRequest(rank, step, batch, spec, advice, is_renewal)
+            )
 
     def receive(self, session: int, reply: wire.AdviceReply, now: float) -> None:
         """Process an instance's reply to its latest call."""
@@ -214,9 +235,8 @@
             instance.paused_until = now + FAILURE_BACKOFF_S
             self._requests.append(request)
             return
-        advice = self._steps.get(request.step)
-        if advice is None:
-            return
+        advice = request.advice
+        advice.renewal_calls -= request.is_renewal
         advice.pending.difference_update(request.worker_keys)
         expires_at = now + request.spec.validity_ms / 1000 - TICKET_EXPIRY_MARGIN_S
         for worker_key in request.worker_keys:
@@ -241,7 +261,7 @@
         self._requests.sort(key=lambda request: request.rank)
         remaining = []
         for request in self._requests:
-            if request.step not in self._steps:
+            if self._steps.get(request.step) is not request.advice:
                 continue
             if not idle or (request.duration_s > LONG_CALL_S and len(idle) <= reserved):
                 remaining.append(request)
@@ -266,10 +286,15 @@
         instance.send(wire.AdviceCall(instance.call, request.step, workers))
 
 
+def _count_calls(workers: int) -> int:
+    """Return the number of calls that ask about a number of workers."""
+    return math.ceil(workers / MAX_WORKERS_PER_CALL)
+
+
 def _split_evenly(
-    worker_keys: tuple[WorkerKey, ...], max_size: int
+    worker_keys: tuple[WorkerKey, ...],
 ) -> Iterator[tuple[WorkerKey, ...]]:
     """Yield the workers in as few batches as possible, which differ by one at most."""
-    count = math.ceil(len(worker_keys) / max_size)
+    count = _count_calls(len(worker_keys))
     for number in range(count):
         yield worker_keys[number::count]
--- a/tests/dispatch/test_advice_renewal.py
+++ b/tests/dispatch/test_advice_renewal.py
@@ -163,3 +163,18 @@
     assert pool.run_while_workers_arrive(4.0) == {}
     pool.empty()
     assert job in pool.run_while_workers_arrive(MAX_STANDSTILL_S)
+
+
+# Guards against SHORT and LOST after workers were replaced: the tickets of each new
+# worker were renewed by calls of their own, until these took up all instances and new
+# steps were not evaluated.
+def test_calls_of_waiting_steps_stay_few_while_new_workers_arrive():
+    """Eight jobs wait; each may renew its tickets in two calls and evaluate in one."""
+    pool = AdvisedPool(allowed=3, advisor=HEAVY_ADVISOR, instances=42)
+    for number in range(8):
+        pool.submit(number, count=1, cpu=4500, estimate_ms=6200)
+    pool.fill()
+    pool.run(FIRST_ADVICE_S)
+    for _ in range(4):
+        pool.run_while_workers_arrive(2.0)
+        assert pool.advice.pending_calls + pool.advice.queued_calls <= 8 * 3
