Drop the advice on a workflow once it is cancelled

Seen by callers: after jobs were cancelled before they began, later jobs wait for advice behind calls about the cancelled ones, and the leader keeps memory for each of them until it loses the leadership.

Cause: advice was dropped only when an end of a run was committed for a workflow that had ended. A workflow that is cancelled while none of its runs is placed has no such end.

--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -297,6 +297,8 @@
                 "dispatch: cancels a workflow",
                 extra={"job": command.workflow, "code": result.code},
             )
+            if result.accepted:
+                self.advice.drop_workflow(command.workflow)
             self._stopper.stop_workflow_runs(
                 self._context.store.workflows.get(command.workflow)
             )
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -4,7 +4,13 @@
 
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.dispatch.simulation import DispatcherSimulation
-from tests.workflow.factories import create_spec, create_step
+from tests.workflow.factories import (
+    ADVISOR,
+    create_configuration,
+    create_queue,
+    create_spec,
+    create_step,
+)
 
 ID = "0000000000000001"
 
@@ -100,6 +106,24 @@
     assert ID not in simulation.store.active
 
 
+# Guards against calls for nothing and memory that grows: advice on a workflow that was
+# cancelled before a run was placed was kept, and its calls were sent.
+def test_advisor_is_not_asked_about_a_cancelled_workflow(simulation):
+    queue = create_queue(advisor=ADVISOR)
+    simulation.store.apply(
+        workflow_commands.ApplyConfiguration(
+            configuration=create_configuration(2, [queue])
+        )
+    )
+    simulation.submit(create_spec(ID))
+    simulation.cancel(ID)
+    calls = []
+    simulation.dispatcher.advice.open_session(1, calls.append)
+    plan(simulation)
+    assert calls == []
+    assert simulation.dispatcher.advice.queued_calls == 0
+
+
 def test_draining_is_acknowledged_after_its_commit(simulation):
     spec = simulation.workers["w1"].spec
     results = []
