Start tasks on workers with a valid ticket while another's is renewed

Seen by callers: a job has nothing running although idle workers may run it and hold valid tickets for it.

Cause: the planner took the worker with the tightest fit, and a gang those with the most places, before it looked at the tickets. If the ticket of that worker had been refused, or the call about it was lost, each round came back to the same worker and the job waited for its ticket. A lost call of a heavy queue takes 4 s to time out. Class: a choice that is deterministic and comes back to the same unusable candidate.

Change: workers without a valid ticket come after the others. For a step with a data rack, a worker in that rack still comes first, and gangs that belong in one rack are placed as before, since a task takes longer in another rack. If no worker with a valid ticket has room, the room is kept and the tickets are renewed as before. The reference planner of the tests does the same; its decisions stay equal.

--- a/src/bluebellyoke/dispatch/placement.py
+++ b/src/bluebellyoke/dispatch/placement.py
@@ -6,7 +6,7 @@
 
 import heapq
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 
 from bluebellyoke.cell.resources import Resources
@@ -64,19 +64,27 @@
 class CandidateQueue:
     """Priority queue of the workers for the tasks of a step that is not a gang.
 
-    Workers in the rack of the step's data come first, then those with the tightest fit.
+    Workers in the rack of the step's data come first, then those that are not deferred,
+    then those with the tightest fit.
     The queue is built once for all tasks of the step and updated as they are placed.
 
     Args:
         step: Step whose tasks are placed.
         candidates: Workers to choose from.
+        deferred: IDs of workers that the step cannot use yet.
     """
 
-    def __init__(self, step: StepSpec, candidates: Iterable[Candidate]) -> None:
+    def __init__(
+        self,
+        step: StepSpec,
+        candidates: Iterable[Candidate],
+        deferred: Container[str] = (),
+    ) -> None:
         self._step = step
+        self._deferred = deferred
         # The rank ends with the worker's ID, so candidates are never compared.
         self._ranked = [
-            (_rank_candidate(step, candidate), candidate)
+            (self._rank(candidate), candidate)
             for candidate in candidates
             if _has_capacity(step, candidate)
         ]
@@ -98,11 +106,20 @@
         if not self._step.backfill:
             candidate.free = candidate.free - self._step.need
         if _has_capacity(self._step, candidate):
-            heapq.heappush(
-                self._ranked, (_rank_candidate(self._step, candidate), candidate)
-            )
+            heapq.heappush(self._ranked, (self._rank(candidate), candidate))
         return candidate
 
+    def _rank(self, candidate: Candidate) -> tuple:
+        step = self._step
+        is_far = bool(step.data_rack) and step.data_rack not in candidate.labels
+        is_deferred = candidate.worker in self._deferred
+        remaining = candidate.free - step.need
+        tightness = min(
+            remaining.cpu_millis / (candidate.capacity.cpu_millis or 1),
+            remaining.memory_mb / (candidate.capacity.memory_mb or 1),
+        )
+        return is_far, is_deferred, tightness, candidate.worker
+
 
 def _has_capacity(step: StepSpec, candidate: Candidate) -> bool:
     if step.max_per_worker and candidate.step_runs >= step.max_per_worker:
@@ -110,16 +127,6 @@
     return step.backfill or step.need.fits_in(candidate.free)
 
 
-def _rank_candidate(step: StepSpec, candidate: Candidate) -> tuple:
-    is_far = bool(step.data_rack) and step.data_rack not in candidate.labels
-    remaining = candidate.free - step.need
-    tightness = min(
-        remaining.cpu_millis / (candidate.capacity.cpu_millis or 1),
-        remaining.memory_mb / (candidate.capacity.memory_mb or 1),
-    )
-    return is_far, tightness, candidate.worker
-
-
 def select_gang_workers(
     step: StepSpec, candidates: Iterable[Candidate]
 ) -> list[Candidate] | None:
--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -182,7 +182,13 @@
         planning: PlanningRound,
         advice: StepAdvice | None,
     ) -> None:
-        chosen = self._choose_gang_workers(step, candidates)
+        chosen = None
+        expired = _find_expired(workers, advice, planning.now)
+        if expired and not (step.spec.same_rack or step.spec.data_rack):
+            usable = [x for x in candidates if x.worker not in expired]
+            chosen = self._choose_gang_workers(step, usable)
+        if chosen is None:
+            chosen = self._choose_gang_workers(step, candidates)
         if chosen is None:
             planning.wait_reasons[step.key] = _explain_lack(workers, candidates)
             self._reserve(step, workers, planning)
@@ -229,7 +235,8 @@
     ) -> None:
         worker_keys = {worker.spec.id: worker.spec.key for worker in workers}
         tasks = _get_tasks(step)
-        ranked = CandidateQueue(step.spec, candidates)
+        expired = _find_expired(workers, advice, planning.now)
+        ranked = CandidateQueue(step.spec, candidates, deferred=expired)
         reason = None
         has_started = False
         for index in step.indexes:
@@ -321,6 +328,15 @@
     return WaitReason.RESERVED if is_kept_out else WaitReason.NO_ROOM
 
 
+def _find_expired(
+    workers: list[TrackedWorker], advice: StepAdvice | None, now: float
+) -> set[str]:
+    """Return the IDs of the workers for which a step lacks a valid ticket."""
+    if advice is None:
+        return set()
+    return {x.spec.id for x in workers if not advice.is_ticket_valid(x.spec.key, now)}
+
+
 def _get_tasks(step: WaitingStep) -> list:
     _, number, index = step.key
     return step.workflow.repetitions[number].steps[index].tasks
--- a/tests/dispatch/reference_planner.py
+++ b/tests/dispatch/reference_planner.py
@@ -184,7 +184,13 @@
         planning: PlanningRound,
         advice: StepAdvice | None,
     ) -> None:
-        chosen = self._choose_gang_workers(step, candidates)
+        chosen = None
+        expired = _find_expired(workers, advice, planning.now)
+        if expired and not (step.spec.same_rack or step.spec.data_rack):
+            usable = [x for x in candidates if x.worker not in expired]
+            chosen = self._choose_gang_workers(step, usable)
+        if chosen is None:
+            chosen = self._choose_gang_workers(step, candidates)
         if chosen is None:
             self._reserve(step, workers, planning)
             return
@@ -228,7 +234,8 @@
     ) -> None:
         worker_keys = {worker.spec.id: worker.spec.key for worker in workers}
         tasks = _get_tasks(step)
-        ranked = CandidateQueue(step.spec, candidates)
+        expired = _find_expired(workers, advice, planning.now)
+        ranked = CandidateQueue(step.spec, candidates, deferred=expired)
         for index in step.indexes:
             task = tasks[index]
             candidate = ranked.take(avoid=task.worker if task.failures else "")
@@ -396,6 +403,15 @@
     ]
 
 
+def _find_expired(
+    workers: list[TrackedWorker], advice: StepAdvice | None, now: float
+) -> set[str]:
+    """Return the IDs of the workers for which a step lacks a valid ticket."""
+    if advice is None:
+        return set()
+    return {x.spec.id for x in workers if not advice.is_ticket_valid(x.spec.key, now)}
+
+
 def _get_tasks(step: WaitingStep) -> list:
     _, number, index = step.key
     return step.workflow.repetitions[number].steps[index].tasks
--- a/tests/dispatch/test_advice_renewal.py
+++ b/tests/dispatch/test_advice_renewal.py
@@ -57,6 +57,7 @@
         self.planner = Planner(self.advice)
         self.replies = []
         self.calls = 0
+        self.silent_session = None
         self.workers = {}
         for number in range(instances):
             self.advice.open_session(number, self._create_sender(number))
@@ -73,6 +74,8 @@
                 for name in call.workers
                 if int(name[1:]) % 10 < self.allowed
             }
+            if session == self.silent_session:
+                return
             reply = wire.AdviceReply(call.id, tickets)
             due = self.now + duration_ms / 1000
             heapq.heappush(self.replies, (due, self.calls, session, reply))
@@ -178,3 +181,19 @@
     for _ in range(4):
         pool.run_while_workers_arrive(2.0)
         assert pool.advice.pending_calls + pool.advice.queued_calls <= 8 * 3
+
+
+# Guards against LOST while one instance does not answer: a job stood still until a call
+# timed out, although the other calls had renewed tickets of idle workers.
+@pytest.mark.parametrize("tightest", ["w000", "w001", "w002", "w003"])
+def test_job_starts_with_the_tickets_of_the_calls_that_are_answered(tightest):
+    """Two calls renew the tickets; one is lost, and takes 4 s to time out."""
+    pool = AdvisedPool(allowed=SHORT_ALLOWED, advisor=HEAVY_ADVISOR, instances=3)
+    pool.add_worker(tightest, cpu=8000)
+    job = pool.submit(count=1, cpu=4500, estimate_ms=6200)
+    pool.fill()
+    pool.run(FIRST_ADVICE_S)
+    pool.silent_session = 2
+    pool.run(2.5)
+    pool.empty()
+    assert job in pool.run(MAX_STANDSTILL_S)
--- a/tests/dispatch/test_planner.py
+++ b/tests/dispatch/test_planner.py
@@ -266,6 +266,27 @@
     assert advised_cell.advice.get_step_advice((job, 0, 0)).pending == {("w1", 1)}
 
 
+# Guards against LOST: the planner came back to the tightest worker, for which the step
+# lacked a valid ticket, while others with a valid one were idle.
+@pytest.mark.parametrize("gang", [False, True], ids=["tasks", "gang"])
+def test_workers_with_valid_tickets_are_used_first(advised_cell, gang):
+    job = advised_cell.submit([create_step(2, gang=gang)])
+    give_advice(advised_cell, job, {"w1": "t1", "w2": "t2", "w3": "t3"})
+    advice = advised_cell.advice.get_step_advice((job, 0, 0))
+    advice.expire_ticket(("w1", 1))
+    assert {x.start.worker for x in advised_cell.plan()} == {"w2"}
+
+
+def test_task_waits_for_the_ticket_of_a_worker_near_its_data():
+    cell = Cell(workers=0, queues=[create_queue(advisor=ADVISOR)])
+    for number in range(2):
+        cell.add_worker(create_worker(f"w{number}", labels=("a", f"r-{number}")))
+    job = cell.submit([create_step(1, data_rack="r-1")])
+    give_advice(cell, job, {"w0": "t0", "w1": "t1"})
+    cell.advice.get_step_advice((job, 0, 0)).expire_ticket(("w1", 1))
+    assert cell.plan() == []
+
+
 def test_resources_are_kept_for_a_gang_that_waits_for_tickets(advised_cell):
     gang = advised_cell.submit([create_step(3, cpu=4000, gang=True)])
     other = advised_cell.submit([create_step(3, cpu=1000)])
