--- a/src/bluebellyoke/dispatch/advice.py
+++ b/src/bluebellyoke/dispatch/advice.py
@@ -78,6 +78,10 @@
         """Return whether a worker has a ticket that is valid at a monotonic time."""
         return self.find_ticket(worker_key, now) is not None
 
+    def list_expired(self, now: float) -> set[WorkerKey]:
+        """Return the workers whose tickets are no longer valid at a monotonic time."""
+        return {x for x, (_, expires_at) in self.tickets.items() if now >= expires_at}
+
     def expire_ticket(self, worker_key: WorkerKey) -> None:
         """Mark a ticket that a worker has refused as expired."""
         if worker_key in self.tickets:
--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -331,10 +331,14 @@
 def _find_expired(
     workers: list[TrackedWorker], advice: StepAdvice | None, now: float
 ) -> set[str]:
-    """Return the IDs of the workers for which a step lacks a valid ticket."""
-    if advice is None:
+    """Return the IDs of the workers whose tickets have expired while others are valid.
+
+    If all are valid or all have expired, there is nothing to prefer.
+    """
+    expired = advice.list_expired(now) if advice is not None else set()
+    if not expired or len(expired) == len(advice.tickets):
         return set()
-    return {x.spec.id for x in workers if not advice.is_ticket_valid(x.spec.key, now)}
+    return {x.spec.id for x in workers if x.spec.key in expired}
 
 
 def _get_tasks(step: WaitingStep) -> list:
