Renew no tickets for steps whose tasks are larger than any worker

Seen by callers: jobs that wait behind eight jobs which can never be placed get their tickets only once they have room, so each start waits for a call to the advisor first (1.25 s on a heavy queue). The eight keep an instance each busy with calls for ever.

Cause: the tickets of the first eight waiting steps are renewed while they wait. A step with a task that is larger than any worker never leaves the head of the order.

Change: such a step does not count among the first eight and is planned like the steps behind them. Gangs with too many tasks of a fitting size, and steps that the advisor allows on too small workers only, are not recognised.

Evidence: test_tickets_of_steps_that_can_never_fit_are_not_renewed failed before, with eight calls pending in a steady state, and passes now.

--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -33,6 +33,7 @@
 __all__ = ["Planner"]
 
 #: Number of steps at the head of the order whose tickets are renewed while they wait.
+#: Steps whose tasks are larger than any worker do not count.
 RENEWED_STEPS = 8
 
 #: Maximum number of gangs that reserve workers at the same time.
@@ -75,10 +76,13 @@
         waiting = self._steps.list_waiting()
         if len(waiting) > RENEWED_STEPS:
             planning.get_max_free()
-        for position, step in enumerate(waiting):
+        head_steps = 0
+        for step in waiting:
             if len(planning.starts) >= MAX_STARTS_PER_ROUND:
                 break
-            self._plan_step(store, step, planning, position < RENEWED_STEPS)
+            is_head = head_steps < RENEWED_STEPS and _can_ever_fit(step.spec, planning)
+            head_steps += is_head
+            self._plan_step(store, step, planning, is_head)
         self._prefetch_advice(store, planning)
         self.wait_reasons = planning.wait_reasons
         return planning.starts
@@ -305,6 +309,11 @@
             planning.reserved.add(name)
 
 
+def _can_ever_fit(spec: StepSpec, planning: PlanningRound) -> bool:
+    """Return whether a task of a step may fit on an idle worker."""
+    return spec.backfill or spec.need.fits_in(planning.get_max_capacity())
+
+
 def _might_fit(spec: StepSpec, planning: PlanningRound) -> bool:
     """Return whether planning a step can have an effect.
 
--- a/src/bluebellyoke/dispatch/planning_round.py
+++ b/src/bluebellyoke/dispatch/planning_round.py
@@ -64,6 +64,7 @@
     _pools: dict[tuple[str, str], list[TrackedWorker]] = field(default_factory=dict)
     _keys: dict[tuple[str, str], frozenset[WorkerKey]] = field(default_factory=dict)
     _max_free: Resources | None = None
+    _max_capacity: Resources | None = None
 
     def find_candidate(self, worker: TrackedWorker) -> Candidate | None:
         """Return what a worker has free, or None if it accepts no tasks."""
@@ -128,9 +129,20 @@
         if self._max_free is None:
             candidates = map(self.find_candidate, self.workers.values())
             free = [item.free for item in candidates if item is not None]
-            self._max_free = Resources(
-                max((item.cpu_millis for item in free), default=0),
-                max((item.memory_mb for item in free), default=0),
-                max((item.accelerators for item in free), default=0),
-            )
+            self._max_free = _find_maxima(free)
         return self._max_free
+
+    def get_max_capacity(self) -> Resources:
+        """Return the most of each resource that any worker has."""
+        if self._max_capacity is None:
+            capacities = [worker.spec.capacity for worker in self.workers.values()]
+            self._max_capacity = _find_maxima(capacities)
+        return self._max_capacity
+
+
+def _find_maxima(items: list[Resources]) -> Resources:
+    return Resources(
+        max((item.cpu_millis for item in items), default=0),
+        max((item.memory_mb for item in items), default=0),
+        max((item.accelerators for item in items), default=0),
+    )
--- a/tests/dispatch/test_advice_renewal.py
+++ b/tests/dispatch/test_advice_renewal.py
@@ -183,6 +183,22 @@
         assert pool.advice.pending_calls + pool.advice.queued_calls <= 8 * 3
 
 
+# Guards against calls without need for ever, and against later jobs that are never
+# renewed in time: jobs that can never be placed stayed at the head of the order.
+def test_tickets_of_steps_that_can_never_fit_are_not_renewed():
+    """Eight jobs want more than any worker has; the ninth waits for room."""
+    pool = AdvisedPool(allowed=HEAVY_ALLOWED, advisor=HEAVY_ADVISOR, instances=42)
+    for number in range(8):
+        pool.submit(number, count=1, cpu=16001, estimate_ms=6200)
+    pool.run(FIRST_ADVICE_S)
+    assert pool.advice.pending_calls + pool.advice.queued_calls == 0
+    job = pool.submit(8, count=1, cpu=4500, estimate_ms=6200)
+    pool.fill()
+    pool.run(FIRST_ADVICE_S)
+    pool.empty()
+    assert job in pool.run(STEP_S)
+
+
 # Guards against LOST while one instance does not answer: a job stood still until a call
 # timed out, although the other calls had renewed tickets of idle workers.
 @pytest.mark.parametrize("tightest", ["w000", "w001", "w002", "w003"])
