--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -34,6 +34,7 @@
 __all__ = ["Planner"]
 
 #: Number of steps at the head of the order whose tickets are renewed while they wait.
+#: Steps whose tasks are larger than any worker do not count.
 RENEWED_STEPS = 8
 
 #: Maximum number of gangs that reserve workers at the same time.
@@ -76,10 +77,13 @@
         waiting = self._steps.list_waiting()
         if len(waiting) > RENEWED_STEPS:
             planning.get_max_free()
-        for position, step in enumerate(waiting):
+        head_steps = 0
+        for step in waiting:
             if len(planning.starts) >= MAX_STARTS_PER_ROUND:
                 break
-            self._plan_step(store, step, planning, position < RENEWED_STEPS)
+            is_head = head_steps < RENEWED_STEPS and _can_ever_fit(step.spec, planning)
+            head_steps += is_head
+            self._plan_step(store, step, planning, is_head)
         self._prefetch_advice(store, planning)
         self.wait_reasons = planning.wait_reasons
         return planning.starts
@@ -166,12 +170,11 @@
         is_short = 0 < step.spec.estimate_ms < SHORT_TASK_MS
         candidates = []
         for worker in workers:
-            if worker.spec.id in planning.reserved and not is_short:
-                continue
             candidate = planning.find_candidate(worker)
             if step.spec.max_per_worker:
                 candidate.step_runs = _count_step_runs(worker, step.key)
-            candidates.append(candidate)
+            if is_short or worker.spec.id not in planning.reserved:
+                candidates.append(candidate)
         return candidates
 
     def _plan_gang(
@@ -182,7 +185,13 @@
         planning: PlanningRound,
         advice: StepAdvice | None,
     ) -> bool:
-        chosen = self._choose_gang_workers(step, candidates)
+        chosen = None
+        expired = _find_expired(workers, advice, planning.now)
+        if expired and not (step.spec.same_rack or step.spec.data_rack):
+            usable = [x for x in candidates if x.worker not in expired]
+            chosen = self._choose_gang_workers(step, usable)
+        if chosen is None:
+            chosen = self._choose_gang_workers(step, candidates)
         if chosen is None:
             planning.wait_reasons[step.key] = _explain_lack(workers, candidates)
             self._reserve(step, workers, planning)
@@ -230,7 +239,8 @@
     ) -> bool:
         worker_keys = {worker.spec.id: worker.spec.key for worker in workers}
         tasks = _get_tasks(step)
-        ranked = CandidateQueue(step.spec, candidates)
+        expired = _find_expired(workers, advice, planning.now)
+        ranked = CandidateQueue(step.spec, candidates, deferred=expired)
         reason = None
         has_started = False
         for index in step.indexes:
@@ -275,6 +285,15 @@
         """Reserve the workers with the most free CPU for a waiting gang."""
         if planning.reserving >= MAX_RESERVING_GANGS:
             return
+        places = {
+            worker.spec.id: count_allowed(
+                step.spec, planning.find_candidate(worker), worker.spec.capacity
+            )
+            for worker in workers
+        }
+        if sum(places.values()) < step.spec.count:
+            # It would not fit even if these workers were idle.
+            return
         planning.reserving += 1
         missing = step.spec.count
         order = sorted(
@@ -282,13 +301,18 @@
             key=lambda x: (-planning.find_candidate(x).free.cpu_millis, x.spec.id),
         )
         for worker in order:
+            name = worker.spec.id
             if missing <= 0:
                 return
-            if worker.spec.id in planning.reserved:
+            if name in planning.reserved or not places[name]:
                 continue
-            candidate = planning.find_candidate(worker)
-            missing -= count_allowed(step.spec, candidate, worker.spec.capacity)
-            planning.reserved.add(worker.spec.id)
+            missing -= places[name]
+            planning.reserved.add(name)
+
+
+def _can_ever_fit(spec: StepSpec, planning: PlanningRound) -> bool:
+    """Return whether a task of a step may fit on an idle worker."""
+    return spec.backfill or spec.need.fits_in(planning.get_max_capacity())
 
 
 def _might_fit(spec: StepSpec, planning: PlanningRound) -> bool:
@@ -314,6 +338,19 @@
     return WaitReason.RESERVED if is_kept_out else WaitReason.NO_ROOM
 
 
+def _find_expired(
+    workers: list[TrackedWorker], advice: StepAdvice | None, now: float
+) -> set[str]:
+    """Return the IDs of the workers whose tickets have expired while others are valid.
+
+    If all are valid or all have expired, there is nothing to prefer.
+    """
+    expired = advice.list_expired(now) if advice is not None else set()
+    if not expired or len(expired) == len(advice.tickets):
+        return set()
+    return {x.spec.id for x in workers if x.spec.key in expired}
+
+
 def _get_tasks(step: WaitingStep) -> list:
     _, number, index = step.key
     return step.workflow.repetitions[number].steps[index].tasks
--- a/tests/dispatch/reference_planner.py
+++ b/tests/dispatch/reference_planner.py
@@ -169,12 +169,11 @@
         is_short = 0 < step.spec.estimate_ms < SHORT_TASK_MS
         candidates = []
         for worker in workers:
-            if worker.spec.id in planning.reserved and not is_short:
-                continue
             candidate = planning.candidates[worker.spec.id]
             if step.spec.max_per_worker:
                 candidate.step_runs = _count_step_runs(worker, step.key)
-            candidates.append(candidate)
+            if is_short or worker.spec.id not in planning.reserved:
+                candidates.append(candidate)
         return candidates
 
     def _plan_gang(
@@ -185,7 +184,13 @@
         planning: PlanningRound,
         advice: StepAdvice | None,
     ) -> None:
-        chosen = self._choose_gang_workers(step, candidates)
+        chosen = None
+        expired = _find_expired(workers, advice, planning.now)
+        if expired and not (step.spec.same_rack or step.spec.data_rack):
+            usable = [x for x in candidates if x.worker not in expired]
+            chosen = self._choose_gang_workers(step, usable)
+        if chosen is None:
+            chosen = self._choose_gang_workers(step, candidates)
         if chosen is None:
             self._reserve(step, workers, planning)
             return
@@ -229,7 +234,8 @@
     ) -> None:
         worker_keys = {worker.spec.id: worker.spec.key for worker in workers}
         tasks = _get_tasks(step)
-        ranked = CandidateQueue(step.spec, candidates)
+        expired = _find_expired(workers, advice, planning.now)
+        ranked = CandidateQueue(step.spec, candidates, deferred=expired)
         for index in step.indexes:
             task = tasks[index]
             candidate = ranked.take(avoid=task.worker if task.failures else "")
@@ -278,6 +284,14 @@
         """Reserve the workers with the most free CPU for a waiting gang."""
         if planning.reserving >= MAX_RESERVING_GANGS:
             return
+        places = {
+            worker.spec.id: count_allowed(
+                step.spec, planning.candidates[worker.spec.id], worker.spec.capacity
+            )
+            for worker in workers
+        }
+        if sum(places.values()) < step.spec.count:
+            return
         planning.reserving += 1
         missing = step.spec.count
         order = sorted(
@@ -285,13 +299,13 @@
             key=lambda x: (-planning.candidates[x.spec.id].free.cpu_millis, x.spec.id),
         )
         for worker in order:
+            name = worker.spec.id
             if missing <= 0:
                 return
-            if worker.spec.id in planning.reserved:
+            if name in planning.reserved or not places[name]:
                 continue
-            candidate = planning.candidates[worker.spec.id]
-            missing -= count_allowed(step.spec, candidate, worker.spec.capacity)
-            planning.reserved.add(worker.spec.id)
+            missing -= places[name]
+            planning.reserved.add(name)
 
 
 def _create_round(workers: dict[str, TrackedWorker], now: float) -> PlanningRound:
@@ -389,6 +403,15 @@
     ]
 
 
+def _find_expired(
+    workers: list[TrackedWorker], advice: StepAdvice | None, now: float
+) -> set[str]:
+    """Return the IDs of the workers for which a step lacks a valid ticket."""
+    if advice is None:
+        return set()
+    return {x.spec.id for x in workers if not advice.is_ticket_valid(x.spec.key, now)}
+
+
 def _get_tasks(step: WaitingStep) -> list:
     _, number, index = step.key
     return step.workflow.repetitions[number].steps[index].tasks
--- a/tests/dispatch/test_advice.py
+++ b/tests/dispatch/test_advice.py
@@ -120,6 +120,18 @@
     assert len(instances.list_calls()) == 3
 
 
+def test_withdrawn_renewals_do_not_count_as_pending(instances):
+    for number in range(2):
+        instances.request((f"job{number}", 0, 0))
+    advice = instances.advice.get_step_advice(STEP)
+    advice.evaluated = set(WORKER_KEYS)
+    advice.tickets = dict.fromkeys(WORKER_KEYS, ("t", 0.0))
+    for now in range(5):
+        instances.renew(float(now))
+        instances.advice.withdraw(STEP)
+    assert (advice.pending, advice.renewal_calls) == (set(), 0)
+
+
 def test_valid_tickets_are_not_renewed(instances):
     instances.request()
     instances.reply({"w1": "t", "w2": "u"}, now=1.0)
--- a/tests/dispatch/test_advice_renewal.py
+++ b/tests/dispatch/test_advice_renewal.py
@@ -57,6 +57,7 @@
         self.planner = Planner(self.advice)
         self.replies = []
         self.calls = 0
+        self.silent_session = None
         self.workers = {}
         for number in range(instances):
             self.advice.open_session(number, self._create_sender(number))
@@ -73,6 +74,8 @@
                 for name in call.workers
                 if int(name[1:]) % 10 < self.allowed
             }
+            if session == self.silent_session:
+                return
             reply = wire.AdviceReply(call.id, tickets)
             due = self.now + duration_ms / 1000
             heapq.heappush(self.replies, (due, self.calls, session, reply))
@@ -163,3 +166,50 @@
     assert pool.run_while_workers_arrive(4.0) == {}
     pool.empty()
     assert job in pool.run_while_workers_arrive(MAX_STANDSTILL_S)
+
+
+# Guards against SHORT and LOST after workers were replaced: the tickets of each new
+# worker were renewed by calls of their own, until these took up all instances and new
+# steps were not evaluated.
+def test_calls_of_waiting_steps_stay_few_while_new_workers_arrive():
+    """Eight jobs wait; each may renew its tickets in two calls and evaluate in one."""
+    pool = AdvisedPool(allowed=3, advisor=HEAVY_ADVISOR, instances=42)
+    for number in range(8):
+        pool.submit(number, count=1, cpu=4500, estimate_ms=6200)
+    pool.fill()
+    pool.run(FIRST_ADVICE_S)
+    for _ in range(4):
+        pool.run_while_workers_arrive(2.0)
+        assert pool.advice.pending_calls + pool.advice.queued_calls <= 8 * 3
+
+
+# Guards against calls without need for ever, and against later jobs that are never
+# renewed in time: jobs that can never be placed stayed at the head of the order.
+def test_tickets_of_steps_that_can_never_fit_are_not_renewed():
+    """Eight jobs want more than any worker has; the ninth waits for room."""
+    pool = AdvisedPool(allowed=HEAVY_ALLOWED, advisor=HEAVY_ADVISOR, instances=42)
+    for number in range(8):
+        pool.submit(number, count=1, cpu=16001, estimate_ms=6200)
+    pool.run(FIRST_ADVICE_S)
+    assert pool.advice.pending_calls + pool.advice.queued_calls == 0
+    job = pool.submit(8, count=1, cpu=4500, estimate_ms=6200)
+    pool.fill()
+    pool.run(FIRST_ADVICE_S)
+    pool.empty()
+    assert job in pool.run(STEP_S)
+
+
+# Guards against LOST while one instance does not answer: a job stood still until a call
+# timed out, although the other calls had renewed tickets of idle workers.
+@pytest.mark.parametrize("tightest", ["w000", "w001", "w002", "w003"])
+def test_job_starts_with_the_tickets_of_the_calls_that_are_answered(tightest):
+    """Two calls renew the tickets; one is lost, and takes 4 s to time out."""
+    pool = AdvisedPool(allowed=SHORT_ALLOWED, advisor=HEAVY_ADVISOR, instances=3)
+    pool.add_worker(tightest, cpu=8000)
+    job = pool.submit(count=1, cpu=4500, estimate_ms=6200)
+    pool.fill()
+    pool.run(FIRST_ADVICE_S)
+    pool.silent_session = 2
+    pool.run(2.5)
+    pool.empty()
+    assert job in pool.run(MAX_STANDSTILL_S)
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -45,10 +45,32 @@
     Case(
         "a renewal asks about all tickets of a large pool",
         "dispatch/advice.py",
-        "        for batch in _split_evenly(worker_keys, MAX_WORKERS_PER_CALL):\n",
-        "        for batch in [worker_keys[:MAX_WORKERS_PER_CALL]]:\n",
+        "            self._queue(step, worker_keys, spec, rank, is_renewal=True)\n",
+        "            selected = worker_keys[:MAX_WORKERS_PER_CALL]\n"
+        "            self._queue(step, selected, spec, rank, is_renewal=True)\n",
         "tests/dispatch/test_advice.py",
     ),
+    Case(
+        "calls that renew the tickets of a step are bounded",
+        "dispatch/advice.py",
+        "        if advice.renewal_calls + _count_calls(len(worker_keys)) <= max_calls:\n",
+        "        if max_calls:\n",
+        "tests/dispatch/test_advice_renewal.py",
+    ),
+    Case(
+        "a gang that can never fit reserves no workers",
+        "dispatch/planner.py",
+        "        if sum(places.values()) < step.spec.count:\n",
+        "        if False:\n",
+        "tests/dispatch/test_planner.py",
+    ),
+    Case(
+        "workers with valid tickets are used first",
+        "dispatch/placement.py",
+        "        is_deferred = candidate.worker in self._deferred\n",
+        "        is_deferred = False\n",
+        "tests/dispatch/test_planner.py",
+    ),
     Case(
         "tickets are renewed beside a question about new workers",
         "dispatch/advice.py",
