Refuse integers of more than 64 bits where bodies are decoded

What callers saw: a job, a worker's heartbeat or a configuration with an integer of more than 64 bits ended the instance that took it, with all its open requests. The caller's retry ended the next instance. A worker whose status report had a clock of 400 digits ended the leader, and each leader after it.

Cause: the JSON decoder accepts integers of any length, but the MessagePack encoder of the stream to the leader raises OverflowError above 64 bits. No stream expects that error, so it ended the task group of the process. In the leader, adding such a clock to a float raises the same error in the replica's loop. The integers of worker heartbeats and upstreams on the project's own API had no upper bound either.

Evidence: the new cases of both test_bodies.py (18 and 4) failed before, as the bodies were accepted. Submitting such a job over a LeaderLink to a scripted leader ended LeaderLink.run with "OverflowError: can't serialize ints < -2**63 or > 2**64 - 1" from _send_messages; such a report in the dispatcher's simulation raised "OverflowError: int too large to convert to float" in extend_lease.

Why it works: every integer of a body from outside has bounds that the messages can carry, checked where it is decoded, so its sender gets a 400, and a report of a worker counts as no answer.

--- a/src/bluebellyoke/instance/bodies.py
+++ b/src/bluebellyoke/instance/bodies.py
@@ -27,6 +27,11 @@
 Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9._:-]{1,128}$")]
 Amount = Annotated[int, pydantic.Field(ge=0, le=10**9)]
 
+#: Largest integer that the messages to the leader can carry.
+MAX_INTEGER = 2**63 - 1
+
+Number = Annotated[int, pydantic.Field(ge=0, le=MAX_INTEGER)]
+
 
 class MalformedBodyError(BluebellyokeError):
     """A request body does not have the documented format.
@@ -155,7 +160,7 @@
     connections: Annotated[int, pydantic.Field(ge=0, le=100_000)] = 60
     data_centre: str = ""
     leaving: bool = False
-    running: dict[str, int] | None = None
+    running: dict[str, Number] | None = None
 
     @pydantic.field_validator("address")
     @classmethod
@@ -182,8 +187,8 @@
     """A running task in a heartbeat."""
 
     job: Name
-    task: Annotated[int, pydantic.Field(ge=0)]
-    epoch: Annotated[int, pydantic.Field(ge=1)]
+    task: Number
+    epoch: Annotated[int, pydantic.Field(ge=1, le=MAX_INTEGER)]
     used: ResourcesBody = ResourcesBody()
 
 
@@ -199,7 +204,7 @@
 
     worker: Name
     session: Name
-    sequence: Annotated[int, pydantic.Field(ge=0)]
+    sequence: Number
     total: ResourcesBody
     rack: str = ""
     data_centre: str = ""
--- a/src/bluebellyoke/platform/bodies.py
+++ b/src/bluebellyoke/platform/bodies.py
@@ -3,6 +3,8 @@
 The structs keep the platform's field names; unclear ones have a comment.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from bluebellyoke.cell.resources import Resources
@@ -28,6 +30,12 @@
     "format_task",
 ]
 
+#: Range of the integers that the messages between instances can carry.
+MIN_INTEGER = -(2**63)
+MAX_INTEGER = 2**63 - 1
+
+Integer = Annotated[int, msgspec.Meta(ge=MIN_INTEGER, le=MAX_INTEGER)]
+
 #: Values of `Announcement.State`.
 READY = "ready"
 DRAINING = "draining"
@@ -43,24 +51,24 @@
 class JobStep(msgspec.Struct):
     """A step of a job; the platform omits fields that are zero, false or empty."""
 
-    Count: int
-    Cpu: int = 0  # millicores
-    MemMb: int = 0
-    Gpu: int = 0
+    Count: Integer
+    Cpu: Integer = 0  # millicores
+    MemMb: Integer = 0
+    Gpu: Integer = 0
     EstimateMs: float = 0.0
-    DependsOn: tuple[int, ...] = ()
+    DependsOn: tuple[Integer, ...] = ()
     SavesProgress: bool = False
     Gang: bool = False
     SameRack: bool = False
     RequiredLabel: str = ""
     DataRack: str = ""
-    MaxPerServer: int = 0
+    MaxPerServer: Integer = 0
     Speculative: bool = False
     LongRunning: bool = False
     Image: str = ""
     TargetMs: float = 0.0
-    FillCount: bool | int = False  # whether to backfill, not a number of tasks
-    MaxUnavailable: int | None = None
+    FillCount: bool | Integer = False  # whether to backfill, not a number of tasks
+    MaxUnavailable: Integer | None = None
 
 
 class Job(msgspec.Struct):
@@ -68,9 +76,9 @@
 
     TaskSpec: str
     Steps: tuple[JobStep, ...]
-    RepeatCount: int = 0
-    StartAtMs: int = 0
-    IntervalMs: int = 0
+    RepeatCount: Integer = 0
+    StartAtMs: Integer = 0
+    IntervalMs: Integer = 0
 
 
 class RouteAdvisor(msgspec.Struct):
@@ -88,10 +96,10 @@
     Host: str
     PathPrefix: str
     Service: str
-    TimeoutMs: int
+    TimeoutMs: Integer
     TargetDurationMs: float = 0.0
-    Priority: int = 0
-    Attempts: int = 1
+    Priority: Integer = 0
+    Attempts: Integer = 1
     SlackFactor: float = 1.0
     Advisor: RouteAdvisor | None = None
 
@@ -107,7 +115,7 @@
 class Config(msgspec.Struct):
     """Body of a configuration change."""
 
-    Version: int
+    Version: Integer
     Routes: tuple[Route, ...]
     Services: tuple[Service, ...]
 
@@ -115,9 +123,9 @@
 class Capacity(msgspec.Struct):
     """Resources of a worker."""
 
-    Cpu: int = 0
-    MemMb: int = 0
-    Gpu: int = 0
+    Cpu: Integer = 0
+    MemMb: Integer = 0
+    Gpu: Integer = 0
 
 
 class Announcement(msgspec.Struct):
@@ -127,21 +135,21 @@
     Address: str
     Zone: str
     State: str
-    Seq: int
+    Seq: Integer
     Capacity: Capacity
     Labels: tuple[str, ...] = ()
-    born: int = 0
+    born: Integer = 0
 
 
 class Hold(msgspec.Struct):
     """Response of a worker to a poll."""
 
-    CurrentTimeMs: int
+    CurrentTimeMs: Integer
     # Rows of task, run, checkpoint, percentage done and approximate load.
     Running: tuple[tuple, ...] = ()
     # Rows of sequence number, task, run, outcome and checkpoint.
     Ended: tuple[tuple, ...] = ()
-    born: int = 0
+    born: Integer = 0
 
 
 #: Maximum number of ended runs in one response.
@@ -272,14 +280,19 @@
     hold = _decode(body, Hold)
     try:
         running = tuple(
-            RunningRun(parse_task(row[0]), int(row[1]), str(row[2] or ""), int(row[3]))
+            RunningRun(
+                parse_task(row[0]),
+                _parse_integer(row[1]),
+                str(row[2] or ""),
+                _parse_integer(row[3]),
+            )
             for row in hold.Running
         )
         ended = tuple(
             EndedRun(
-                int(row[0]),
+                _parse_integer(row[0]),
                 parse_task(row[1]),
-                int(row[2]),
+                _parse_integer(row[2]),
                 RunOutcome(row[3]),
                 str(row[4] or ""),
             )
@@ -304,6 +317,19 @@
     return TaskName(workflow, int(repetition), int(step), int(index))
 
 
+def _parse_integer(value: object) -> int:
+    """Return an integer of at most 64 bits.
+
+    Raises:
+        ValueError: The value is no number, or it is too large.
+        TypeError: The value is of another type.
+    """
+    number = int(value)
+    if MIN_INTEGER <= number <= MAX_INTEGER:
+        return number
+    raise ValueError("an integer has more than 64 bits")
+
+
 def format_task(name: TaskName) -> str:
     """Format a task name in the platform's format."""
     return f"{name.workflow}.{name.repetition}.{name.step}.{name.index}"
--- a/tests/instance/test_bodies.py
+++ b/tests/instance/test_bodies.py
@@ -1,8 +1,21 @@
+import json
+
 import pytest
 from returns.pipeline import is_successful
 
 from bluebellyoke.instance import bodies
 
+HEARTBEAT = {"worker": "w", "session": "s", "sequence": 1, "total": {}}
+RUNNING = {"job": "j", "task": 0, "epoch": 1}
+UPSTREAM = {
+    "name": "u",
+    "incarnation": "1",
+    "service": "s",
+    "address": "10.0.0.1",
+    "port": 1,
+    "slots": 1,
+}
+
 
 def parse_errors(model, text):
     return bodies.parse_body(model, text.encode()).failure().errors
@@ -50,3 +63,18 @@
 @pytest.mark.parametrize("text", [b"", b"0", b"-5", b"1.5", b"soon"])
 def test_invalid_deadline_is_an_error(text):
     assert not is_successful(bodies.parse_deadline(text, 10.0, 30.0))
+
+
+# Such a body ended the instance, as no message to the leader can carry the integer.
+@pytest.mark.parametrize(
+    ("model", "fields"),
+    [
+        (bodies.HeartbeatBody, {**HEARTBEAT, "sequence": 2**64}),
+        (bodies.HeartbeatBody, {**HEARTBEAT, "running": [{**RUNNING, "task": 2**64}]}),
+        (bodies.HeartbeatBody, {**HEARTBEAT, "running": [{**RUNNING, "epoch": 2**64}]}),
+        (bodies.UpstreamBody, {**UPSTREAM, "running": {"h": 2**64}}),
+    ],
+)
+def test_integer_above_64_bits_is_an_error(model, fields):
+    (error,) = parse_errors(model, json.dumps(fields))
+    assert "less than or equal" in error
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -141,6 +141,69 @@
         bodies.decode_status(encode(body))
 
 
+#: Integer that no message between instances can carry.
+TOO_LARGE = 2**64
+
+
+# Such a job ended each instance that forwarded it to the leader.
+@pytest.mark.parametrize(
+    ("job", "step"),
+    [
+        ({"StartAtMs": TOO_LARGE}, {}),
+        ({"IntervalMs": TOO_LARGE}, {}),
+        ({"RepeatCount": TOO_LARGE}, {}),
+        ({"StartAtMs": -TOO_LARGE}, {}),
+        ({}, {"Cpu": TOO_LARGE}),
+        ({}, {"MaxPerServer": TOO_LARGE}),
+        ({}, {"MaxUnavailable": TOO_LARGE}),
+        ({}, {"DependsOn": [-TOO_LARGE]}),
+    ],
+)
+def test_job_with_an_integer_above_64_bits_is_refused(job, step):
+    body = {"TaskSpec": "", "Steps": [{"Count": 1, **step}], **job}
+    with pytest.raises(bodies.UnreadableBodyError):
+        bodies.decode_job(encode(body))
+
+
+# Such a heartbeat ended each instance that forwarded it to the leader.
+@pytest.mark.parametrize(
+    "fields",
+    [{"born": TOO_LARGE}, {"Seq": -TOO_LARGE}, {"Capacity": {"MemMb": TOO_LARGE}}],
+)
+def test_heartbeat_with_an_integer_above_64_bits_is_refused(fields):
+    with pytest.raises(bodies.UnreadableBodyError):
+        bodies.decode_announcement("i-1", encode({**HEARTBEAT, **fields}))
+
+
+# Such a configuration ended each instance that forwarded it to the leader.
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"Version": TOO_LARGE},
+        {"Routes": [{**CONFIG["Routes"][0], "Priority": -TOO_LARGE}]},
+    ],
+)
+def test_configuration_with_an_integer_above_64_bits_is_refused(fields):
+    with pytest.raises(bodies.UnreadableBodyError):
+        bodies.decode_configuration(encode({**CONFIG, **fields}))
+
+
+# The leader ended when it computed with a clock or a percentage of 400 digits.
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"CurrentTimeMs": 10**400},
+        {"born": TOO_LARGE},
+        {"Running": [["5c0e.0.1.17", 2, "", 10**400]]},
+        {"Running": [["5c0e.0.1.17", TOO_LARGE, "", 41]]},
+        {"Ended": [[TOO_LARGE, "5c0e.0.1.9", 1, "done", ""]]},
+    ],
+)
+def test_status_with_an_integer_above_64_bits_is_refused(fields):
+    with pytest.raises(bodies.UnreadableBodyError):
+        bodies.decode_status(encode({"CurrentTimeMs": 1, **fields}))
+
+
 def test_task_name_round_trip():
     name = TaskName("5c0e7a21d94b36f8", 3, 1, 17)
     assert bodies.format_task(name) == "5c0e7a21d94b36f8.3.1.17"
