Refuse jobs with more repetitions than the leader can create at once

What callers saw: one accepted job with a million repetitions and no interval stopped the leader, and each leader after it, so the cell answered nothing any more; the job stays in the replicated state.

Cause: admission bounds the steps and the tasks of a step but not the repetitions. The leader creates all repetitions that are due in one round of planning (dispatch/waiting.py), and the bound on open tasks counts only one repetition of a job.

Evidence: test_too_many_repetitions_are_reported failed before, in all three cases.

Repetitions that are not due yet still count towards the bound, as the leader keeps each of them until the job ends.

--- a/src/bluebellyoke/workflow/admission.py
+++ b/src/bluebellyoke/workflow/admission.py
@@ -11,6 +11,11 @@
 MAX_STEP_TASKS = 20_000
 MAX_WORKFLOW_STEPS = 1_000
 
+#: Maximum number of repetitions of a workflow, and of tasks in all of them. They may
+#: all be due at once, and the leader creates those that are due in one round.
+MAX_REPETITIONS = 10_000
+MAX_REPEATED_TASKS = 100_000
+
 
 def validate_workflow(spec: WorkflowSpec) -> list[str]:
     """Return the errors of a workflow that are independent of the state of the cell."""
@@ -23,6 +28,12 @@
         errors.append(f"send between 1 and {MAX_WORKFLOW_STEPS} steps")
     if spec.repeats < 0 or spec.interval_ms < 0:
         errors.append("repetitions and their interval must not be negative")
+    if spec.repeats > MAX_REPETITIONS:
+        errors.append(f"ask for at most {MAX_REPETITIONS} repetitions")
+    elif spec.repeats * spec.count_tasks() > MAX_REPEATED_TASKS:
+        errors.append(
+            f"ask for at most {MAX_REPEATED_TASKS} tasks in all repetitions together"
+        )
     for number, step in enumerate(spec.steps):
         errors += [f"step {number}: {error}" for error in _validate_step(step, number)]
     return errors
--- a/tests/workflow/test_configuration.py
+++ b/tests/workflow/test_configuration.py
@@ -65,6 +65,26 @@
     assert expected_text in errors[0]
 
 
+# One such job stopped each leader: repetitions that are due are created in one round.
+@pytest.mark.parametrize(
+    ("repeats", "count", "expected_text"),
+    [(10_001, 1, "repetitions"), (10**9, 1, "repetitions"), (1_000, 101, "tasks")],
+)
+def test_too_many_repetitions_are_reported(repeats, count, expected_text):
+    spec = create_spec(steps=[create_step(count)], repeats=repeats)
+    (error,) = validate_workflow(spec)
+    assert expected_text in error
+
+
+# The limits must not refuse the repetitions that the planner can create in one round.
+@pytest.mark.parametrize(
+    ("repeats", "count"), [(10_000, 10), (1_000, 100), (0, 20_000)]
+)
+def test_repetitions_within_the_limits_have_no_error(repeats, count):
+    spec = create_spec(steps=[create_step(count)], repeats=repeats)
+    assert validate_workflow(spec) == []
+
+
 def test_payload_limit_is_in_bytes():
     spec = create_spec()
     long = type(spec)(id=spec.id, queue="q", payload="\u00e9" * 2001, steps=spec.steps)
