Accept a worker's report that arrives after the timeout of its poll

What callers saw: a worker that answered every call, but half a second late, was removed after about 6 s. Its lease lapsed, so its running tasks ended and were started again elsewhere.

Cause: a poll was cancelled 0.35 s after the longest wait that it allows, and the next poll of a worker with a failed poll renews nothing. If each answer comes later than that, each poll fails, no later poll renews the lease, and no report counts, although all of them arrive.

Why it works: the timeout is posted as before, so a lost answer is noticed and the next poll sent at the same time as before; but the call goes on for 2 s more, and a report that arrives is taken as a late one. It shows that the worker runs, so the next poll renews the lease again, and it starts no poll of its own. A worker without any answer is given up as before.

--- a/src/bluebellyoke/dispatch/calls.py
+++ b/src/bluebellyoke/dispatch/calls.py
@@ -1,5 +1,6 @@
 """Background calls to workers, whose results are posted as events."""
 
+import asyncio
 import logging
 from collections.abc import Awaitable, Callable
 
@@ -17,6 +18,7 @@
     NoAnswerError,
     PollRequest,
     StartRequest,
+    StatusReport,
     StopRequest,
     WorkerClient,
 )
@@ -35,6 +37,10 @@
 #: Timeout of a poll in addition to the wait that it allows the worker, in seconds.
 POLL_TIMEOUT_SLACK_S = 0.35
 
+#: Time after its timeout for which the response to a poll or a probe is still accepted,
+#: in seconds. A worker that is only slow would otherwise lose its lease and its runs.
+LATE_RESPONSE_S = 2.0
+
 
 class WorkerCalls:
     """Runs each call in a background task.
@@ -119,26 +125,48 @@
         )
 
     async def _poll(self, worker: WorkerSpec, request: PollRequest, term: int) -> None:
+        """Poll a worker; post the timeout when it occurs, and a later response too."""
         sent_at = self._clock.monotonic()
         timeout_s = request.wait_ms / 1000 + POLL_TIMEOUT_SLACK_S
-        report, error = await self._make_call(
-            # Metric labels of a probe and of a poll.
-            "look" if request.is_probe else "hold",
-            self._client.poll(worker, request),
-            worker,
-            CALL_TIMEOUT_S if request.is_probe else timeout_s,
-        )
-        self._post(
-            PollFinished(
-                term=term,
-                worker=worker.id,
-                incarnation=worker.incarnation,
-                error=error,
-                sent_at=sent_at,
-                report=report,
-                is_probe=request.is_probe,
+        if request.is_probe:
+            timeout_s = CALL_TIMEOUT_S
+        # Metric labels of a probe and of a poll.
+        kind = "look" if request.is_probe else "hold"
+        has_timed_out = False
+
+        def post(report: StatusReport | None, error: BluebellyokeError | None) -> None:
+            self._post(
+                PollFinished(
+                    term=term,
+                    worker=worker.id,
+                    incarnation=worker.incarnation,
+                    error=error,
+                    sent_at=sent_at,
+                    report=report,
+                    is_probe=request.is_probe,
+                    is_late=has_timed_out and report is not None,
+                )
             )
-        )
+
+        def post_timeout() -> None:
+            nonlocal has_timed_out
+            has_timed_out = True
+            error = _create_timeout_error(worker, timeout_s)
+            self._record_call(kind, error, sent_at)
+            post(None, error)
+
+        timer = asyncio.get_running_loop().call_later(timeout_s, post_timeout)
+        try:
+            report, error = await _await_result(
+                self._client.poll(worker, request), worker, timeout_s + LATE_RESPONSE_S
+            )
+        finally:
+            timer.cancel()
+        if not has_timed_out:
+            self._record_call(kind, error, sent_at)
+            post(report, error)
+        elif report is not None:
+            post(report, None)
 
     async def _make_call(
         self, kind: str, call: Awaitable, worker: WorkerSpec, timeout_s: float
@@ -146,10 +174,19 @@
         """Make a call, record its metrics and return its result and error."""
         started_at = self._clock.monotonic()
         value, error = await _await_result(call, worker, timeout_s)
+        self._record_call(kind, error, started_at)
+        return value, error
+
+    def _record_call(
+        self, kind: str, error: BluebellyokeError | None, started_at: float
+    ) -> None:
         outcome = "answered" if error is None else type(error).__name__
         elapsed_s = self._clock.monotonic() - started_at
         self.metrics.record_worker_call(kind, outcome, elapsed_s)
-        return value, error
+
+
+def _create_timeout_error(worker: WorkerSpec, timeout_s: float) -> NoAnswerError:
+    return NoAnswerError(worker.address, f"none within {timeout_s:g} s")
 
 
 async def _await_result(call: Awaitable, worker: WorkerSpec, timeout_s: float) -> tuple:
@@ -158,7 +195,7 @@
         with anyio.fail_after(timeout_s):
             return await call, None
     except TimeoutError:
-        return None, NoAnswerError(worker.address, f"none within {timeout_s:g} s")
+        return None, _create_timeout_error(worker, timeout_s)
     except BluebellyokeError as error:
         return None, error
     except Exception as error:
--- a/src/bluebellyoke/dispatch/events.py
+++ b/src/bluebellyoke/dispatch/events.py
@@ -32,11 +32,14 @@
         sent_at: Monotonic time at which the call was sent.
         report: Status of the worker. If both it and `error` are None, the worker knows
             a higher fencing token.
+        is_late: Whether the report arrived after the timeout of the call, which an
+            earlier event has reported as unanswered.
     """
 
     sent_at: float
     report: StatusReport | None = None
     is_probe: bool = False
+    is_late: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -152,7 +152,9 @@
         )
 
     def _finish_poll(self, worker: TrackedWorker, event: PollFinished) -> None:
-        """Allow the next poll or probe to be sent."""
+        """Allow the next poll or probe to be sent, unless the timeout has done so."""
+        if event.is_late:
+            return
         if event.is_probe:
             worker.is_probing = False
         else:
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -5,6 +5,7 @@
 ends until these are acknowledged. The invariants are checked at each start.
 """
 
+import dataclasses
 from dataclasses import dataclass, field
 
 from bluebellyoke.dispatch import events
@@ -214,6 +215,17 @@
         }
         self.finish_call(sent, **handler[sent.kind](worker, sent.request))
 
+    def deliver_late(self, sent):
+        """Let a worker carry out a poll that has timed out, and return the event.
+
+        Returns:
+            The event of a late report, or None if there is no report.
+        """
+        sent.is_finished = False
+        self.deliver(sent)
+        event = self.events.pop()
+        return dataclasses.replace(event, is_late=True) if event.report else None
+
     def time_out(self, sent):
         """Let a call time out; the worker may still carry it out later."""
         self.finish_call(sent, error=NoAnswerError(sent.spec.address, "timed out"))
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -183,6 +183,44 @@
     assert simulation.store.workflows[ID].placed == 1
 
 
+# A worker whose answers all came after the timeout was given up with its runs.
+def test_worker_that_only_answers_late_keeps_its_runs(simulation):
+    worker = start_run(simulation)
+    for _ in range(20):
+        sent_polls = [
+            x for x in find_calls(simulation, "poll") if x.spec.id == worker.spec.id
+        ]
+        for sent in sent_polls:
+            simulation.sent_calls.remove(sent)
+        simulation.advance(0.4)
+        for sent in sent_polls:
+            simulation.time_out(sent)
+        deliver(simulation, ())
+        plan(simulation)
+        simulation.advance(0.4)
+        for sent in sent_polls:
+            simulation.receive(simulation.deliver_late(sent))
+        plan(simulation)
+        assert len(worker.runs) == 1
+    assert worker.spec.id in simulation.dispatcher.workers
+
+
+# Two polls in flight would each renew the lease, so neither could show a lost worker.
+def test_late_response_starts_no_second_poll(simulation):
+    worker = start_run(simulation)
+    (sent,) = [x for x in find_calls(simulation, "poll") if x.spec.id == worker.spec.id]
+    simulation.sent_calls.remove(sent)
+    simulation.advance(0.4)
+    simulation.time_out(sent)
+    deliver(simulation, ())
+    simulation.advance(0.2)
+    plan(simulation)
+    simulation.receive(simulation.deliver_late(sent))
+    plan(simulation)
+    polls = [x for x in find_calls(simulation, "poll") if x.spec.id == worker.spec.id]
+    assert len(polls) == 1
+
+
 def time_out_start(simulation):
     """Let a start time out while the polls wait and return it."""
     simulation.submit(create_spec(ID))
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -522,6 +522,13 @@
         "            not",
         "tests/dispatch",
     ),
+    Case(
+        "a late response to a poll starts no second poll",
+        "dispatch/polls.py",
+        "        if event.is_late:\n            return\n",
+        "",
+        "tests/dispatch -k late_response_starts_no_second_poll",
+    ),
     Case(
         "an end is acknowledged only after its commit",
         "dispatch/polls.py",
