Do not take the time of a large transfer for a lost leader

Cause: the document itself takes 1.6 s to reach an instance over its link of 2 Mbit/s; the leader's replies wait behind it, and after 0.3 s the link gives up a sound leader. Then the instance knows no leader, so it cannot send the operator there either.

Change: while a body above 64 KiB arrives, silence counts only from the time on that it takes at 200 kB/s, 4 s at most. A leader that is lost in that time is noticed that later by this one instance.

Evidence: test_silence_during_a_transfer_is_no_lost_leader; without the protection it fails (removal case).

--- a/src/bluebellyoke/instance/link.py
+++ b/src/bluebellyoke/instance/link.py
@@ -138,6 +138,7 @@
         self._poll_requested = False
         self._is_poll_unanswered = False
         self._silent_since = math.inf
+        self._tolerant_until = -math.inf
         self._expecting = anyio.Event()
         self._connected_event = anyio.Event()
         self._disconnected_at = clock.monotonic()
@@ -193,6 +194,16 @@
         """Replace the seed addresses."""
         self._search.set_seeds(seeds)
 
+    def tolerate_silence(self, seconds: float) -> None:
+        """Do not take silence for a lost leader for some time.
+
+        The replies of the leader are late, for example, while other data take up the
+        connection to the network.
+        """
+        self._tolerant_until = max(
+            self._tolerant_until, self._clock.monotonic() + seconds
+        )
+
     def request_poll(self) -> None:
         """Send a poll now instead of at the end of the poll interval."""
         self._poll_requested = True
@@ -344,7 +355,8 @@
                 self._expecting = anyio.Event()
                 await self._expecting.wait()
             await anyio.sleep(self._silence_timeout_s / SILENCE_CHECKS)
-            silent_s = self._clock.monotonic() - self._silent_since
+            silent_since = max(self._silent_since, self._tolerant_until)
+            silent_s = self._clock.monotonic() - silent_since
             if silent_s > self._silence_timeout_s and self._is_poll_unanswered:
                 self._search.record_silent(address)
                 raise StreamClosedError()
--- a/src/bluebellyoke/instance/queues.py
+++ b/src/bluebellyoke/instance/queues.py
@@ -38,6 +38,11 @@
 #: of 2 Mbit/s, this much takes 0.26 s.
 MAX_RELAYED_BYTES = 64 * 1024
 
+#: Slowest connection to the network that an instance is expected to have, in bytes per
+#: second, and the longest time for which the transfer of one body explains silence.
+MIN_LINK_BYTES_PER_S = 200_000
+MAX_TRANSFER_S = 4.0
+
 #: Maximum number of queued calls to the advisor; the leader sends one at a time.
 MAX_QUEUED_ADVICE_CALLS = 64
 
@@ -159,6 +164,16 @@
         """Send a worker's heartbeat to the leader."""
         return await self._call(announcement, ANNOUNCE_TIMEOUT_S)
 
+    def expect_body(self, size: int) -> None:
+        """Prepare for the arrival of a body, which may delay the leader's replies.
+
+        Args:
+            size: Size of the body, in bytes.
+        """
+        if size > MAX_RELAYED_BYTES:
+            transfer_s = min(size / MIN_LINK_BYTES_PER_S, MAX_TRANSFER_S)
+            self._link.tolerate_silence(transfer_s)
+
     async def check_size(self, size: int) -> None:
         """Check whether a configuration may be relayed, before it is decoded.
 
--- a/src/bluebellyoke/platform/listeners.py
+++ b/src/bluebellyoke/platform/listeners.py
@@ -82,6 +82,7 @@
         """Handle one HTTP request."""
         if scope["type"] != "http":
             return
+        self.context.queues.expect_body(_parse_length(scope))
         try:
             body = await read_body(receive, MAX_BODY_BYTES)
             response = await self.handle(scope, body)
@@ -209,6 +210,12 @@
         return Response(503, {"Error": result.reason})
 
 
+def _parse_length(scope: Scope) -> int:
+    """Return the declared length of a request's body, in bytes, or 0."""
+    text = dict(scope["headers"]).get(b"content-length", b"")
+    return int(text) if text.isdigit() else 0
+
+
 def _parse_timeout(headers: dict[bytes, bytes]) -> float:
     text = headers.get(b"deadline-ms", b"")
     if not text.isdigit():
--- a/tests/instance/test_link.py
+++ b/tests/instance/test_link.py
@@ -22,6 +22,9 @@
 #: Timeout of a test, in seconds.
 TIMEOUT_S = 60.0
 
+#: Duration of a transfer that takes up the connection, in seconds.
+TRANSFER_S = 1.5
+
 
 class ManualClock(Clock):
     """Clock whose time the test sets."""
@@ -243,6 +246,23 @@
     run_with_leader(body, poll_interval_s=3600.0, silence_timeout_s=0.3)
 
 
+# Guards against LOST: an instance whose connection was taken up by a large body left a
+# sound leader, and all its requests waited for the next stream.
+def test_silence_during_a_transfer_is_no_lost_leader():
+    async def body(leader, link):
+        await leader.wait_for(lambda: leader.polls == 1)
+        leader.answers_polls = False
+        link.tolerate_silence(TRANSFER_S)
+        started_at = SystemClock().monotonic()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(make_call, link)
+            await leader.wait_for(lambda: leader.streams >= 2)
+            assert SystemClock().monotonic() - started_at >= TRANSFER_S
+            tasks.cancel_scope.cancel()
+
+    run_with_leader(body, poll_interval_s=3600.0, silence_timeout_s=0.3)
+
+
 def test_malformed_message_ends_the_stream_but_not_the_link():
     async def body(leader, link):
         await leader.wait_for(lambda: leader.polls == 1)
--- a/tests/instance/test_queues.py
+++ b/tests/instance/test_queues.py
@@ -8,6 +8,7 @@
 from bluebellyoke.instance import wire
 from bluebellyoke.instance.queues import (
     MAX_RELAYED_BYTES,
+    MAX_TRANSFER_S,
     LargeDocumentError,
     QueueClient,
 )
@@ -25,6 +26,10 @@
         self.connected = True
         self.leader_address = LEADER
         self.calls = []
+        self.tolerated_s = 0.0
+
+    def tolerate_silence(self, seconds):
+        self.tolerated_s = seconds
 
     async def wait_connected(self, timeout_s):
         return self.connected
@@ -74,6 +79,15 @@
     assert anyio.run(client.read_configuration) == link.document
 
 
+@pytest.mark.parametrize(
+    ("size", "tolerated_s"),
+    [(MAX_RELAYED_BYTES, 0.0), (400_000, 2.0), (8_000_000, MAX_TRANSFER_S)],
+)
+def test_silence_is_tolerated_while_a_large_body_arrives(link, size, tolerated_s):
+    create_client(link, OTHER).expect_body(size)
+    assert link.tolerated_s == pytest.approx(tolerated_s)
+
+
 def test_caller_is_sent_nowhere_without_a_leader(link):
     link.connected = False
     link.leader_address = ""
--- a/tests/platform/test_listeners.py
+++ b/tests/platform/test_listeners.py
@@ -34,6 +34,9 @@
         self.calls.append(announcement)
         return self.result
 
+    def expect_body(self, size):
+        self.expected_bytes = size
+
     async def check_size(self, size):
         if size > self.max_bytes:
             raise LargeDocumentError("10.0.0.4")
@@ -178,6 +181,15 @@
     assert queues.calls == []
 
 
+def test_length_of_a_body_is_known_before_it_arrives(context, queues):
+    app = ControlApp(context, port=8166)
+    headers = [(b"content-length", b"300000")]
+    call(app, "PUT", "/-/config", encode(CONFIG), headers)
+    assert queues.expected_bytes == 300_000
+    call(app, "PUT", "/-/config", encode(CONFIG), [(b"content-length", b"-1")])
+    assert queues.expected_bytes == 0
+
+
 def test_heartbeat_and_leave_are_forwarded(context, queues):
     path = "/-/instances/i-1"
     assert (
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -42,6 +42,13 @@
 
 
 CASES = [
+    Case(
+        "silence during a transfer is no lost leader",
+        "instance/link.py",
+        "            silent_since = max(self._silent_since, self._tolerant_until)\n",
+        "            silent_since = self._silent_since\n",
+        "tests/instance/test_link.py -k during_a_transfer",
+    ),
     Case(
         "a large configuration is not relayed to the leader",
         "instance/queues.py",
