Treat an undocumented response to a start as an unknown outcome

Callers could see a task run twice: if a proxy or a failing worker responded to a start with an undocumented status (201, 500, 502, 504, ...) after the run had begun, the run was committed as never started and the task was started on another worker.

Cause: the platform's client mapped every other status, and a 409 with an unknown reason, to INVALID, which the dispatcher takes as a proof that nothing ran.

Only a 400 means INVALID now. Everything else that is undocumented raises NoAnswerError, so that the dispatcher probes the worker and blocks the run before it starts the task anywhere else.

The 11 cases of the test failed before the change: 10 with "DID NOT RAISE NoAnswerError", the 409 whose reason is a list with another exception (TypeError).

--- a/src/bluebellyoke/dispatch/ports.py
+++ b/src/bluebellyoke/dispatch/ports.py
@@ -45,7 +45,7 @@
 
 
 class NoAnswerError(BluebellyokeError):
-    """A call got no response; it may have been carried out or still will be."""
+    """A call got no usable response; it may have been carried out or still will be."""
 
     def __init__(self, address: str, cause: str) -> None:
         super().__init__(
@@ -82,7 +82,7 @@
         NO_ROOM: The worker has too few free resources.
         BAD_TICKET: The worker does not accept the advisor's ticket.
         UNHEALTHY: The worker cannot start runs at present.
-        INVALID: The worker refused the request for another reason.
+        INVALID: The worker refused the request as malformed.
     """
 
     STARTED = "started"
@@ -198,7 +198,7 @@
 
     Raises:
         NotReachedError: By all calls, if no connection could be opened.
-        NoAnswerError: By all calls, if there was no response.
+        NoAnswerError: By all calls, if there was no response or an undocumented one.
         OtherLifeError: By all calls, if another worker or incarnation responded.
     """
 
--- a/src/bluebellyoke/platform/clients.py
+++ b/src/bluebellyoke/platform/clients.py
@@ -57,8 +57,13 @@
             return StartResult.UNHEALTHY
         if response.status == 409:
             reason = _decode_object(worker, response).get("Reason")
-            return _CONFLICT_RESULTS.get(reason, StartResult.INVALID)
-        return StartResult.INVALID
+            if isinstance(reason, str) and reason in _CONFLICT_RESULTS:
+                return _CONFLICT_RESULTS[reason]
+            raise NoAnswerError(worker.address, f"status 409 with reason {reason!r}")
+        if response.status == 400:
+            return StartResult.INVALID
+        # A proxy or a failing worker may respond after the run has begun.
+        raise NoAnswerError(worker.address, f"status {response.status}")
 
     async def stop(self, worker: WorkerSpec, request: StopRequest) -> bool:
         """Stop or block a run; return whether the worker accepted the request."""
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -116,6 +116,22 @@
     assert start_once(response) is expected
 
 
+# Guards against a second run of a task whose start got an undocumented response, such
+# as the 504 of a proxy, although the worker had begun it.
+@pytest.mark.parametrize(
+    "response",
+    [
+        *((status, {}) for status in (201, 202, 204, 302, 404, 500, 502, 504)),
+        (409, {}),
+        (409, {"Reason": "other"}),
+        (409, {"Reason": ["room"]}),
+    ],
+)
+def test_undocumented_response_to_a_start_leaves_the_outcome_unknown(response):
+    with pytest.raises(NoAnswerError):
+        start_once(response)
+
+
 def test_other_incarnation_raises_an_error():
     with pytest.raises(OtherLifeError):
         start_once((421, {}))
