End only the stream of a peer that acknowledges too many batches

Operators saw an instance end because one peer, for example one of a faulty build, acknowledged more batches than it had been sent.

Cause: the reader took each acknowledged batch off the queue of pending ones. An IndexError from the empty queue is not among the errors that end a stream, so it ended the task group of the process. A count that decreased was ignored, and the next correct one was then counted too high.

A count that is impossible now raises StreamClosedError with the numbers, which closes the stream, is logged and makes the sender open a new one.

The test failed before the change: with too high counts by "IndexError: pop from an empty deque", with decreasing or negative ones by a timeout, as no new stream opened.

--- a/src/bluebellyoke/instance/peers.py
+++ b/src/bluebellyoke/instance/peers.py
@@ -132,7 +132,13 @@
         received = acknowledged + 1
         if isinstance(message, Acknowledgement):
             received = message.batches
-        for _ in range(received - acknowledged):
+        newly_received = received - acknowledged
+        if not 0 <= newly_received <= len(pending_since):
+            raise StreamClosedError(
+                f"the peer acknowledged {received} batches after {acknowledged}, "
+                f"with {len(pending_since)} pending"
+            )
+        for _ in range(newly_received):
             pending_since.popleft()
         acknowledged = received
     raise StreamClosedError()
--- a/tests/instance/test_peers.py
+++ b/tests/instance/test_peers.py
@@ -11,6 +11,7 @@
 from bluebellyoke.instance.codec import (
     COUNTED_PEER_METHOD,
     PEER_METHOD,
+    Acknowledgement,
     MessageCodec,
 )
 from bluebellyoke.instance.peers import PeerReceiver, PeerSender
@@ -127,3 +128,29 @@
             await anyio.sleep(0.05)
 
     run_with_receiver((PEER_METHOD, COUNTED_PEER_METHOD), body)
+
+
+# Guards against the end of the whole process because one peer, such as one of a faulty
+# build, acknowledged batches that it had not got.
+@pytest.mark.parametrize("counts", [(1000,), (10**18,), (1, 0), (-1,)])
+def test_impossible_acknowledgement_ends_only_the_stream(monkeypatch, counts):
+    streams = []
+
+    async def acknowledge_wrongly(self, stream):
+        streams.append(stream)
+        await stream.recv_message()
+        for count in counts:
+            await stream.send_message(Acknowledgement(count))
+        await anyio.sleep_forever()
+
+    monkeypatch.setattr(PeerReceiver, "_handle_counted_stream", acknowledge_wrongly)
+    # Only the acknowledgement may end the stream here, not its absence.
+    monkeypatch.setattr(peers, "ACKNOWLEDGEMENT_TIMEOUT_S", 2 * WAIT_S)
+
+    async def body(receiver, send):
+        with anyio.fail_after(10.0):
+            while len(streams) < 2:
+                send(create_envelope(1))
+                await anyio.sleep(0.3)
+
+    run_with_receiver((PEER_METHOD, COUNTED_PEER_METHOD), body)
