Keep the old settings if the new ones do not validate

Operators saw an instance end with a traceback after a reload of a settings file with valid types but unusable values, such as Seeds = []. A start with such a file gave a traceback too, with neither the file nor the remedy.

Cause: the adapter's own tables allow such values; only the translation into the project's settings finds them, and its pydantic ValidationError was not converted.

read_settings now also validates the translation, so that it raises SettingsError for these values, which both the start and the reload handle: the reload logs the error and the old settings stay in effect.

--- a/src/bluebellyoke/platform/settings.py
+++ b/src/bluebellyoke/platform/settings.py
@@ -98,14 +98,17 @@
 
 
 def read_settings(path: Path) -> PlatformSettings:
-    """Read and validate the settings file.
+    """Read and validate the settings file, including its translation.
 
     Raises:
         SettingsError: The file is missing, not valid TOML or not valid settings.
     """
     try:
         data = tomllib.loads(path.read_text(encoding="utf-8"))
-        return PlatformSettings.model_validate(data)
+        settings = PlatformSettings.model_validate(data)
+        # The project's own settings have limits that the platform's do not have.
+        translate_settings(settings)
+        return settings
     except OSError as error:
         raise SettingsError(path, [f"cannot be read: {error.strerror}"]) from error
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -67,6 +67,23 @@
         read_settings(write(tmp_path, text))
 
 
+#: Settings that have the documented types, but that an instance cannot run with.
+UNUSABLE_TEXTS = [
+    TEXT.replace('["10.1.0.13:8166","10.2.0.30:8166","10.3.0.36:8166"]', "[]"),
+    TEXT.replace('Ip = "10.1.0.13"', 'Ip = "10.1.0.1300"'),
+    TEXT.replace("[7720,7735]", "[0,7735]"),
+    TEXT.replace("Machines = 1", "Machines = 9"),
+    TEXT.replace("GraceS = 6", "GraceS = 0"),
+]
+
+
+# Guards against a start that fails with a traceback in place of the key and the file.
+@pytest.mark.parametrize("text", UNUSABLE_TEXTS)
+def test_unusable_settings_are_refused(tmp_path, text):
+    with pytest.raises(SettingsError, match=r"boot\.toml: "):
+        read_settings(write(tmp_path, text))
+
+
 def test_missing_file_is_reported(tmp_path):
     with pytest.raises(SettingsError):
         read_settings(tmp_path / "none.toml")
