Treat an answer that is nested too deeply as one that cannot be decoded

Operators saw an instance end because of one answer of the advisor whose JSON was nested very deeply.

Cause: msgspec raises RecursionError for such values, which is no DecodeError, so it left AdviceHandler.run and ended the task group of the instance.

bodies.DECODE_ERRORS now names all exceptions of the decoder, and every decoding of the platform's bodies uses it: such an answer of the advisor is no advice, such a response to a start leaves its outcome unknown, and such a request gets a status 400. In addition AdviceHandler treats any unexpected exception of the advisor's client as no advice and logs it with its traceback; the line "asked the advisor" has the reason.

--- a/src/bluebellyoke/instance/queues.py
+++ b/src/bluebellyoke/instance/queues.py
@@ -282,6 +282,10 @@
             failure = f"none within {ADVICE_TIMEOUT_S:g} s"
         except AdvisorBusyError as error:
             failure = str(error)
+        except Exception as error:
+            # No response of the advisor may end the instance's task group.
+            logger.exception("queues: a call to the advisor raised an unexpected error")
+            failure = f"{type(error).__name__} {error}"
         took_s = self._clock.monotonic() - started_at
         self._metrics.record_advisor_call(took_s)
         logger.info(
--- a/src/bluebellyoke/platform/bodies.py
+++ b/src/bluebellyoke/platform/bodies.py
@@ -22,6 +22,7 @@
 )
 
 __all__ = [
+    "DECODE_ERRORS",
     "UnreadableBodyError",
     "decode_announcement",
     "decode_configuration",
@@ -30,6 +31,10 @@
     "format_task",
 ]
 
+#: Exceptions that msgspec raises for a body that it cannot decode. Values that are
+#: nested too deeply cause a RecursionError.
+DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+
 #: Range of the integers that the messages between instances can carry.
 MIN_INTEGER = -(2**63)
 MAX_INTEGER = 2**63 - 1
@@ -159,7 +164,7 @@
 def _decode(body: bytes, kind: type):
     try:
         return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise UnreadableBodyError(str(error)) from error
 
 
@@ -298,7 +303,7 @@
             )
             for row in hold.Ended
         )
-    except (ValueError, IndexError, TypeError) as error:
+    except (ValueError, IndexError, TypeError, RecursionError) as error:
         raise UnreadableBodyError(str(error)) from error
     return StatusReport(
         hold.CurrentTimeMs,
--- a/src/bluebellyoke/platform/clients.py
+++ b/src/bluebellyoke/platform/clients.py
@@ -135,7 +135,7 @@
         try:
             rows = msgspec.json.decode(response.content)["Allowed"]
             return {str(row[0]): str(row[1]) for row in rows}
-        except (msgspec.DecodeError, KeyError, IndexError, TypeError) as error:
+        except (*bodies.DECODE_ERRORS, LookupError, TypeError) as error:
             raise AdvisorBusyError(f"invalid response: {error}") from error
 
     async def close(self) -> None:
@@ -146,6 +146,6 @@
 def _decode_object(worker: WorkerSpec, response: HttpResponse) -> dict:
     try:
         value = msgspec.json.decode(response.content)
-    except msgspec.DecodeError as error:
+    except bodies.DECODE_ERRORS as error:
         raise NoAnswerError(worker.address, str(error)) from error
     return value if isinstance(value, dict) else {}
--- a/tests/instance/test_queues.py
+++ b/tests/instance/test_queues.py
@@ -1,4 +1,6 @@
-"""Calls to the leader that carry a configuration."""
+"""Calls to the leader that carry a configuration, and calls to the advisor."""
+
+import logging
 
 import anyio
 import pytest
@@ -8,6 +10,7 @@
 from bluebellyoke.instance import wire
 from bluebellyoke.instance.queues import (
     MAX_RELAYED_BYTES,
+    AdviceHandler,
     LargeDocumentError,
     QueueClient,
 )
@@ -16,6 +19,9 @@
 LEADER = "10.0.0.4:7000"
 OTHER = "10.0.0.9:7000"
 
+#: Timeout of a test, in seconds.
+WAIT_S = 30.0
+
 
 class Link:
     """Stream to a leader that has one configuration."""
@@ -25,6 +31,10 @@
         self.connected = True
         self.leader_address = LEADER
         self.calls = []
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
 
     async def wait_connected(self, timeout_s):
         return self.connected
@@ -80,3 +90,45 @@
     client = create_client(link, OTHER)
     anyio.run(client.check_size, MAX_RELAYED_BYTES + 1)
     assert anyio.run(client.read_configuration) is None
+
+
+class FailingAdvisor:
+    """Advisor whose first response cannot be decoded."""
+
+    def __init__(self):
+        self.calls = 0
+
+    async def request_tickets(self, step, workers):
+        self.calls += 1
+        if self.calls == 1:
+            raise RecursionError("too deep")
+        return {"w1": "ticket"}
+
+    async def close(self):
+        pass
+
+
+# Guards against the end of an instance because of one response of the advisor.
+def test_unexpected_error_of_the_advisor_means_no_advice(link, caplog):
+    handler = AdviceHandler(
+        advisor=FailingAdvisor(), link=link, clock=SystemClock(), metrics=Metrics()
+    )
+
+    async def run():
+        for number in (1, 2):
+            handler.enqueue(wire.AdviceCall(number, ("5c0e", 0, 1), ("w1",)))
+        with anyio.fail_after(WAIT_S):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(handler.run)
+                while len(link.sent) < 2:
+                    await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+
+    with caplog.at_level(logging.INFO, "bluebellyoke.queues"):
+        anyio.run(run)
+    assert link.sent == [
+        wire.AdviceReply(1),
+        wire.AdviceReply(2, {"w1": "ticket"}),
+    ]
+    faults = [x.fault for x in caplog.records if hasattr(x, "fault")]
+    assert faults == ["RecursionError too deep", ""]
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -204,6 +204,21 @@
         bodies.decode_status(encode({"CurrentTimeMs": 1, **fields}))
 
 
+# Guards against a RecursionError out of a poll or a request, which no caller expects.
+@pytest.mark.parametrize(
+    "decode",
+    [
+        bodies.decode_job,
+        bodies.decode_configuration,
+        bodies.decode_status,
+        lambda body: bodies.decode_announcement("i-1", body),
+    ],
+)
+def test_body_that_is_nested_too_deeply_is_refused(decode):
+    with pytest.raises(bodies.UnreadableBodyError):
+        decode(b'{"Other":' + b"[" * 100_000)
+
+
 def test_task_name_round_trip():
     name = TaskName("5c0e7a21d94b36f8", 3, 1, 17)
     assert bodies.format_task(name) == "5c0e7a21d94b36f8.3.1.17"
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -27,6 +27,9 @@
 )
 WAIT_S = 30.0
 
+#: JSON text that no decoder follows to its end.
+DEEP_TEXT = b"[" * 100_000
+
 
 class Server:
     """Server that sends prepared responses in order and records the requests."""
@@ -55,7 +58,7 @@
                 if response is None:
                     return
                 status, value = response
-                text = json.dumps(value).encode()
+                text = value if isinstance(value, bytes) else json.dumps(value).encode()
                 await stream.send(
                     b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(text))
                     + text
@@ -125,6 +128,7 @@
         (409, {}),
         (409, {"Reason": "other"}),
         (409, {"Reason": ["room"]}),
+        (409, DEEP_TEXT),
     ],
 )
 def test_undocumented_response_to_a_start_leaves_the_outcome_unknown(response):
@@ -218,6 +222,22 @@
     assert ask_once((200, {"Allowed": [["i-2", "c81e"]]})) == {"i-2": "c81e"}
 
 
+# Guards against the end of an instance whose advisor sends an answer that is nested too
+# deeply, or that is not UTF-8.
+@pytest.mark.parametrize(
+    "body",
+    [
+        DEEP_TEXT,
+        b'{"Allowed":' + DEEP_TEXT,
+        b'{"Allowed":[["i-1",' + DEEP_TEXT,
+        b'{"Allowed":[["\xff","a"]]}',
+    ],
+)
+def test_advice_that_cannot_be_decoded_raises_an_error(body):
+    with pytest.raises(AdvisorBusyError, match=r"invalid response: .+"):
+        ask_once((200, body))
+
+
 @pytest.mark.parametrize("response", [(429, {}), (200, {}), (200, [1]), None])
 def test_failed_advice_raises_an_error(response):
     with pytest.raises(AdvisorBusyError):
