Answer unknown if the leader is lost while a request waits for a claim

Callers that sent a request again with its idempotency key got `not-run`, although the first request was still in progress and could run. A caller that trusts this may send the request under a new key, and it runs twice.

Cause: the error of a claim without a leader, or without a lease, became `not-run` even if an earlier reply to the same claim had been `in-progress`.

The handler now remembers that reply; a later error results in `unknown` with the code `in-progress`, as at the end of the deadline, and is logged with its reason.

Both cases of the first test failed before the change: `not-run` and `no-lease` in place of `unknown` and `in-progress`. The second test passed before; it states that a claim that was never answered stays `not-run`.

--- a/src/bluebellyoke/instance/claims.py
+++ b/src/bluebellyoke/instance/claims.py
@@ -90,10 +90,17 @@
         self, claim: commands.ClaimRequest, request: CallerRequest
     ) -> RequestResult | None:
         """Claim the key; return a result if this request must not be sent."""
+        is_in_progress = False
         while True:
             try:
                 result = await self._call(claim, request)
             except BluebellyokeError as error:
+                if is_in_progress:
+                    logger.info(
+                        "routing: lost the leader during the wait for an outcome",
+                        extra={"error": str(error)},
+                    )
+                    return _build_unfinished_result()
                 return RequestResult(
                     RequestOutcome.NOT_RUN,
                     RefusalKind.NO_LEASE,
@@ -104,13 +111,9 @@
                 return None
             if result.code != "in-progress":
                 return _build_earlier_result(result)
+            is_in_progress = True
             if self._clock.monotonic() + CLAIM_POLL_INTERVAL_S > request.deadline:
-                return RequestResult(
-                    RequestOutcome.UNKNOWN,
-                    "in-progress",
-                    "an earlier request with this key has no outcome yet",
-                    retry_after_s=1.0,
-                )
+                return _build_unfinished_result()
             await anyio.sleep(CLAIM_POLL_INTERVAL_S)
 
     async def _call(
@@ -169,6 +172,16 @@
     )
 
 
+def _build_unfinished_result() -> RequestResult:
+    """Return the result if an earlier request with the key is still in progress."""
+    return RequestResult(
+        RequestOutcome.UNKNOWN,
+        "in-progress",
+        "an earlier request with this key has no outcome yet",
+        retry_after_s=1.0,
+    )
+
+
 def _build_earlier_result(result: commands.Result) -> RequestResult:
     """Return the result of a request whose key was claimed before."""
     outcome = result.outcome
