Take a worker back that is still ready well after a leave announcement

Operators saw a restarted worker get no tasks until it restarted again or another instance led: the announcement that its earlier process ended had arrived after the new process had registered, and marked the new one as leaving.

Cause: the announcement (a DELETE with the worker's ID, without a body) names no incarnation, so the leader cannot tell which process it is from, and nothing ever cleared the mark.

A heartbeat with the state ready now clears it, if it is of the tracked incarnation, the worker is not draining, and it arrives more than 1.5 s after the last announcement. An instance gives up a heartbeat 1.4 s after its arrival, so one that overtook or followed the announcement on the way through another instance does not clear the mark.

This is safe: the announcement is a worker's last message, so a process that ends sends no later heartbeat. If one is delayed outside of the instances for longer, the worker may get tasks again. A start at a closed port never ran, and a run that is lost with the process ends as lost, as without an announcement. What is given up is only the removal at the first refused poll in place of a later one.

The first test failed before the change: w1 was in no start. The second fails without the 1.5 s, the third if a draining heartbeat clears the mark (both tried).

--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -15,6 +15,10 @@
 
 logger = logging.getLogger("bluebellyoke.dispatch")
 
+#: Time after a leave announcement for which a ready heartbeat may still be an earlier
+#: one, in seconds. An instance gives up a heartbeat 1.4 s after it arrived there.
+LEAVE_REORDERING_S = 1.5
+
 #: Outcome that the log shows for the runs of a removed worker.
 LOST = "lost"
 
@@ -45,11 +49,14 @@
         if known is not None and known.incarnation > spec.incarnation:
             reply(Result(accepted=True, code="overtaken"))
             return
-        if known == spec or (
+        is_draining = (
             known is not None
             and known.incarnation == spec.incarnation
             and known.draining
-        ):
+        )
+        if not (is_draining or spec.draining):
+            self._clear_leaving(spec)
+        if known == spec or is_draining:
             reply(Result(accepted=True, code="known"))
             return
 
@@ -75,8 +82,29 @@
         worker = self._context.workers.get(worker_id)
         if worker is not None:
             worker.is_leaving = True
+            worker.leave_announced_at = self._context.now
             worker.poll_due = self._context.now
 
+    def _clear_leaving(self, spec: WorkerSpec) -> None:
+        """Forget a leave announcement if the worker is ready well after it.
+
+        The announcement does not tell which incarnation it is from.
+        """
+        worker = self._context.workers.get(spec.id)
+        if (
+            worker is None
+            or not worker.is_leaving
+            or worker.spec.incarnation != spec.incarnation
+            or self._context.now - worker.leave_announced_at <= LEAVE_REORDERING_S
+        ):
+            return
+        worker.is_leaving = False
+        self._context.needs_planning = True
+        logger.info(
+            "dispatch: a worker did not leave",
+            extra={"worker": spec.id, "born": spec.incarnation},
+        )
+
     def sync_workers(self, now: float) -> None:
         """Track the workers of the store, with their runs, and drop all others."""
         self._context.needs_planning = True
--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -154,6 +154,7 @@
             worker gets no new task until it has responded to a later poll or probe.
         is_stalled: Whether all its runs are stalled; it gets no new task meanwhile.
         is_leaving: Whether the worker has announced that it ends.
+        leave_announced_at: Time of the last such announcement.
         failed_workflows: Workflows of which a task has failed here since a run was
             last done.
         quarantines: Number of quarantines since a run was last done; while it is not 0
@@ -181,6 +182,7 @@
     unanswered_start_at: float = 0.0
     is_stalled: bool = False
     is_leaving: bool = False
+    leave_announced_at: float = 0.0
     failed_workflows: set[str] = field(default_factory=set)
     quarantines: int = 0
     runs: dict[RunKey, TrackedRun] = field(default_factory=dict)
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -140,6 +140,43 @@
     assert "w1" not in {sent.spec.id for sent in find_calls(simulation, "start")}
 
 
+def heartbeat_after_leave(simulation, after_s, **fields):
+    """Announce that w1 ends, then its next heartbeat; return the workers of starts."""
+    simulation.dispatcher.mark_leaving("w1")
+    simulation.submit(create_spec(ID, [create_step(9, cpu=1000)]))
+    plan(simulation)
+    assert "w1" not in {sent.spec.id for sent in find_calls(simulation, "start")}
+    simulation.advance(after_s)
+    simulation.tick()
+    simulation.announce("w1", **fields)
+    simulation.commit()
+    deliver(simulation, ("poll",))
+    plan(simulation)
+    return {sent.spec.id for sent in find_calls(simulation, "start")}
+
+
+# Guards against a worker that gets no tasks for good, since the announcement of its
+# earlier process that it ends arrived after the new process had registered.
+def test_ready_heartbeat_well_after_a_leave_makes_the_worker_available(simulation):
+    simulation.crash("w1")
+    deliver(simulation)
+    simulation.tick()
+    deliver(simulation)
+    assert "w1" in heartbeat_after_leave(simulation, after_s=1.6)
+
+
+# Guards against new tasks for a worker that ends, because of a heartbeat that it sent
+# before its announcement and that arrived after it.
+def test_ready_heartbeat_just_after_a_leave_is_ignored(simulation):
+    assert "w1" not in heartbeat_after_leave(simulation, after_s=1.4)
+
+
+# Guards against new tasks for a worker that drains before it ends.
+def test_draining_heartbeat_after_a_leave_keeps_the_worker_unavailable(simulation):
+    assert "w1" not in heartbeat_after_leave(simulation, after_s=1.6, draining=True)
+    assert simulation.dispatcher.workers["w1"].is_leaving
+
+
 def test_end_is_acknowledged_to_the_worker_after_its_commit(simulation):
     simulation.submit(create_spec(ID))
     plan(simulation)
