--- a/src/bluebellyoke/platform/clients.py
+++ b/src/bluebellyoke/platform/clients.py
@@ -57,8 +57,13 @@
             return StartResult.UNHEALTHY
         if response.status == 409:
             reason = _decode_object(worker, response).get("Reason")
-            return _CONFLICT_RESULTS.get(reason, StartResult.INVALID)
-        return StartResult.INVALID
+            if isinstance(reason, str) and reason in _CONFLICT_RESULTS:
+                return _CONFLICT_RESULTS[reason]
+            raise NoAnswerError(worker.address, f"status 409 with reason {reason!r}")
+        if response.status == 400:
+            return StartResult.INVALID
+        # A proxy or a failing worker may respond after the run has begun.
+        raise NoAnswerError(worker.address, f"status {response.status}")
 
     async def stop(self, worker: WorkerSpec, request: StopRequest) -> bool:
         """Stop or block a run; return whether the worker accepted the request."""
@@ -130,7 +135,7 @@
         try:
             rows = msgspec.json.decode(response.content)["Allowed"]
             return {str(row[0]): str(row[1]) for row in rows}
-        except (msgspec.DecodeError, KeyError, IndexError, TypeError) as error:
+        except (*bodies.DECODE_ERRORS, LookupError, TypeError) as error:
             raise AdvisorBusyError(f"invalid response: {error}") from error
 
     async def close(self) -> None:
@@ -141,6 +146,6 @@
 def _decode_object(worker: WorkerSpec, response: HttpResponse) -> dict:
     try:
         value = msgspec.json.decode(response.content)
-    except msgspec.DecodeError as error:
+    except bodies.DECODE_ERRORS as error:
         raise NoAnswerError(worker.address, str(error)) from error
     return value if isinstance(value, dict) else {}
