Use instances that leave the leader's questions unanswered ever less often

Cause: a fixed pause after a failure, and no memory of failures in the choice.

Change: the pause doubles with each failure in a row, up to 8 s; sound instances go first.

Evidence: both new tests of tests/dispatch/test_advice.py failed before.

--- a/src/bluebellyoke/dispatch/advice.py
+++ b/src/bluebellyoke/dispatch/advice.py
@@ -44,8 +44,10 @@
 #: wait.
 RESERVED_INSTANCE_DIVISOR = 4
 
-#: Time for which an instance whose call failed gets no other call, in seconds.
+#: Time for which an instance whose call failed gets no other call, in seconds. It
+#: doubles with each further failure in a row, up to the maximum.
 FAILURE_BACKOFF_S = 0.5
+MAX_FAILURE_BACKOFF_S = 8.0
 
 
 @dataclass(slots=True)
@@ -122,6 +124,7 @@
         request: Request that is in flight, if any.
         timeout_at: Time at which the call in flight counts as lost.
         paused_until: Time before which the instance gets no call.
+        failures: Calls that have failed in a row.
     """
 
     send: Callable[[wire.FromLeader], None]
@@ -129,6 +132,13 @@
     request: AdviceRequest | None = None
     timeout_at: float = 0.0
     paused_until: float = 0.0
+    failures: int = 0
+
+    def record_failure(self, now: float) -> None:
+        """Pause the instance after a call that failed at a monotonic time."""
+        pause_s = FAILURE_BACKOFF_S * 2**self.failures
+        self.paused_until = now + min(pause_s, MAX_FAILURE_BACKOFF_S)
+        self.failures += 1
 
 
 class AdviceManager:
@@ -249,9 +259,10 @@
             return
         request, instance.request = instance.request, None
         if reply.tickets is None:
-            instance.paused_until = now + FAILURE_BACKOFF_S
+            instance.record_failure(now)
             self._requests.append(request)
             return
+        instance.failures = 0
         advice = request.advice
         advice.renewal_calls -= request.is_renewal
         advice.pending.difference_update(request.worker_keys)
@@ -274,6 +285,8 @@
             for instance in self._instances.values()
             if instance.request is None and now >= instance.paused_until
         ]
+        # The last ones are used first.
+        idle.sort(key=lambda instance: -instance.failures)
         reserved = len(self._instances) // RESERVED_INSTANCE_DIVISOR
         self._requests.sort(key=lambda request: request.rank)
         remaining = []
@@ -291,7 +304,7 @@
             if instance.request is not None and now >= instance.timeout_at:
                 self._requests.append(instance.request)
                 instance.request = None
-                instance.paused_until = now + FAILURE_BACKOFF_S
+                instance.record_failure(now)
 
     def _call(
         self, instance: AdvisingInstance, request: AdviceRequest, now: float
--- a/tests/dispatch/test_advice.py
+++ b/tests/dispatch/test_advice.py
@@ -1,6 +1,8 @@
+import itertools
+
 import pytest
 
-from bluebellyoke.dispatch.advice import AdviceManager
+from bluebellyoke.dispatch.advice import FAILURE_BACKOFF_S, AdviceManager
 from bluebellyoke.instance import wire
 from tests.workflow.factories import ADVISOR
 
@@ -189,6 +191,36 @@
     assert len(instances.calls[1 - number]) == 1
 
 
+# Guards against steps that wait for one lost call after the other: an instance that did
+# not answer was used again half a second after each timeout.
+def test_instance_that_does_not_answer_is_used_ever_less_often():
+    instances = Instances(1)
+    instances.request()
+    sent_at = []
+    for tenth in range(400):
+        instances.advice.tick(tenth / 10)
+        if len(instances.list_calls()) > len(sent_at):
+            sent_at.append(tenth / 10)
+    gaps = [round(b - a, 1) for a, b in itertools.pairwise(sent_at)]
+    timeout_s = gaps[0] - FAILURE_BACKOFF_S
+    assert gaps == pytest.approx(
+        [timeout_s + pause_s for pause_s in (0.5, 1.0, 2.0, 4.0, 8.0, 8.0)], abs=0.2
+    )
+
+
+def test_instance_that_has_failed_is_used_after_sound_ones(instances):
+    instances.request()
+    ((failed, _),) = instances.list_calls()
+    instances.reply(None)
+    sound = 1 - failed
+    instances.advice.tick(10.0)
+    (retry,) = instances.calls[sound]
+    instances.advice.receive(sound, wire.AdviceReply(retry.id, {}), 10.0)
+    instances.request(("other", 0, 0), now=10.0)
+    assert len(instances.calls[failed]) == 1
+    assert len(instances.calls[sound]) == 2
+
+
 def test_late_reply_to_an_earlier_call_is_ignored(instances):
     instances.request()
     ((number, call),) = instances.list_calls()
