Pause a step that a worker has refused as malformed

A start that a worker answers with 400 never ran, so the next round of planning started it again on the same worker, a hundred times a second, each with a commit.

Cause: no memory of the refusal. Making the worker suspect, as for lack of room, would let one malformed job take all workers out of use.

Change: such a step is planned again after 0.7 s; 'a step waits' names the reason 'refused'.

--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -43,6 +43,9 @@
 #: Estimated duration below which a task may use a reserved worker, in milliseconds.
 SHORT_TASK_MS = 900.0
 
+#: Pause between two starts of a step that workers refuse as malformed, in seconds.
+REFUSED_PAUSE_S = 0.7
+
 #: Number of starts after which a round plans no further step.
 MAX_STARTS_PER_ROUND = 400
 
@@ -57,13 +60,19 @@
     def __init__(self, advice: AdviceManager) -> None:
         self._advice = advice
         self._steps = WaitingSteps()
+        self._paused_until: dict[StepKey, float] = {}
         self.wait_reasons: dict[StepKey, WaitReason] = {}
 
     def reset(self) -> None:
         """Forget what is known of the store, whose changes may have been missed."""
         self._steps = WaitingSteps()
+        self._paused_until.clear()
         self.wait_reasons = {}
 
+    def pause(self, step: StepKey, now: float) -> None:
+        """Plan a step that a worker has refused as malformed only some time later."""
+        self._paused_until[step] = now + REFUSED_PAUSE_S
+
     def plan(
         self,
         store: WorkflowStore,
@@ -77,10 +86,16 @@
         waiting = self._steps.list_waiting()
         if len(waiting) > RENEWED_STEPS:
             planning.get_max_free()
+        self._paused_until = {
+            step: until for step, until in self._paused_until.items() if now < until
+        }
         head_steps = 0
         for step in waiting:
             if len(planning.starts) >= MAX_STARTS_PER_ROUND:
                 break
+            if step.key in self._paused_until:
+                planning.wait_reasons[step.key] = WaitReason.REFUSED
+                continue
             is_head = head_steps < RENEWED_STEPS and _can_ever_fit(step.spec, planning)
             head_steps += is_head
             self._plan_step(store, step, planning, is_head)
--- a/src/bluebellyoke/dispatch/planning_round.py
+++ b/src/bluebellyoke/dispatch/planning_round.py
@@ -23,12 +23,14 @@
         NO_ROOM: Its tasks fit on no worker that it may use.
         RESERVED: The same, and gangs have reserved some of these workers.
         NO_TICKET: The ticket for a worker with room has expired.
+        REFUSED: A worker has just refused it as malformed.
     """
 
     NO_WORKER = "no-worker"
     NO_ROOM = "no-room"
     RESERVED = "reserved"
     NO_TICKET = "no-ticket"
+    REFUSED = "refused"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -177,8 +177,10 @@
             self._prober.request(worker)
         if event.result in _SUSPECT_RESULTS:
             worker.suspect_until = max(worker.suspect_until, now + SUSPECT_S)
+        step = (key[0].workflow, key[0].repetition, key[0].step)
+        if event.result is StartResult.INVALID:
+            self._planner.pause(step, now)
         if event.result is StartResult.BAD_TICKET:
-            step = (key[0].workflow, key[0].repetition, key[0].step)
             self._context.advice.get_step_advice(step).expire_ticket(worker.spec.key)
         worker.set_phase(key, RunPhase.UNKNOWN, now)
         if not never_ran:
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bluebellyoke.dispatch.ports import StartResult
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.dispatch.simulation import DispatcherSimulation
 from tests.workflow.factories import (
@@ -78,6 +79,21 @@
     assert stopped == {sent.request.task for sent in others}
 
 
+# Guards against a leader that is busy with one job: a start that a worker refused as
+# malformed was repeated in the next round of planning.
+def test_start_refused_as_malformed_is_not_repeated_at_once(simulation):
+    simulation.submit(create_spec(ID))
+    starts = 0
+    for _ in range(100):
+        plan(simulation)
+        for sent in find_calls(simulation, "start"):
+            starts += 1
+            simulation.sent_calls.remove(sent)
+            simulation.finish_call(sent, result=StartResult.INVALID)
+        deliver(simulation, ("poll",))
+    assert starts == 3
+
+
 def test_late_run_of_a_stopped_gang_is_stopped(simulation):
     simulation.submit(create_spec(ID, [create_step(3, cpu=3000, gang=True)]))
     plan(simulation)
