--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -42,6 +42,42 @@
 
 
 CASES = [
+    Case(
+        "an instance that does not answer is paused ever longer",
+        "dispatch/advice.py",
+        "        pause_s = FAILURE_BACKOFF_S * 2**self.failures\n",
+        "        pause_s = FAILURE_BACKOFF_S\n",
+        "tests/dispatch/test_advice.py",
+    ),
+    Case(
+        "sound instances are used before those that have failed",
+        "dispatch/advice.py",
+        "        idle.sort(key=lambda instance: -instance.failures)\n",
+        "",
+        "tests/dispatch/test_advice.py",
+    ),
+    Case(
+        "a start refused as malformed is not repeated at once",
+        "dispatch/starts.py",
+        "            self._planner.pause(step, now)\n",
+        "            pass\n",
+        "tests/dispatch/test_dispatcher.py -k malformed",
+    ),
+    Case(
+        "an undocumented response to a start is no refusal",
+        "platform/clients.py",
+        "        # A proxy or a failing worker may respond after the run has begun.\n"
+        "        raise NoAnswerError(",
+        "        return StartResult.INVALID\n        raise NoAnswerError(",
+        "tests/platform/test_clients.py",
+    ),
+    Case(
+        "an impossible acknowledgement ends the stream only",
+        "instance/peers.py",
+        "        if not 0 <= newly_received <= len(pending_since):\n",
+        "        if False:\n",
+        "tests/instance/test_peers.py -k impossible",
+    ),
     Case(
         "silence during a transfer is no lost leader",
         "instance/link.py",
