Log what proves a crash of a worker and which runs may have caused it

Change: the leader notes when it sent a start and when a worker's connection failed; one line a crash with the suspects, and a counter by evidence. No change of logic. Tests: tests/dispatch/test_crash_evidence.py, on a simulation of workers that tasks crash.

--- a/src/bluebellyoke/dispatch/calls.py
+++ b/src/bluebellyoke/dispatch/calls.py
@@ -186,7 +186,8 @@
 
 
 def _create_timeout_error(worker: WorkerSpec, timeout_s: float) -> NoAnswerError:
-    return NoAnswerError(worker.address, f"none within {timeout_s:g} s")
+    cause = f"none within {timeout_s:g} s"
+    return NoAnswerError(worker.address, cause, timed_out=True)
 
 
 async def _await_result(call: Awaitable, worker: WorkerSpec, timeout_s: float) -> tuple:
--- /dev/null
+++ b/src/bluebellyoke/dispatch/crashes.py
@@ -0,0 +1,96 @@
+"""What a crash of a worker tells about the runs that it took."""
+
+import logging
+from collections.abc import Collection
+
+from bluebellyoke.dispatch.workers import (
+    RemovalReason,
+    RunPhase,
+    TrackedRun,
+    TrackedWorker,
+)
+from bluebellyoke.workflow.commands import CrashedRun
+
+__all__ = ["SUSPECT_AGE_S", "has_crashed", "list_crashed_runs", "log_crash"]
+
+logger = logging.getLogger("bluebellyoke.dispatch")
+
+#: Age up to which a run is suspected of a crash, in seconds. Most programs that take
+#: their host down do so as they start.
+SUSPECT_AGE_S = 0.5
+
+#: Number of suspects that a log line lists.
+MAX_LOGGED_SUSPECTS = 20
+
+
+def has_crashed(worker: TrackedWorker, reason: RemovalReason) -> bool:
+    """Return whether a worker's process has ended without a notice.
+
+    A lease that has expired proves nothing: the worker may run behind a partition.
+    """
+    is_planned = worker.is_leaving or worker.spec.draining
+    return reason is not RemovalReason.LEASE_EXPIRED and not is_planned
+
+
+def list_crashed_runs(worker: TrackedWorker, now: float) -> tuple[CrashedRun, ...]:
+    """Return the runs that a crash has ended; those sent after it are left out.
+
+    Args:
+        worker: Worker whose process has ended.
+        now: Monotonic time, in seconds.
+    """
+    found = []
+    latest_end = worker.lost_at if _has_connection_failed(worker) else now
+    for (task, number), run in worker.runs.items():
+        if run.phase is RunPhase.BLOCKED or _was_sent_too_late(worker, run):
+            continue
+        age_ms = None
+        if run.sent_at is not None:
+            age_ms = round((latest_end - run.sent_at) * 1000)
+        suspected = _is_suspect(worker, run)
+        found.append(CrashedRun(task, number, age_ms, suspected))
+    return tuple(found)
+
+
+def _was_sent_too_late(worker: TrackedWorker, run: TrackedRun) -> bool:
+    """Return whether a run cannot have begun before the crash."""
+    if run.sent_at is None:
+        return run.phase is RunPhase.STARTING
+    return _has_connection_failed(worker) and run.sent_at > worker.lost_at
+
+
+def _has_connection_failed(worker: TrackedWorker) -> bool:
+    """Return whether a poll failed at once, so that the time of the crash is known."""
+    return worker.lost_at > worker.last_response_at
+
+
+def _is_suspect(worker: TrackedWorker, run: TrackedRun) -> bool:
+    """Return whether a run may have been young when its worker crashed."""
+    is_confirmed = run.phase in (RunPhase.STARTED, RunPhase.STOPPING)
+    if run.sent_at is None or not (is_confirmed or run.phase is RunPhase.STARTING):
+        return True
+    return run.sent_at > worker.lost_at - SUSPECT_AGE_S
+
+
+def log_crash(
+    worker: TrackedWorker, reason: RemovalReason, runs: Collection[CrashedRun]
+) -> None:
+    """Log a crash with the runs that may have caused it."""
+    suspects = [item for item in runs if item.is_suspect]
+    logger.info(
+        "dispatch: a worker crashed",
+        extra={
+            "worker": worker.spec.id,
+            "born": worker.spec.incarnation,
+            "evidence": reason.value,
+            "runs": len(runs),
+            "suspects": [_format_run(x) for x in suspects[:MAX_LOGGED_SUSPECTS]],
+        },
+    )
+
+
+def _format_run(item: CrashedRun) -> list:
+    """Return workflow, repetition, step, index, run and age of a run for the log."""
+    name = item.task
+    task = [name.workflow, name.repetition, name.step, name.index]
+    return [*task, item.run, item.age_ms]
--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -15,7 +15,7 @@
 from bluebellyoke.dispatch.registry import WorkerRegistry
 from bluebellyoke.dispatch.run_ends import RunEndRecorder
 from bluebellyoke.dispatch.stops import RunStopper
-from bluebellyoke.dispatch.workers import RunPhase, TrackedWorker
+from bluebellyoke.dispatch.workers import RemovalReason, RunPhase, TrackedWorker
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.store import RunKey
 
@@ -79,7 +79,7 @@
             and worker.failures
             and worker.has_lease_expired(now, self._context.times)
         ):
-            self._registry.remove(worker, "its lease expired without a response")
+            self._registry.remove(worker, RemovalReason.LEASE_EXPIRED)
 
     def _send_poll(self, worker: TrackedWorker, now: float) -> None:
         """Send a poll, which renews the lease unless the previous poll failed.
@@ -114,7 +114,7 @@
                 self._handle_failed_poll(worker, event, now)
             return
         if report.incarnation and report.incarnation != worker.spec.incarnation:
-            self._registry.remove(worker, "another incarnation responded")
+            self._registry.remove(worker, RemovalReason.REPLACED)
             return
         if worker.failures or not worker.has_responded or worker.has_unanswered_start:
             logger.info(
@@ -124,7 +124,7 @@
             self._context.needs_planning = True
         worker.failures = 0
         worker.has_responded = True
-        worker.last_response_at = now
+        worker.last_response_at = worker.lost_at = now
         worker.record_clock(report.clock_ms, now)
         self._check_running(worker, report, now)
         worker.schedule_probe(now)
@@ -173,6 +173,8 @@
             return
         worker.failures += 1
         if worker.failures == 1:
+            has_timed_out = getattr(event.error, "timed_out", False)
+            worker.lost_at = worker.last_response_at if has_timed_out else now
             logger.info(
                 "dispatch: lost a worker's answer",
                 extra={"worker": worker.spec.id, "fault": str(event.error)},
@@ -181,11 +183,11 @@
         worker.poll_due = now + delay_s
         error = event.error
         if isinstance(error, OtherLifeError):
-            self._registry.remove(worker, "another worker responds at its address")
+            self._registry.remove(worker, RemovalReason.REPLACED)
         elif isinstance(error, NotReachedError) and error.refused:
             has_ended = worker.failures >= REFUSALS_BEFORE_REMOVAL or worker.is_leaving
             if has_ended:
-                self._registry.remove(worker, "its process has ended")
+                self._registry.remove(worker, RemovalReason.PROCESS_ENDED)
 
     def _check_running(
         self, worker: TrackedWorker, report: StatusReport, now: float
--- a/src/bluebellyoke/dispatch/ports.py
+++ b/src/bluebellyoke/dispatch/ports.py
@@ -45,13 +45,18 @@
 
 
 class NoAnswerError(BluebellyokeError):
-    """A call got no usable response; it may have been carried out or still will be."""
+    """A call got no usable response; it may have been carried out or still will be.
 
-    def __init__(self, address: str, cause: str) -> None:
+    Attributes:
+        timed_out: Whether the connection stayed open, but nothing arrived in time.
+    """
+
+    def __init__(self, address: str, cause: str, *, timed_out: bool = False) -> None:
         super().__init__(
             f"no answer from {address}: {cause}",
             remedy="check whether the call was carried out before using another worker",
         )
+        self.timed_out = timed_out
 
 
 class OtherLifeError(BluebellyokeError):
--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -4,10 +4,11 @@
 from collections.abc import Callable
 
 from bluebellyoke.cell.result import Result
+from bluebellyoke.dispatch import crashes
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.run_ends import log_run_end
 from bluebellyoke.dispatch.stops import RunStopper
-from bluebellyoke.dispatch.workers import RunPhase, TrackedWorker
+from bluebellyoke.dispatch.workers import RemovalReason, RunPhase, TrackedWorker
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.specs import WorkerSpec
 
@@ -118,12 +119,12 @@
                 worker.spec = spec
                 continue
             worker = self._context.workers[name] = TrackedWorker(
-                spec, now, last_response_at=now
+                spec, now, last_response_at=now, lost_at=now
             )
             for key in self._context.store.runs.get(spec.key, ()):
                 worker.add_run(key, self._context.find_need(key), RunPhase.UNKNOWN, now)
 
-    def remove(self, worker: TrackedWorker, reason: str) -> None:
+    def remove(self, worker: TrackedWorker, reason: RemovalReason) -> None:
         """Commit the removal of a worker, which ends its runs as lost."""
         worker_key = worker.spec.key
         if worker_key in self._removing:
@@ -134,12 +135,15 @@
             extra={
                 "worker": worker_key[0],
                 "born": worker_key[1],
-                "reason": reason,
+                "reason": reason.value,
                 "runs": len(worker.runs),
                 "silent_s": round(self._context.now - worker.last_response_at, 3),
             },
         )
 
+        if crashes.has_crashed(worker, reason):
+            self._record_crash(worker, reason)
+
         def finish(result: Result) -> None:
             self._removing.discard(worker_key)
             for key in worker.runs:
@@ -153,3 +157,8 @@
             ),
             finish,
         )
+
+    def _record_crash(self, worker: TrackedWorker, reason: RemovalReason) -> None:
+        self._context.metrics.record_worker_crash(reason.name.lower())
+        runs = crashes.list_crashed_runs(worker, self._context.now)
+        crashes.log_crash(worker, reason, runs)
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -143,6 +143,7 @@
             checkpoint=task.checkpoint,
             ticket=item.ticket,
         )
+        worker.runs[(start.task, start.run)].sent_at = self._context.now
         self._context.calls.start(worker.spec, request)
 
     def receive(
--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -12,7 +12,7 @@
 from bluebellyoke.workflow.specs import WorkerSpec
 from bluebellyoke.workflow.store import RunKey
 
-__all__ = ["LeaseTimes", "RunPhase", "TrackedWorker"]
+__all__ = ["LeaseTimes", "RemovalReason", "RunPhase", "TrackedRun", "TrackedWorker"]
 
 #: Number of different workflows that must fail on a worker, without a run that is done
 #: in between, before the worker is quarantined.
@@ -65,6 +65,21 @@
     STOPPING = "stopping"
 
 
+class RemovalReason(enum.Enum):
+    """Why the leader removes an incarnation of a worker.
+
+    Attributes:
+        LEASE_EXPIRED: It did not respond until its lease had expired. Its process may
+            still run behind a partition.
+        PROCESS_ENDED: Its host refuses connections.
+        REPLACED: Another incarnation, or another worker, responds at its address.
+    """
+
+    LEASE_EXPIRED = "its lease expired without a response"
+    PROCESS_ENDED = "its process has ended"
+    REPLACED = "another incarnation has replaced it"
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LeaseTimes:
     """Durations of a worker's lease, in seconds.
@@ -85,6 +100,7 @@
     Attributes:
         need: Resources that the run takes up.
         phase_since: Time of the last change of the phase.
+        sent_at: Time at which this leader sent the start, or None if it has not.
         expected_end_at: Time at which the run is expected to end.
         baseline_at: Time at which `baseline_percent` of its work was done, if known.
         progressed_at: Time at which the worker first reported `percent`.
@@ -94,6 +110,7 @@
     need: Resources
     phase: RunPhase
     phase_since: float
+    sent_at: float | None = None
     expected_end_at: float = math.inf
     baseline_at: float | None = None
     baseline_percent: int = 0
@@ -149,6 +166,8 @@
             may have been lost.
         poll_due: Time at which the next poll may be sent.
         failures: Polls that have failed since the last response.
+        lost_at: Time at which the connection of the first of these failed. Without a
+            failure, or if that poll timed out, it is the time of the last response.
         suspect_until: Time until which the worker gets no new task.
         unanswered_start_at: Time at which a start last failed without a result; the
             worker gets no new task until it has responded to a later poll or probe.
@@ -178,6 +197,7 @@
     probe_due: float = math.inf
     poll_due: float = 0.0
     failures: int = 0
+    lost_at: float = 0.0
     suspect_until: float = 0.0
     unanswered_start_at: float = 0.0
     is_stalled: bool = False
--- a/src/bluebellyoke/metrics.py
+++ b/src/bluebellyoke/metrics.py
@@ -65,6 +65,10 @@
         """Record the time between two turns of the leader's dispatcher."""
         self._record("dispatch_tick_interval_seconds", seconds)
 
+    def record_worker_crash(self, evidence: str) -> None:
+        """Count a crash of a worker by what proved it."""
+        self._counters["worker_crashes_total", evidence] += 1
+
     def record_run(self, outcome: str) -> None:
         """Count an ended run by its outcome."""
         self._counters["runs_total", outcome] += 1
--- a/src/bluebellyoke/workflow/commands.py
+++ b/src/bluebellyoke/workflow/commands.py
@@ -11,6 +11,7 @@
     "ApplyConfiguration",
     "AssignRuns",
     "CancelWorkflow",
+    "CrashedRun",
     "EnrolWorker",
     "ForgetWorkflows",
     "RecordEnds",
@@ -76,6 +77,21 @@
     checkpoint: str = ""
 
 
+class CrashedRun(msgspec.Struct, frozen=True, array_like=True):
+    """A run that the crash of its worker has ended.
+
+    Attributes:
+        age_ms: Upper bound of the time for which it ran, in milliseconds, or None if it
+            is unknown.
+        is_suspect: Whether it may have caused the crash, judged by its age.
+    """
+
+    task: TaskName
+    run: int
+    age_ms: int | None
+    is_suspect: bool
+
+
 class ApplyConfiguration(Command, frozen=True, kw_only=True, array_like=True, tag=True):
     """Apply a configuration unless its version is at most that of the current one."""
 
--- /dev/null
+++ b/tests/dispatch/test_crash_evidence.py
@@ -0,0 +1,79 @@
+"""Tests of what the log tells about a crash."""
+
+import logging
+
+import pytest
+
+from bluebellyoke.dispatch.crashes import has_crashed, list_crashed_runs
+from bluebellyoke.dispatch.workers import RemovalReason, RunPhase, TrackedWorker
+from tests.dispatch.crashing import CrashSimulation
+from tests.workflow.factories import create_spec, create_step, create_worker, name_task
+
+NOW = 1000.0
+
+
+def create_crashed_worker(**runs):
+    """Return a worker whose connection failed at `NOW`.
+
+    Args:
+        runs: Phase of each run and time for which it had run at `NOW`, in seconds.
+    """
+    worker = TrackedWorker(create_worker(), 0.0, last_response_at=NOW - 1, lost_at=NOW)
+    for index, (phase, age_s) in enumerate(runs.values()):
+        key = (name_task(index=index), 1)
+        worker.add_run(key, create_step().need, phase, NOW)
+        worker.runs[key].sent_at = None if age_s is None else NOW - age_s
+    return worker
+
+
+def find_suspects(worker):
+    runs = list_crashed_runs(worker, NOW + 0.1)
+    return [item.task.index for item in runs if item.is_suspect]
+
+
+def test_young_runs_are_suspected():
+    worker = create_crashed_worker(
+        young=(RunPhase.STARTED, 0.1), old=(RunPhase.STARTED, 2.0)
+    )
+    assert find_suspects(worker) == [0]
+
+
+def test_runs_whose_age_is_not_known_are_suspected():
+    worker = create_crashed_worker(
+        of_earlier_leader=(RunPhase.UNKNOWN, None), unanswered=(RunPhase.UNKNOWN, 3.0)
+    )
+    assert find_suspects(worker) == [0, 1]
+
+
+def test_runs_that_cannot_have_begun_are_left_out():
+    worker = create_crashed_worker(
+        not_sent=(RunPhase.STARTING, None),
+        sent_after_the_crash=(RunPhase.STARTING, -0.05),
+        blocked=(RunPhase.BLOCKED, 0.1),
+    )
+    assert list_crashed_runs(worker, NOW + 0.1) == ()
+
+
+@pytest.mark.parametrize("reason", RemovalReason)
+def test_planned_ends_are_no_crashes(reason):
+    worker = create_crashed_worker()
+    assert has_crashed(worker, reason) is (reason is not RemovalReason.LEASE_EXPIRED)
+    worker.is_leaving = True
+    assert not has_crashed(worker, reason)
+
+
+def test_crash_is_logged_with_its_evidence_and_suspects(caplog):
+    simulation = CrashSimulation(deadly=lambda task: True)
+    simulation.run(0.1)
+    simulation.submit(create_spec())
+    with caplog.at_level(logging.INFO, "bluebellyoke.dispatch"):
+        simulation.run(0.3)
+    (line, *_) = [
+        x for x in caplog.records if x.message == "dispatch: a worker crashed"
+    ]
+    assert line.evidence == "its process has ended"
+    assert [suspect[:5] for suspect in line.suspects] == [
+        ["0000000000000001", 0, 0, 0, 1]
+    ]
+    counted = simulation.calls.metrics.render()
+    assert 'worker_crashes_total{outcome="process_ended"} 1' in counted
--- /dev/null
+++ b/tests/dispatch/test_crashes.py
@@ -0,0 +1,196 @@
+"""Tests of tasks that crash their workers."""
+
+from bluebellyoke.workflow import commands as workflow_commands
+from tests.dispatch.crashing import CrashSimulation
+from tests.workflow.factories import create_spec, create_step
+
+#: Crashes of workers after which a task may not be started three times more.
+MAX_CRASHES = 3
+
+
+def number_id(number):
+    return f"{number:016x}"
+
+
+def is_deadly(task):
+    """Return whether a task is the first one of the workflow with the ID 1."""
+    return task.workflow == number_id(1) and task.index == 0
+
+
+def create_cell(**options):
+    """Return a cell whose workers have responded to a first poll."""
+    simulation = CrashSimulation(**{"deadly": is_deadly, **options})
+    simulation.run(0.1)
+    return simulation
+
+
+def get_states(simulation):
+    return {name: item.state for name, item in simulation.store.workflows.items()}
+
+
+def check_deadly_task(simulation, *names):
+    """Check that the workflow 1 failed before its task took many workers down."""
+    assert get_states(simulation)[number_id(1)] == "failed"
+    for name in names:
+        assert simulation.crashes[name] <= MAX_CRASHES
+        assert simulation.starts[name] <= MAX_CRASHES
+
+
+# Guards against one task that crashes worker after worker: a run that was lost with its
+# worker counted nowhere, so the task was started for ever.
+def test_task_that_crashes_its_workers_is_given_up():
+    simulation = create_cell()
+    simulation.submit(create_spec(number_id(1)))
+    simulation.run(30)
+    check_deadly_task(simulation, *simulation.crashes)
+
+
+# Guards against the loss of a job that did nothing but share a worker with a task that
+# crashes its workers.
+def test_innocent_tasks_beside_a_deadly_one_are_done():
+    simulation = create_cell()
+    for number in range(1, 13):
+        simulation.submit(create_spec(number_id(number)))
+    simulation.run(30)
+    states = get_states(simulation)
+    assert states.pop(number_id(1)) == "failed"
+    assert set(states.values()) == {"completed"}
+    assert len(simulation.crashed_at) <= MAX_CRASHES
+
+
+# Guards against blame of the tasks that have run beside others for long: they are lost
+# with several workers before the task that crashes them is known.
+def test_long_task_that_shares_crashed_workers_is_done():
+    simulation = create_cell(workers=2, task_s=6.0, deadly=lambda task: task.step == 1)
+    steps = [create_step(1, cpu=100), create_step(1, cpu=100, depends_on=(0,))]
+    for number in range(1, 4):
+        simulation.submit(create_spec(number_id(number), steps))
+    simulation.run(4)
+    simulation.submit(create_spec(number_id(9)))
+    simulation.run(90)
+    states = get_states(simulation)
+    assert states.pop(number_id(9)) == "completed"
+    assert set(states.values()) == {"failed"}
+
+
+# Guards against a task that crashes its worker only after some seconds, beside younger
+# ones that are innocent.
+def test_task_that_crashes_its_workers_late_is_given_up():
+    simulation = create_cell(crash_after_s=4.0)
+    simulation.submit(create_spec(number_id(1)))
+    numbers = iter(range(2, 10_000))
+
+    def submit_short_one():
+        if next(numbers) % 20 == 0:
+            simulation.submit(create_spec(number_id(next(numbers))))
+
+    simulation.run(60, submit_short_one)
+    check_deadly_task(simulation, *filter(is_deadly, simulation.crashes))
+    states = get_states(simulation)
+    assert "failed" not in [states[x] for x in states if x != number_id(1)]
+
+
+# Guards against a gang that takes several workers down in each of its runs.
+def test_gang_that_crashes_its_workers_is_given_up():
+    def is_gang_deadly(task):
+        gang = [x for x in simulation.began_at if x[1][0].workflow == number_id(1)]
+        return is_deadly(task) and len(gang) >= 8
+
+    simulation = create_cell(workers=8)
+    simulation.deadly = is_gang_deadly
+    simulation.submit(create_spec(number_id(1), [create_step(8, cpu=2000, gang=True)]))
+    for number in range(2, 10):
+        simulation.submit(create_spec(number_id(number)))
+    simulation.run(40)
+    check_deadly_task(simulation, *filter(is_deadly, simulation.crashes))
+    states = get_states(simulation)
+    assert [states[number_id(x)] for x in range(2, 10)] == ["completed"] * 8
+
+
+# Guards against crashes that are counted twice or forgotten: a new leader takes over at
+# each of them, with a state read from a snapshot.
+def test_crashes_are_counted_once_across_changes_of_leader():
+    simulation = create_cell()
+    simulation.submit(create_spec(number_id(1)))
+    seen = 0
+
+    def change_leader_after_crash():
+        nonlocal seen
+        if len(simulation.crashed_at) > seen:
+            seen = len(simulation.crashed_at)
+            simulation.change_leader_and_restore()
+
+    simulation.run(60, change_leader_after_crash)
+    check_deadly_task(simulation, *simulation.crashes)
+    assert len(simulation.crashed_at) >= 2
+
+
+# Guards against blame without proof: a worker whose lease expired may run behind a
+# partition.
+def test_expired_leases_are_no_crashes():
+    simulation = create_cell(deadly=lambda task: False, task_s=60.0)
+    simulation.submit(create_spec(number_id(1)))
+    for _ in range(4):
+        simulation.run(1)
+        task = simulation.store.workflows[number_id(1)].find_task(
+            workflow_commands.TaskName(number_id(1), 0, 0, 0)
+        )
+        simulation.has_power = False
+        simulation.crash(task.worker)
+        simulation.down_until[task.worker] = simulation.now + 100
+        simulation.run(9)
+    assert get_states(simulation)[number_id(1)] == "running"
+    assert sum(simulation.starts.values()) >= 4
+
+
+# Guards against a service that is given up for the crashes that others caused.
+def test_long_running_task_survives_crashes_that_others_cause():
+    simulation = create_cell(workers=2, task_s=1e9)
+    service = create_step(4, cpu=500, long_running=True)
+    simulation.submit(create_spec(number_id(100), [service]))
+    for number in range(4):
+        simulation.deadly = lambda task: task.workflow != number_id(100)
+        simulation.run(3)
+        simulation.submit(create_spec(number_id(number + 1)))
+        simulation.run(12)
+    states = get_states(simulation)
+    assert states.pop(number_id(100)) == "running"
+    assert set(states.values()) == {"failed"}
+    running = [task for x in simulation.workers.values() for task, _ in x.runs]
+    assert len(running) == 4
+
+
+# Guards against many tasks that each crash two workers: the others have to keep most of
+# the cell.
+def test_many_deadly_tasks_leave_most_workers_to_the_others():
+    simulation = create_cell(
+        workers=24, deadly=lambda task: int(task.workflow, 16) % 5 == 0
+    )
+    numbers = iter(range(1, 10_000))
+    down = []
+
+    def submit():
+        number = next(numbers)
+        if number % 10 == 0 and number <= 1000:
+            simulation.submit(create_spec(number_id(number // 10)))
+        down.append(len(simulation.down_until))
+
+    simulation.run(60, submit)
+    states = get_states(simulation)
+    innocent = [x for x in states if int(x, 16) % 5]
+    assert {states[x] for x in innocent} == {"completed"}
+    assert {states[x] for x in states if x not in innocent} == {"failed"}
+    assert max(down) <= 12
+
+
+# Guards against blame of a worker's tasks for crashes that none of them causes.
+def test_workers_that_crash_by_themselves_fail_no_workflow():
+    simulation = create_cell(deadly=lambda task: False, task_s=2.0)
+    for number in range(1, 13):
+        simulation.submit(create_spec(number_id(number)))
+    for name in ("w1", "w2", "w3", "w1", "w2"):
+        simulation.run(3.7)
+        if name not in simulation.down_until:
+            simulation.crash(name)
+    simulation.run(30)
+    assert set(get_states(simulation).values()) == {"completed"}
