Run suspects of a crash apart, and fail the job under which workers crash again

Change: the replicated state keeps the crashes that a task was in, once for each incarnation of a worker that is removed with proof of its end. Runs that were young at a crash are suspects; they start on workers that are set apart, where no other run is young, and which get no other task until the suspect has outlived its crashes. A further crash there has one possible cause, whose job fails; the others are cleared of its crashes. Tasks that were not young count only where all young ones are cleared. A workflow whose runs never began, or were lost, waits again and is counted so.

--- a/src/bluebellyoke/dispatch/context.py
+++ b/src/bluebellyoke/dispatch/context.py
@@ -6,6 +6,7 @@
 from bluebellyoke.dispatch.advice import AdviceManager
 from bluebellyoke.dispatch.backlog import BacklogEstimator
 from bluebellyoke.dispatch.calls import WorkerCalls
+from bluebellyoke.dispatch.isolation import CrashPauses, compute_probation
 from bluebellyoke.dispatch.workers import LeaseTimes, TrackedWorker
 from bluebellyoke.leader.sessions import ProposalQueue
 from bluebellyoke.metrics import Metrics
@@ -24,6 +25,7 @@
         calls: Background calls to the workers.
         times: Durations of the workers' leases.
         advice: Advice on which workers may run a step.
+        pauses: Crashes that suspects have caused.
         backlog: Estimate of when refused callers may retry.
         store: Replicated state.
         workers: Workers as this leader sees them, by ID.
@@ -38,6 +40,7 @@
     calls: WorkerCalls
     times: LeaseTimes
     advice: AdviceManager = field(default_factory=AdviceManager)
+    pauses: CrashPauses = field(default_factory=CrashPauses)
     backlog: BacklogEstimator = field(default_factory=BacklogEstimator)
     store: WorkflowStore = field(default_factory=WorkflowStore)
     workers: dict[str, TrackedWorker] = field(default_factory=dict)
@@ -56,6 +59,11 @@
         step = self._find_step(key)
         return Resources() if step.backfill else step.need
 
+    def find_probation(self, key: RunKey) -> float:
+        """Return the time for which a suspect has to run, in seconds, else 0."""
+        name = self.store.get_group_name(key[0])
+        return compute_probation(self.store.crashes.find_suspect(name))
+
     def find_estimate(self, key: RunKey) -> float:
         """Return the expected duration of a run in seconds, or 0 if it is unknown.
 
--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -72,7 +72,7 @@
         prober = WorkerProber(context)
         self._stopper = RunStopper(context, prober=prober)
         self._recorder = RunEndRecorder(context, self._stopper)
-        self._registry = WorkerRegistry(context, self._stopper)
+        self._registry = WorkerRegistry(context, self._stopper, self._recorder)
         self._starter = RunStarter(
             context, stopper=self._stopper, recorder=self._recorder, prober=prober
         )
@@ -126,14 +126,14 @@
         """Poll workers, plan runs and drop old records as they become due."""
         self._context.metrics.record_tick_interval(now - self._ticked_at)
         self._ticked_at = self._context.now = now
-        self._poll_workers(now)
+        self._poll_workers(now, wall_time)
         if now >= self._cleanup_due:
             self._cleanup_due = now + CLEANUP_INTERVAL_S
             self._drop_old_records(wall_time)
         self._plan_if_due(now, wall_time)
         self.advice.tick(now)
 
-    def _poll_workers(self, now: float) -> None:
+    def _poll_workers(self, now: float, wall_time: float) -> None:
         """Send due polls: to all workers once a round, to due workers in each tick."""
         context = self._context
         names = tuple(context.due_workers)
@@ -144,7 +144,7 @@
         for name in names:
             worker = context.workers.get(name)
             if worker is not None:
-                self._poller.poll_if_due(worker, now)
+                self._poller.poll_if_due(worker, now, wall_time)
 
     def _plan_if_due(self, now: float, wall_time: float) -> None:
         due = self._plan_due
--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -1,7 +1,8 @@
 """Planning rounds, which select the waiting tasks to start and their workers.
 
 Steps are planned by priority and age. A gang that does not fit yet reserves workers, so
-that smaller tasks behind it do not delay its start forever.
+that smaller tasks behind it do not delay its start forever. Tasks that may crash their
+workers are planned first, on workers that the others do not get meanwhile.
 """
 
 from collections.abc import Collection
@@ -13,6 +14,7 @@
     StepKey,
     WorkerKey,
 )
+from bluebellyoke.dispatch.isolation import CrashPauses, Isolation
 from bluebellyoke.dispatch.placement import (
     Candidate,
     CandidateQueue,
@@ -25,7 +27,7 @@
     WaitReason,
 )
 from bluebellyoke.dispatch.selection import order_by_room
-from bluebellyoke.dispatch.waiting import NextStep, WaitingStep, WaitingSteps
+from bluebellyoke.dispatch.waiting import NextStep, Suspect, WaitingStep, WaitingSteps
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.commands import RunStart, TaskName
 from bluebellyoke.workflow.specs import StepSpec
@@ -49,6 +51,9 @@
 #: Number of starts after which a round plans no further step.
 MAX_STARTS_PER_ROUND = 400
 
+#: Reasons of waiting that a lack of workers causes.
+_WORKER_REASONS = {WaitReason.NO_WORKER, WaitReason.NO_ROOM}
+
 
 class Planner:
     """Plans starts from the store, the workers and the advice.
@@ -57,8 +62,12 @@
         wait_reasons: Why each step waits for which the last round started nothing.
     """
 
-    def __init__(self, advice: AdviceManager) -> None:
+    def __init__(
+        self, advice: AdviceManager, pauses: CrashPauses | None = None
+    ) -> None:
         self._advice = advice
+        self._pauses = pauses or CrashPauses()
+        self._isolated: frozenset[str] = frozenset()
         self._steps = WaitingSteps()
         self._paused_until: dict[StepKey, float] = {}
         self.wait_reasons: dict[StepKey, WaitReason] = {}
@@ -67,6 +76,7 @@
         """Forget what is known of the store, whose changes may have been missed."""
         self._steps = WaitingSteps()
         self._paused_until.clear()
+        self._isolated = frozenset()
         self.wait_reasons = {}
 
     def pause(self, step: StepKey, now: float) -> None:
@@ -89,6 +99,7 @@
         self._paused_until = {
             step: until for step, until in self._paused_until.items() if now < until
         }
+        self._plan_suspects(store, planning)
         head_steps = 0
         for step in waiting:
             if len(planning.starts) >= MAX_STARTS_PER_ROUND:
@@ -109,6 +120,73 @@
             pool = store.find_pool(step.workflow)
             self._request_missing_advice(step, pool, planning)
 
+    # Suspects.
+
+    def _plan_suspects(self, store: WorkflowStore, planning: PlanningRound) -> None:
+        """Start tasks that may crash their workers, and set workers apart for them."""
+        isolation = Isolation(
+            now=planning.now,
+            workers=planning.workers,
+            pauses=self._pauses,
+            previous=self._isolated,
+            has_backlog=not _WORKER_REASONS.isdisjoint(self.wait_reasons.values()),
+        )
+        for suspect in self._steps.list_suspects():
+            if isolation.is_full:
+                break
+            if suspect.step.key not in self._paused_until:
+                self._plan_suspect(store, suspect, planning, isolation)
+        self._isolated = frozenset(isolation.chosen)
+        planning.isolated = isolation.chosen
+
+    def _plan_suspect(
+        self,
+        store: WorkflowStore,
+        suspect: Suspect,
+        planning: PlanningRound,
+        isolation: Isolation,
+    ) -> None:
+        step = suspect.step
+        pool, label = store.find_pool(step.workflow), step.spec.required_label
+        advice = None
+        workers = planning.list_workers(pool, label)
+        if step.queue is not None and step.queue.advisor is not None:
+            advice = self._advice.get_step_advice(step.key)
+            self._renew_tickets(step, advice, planning.now)
+            workers = planning.list_allowed(pool, label, advice)
+        reason = self._start_suspect(suspect, workers, planning, isolation, advice)
+        if reason is not None:
+            planning.wait_reasons[step.key] = reason
+        if reason is not None and advice is not None:
+            self._request_missing_advice(step, pool, planning)
+
+    def _start_suspect(
+        self,
+        suspect: Suspect,
+        workers: list[TrackedWorker],
+        planning: PlanningRound,
+        isolation: Isolation,
+        advice: StepAdvice | None,
+    ) -> WaitReason | None:
+        """Start one suspect, or a gang; return why it waits, or None."""
+        step, indexes = suspect.step, suspect.indexes
+        ordered = isolation.order(workers)
+        candidates = self._collect_candidates(step, ordered, planning)
+        chosen = _choose_few_workers(step.spec, len(indexes), candidates)
+        if chosen is None:
+            return WaitReason.NO_ROOM if workers else WaitReason.NO_WORKER
+        used = [planning.workers[x] for x in {item.worker: None for item in chosen}]
+        if not isolation.take(used) or not all(map(isolation.is_quiet, used)):
+            return WaitReason.SUSPECT
+        if not _have_tickets(advice, [x.spec.key for x in used], planning.now):
+            self._replace_expired_tickets(step, planning.now)
+            return WaitReason.NO_TICKET
+        run = 1 + max(_get_tasks(step)[index].run for index in indexes)
+        for index, candidate in zip(indexes, chosen, strict=True):
+            worker_key = planning.workers[candidate.worker].spec.key
+            self._add_start(step, index, run, worker_key, planning, advice)
+        return None
+
     # One step.
 
     def _plan_step(
@@ -185,6 +263,8 @@
         is_short = 0 < step.spec.estimate_ms < SHORT_TASK_MS
         candidates = []
         for worker in workers:
+            if worker.spec.id in planning.isolated:
+                continue
             candidate = planning.find_candidate(worker)
             if step.spec.max_per_worker:
                 candidate.step_runs = _count_step_runs(worker, step.key)
@@ -325,6 +405,27 @@
             planning.reserved.add(name)
 
 
+def _choose_few_workers(
+    spec: StepSpec, count: int, candidates: list[Candidate]
+) -> list[Candidate] | None:
+    """Return the workers for some tasks, among the first ones that they fit on.
+
+    Args:
+        count: Number of tasks: all of a gang, or one.
+        candidates: Workers, the best first.
+    """
+    fitting = [x for x in candidates if count_allowed(spec, x, x.free)]
+    if count == 1:
+        return fitting[:1] or None
+    size = 1
+    while fitting:
+        chosen = select_gang_workers(spec, fitting[:size])
+        if chosen is not None or size >= len(fitting):
+            return chosen
+        size *= 2
+    return None
+
+
 def _can_ever_fit(spec: StepSpec, planning: PlanningRound) -> bool:
     """Return whether a task of a step may fit on an idle worker."""
     return spec.backfill or spec.need.fits_in(planning.get_max_capacity())
--- a/src/bluebellyoke/dispatch/planning_round.py
+++ b/src/bluebellyoke/dispatch/planning_round.py
@@ -1,6 +1,7 @@
 """One round of planning, and why it starts nothing for a step."""
 
 import enum
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from bluebellyoke.cell.resources import Resources
@@ -23,6 +24,8 @@
         NO_ROOM: Its tasks fit on no worker that it may use.
         RESERVED: The same, and gangs have reserved some of these workers.
         NO_TICKET: The ticket for a worker with room has expired.
+        SUSPECT: It may crash its worker, and has to wait for one of those that are set
+            apart from the other tasks.
         REFUSED: A worker has just refused it as malformed.
     """
 
@@ -30,6 +33,7 @@
     NO_ROOM = "no-room"
     RESERVED = "reserved"
     NO_TICKET = "no-ticket"
+    SUSPECT = "suspect"
     REFUSED = "refused"
 
 
@@ -51,6 +55,7 @@
     Attributes:
         workers: All workers, by ID.
         reserved: IDs of workers that gangs have reserved.
+        isolated: IDs of workers that are set apart for suspects.
         reserving: Number of gangs that have reserved workers.
         starts: Starts that are planned so far.
         wait_reasons: Why each step that got no start waits.
@@ -59,6 +64,7 @@
     now: float
     workers: dict[str, TrackedWorker]
     reserved: set[str] = field(default_factory=set)
+    isolated: Collection[str] = ()
     reserving: int = 0
     starts: list[PlannedStart] = field(default_factory=list)
     wait_reasons: dict[StepKey, WaitReason] = field(default_factory=dict)
--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -65,7 +65,7 @@
         self._registry = registry
         self._prober = prober
 
-    def poll_if_due(self, worker: TrackedWorker, now: float) -> None:
+    def poll_if_due(self, worker: TrackedWorker, now: float, wall_time: float) -> None:
         """Send a poll or probe that is due; remove a worker whose lease has expired."""
         if not worker.is_polling and now >= worker.poll_due:
             self._send_poll(worker, now)
@@ -79,7 +79,7 @@
             and worker.failures
             and worker.has_lease_expired(now, self._context.times)
         ):
-            self._registry.remove(worker, RemovalReason.LEASE_EXPIRED)
+            self._registry.remove(worker, RemovalReason.LEASE_EXPIRED, wall_time)
 
     def _send_poll(self, worker: TrackedWorker, now: float) -> None:
         """Send a poll, which renews the lease unless the previous poll failed.
@@ -111,10 +111,10 @@
         if report is None:
             self._finish_poll(worker, event)
             if not event.is_probe:
-                self._handle_failed_poll(worker, event, now)
+                self._handle_failed_poll(worker, event, now, wall_time)
             return
         if report.incarnation and report.incarnation != worker.spec.incarnation:
-            self._registry.remove(worker, RemovalReason.REPLACED)
+            self._registry.remove(worker, RemovalReason.REPLACED, wall_time)
             return
         if worker.failures or not worker.has_responded or worker.has_unanswered_start:
             logger.info(
@@ -127,6 +127,7 @@
         worker.last_response_at = worker.lost_at = now
         worker.record_clock(report.clock_ms, now)
         self._check_running(worker, report, now)
+        self._clear_suspects(worker, report, now)
         worker.schedule_probe(now)
         self._update_stall(worker, report, now)
         ends = self._collect_ends(worker, report)
@@ -137,6 +138,22 @@
         )
         self._record_ends(worker, ends, last_end, event, wall_time)
 
+    def _clear_suspects(
+        self, worker: TrackedWorker, report: StatusReport, now: float
+    ) -> None:
+        listed = {(item.task, item.run) for item in report.running}
+        for task, run in worker.clear_suspects(listed, now):
+            self._context.needs_planning = True
+            logger.info(
+                "dispatch: a suspect outlived its crashes",
+                extra={
+                    "job": task.workflow,
+                    "task": [task.repetition, task.step, task.index],
+                    "run": run,
+                    "worker": worker.spec.id,
+                },
+            )
+
     def _update_stall(
         self, worker: TrackedWorker, report: StatusReport, now: float
     ) -> None:
@@ -163,7 +180,7 @@
             self._context.due_workers.add(worker.spec.id)
 
     def _handle_failed_poll(
-        self, worker: TrackedWorker, event: PollFinished, now: float
+        self, worker: TrackedWorker, event: PollFinished, now: float, wall_time: float
     ) -> None:
         if (
             isinstance(event.error, NoAnswerError)
@@ -183,11 +200,11 @@
         worker.poll_due = now + delay_s
         error = event.error
         if isinstance(error, OtherLifeError):
-            self._registry.remove(worker, RemovalReason.REPLACED)
+            self._registry.remove(worker, RemovalReason.REPLACED, wall_time)
         elif isinstance(error, NotReachedError) and error.refused:
             has_ended = worker.failures >= REFUSALS_BEFORE_REMOVAL or worker.is_leaving
             if has_ended:
-                self._registry.remove(worker, RemovalReason.PROCESS_ENDED)
+                self._registry.remove(worker, RemovalReason.PROCESS_ENDED, wall_time)
 
     def _check_running(
         self, worker: TrackedWorker, report: StatusReport, now: float
--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -6,10 +6,11 @@
 from bluebellyoke.cell.result import Result
 from bluebellyoke.dispatch import crashes
 from bluebellyoke.dispatch.context import DispatchContext
-from bluebellyoke.dispatch.run_ends import log_run_end
+from bluebellyoke.dispatch.run_ends import RunEndRecorder, log_run_end
 from bluebellyoke.dispatch.stops import RunStopper
 from bluebellyoke.dispatch.workers import RemovalReason, RunPhase, TrackedWorker
 from bluebellyoke.workflow import commands as workflow_commands
+from bluebellyoke.workflow.commands import CrashedRun
 from bluebellyoke.workflow.specs import WorkerSpec
 
 __all__ = ["WorkerRegistry"]
@@ -30,16 +31,21 @@
     Args:
         context: Shared state of the dispatcher.
         stopper: Sends stops of runs.
+        recorder: Ends the workflows that have failed.
     """
 
-    def __init__(self, context: DispatchContext, stopper: RunStopper) -> None:
+    def __init__(
+        self, context: DispatchContext, stopper: RunStopper, recorder: RunEndRecorder
+    ) -> None:
         self._context = context
         self._stopper = stopper
+        self._recorder = recorder
         self._removing: set[tuple[str, int]] = set()
 
     def clear(self) -> None:
         """Drop all tracked workers."""
         self._context.workers.clear()
+        self._context.pauses.clear()
         self._removing.clear()
 
     def register(
@@ -60,6 +66,9 @@
         if known == spec or is_draining:
             reply(Result(accepted=True, code="known"))
             return
+        tracked = self._context.workers.get(spec.id)
+        if tracked is not None and tracked.spec.incarnation < spec.incarnation:
+            self.remove(tracked, RemovalReason.REPLACED, wall_time)
 
         def finish(result: Result) -> None:
             logger.info(
@@ -122,9 +131,17 @@
                 spec, now, last_response_at=now, lost_at=now
             )
             for key in self._context.store.runs.get(spec.key, ()):
-                worker.add_run(key, self._context.find_need(key), RunPhase.UNKNOWN, now)
-
-    def remove(self, worker: TrackedWorker, reason: RemovalReason) -> None:
+                worker.add_run(
+                    key,
+                    self._context.find_need(key),
+                    RunPhase.UNKNOWN,
+                    now,
+                    probation_s=self._context.find_probation(key),
+                )
+
+    def remove(
+        self, worker: TrackedWorker, reason: RemovalReason, wall_time: float
+    ) -> None:
         """Commit the removal of a worker, which ends its runs as lost."""
         worker_key = worker.spec.key
         if worker_key in self._removing:
@@ -141,24 +158,36 @@
             },
         )
 
+        crashed_runs: tuple[CrashedRun, ...] = ()
         if crashes.has_crashed(worker, reason):
-            self._record_crash(worker, reason)
+            crashed_runs = self._describe_crash(worker, reason)
 
         def finish(result: Result) -> None:
             self._removing.discard(worker_key)
             for key in worker.runs:
                 log_run_end(key, worker_key[0], LOST)
             self.sync_workers(self._context.now)
+            for name in result.detail.get("failed", "").split():
+                self._recorder.finish_workflow(self._context.store.workflows[name])
             self._stopper.stop_incomplete_gangs(name for name, _ in worker.runs)
 
         self._context.proposals.add(
             workflow_commands.RemoveWorker(
-                worker=worker_key[0], incarnation=worker_key[1]
+                time=wall_time,
+                worker=worker_key[0],
+                incarnation=worker_key[1],
+                crashed_runs=crashed_runs,
             ),
             finish,
         )
 
-    def _record_crash(self, worker: TrackedWorker, reason: RemovalReason) -> None:
+    def _describe_crash(
+        self, worker: TrackedWorker, reason: RemovalReason
+    ) -> tuple[CrashedRun, ...]:
+        """Log a crash and return the runs that it has ended."""
         self._context.metrics.record_worker_crash(reason.name.lower())
+        if worker.suspects:
+            self._context.pauses.record_crash(worker.spec.pool, self._context.now)
         runs = crashes.list_crashed_runs(worker, self._context.now)
         crashes.log_crash(worker, reason, runs)
+        return runs
--- a/src/bluebellyoke/dispatch/run_ends.py
+++ b/src/bluebellyoke/dispatch/run_ends.py
@@ -79,13 +79,17 @@
             # A start that is planned but not committed keeps its resources.
             if worker.runs[key].phase is not RunPhase.STARTING:
                 worker.drop_run(key)
-        for name, workflow in workflows.items():
+        for workflow in workflows.values():
             if workflow.outcome:
-                self._context.advice.drop_workflow(name)
-                self._log_outcome(workflow)
-                self._stopper.stop_workflow_runs(workflow)
+                self.finish_workflow(workflow)
         self._stopper.stop_incomplete_gangs(end.task for end in ends)
 
+    def finish_workflow(self, workflow: Workflow) -> None:
+        """Log the end of a workflow, drop its advice and stop its other runs."""
+        self._context.advice.drop_workflow(workflow.spec.id)
+        self._log_outcome(workflow)
+        self._stopper.stop_workflow_runs(workflow)
+
     def _log_outcome(self, workflow: Workflow) -> None:
         took = workflow.finished_at - workflow.submitted_at
         self._context.metrics.record_workflow(workflow.outcome, took)
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -56,7 +56,7 @@
         self._stopper = stopper
         self._recorder = recorder
         self._prober = prober
-        self._planner = Planner(context.advice)
+        self._planner = Planner(context.advice, context.pauses)
         self._waits = WaitReporter(context.advice, context.metrics)
         self.is_pending = False
 
@@ -85,6 +85,7 @@
                 RunPhase.STARTING,
                 now,
                 self._context.find_estimate(key),
+                self._context.find_probation(key),
             )
         starts = tuple(item.start for item in planned)
         self._context.proposals.add(
--- a/src/bluebellyoke/dispatch/waiting.py
+++ b/src/bluebellyoke/dispatch/waiting.py
@@ -8,11 +8,12 @@
 from dataclasses import dataclass
 
 from bluebellyoke.dispatch.advice import StepKey
+from bluebellyoke.workflow.commands import TaskName
 from bluebellyoke.workflow.specs import QueueSpec, StepSpec
 from bluebellyoke.workflow.store import WorkflowStore
 from bluebellyoke.workflow.workflow import Repetition, TaskState, Workflow
 
-__all__ = ["NextStep", "WaitingStep", "WaitingSteps"]
+__all__ = ["NextStep", "Suspect", "WaitingStep", "WaitingSteps"]
 
 
 @dataclass(slots=True)
@@ -32,6 +33,20 @@
     rank: tuple
 
 
+@dataclass(frozen=True, slots=True)
+class Suspect:
+    """A waiting task, or a gang, that may crash its workers.
+
+    Attributes:
+        indexes: Indexes of the task, or of all tasks of the gang.
+        suspicion: Estimated probability that it does.
+    """
+
+    step: WaitingStep
+    indexes: list[int]
+    suspicion: float
+
+
 @dataclass(frozen=True, slots=True)
 class NextStep:
     """A step that can begin once the placed tasks before it have ended."""
@@ -53,6 +68,8 @@
         self._next: dict[str, list[NextStep]] = {}
         self._repeating: set[str] = set()
         self._ordered: list[WaitingStep] = []
+        self._suspects: dict[str, list[Suspect]] = {}
+        self._ordered_suspects: list[Suspect] = []
 
     def update(self, store: WorkflowStore, wall_time: float) -> None:
         """Take over the changes of the store since the last update."""
@@ -71,11 +88,20 @@
             self._update_workflow(store, workflow_id, wall_time)
         steps = [step for steps in self._waiting.values() for step in steps]
         self._ordered = sorted(steps, key=lambda step: step.rank)
+        suspects = [item for items in self._suspects.values() for item in items]
+        self._ordered_suspects = sorted(suspects, key=_rank_suspect)
 
     def list_waiting(self) -> list[WaitingStep]:
         """Return the steps with waiting tasks, in the order of their rank."""
         return self._ordered
 
+    def list_suspects(self) -> list[Suspect]:
+        """Return the waiting suspects, the least suspicious first.
+
+        These are done soonest and take no worker down.
+        """
+        return self._ordered_suspects
+
     def iter_next(self) -> Iterator[NextStep]:
         """Yield the steps that can begin once the placed tasks have ended."""
         for steps in self._next.values():
@@ -86,12 +112,15 @@
         self._next.clear()
         self._repeating.clear()
         self._ordered = []
+        self._suspects.clear()
+        self._ordered_suspects = []
 
     def _update_workflow(
         self, store: WorkflowStore, workflow_id: str, wall_time: float
     ) -> None:
         self._waiting.pop(workflow_id, None)
         self._next.pop(workflow_id, None)
+        self._suspects.pop(workflow_id, None)
         self._repeating.discard(workflow_id)
         workflow = store.active.get(workflow_id)
         if workflow is None or workflow.outcome:
@@ -100,6 +129,10 @@
             self._repeating.add(workflow_id)
         queue = store.get_queue(workflow.spec.queue)
         waiting = list(_find_waiting(workflow, queue, wall_time))
+        if store.crashes.has_workflow(workflow_id):
+            suspects = [x for step in waiting for x in _take_suspects(store, step)]
+            self._suspects[workflow_id] = suspects
+            waiting = [step for step in waiting if step.indexes]
         if waiting:
             self._waiting[workflow_id] = waiting
         following = list(_find_next(workflow, queue))
@@ -115,6 +148,17 @@
         yield from _find_waiting_steps(workflow, queue, number, rank)
 
 
+def _take_suspects(store: WorkflowStore, step: WaitingStep) -> Iterator[Suspect]:
+    """Remove the suspects from the waiting tasks of a step, and yield them."""
+    groups = [step.indexes] if step.spec.gang else [[x] for x in step.indexes]
+    for indexes in groups:
+        name = store.get_group_name(TaskName(*step.key, indexes[0]))
+        crashes = store.crashes.find_suspect(name)
+        if crashes is not None:
+            step.indexes = [x for x in step.indexes if x not in indexes]
+            yield Suspect(step, indexes, crashes.suspicion)
+
+
 def _find_due_repetitions(workflow: Workflow, wall_time: float) -> Iterator[int]:
     """Yield the repetitions that are due and not done."""
     spec = workflow.spec
@@ -163,6 +207,10 @@
     return priority, workflow.submitted_at, workflow.spec.id
 
 
+def _rank_suspect(suspect: Suspect) -> tuple:
+    return suspect.suspicion, suspect.step.rank, suspect.step.key, suspect.indexes
+
+
 def _is_next(repetition: Repetition, spec: StepSpec) -> bool:
     """Return whether all tasks that a step depends on are placed or done."""
     return all(
--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -34,6 +34,9 @@
 #: seconds. A probe costs about as much as a poll.
 PROBE_INTERVAL_S = 0.3
 
+#: The same for a suspect, whose worker gets no other task meanwhile, in seconds.
+SUSPECT_PROBE_INTERVAL_S = 0.05
+
 #: A run is stalled once its percentage has not changed for this time, in seconds, and
 #: for the time that it took on average for this many percent so far.
 MIN_STALL_S = 0.7
@@ -101,6 +104,8 @@
         need: Resources that the run takes up.
         phase_since: Time of the last change of the phase.
         sent_at: Time at which this leader sent the start, or None if it has not.
+        probation_s: Time for which it has to run before it is cleared of the crashes
+            that it was in, in seconds; 0 if it is not a suspect.
         expected_end_at: Time at which the run is expected to end.
         baseline_at: Time at which `baseline_percent` of its work was done, if known.
         progressed_at: Time at which the worker first reported `percent`.
@@ -111,6 +116,7 @@
     phase: RunPhase
     phase_since: float
     sent_at: float | None = None
+    probation_s: float = 0.0
     expected_end_at: float = math.inf
     baseline_at: float | None = None
     baseline_percent: int = 0
@@ -127,6 +133,14 @@
             rate = (percent - self.baseline_percent) / (now - self.baseline_at)
             self.expected_end_at = now + (COMPLETE_PERCENT - percent) / rate
 
+    @property
+    def probation_end(self) -> float:
+        """Time from which a report that lists it clears it, or infinity."""
+        if not self.probation_s:
+            return math.inf
+        begun_at = self.phase_since if self.sent_at is None else self.sent_at
+        return begun_at + self.probation_s
+
     @property
     def has_progressed(self) -> bool:
         """Whether it has made progress, so that its rate is known, but is not complete.
@@ -179,6 +193,9 @@
         quarantines: Number of quarantines since a run was last done; while it is not 0
             the worker gets tasks only while it has no runs.
         runs: Assigned runs that may take up resources.
+        suspects: Those of them that may crash the worker; it gets no new task until
+            they have been cleared.
+        started_at: Time at which a run was last added.
         unassigned_runs: Runs that the worker lists but that are not assigned to it,
             with the time at which a stop was last sent.
         allocated: Resources that the runs take up.
@@ -206,6 +223,8 @@
     failed_workflows: set[str] = field(default_factory=set)
     quarantines: int = 0
     runs: dict[RunKey, TrackedRun] = field(default_factory=dict)
+    suspects: set[RunKey] = field(default_factory=set)
+    started_at: float = 0.0
     unassigned_runs: dict[RunKey, float] = field(default_factory=dict)
     allocated: Resources = field(default_factory=Resources)
 
@@ -226,32 +245,56 @@
         phase: RunPhase,
         now: float,
         estimate_s: float = 0.0,
+        probation_s: float = 0.0,
     ) -> None:
         """Allocate resources to a run.
 
         Args:
             estimate_s: Expected duration of a run that begins without a checkpoint, in
                 seconds, or 0 if it is unknown.
+            probation_s: Time for which a suspect has to run, in seconds, or 0.
         """
         if key in self.runs:
             return
-        run = self.runs[key] = TrackedRun(need, phase, now)
+        run = self.runs[key] = TrackedRun(need, phase, now, probation_s=probation_s)
         self.allocated = self.allocated + need
+        self.started_at = now
+        if probation_s:
+            self.suspects.add(key)
         if estimate_s:
             run.baseline_at = now
             run.expected_end_at = now + estimate_s * ESTIMATE_FACTOR
-            self.probe_due = min(self.probe_due, run.expected_end_at + OVERDUE_MARGIN_S)
+        self.probe_due = min(
+            self.probe_due, run.expected_end_at + OVERDUE_MARGIN_S, run.probation_end
+        )
 
     def has_overdue_run(self, now: float) -> bool:
-        """Return whether a run is past its expected end by more than the margin."""
-        return now >= self._find_earliest_end() + OVERDUE_MARGIN_S
+        """Return whether a run should have ended or have been cleared by now."""
+        overdue_at = self._find_earliest_end() + OVERDUE_MARGIN_S
+        return now >= min(overdue_at, self._find_probation_end())
 
     def schedule_probe(self, now: float) -> None:
-        """Set the time of the next check for overdue runs."""
-        self.probe_due = max(
-            self._find_earliest_end() + OVERDUE_MARGIN_S, now + PROBE_INTERVAL_S
+        """Set the time of the next check for overdue runs and suspects."""
+        overdue_at = self._find_earliest_end() + OVERDUE_MARGIN_S
+        self.probe_due = min(
+            max(overdue_at, now + PROBE_INTERVAL_S),
+            max(self._find_probation_end(), now + SUSPECT_PROBE_INTERVAL_S),
         )
 
+    def clear_suspects(self, listed: set[RunKey], now: float) -> set[RunKey]:
+        """Clear the suspects that have run for long enough, and return them.
+
+        Args:
+            listed: Runs that the worker has just listed as running.
+        """
+        cleared = {
+            key for key in self.suspects & listed if now >= self.runs[key].probation_end
+        }
+        for key in cleared:
+            self.runs[key].probation_s = 0.0
+        self.suspects -= cleared
+        return cleared
+
     def update_stall(self, listed: set[RunKey], now: float) -> bool:
         """Update whether all runs are stalled; return whether that changed.
 
@@ -270,9 +313,15 @@
             (run.expected_end_at for run in self.runs.values()), default=math.inf
         )
 
+    def _find_probation_end(self) -> float:
+        return min(
+            (self.runs[key].probation_end for key in self.suspects), default=math.inf
+        )
+
     def drop_run(self, key: RunKey) -> None:
         """Release the resources of a run that has ended."""
         run = self.runs.pop(key, None)
+        self.suspects.discard(key)
         if run is not None:
             self.allocated = self.allocated - run.need
 
@@ -356,5 +405,6 @@
             and now >= self.suspect_until
             and not self.has_unanswered_start
             and not self.is_stalled
+            and not self.suspects
             and not (self.quarantines and self.runs)
         )
--- a/src/bluebellyoke/workflow/commands.py
+++ b/src/bluebellyoke/workflow/commands.py
@@ -118,10 +118,15 @@
 
 
 class RemoveWorker(Command, frozen=True, kw_only=True, array_like=True, tag=True):
-    """Remove an incarnation of a worker; its runs end as lost."""
+    """Remove an incarnation of a worker; its runs end as lost.
+
+    Attributes:
+        crashed_runs: Runs that its crash has ended, if it has crashed.
+    """
 
     worker: str
     incarnation: int = msgspec.field(name="born")
+    crashed_runs: tuple[CrashedRun, ...] = ()
 
 
 class AssignRuns(Command, frozen=True, kw_only=True, array_like=True, tag=True):
--- /dev/null
+++ b/src/bluebellyoke/workflow/crashes.py
@@ -0,0 +1,217 @@
+"""Crashes of workers, and the tasks that may have caused them.
+
+A crash ends all runs on its worker, and most of them have nothing to do with it.
+
+Rules:
+    * A task is a suspect if its run was young at an unexplained crash, or if it shared
+      several crashes whose young tasks have all been cleared.
+    * A suspect starts apart from other young runs. If its worker crashes again, it is
+      the cause, and its workflow fails.
+    * A cause explains all crashes that it was in: other tasks are cleared of them.
+    * The tasks of a gang count as one, since they start together.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from bluebellyoke.workflow.commands import CrashedRun, TaskName
+
+__all__ = ["MAX_CRASHES", "CrashHistory", "TaskCrashes"]
+
+#: Crashes without a young suspect that make a task a suspect that was not young.
+SHARED_CRASHES = 2
+
+#: Crashes that make a task fail without proof.
+MAX_CRASHES = 5
+
+
+class SharedCrash(msgspec.Struct, frozen=True, array_like=True):
+    """An unexplained crash that a run of a task was in.
+
+    Attributes:
+        worker, incarnation: Worker that crashed.
+        age_ms: Time for which the run had run, in milliseconds, or None.
+        was_young: Whether the run was young enough to be the cause.
+        suspects: Number of tasks that were young at that crash.
+    """
+
+    worker: str
+    incarnation: int = msgspec.field(name="born")
+    age_ms: int | None
+    was_young: bool
+    suspects: int
+
+    @property
+    def suspicion(self) -> float:
+        """Estimated probability that the task is the cause."""
+        return 1 / self.suspects if self.was_young else 0.0
+
+    @property
+    def worker_key(self) -> tuple[str, int]:
+        """ID and incarnation of the worker."""
+        return self.worker, self.incarnation
+
+
+class TaskCrashes(msgspec.Struct, array_like=True):
+    """Crashes that the runs of a task, or of a gang, were in.
+
+    Attributes:
+        task: The task, or the first task of the gang.
+        runs: Numbers of the runs that ended in a crash.
+        unexplained: Crashes whose cause is not known.
+    """
+
+    task: TaskName
+    runs: list[int] = []
+    unexplained: list[SharedCrash] = []
+
+    @property
+    def suspicion(self) -> float:
+        """Estimated probability that the task crashes its workers."""
+        return max((crash.suspicion for crash in self.unexplained), default=0.0)
+
+    @property
+    def max_age_ms(self) -> int:
+        """Longest known time from a start to an unexplained crash, in milliseconds."""
+        return max((crash.age_ms or 0 for crash in self.unexplained), default=0)
+
+    def clear_of(self, worker_keys: set[tuple[str, int]]) -> None:
+        """Drop the crashes of some workers, which another task has caused.
+
+        A task that was young at its second crash or a later one has to prove itself.
+        """
+        is_repeated = len(self.runs) >= SHARED_CRASHES
+        self.unexplained = [
+            crash
+            for crash in self.unexplained
+            if crash.worker_key not in worker_keys or (crash.was_young and is_repeated)
+        ]
+
+
+class CrashHistory:
+    """Crashes by the tasks that they may be due to; part of the replicated state."""
+
+    def __init__(self, tasks: Iterable[TaskCrashes] = ()) -> None:
+        self._tasks = {item.task: item for item in tasks}
+        self._workflows = {task.workflow for task in self._tasks}
+        self._young: set[tuple[str, int]] = set()
+        self._update_young()
+
+    def dump(self) -> list[TaskCrashes]:
+        """Return the state for a snapshot."""
+        return list(self._tasks.values())
+
+    def find(self, task: TaskName) -> TaskCrashes | None:
+        """Return the crashes of a task, or of a gang by its first task."""
+        return self._tasks.get(task)
+
+    def find_suspect(self, task: TaskName) -> TaskCrashes | None:
+        """Return the crashes of a task if it is a suspect, else None."""
+        found = self._tasks.get(task)
+        return found if found is not None and self._is_suspect(found) else None
+
+    def _is_suspect(self, crashes: TaskCrashes) -> bool:
+        if any(crash.was_young for crash in crashes.unexplained):
+            return True
+        shared = [x for x in crashes.unexplained if x.worker_key not in self._young]
+        return len(shared) >= SHARED_CRASHES
+
+    def _update_young(self) -> None:
+        """Collect the unexplained crashes that still have a young suspect."""
+        self._young = {
+            crash.worker_key
+            for crashes in self._tasks.values()
+            for crash in crashes.unexplained
+            if crash.was_young
+        }
+
+    def has_workflow(self, workflow: str) -> bool:
+        """Return whether a task of a workflow was in a crash."""
+        return workflow in self._workflows
+
+    def list_workflows(self) -> set[str]:
+        """Return the IDs of all workflows that have shared a crash."""
+        return set(self._workflows)
+
+    def record(
+        self, worker_key: tuple[str, int], runs: Iterable[CrashedRun]
+    ) -> list[TaskCrashes]:
+        """Record a crash; return the tasks that have to be given up.
+
+        Args:
+            worker_key: ID and incarnation of the worker.
+            runs: Runs that the crash ended, a gang by its first task.
+        """
+        merged = _merge_gangs(runs)
+        young = {item.task for item in merged if item.is_suspect}
+        if len(merged) == 1:
+            young = {merged[0].task}
+        cause = self._find_cause(young, merged)
+        given_up = []
+        for item in merged:
+            was_young = item.task in young
+            shared = SharedCrash(*worker_key, item.age_ms, was_young, len(young))
+            crashes = self._add(item, shared)
+            if item.task == cause or len(crashes.runs) >= MAX_CRASHES:
+                given_up.append(crashes)
+        if cause is not None:
+            self._explain(cause)
+        self._update_young()
+        return given_up
+
+    def _find_cause(
+        self, young: set[TaskName], runs: list[CrashedRun]
+    ) -> TaskName | None:
+        """Return the only young task if an earlier run of it was a suspect before."""
+        if len(young) != 1:
+            return None
+        (task,) = young
+        crashes = self.find_suspect(task)
+        run = next(item.run for item in runs if item.task == task)
+        return task if crashes is not None and run not in crashes.runs else None
+
+    def _add(self, item: CrashedRun, shared: SharedCrash) -> TaskCrashes:
+        crashes = self._tasks.setdefault(item.task, TaskCrashes(item.task))
+        self._workflows.add(item.task.workflow)
+        if item.run not in crashes.runs:
+            crashes.runs.append(item.run)
+        crashes.unexplained.append(shared)
+        return crashes
+
+    def _explain(self, cause: TaskName) -> None:
+        """Clear all other tasks of the crashes that a task has caused."""
+        explained = {crash.worker_key for crash in self._tasks[cause].unexplained}
+        for task, crashes in self._tasks.items():
+            if task != cause:
+                crashes.clear_of(explained)
+
+    def clear(self, task: TaskName) -> bool:
+        """Clear a task of all crashes, since a run of it came to an end.
+
+        Returns:
+            Whether it was in an unexplained crash, so that others may be suspects now.
+        """
+        crashes = self._tasks.get(task)
+        if crashes is None or not crashes.unexplained:
+            return False
+        crashes.unexplained = []
+        self._update_young()
+        return True
+
+    def forget_workflow(self, workflow: str) -> None:
+        """Drop the tasks of a workflow that has ended."""
+        self._workflows.discard(workflow)
+        for task in [x for x in self._tasks if x.workflow == workflow]:
+            del self._tasks[task]
+        self._update_young()
+
+
+def _merge_gangs(runs: Iterable[CrashedRun]) -> list[CrashedRun]:
+    """Return one run for each task or gang, a suspected one if there is one."""
+    merged: dict[TaskName, CrashedRun] = {}
+    for item in runs:
+        known = merged.get(item.task)
+        if known is None or item.is_suspect:
+            merged[item.task] = item
+    return list(merged.values())
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -4,6 +4,7 @@
 
 from bluebellyoke.cell.result import Result, refuse
 from bluebellyoke.workflow import commands as workflow_commands
+from bluebellyoke.workflow.crashes import CrashHistory, TaskCrashes
 from bluebellyoke.workflow.specs import Configuration, QueueSpec, WorkerSpec
 from bluebellyoke.workflow.workflow import Workflow
 
@@ -13,6 +14,12 @@
 #: bytes of an instance's memory.
 MAX_OPEN_TASKS = 200_000
 
+#: Outcomes of runs that came to an end by themselves on a worker that runs on.
+_CLEARING_OUTCOMES = {
+    workflow_commands.RunOutcome.DONE,
+    workflow_commands.RunOutcome.FAILED,
+}
+
 #: Name of the task and number of the run.
 RunKey = tuple[workflow_commands.TaskName, int]
 
@@ -23,6 +30,7 @@
     configuration: Configuration
     workers: list[WorkerSpec]
     workflows: list[Workflow]
+    crashes: list[TaskCrashes] = []
 
 
 class WorkflowStore:
@@ -36,6 +44,7 @@
         open_tasks: Number of tasks of the active workflows.
         runs: Runs that may take up resources, by ID and incarnation of the
             worker.
+        crashes: Crashes of workers by the tasks that they may be due to.
     """
 
     def __init__(self) -> None:
@@ -45,6 +54,7 @@
         self.active: dict[str, Workflow] = {}
         self.open_tasks = 0
         self.runs: dict[tuple[str, int], dict[RunKey, None]] = {}
+        self.crashes = CrashHistory()
         self._queues: dict[str, QueueSpec] = {}
         self._changed: set[str] = set()
 
@@ -121,6 +131,7 @@
         if workflow is None or workflow.spec.queue != command.queue:
             return refuse("unknown-job", "no such workflow is known")
         workflow.cancel(command.time)
+        self._forget_crashes(command.workflow)
         self._changed.add(command.workflow)
         self._deactivate_if_finished(workflow)
         return Result(accepted=True)
@@ -162,8 +173,38 @@
         if self.find_current_worker(command.worker, command.incarnation) is None:
             return refuse("unknown-worker", "this life of the worker is over")
         del self.workers[command.worker]
-        self._end_lost_runs((command.worker, command.incarnation), command.time)
-        return Result(accepted=True)
+        worker_key = (command.worker, command.incarnation)
+        present = self.runs.get(worker_key, {})
+        crashed = [x for x in command.crashed_runs if (x.task, x.run) in present]
+        self._end_lost_runs(worker_key, command.time)
+        failed = self._record_crash(worker_key, crashed, command.time)
+        return Result(accepted=True, detail={"failed": " ".join(failed)})
+
+    def _record_crash(
+        self,
+        worker_key: tuple[str, int],
+        runs: list[workflow_commands.CrashedRun],
+        time: float,
+    ) -> list[str]:
+        """Record a crash; return the IDs of the workflows that fail for it."""
+        if not runs:
+            return []
+        self._changed.update(self.crashes.list_workflows())
+        grouped = [
+            msgspec.structs.replace(item, task=self.get_group_name(item.task))
+            for item in runs
+        ]
+        failed = []
+        for crashes in self.crashes.record(worker_key, grouped):
+            workflow = self.workflows[crashes.task.workflow]
+            workflow.fail(_describe_crashes(crashes), time)
+            self._deactivate_if_finished(workflow)
+            failed.append(workflow.spec.id)
+        for item in runs:
+            workflow = self.workflows.get(item.task.workflow)
+            if workflow is None or workflow.outcome:
+                self._forget_crashes(item.task.workflow)
+        return failed
 
     def _end_lost_runs(self, worker_key: tuple[str, int], time: float) -> None:
         for task, run in list(self.runs.get(worker_key, ())):
@@ -175,6 +216,15 @@
 
     # Runs.
 
+    def get_group_name(
+        self, task: workflow_commands.TaskName
+    ) -> workflow_commands.TaskName:
+        """Return the name under which a task's crashes are kept.
+
+        It is that of the first task of its gang, or of the task itself.
+        """
+        return msgspec.structs.replace(task, index=0) if self._is_gang(task) else task
+
     def _assign(self, command: workflow_commands.AssignRuns) -> Result:
         """Assign runs; a gang whose tasks cannot all be assigned is left out."""
         done = []
@@ -250,11 +300,24 @@
         if task is None or task.run != end.run:
             return
         workflow.record_end(end, time)
+        if end.outcome in _CLEARING_OUTCOMES:
+            self._clear_of_crashes(end.task)
+        if workflow.outcome:
+            self._forget_crashes(end.task.workflow)
         self._changed.add(end.task.workflow)
         worker_key = (task.worker, task.incarnation)
         self.runs.get(worker_key, {}).pop((end.task, end.run), None)
         self._deactivate_if_finished(workflow)
 
+    def _forget_crashes(self, workflow: str) -> None:
+        if self.crashes.has_workflow(workflow):
+            self.crashes.forget_workflow(workflow)
+            self._changed.update(self.crashes.list_workflows())
+
+    def _clear_of_crashes(self, task: workflow_commands.TaskName) -> None:
+        if self.crashes.clear(self.get_group_name(task)):
+            self._changed.update(self.crashes.list_workflows())
+
     # Snapshots.
 
     def dump(self) -> WorkflowSnapshot:
@@ -263,6 +326,7 @@
             self.configuration,
             list(self.workers.values()),
             list(self.workflows.values()),
+            self.crashes.dump(),
         )
 
     @classmethod
@@ -272,6 +336,7 @@
         store._set_configuration(snapshot.configuration)
         store.workers = {spec.id: spec for spec in snapshot.workers}
         store.runs = {spec.key: {} for spec in snapshot.workers}
+        store.crashes = CrashHistory(snapshot.crashes)
         for workflow in snapshot.workflows:
             store.workflows[workflow.spec.id] = workflow
             if not workflow.outcome or workflow.placed:
@@ -282,6 +347,14 @@
         return store
 
 
+def _describe_crashes(crashes: TaskCrashes) -> str:
+    task = crashes.task
+    return (
+        f"{len(crashes.runs)} workers crashed under task "
+        f"{task.repetition}.{task.step}.{task.index}"
+    )
+
+
 _HANDLERS = {
     workflow_commands.ApplyConfiguration: WorkflowStore._apply_configuration,
     workflow_commands.SubmitWorkflow: WorkflowStore._submit,
--- a/src/bluebellyoke/workflow/workflow.py
+++ b/src/bluebellyoke/workflow/workflow.py
@@ -11,6 +11,11 @@
 __all__ = ["Repetition", "StepProgress", "TaskProgress", "TaskState", "Workflow"]
 
 
+#: Outcomes after which a workflow waits as if it had never begun, unless a task of it
+#: is assigned or done.
+_RESTARTING_OUTCOMES = {RunOutcome.NEVER_STARTED, RunOutcome.LOST}
+
+
 class TaskState(enum.IntEnum):
     """State of a task."""
 
@@ -80,7 +85,8 @@
         attempts: Failed runs of a task that make the workflow fail.
         pool: Pool of its queue when it was accepted.
         repetitions: Executions that have begun, by number.
-        has_started: Whether any task has ever been assigned.
+        has_started: Whether a task is assigned or done, or an assigned one ended with
+            a result.
         finished_at: Wall-clock time of its end, in seconds, or 0.
         outcome: `completed`, `failed` or `cancelled` once it has ended.
         reason: Reason of the outcome.
@@ -174,6 +180,11 @@
         self.has_started = True
         self.placed += 1
 
+    def fail(self, reason: str, time: float) -> None:
+        """End the workflow as failed; the caller has to stop its placed runs."""
+        if not self.outcome:
+            self._finish("failed", reason, time)
+
     def cancel(self, time: float) -> None:
         """End the workflow as cancelled; the caller has to stop its placed runs."""
         if not self.outcome:
@@ -193,6 +204,10 @@
             self._mark_done(spec, progress, task)
         elif end.outcome is RunOutcome.FAILED and task.state is not TaskState.DONE:
             self._count_failure(spec, progress, task, time)
+        elif end.outcome in _RESTARTING_OUTCOMES and not self.placed:
+            self.has_started = any(
+                step.done for item in self.repetitions.values() for step in item.steps
+            )
         if not self.outcome:
             self._finish_if_done(time)
         return True
--- a/tests/dispatch/test_crashes.py
+++ b/tests/dispatch/test_crashes.py
@@ -4,8 +4,9 @@
 from tests.dispatch.crashing import CrashSimulation
 from tests.workflow.factories import create_spec, create_step
 
-#: Crashes of workers after which a task may not be started three times more.
+#: Crashes of workers after which a task may not be started this many times more.
 MAX_CRASHES = 3
+MAX_FURTHER_STARTS = 3
 
 
 def number_id(number):
@@ -85,8 +86,10 @@
             simulation.submit(create_spec(number_id(next(numbers))))
 
     simulation.run(60, submit_short_one)
-    check_deadly_task(simulation, *filter(is_deadly, simulation.crashes))
     states = get_states(simulation)
+    assert states[number_id(1)] == "failed"
+    (task,) = filter(is_deadly, simulation.crashes)
+    assert simulation.starts[task] - MAX_CRASHES < MAX_FURTHER_STARTS
     assert "failed" not in [states[x] for x in states if x != number_id(1)]
 
 
