Test suspects faster, and ask the advisor about new workers in fewer calls

Cause: three limits of the retests. A worker was kept for a suspect whose ticket had expired; it had to be quiet for 0.5 s after each suspect, cleared or not; runs of up to 0.5 s were suspects, twice as many as need be. Change: suspects are runs of up to 0.25 s; tickets come before a worker is set apart; a suspect that has outlived its crashes counts as old; a half instead of a quarter of the pool may be used while half of it is idle. A step that has tickets asks about new workers together with a renewal, or at most once in four times the duration of a call, or once there are many.

--- a/src/bluebellyoke/dispatch/advice.py
+++ b/src/bluebellyoke/dispatch/advice.py
@@ -30,6 +30,12 @@
 #: the tickets from being renewed by ever more calls about ever fewer workers.
 EXTRA_RENEWAL_CALLS = 1
 
+#: A step that has tickets asks about new workers once there is one for this many that
+#: were evaluated, or once so many times the duration of the call have passed since it
+#: last asked. Each call takes the advisor's time, however few workers it names.
+NEW_WORKERS_DIVISOR = 4
+ASK_INTERVAL_CALLS = 4
+
 #: Time before its expiry from which a ticket is no longer used, in seconds.
 TICKET_EXPIRY_MARGIN_S = 0.12
 
@@ -59,12 +65,14 @@
         evaluated: Workers that the advisor has evaluated.
         pending: Workers that calls queued or in flight are about.
         renewal_calls: Number of these calls that renew tickets.
+        asked_at: Monotonic time at which a call about new workers was last queued.
     """
 
     tickets: dict[WorkerKey, tuple[str, float]] = field(default_factory=dict)
     evaluated: set[WorkerKey] = field(default_factory=set)
     pending: set[WorkerKey] = field(default_factory=set)
     renewal_calls: int = 0
+    asked_at: float = -math.inf
 
     @property
     def is_evaluating(self) -> bool:
@@ -110,8 +118,7 @@
     @property
     def duration_s(self) -> float:
         """Expected duration of the call, in seconds."""
-        total = self.spec.decision_ms + self.spec.per_worker_ms * len(self.worker_keys)
-        return total / 1000
+        return _estimate_duration(self.spec, len(self.worker_keys))
 
 
 @dataclass(slots=True)
@@ -149,6 +156,7 @@
         self._requests: list[AdviceRequest] = []
         self._instances: dict[int, AdvisingInstance] = {}
         self._call_ids = itertools.count(1)
+        self._now = 0.0
 
     def clear(self) -> None:
         """Drop all advice, requests and instances."""
@@ -199,28 +207,46 @@
     ) -> None:
         """Queue a call about workers not evaluated yet, unless one is pending.
 
+        A step that has tickets does not ask about each new worker by itself.
+
         Args:
             worker_keys: Workers, the most useful first. Those beyond the limit of a
                 call are left to the next one, if the step still waits then.
             rank: Sort key; calls with a lower rank are sent first.
         """
         advice = self.get_step_advice(step)
-        if not advice.is_evaluating:
-            selected = tuple(itertools.islice(worker_keys, MAX_WORKERS_PER_CALL))
+        if advice.is_evaluating:
+            return
+        selected = tuple(itertools.islice(worker_keys, MAX_WORKERS_PER_CALL))
+        is_due = self._now >= advice.asked_at + ASK_INTERVAL_CALLS * (
+            _estimate_duration(spec, len(selected))
+        )
+        are_many = len(selected) * NEW_WORKERS_DIVISOR >= len(advice.evaluated)
+        if is_due or are_many or not advice.tickets:
+            advice.asked_at = self._now
             self._queue(step, selected, spec, rank, is_renewal=False)
 
     def renew(
-        self, step: StepKey, spec: AdvisorSpec, rank: tuple, *, until: float
+        self,
+        step: StepKey,
+        spec: AdvisorSpec,
+        rank: tuple,
+        *,
+        until: float,
+        workers: Collection[WorkerKey] = (),
     ) -> None:
         """Queue calls for new tickets if one expires before a monotonic time.
 
-        Tickets that calls are pending for are left to these calls. The others wait for
-        one of these calls if too many are pending, so that they are renewed together.
+        These calls are also about those of the given workers that are new. Tickets that
+        calls are pending for are left to these calls. The others wait for one of these
+        calls if too many are pending, so that they are renewed together.
         """
         advice = self.get_step_advice(step)
         worker_keys = [x for x in advice.tickets if x not in advice.pending]
         if all(advice.is_ticket_valid(x, until) for x in worker_keys):
             return
+        known = advice.evaluated | advice.pending
+        worker_keys += sorted(x for x in workers if x not in known)
         max_calls = _count_calls(len(advice.tickets)) + EXTRA_RENEWAL_CALLS
         if advice.renewal_calls + _count_calls(len(worker_keys)) <= max_calls:
             self._queue(step, worker_keys, spec, rank, is_renewal=True)
@@ -277,6 +303,7 @@
 
     def tick(self, now: float) -> None:
         """Send queued calls to idle instances."""
+        self._now = now
         self._requeue_timed_out(now)
         if not self._requests:
             return
@@ -316,6 +343,11 @@
         instance.send(wire.AdviceCall(instance.call, request.step, workers))
 
 
+def _estimate_duration(spec: AdvisorSpec, workers: int) -> float:
+    """Return the expected duration of a call about a number of workers, in seconds."""
+    return (spec.decision_ms + spec.per_worker_ms * workers) / 1000
+
+
 def _count_calls(workers: int) -> int:
     """Return the number of calls that ask about a number of workers."""
     return math.ceil(workers / MAX_WORKERS_PER_CALL)
--- a/src/bluebellyoke/dispatch/crashes.py
+++ b/src/bluebellyoke/dispatch/crashes.py
@@ -17,7 +17,7 @@
 
 #: Age up to which a run is suspected of a crash, in seconds. Most programs that take
 #: their host down do so as they start.
-SUSPECT_AGE_S = 0.5
+SUSPECT_AGE_S = 0.25
 
 #: Number of suspects that a log line lists.
 MAX_LOGGED_SUSPECTS = 20
@@ -69,7 +69,8 @@
     is_confirmed = run.phase in (RunPhase.STARTED, RunPhase.STOPPING)
     if run.sent_at is None or not (is_confirmed or run.phase is RunPhase.STARTING):
         return True
-    return run.sent_at > worker.lost_at - SUSPECT_AGE_S
+    is_young = run.sent_at > worker.lost_at - SUSPECT_AGE_S
+    return is_young and not run.is_cleared
 
 
 def log_crash(
--- a/src/bluebellyoke/dispatch/isolation.py
+++ b/src/bluebellyoke/dispatch/isolation.py
@@ -15,10 +15,10 @@
 
 __all__ = ["CrashPauses", "Isolation", "compute_probation"]
 
-#: One worker in this many of a pool may be used for suspects while other tasks wait for
-#: workers, and one in this many at other times.
+#: One worker in this many of a pool may be used for suspects, and one in this many if
+#: at most half of the pool's CPU time is allocated.
 BUSY_DIVISOR = 4
-CALM_DIVISOR = 2
+IDLE_DIVISOR = 2
 
 #: Time for which a worker that a suspect has crashed counts as used, in seconds.
 CRASH_PAUSE_S = 3.5
@@ -68,7 +68,6 @@
     Attributes:
         workers: All workers, by ID.
         pauses: Crashes that suspects have caused.
-        has_backlog: Whether other tasks wait for workers.
         previous: IDs of the workers that the last round set apart.
         chosen: IDs of the workers that this round sets apart.
         is_full: Whether a suspect waits for another one's worker.
@@ -77,7 +76,6 @@
     now: float
     workers: dict[str, TrackedWorker]
     pauses: CrashPauses
-    has_backlog: bool
     previous: frozenset[str] = frozenset()
     chosen: dict[str, None] = field(default_factory=dict)
     is_full: bool = False
@@ -85,7 +83,8 @@
     def order(self, workers: Iterable[TrackedWorker]) -> list[TrackedWorker]:
         """Return the workers that no suspect of this round uses, the best first.
 
-        Those of the last round come first, then those with the fewest runs.
+        Those of the last round come first, then those that can be used at once, then
+        those with the fewest runs.
         """
         free = [item for item in workers if item.spec.id not in self.chosen]
         return sorted(free, key=self._rank)
@@ -104,7 +103,8 @@
 
     def _rank(self, worker: TrackedWorker) -> tuple:
         name = worker.spec.id
-        return name not in self.previous, len(worker.runs), name
+        is_loud = not self.is_quiet(worker)
+        return name not in self.previous, is_loud, len(worker.runs), name
 
     def _may_use(self, workers: list[TrackedWorker]) -> bool:
         """Return whether so many workers more may be used for suspects.
@@ -112,11 +112,11 @@
         A suspect that needs more of them than that has to be the only one.
         """
         pool = workers[0].spec.pool
-        size, used = 0, 0
-        for worker in self.workers.values():
-            if worker.spec.pool == pool:
-                size += 1
-                used += bool(worker.suspects) or worker.spec.id in self.chosen
-        used += self.pauses.count(pool, self.now)
-        divisor = BUSY_DIVISOR if self.has_backlog else CALM_DIVISOR
-        return not used or used + len(workers) <= size // divisor
+        members = [x for x in self.workers.values() if x.spec.pool == pool]
+        used = self.pauses.count(pool, self.now) + sum(
+            bool(x.suspects) or x.spec.id in self.chosen for x in members
+        )
+        allocated = sum(x.allocated.cpu_millis for x in members)
+        capacity = sum(x.spec.capacity.cpu_millis for x in members)
+        divisor = IDLE_DIVISOR if 2 * allocated <= capacity else BUSY_DIVISOR
+        return not used or used + len(workers) <= len(members) // divisor
--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -51,9 +51,6 @@
 #: Number of starts after which a round plans no further step.
 MAX_STARTS_PER_ROUND = 400
 
-#: Reasons of waiting that a lack of workers causes.
-_WORKER_REASONS = {WaitReason.NO_WORKER, WaitReason.NO_ROOM}
-
 
 class Planner:
     """Plans starts from the store, the workers and the advice.
@@ -129,13 +126,13 @@
             workers=planning.workers,
             pauses=self._pauses,
             previous=self._isolated,
-            has_backlog=not _WORKER_REASONS.isdisjoint(self.wait_reasons.values()),
         )
+        waiting = 0
         for suspect in self._steps.list_suspects():
-            if isolation.is_full:
+            if isolation.is_full or waiting >= RENEWED_STEPS:
                 break
             if suspect.step.key not in self._paused_until:
-                self._plan_suspect(store, suspect, planning, isolation)
+                waiting += not self._plan_suspect(store, suspect, planning, isolation)
         self._isolated = frozenset(isolation.chosen)
         planning.isolated = isolation.chosen
 
@@ -145,20 +142,22 @@
         suspect: Suspect,
         planning: PlanningRound,
         isolation: Isolation,
-    ) -> None:
+    ) -> bool:
+        """Start one suspect, or a gang, if possible; return whether it has started."""
         step = suspect.step
         pool, label = store.find_pool(step.workflow), step.spec.required_label
         advice = None
         workers = planning.list_workers(pool, label)
         if step.queue is not None and step.queue.advisor is not None:
             advice = self._advice.get_step_advice(step.key)
-            self._renew_tickets(step, advice, planning.now)
+            self._renew_tickets(step, advice, pool, planning)
             workers = planning.list_allowed(pool, label, advice)
         reason = self._start_suspect(suspect, workers, planning, isolation, advice)
         if reason is not None:
             planning.wait_reasons[step.key] = reason
         if reason is not None and advice is not None:
             self._request_missing_advice(step, pool, planning)
+        return reason is None
 
     def _start_suspect(
         self,
@@ -176,11 +175,11 @@
         if chosen is None:
             return WaitReason.NO_ROOM if workers else WaitReason.NO_WORKER
         used = [planning.workers[x] for x in {item.worker: None for item in chosen}]
-        if not isolation.take(used) or not all(map(isolation.is_quiet, used)):
-            return WaitReason.SUSPECT
         if not _have_tickets(advice, [x.spec.key for x in used], planning.now):
             self._replace_expired_tickets(step, planning.now)
             return WaitReason.NO_TICKET
+        if not isolation.take(used) or not all(map(isolation.is_quiet, used)):
+            return WaitReason.SUSPECT
         run = 1 + max(_get_tasks(step)[index].run for index in indexes)
         for index, candidate in zip(indexes, chosen, strict=True):
             worker_key = planning.workers[candidate.worker].spec.key
@@ -205,7 +204,7 @@
             return
         advice = self._advice.get_step_advice(step.key)
         if is_head:
-            self._renew_tickets(step, advice, planning.now)
+            self._renew_tickets(step, advice, pool, planning)
         workers = planning.list_allowed(pool, label, advice)
         if self._place(step, workers, planning, advice):
             self._advice.withdraw(step.key)
@@ -246,12 +245,20 @@
         worker_keys = order_by_room(step.key, step.spec.need, unknown)
         self._advice.evaluate(step.key, worker_keys, step.queue.advisor, step.rank)
 
-    def _renew_tickets(self, step: WaitingStep, advice: StepAdvice, now: float) -> None:
+    def _renew_tickets(
+        self, step: WaitingStep, advice: StepAdvice, pool: str, planning: PlanningRound
+    ) -> None:
         """Request new tickets for a waiting step before its tickets expire."""
         spec = step.queue.advisor
         call_size = min(len(advice.tickets), MAX_WORKERS_PER_CALL)
         duration_s = (spec.decision_ms + spec.per_worker_ms * call_size) / 1000
-        self._advice.renew(step.key, spec, step.rank, until=now + duration_s)
+        self._advice.renew(
+            step.key,
+            spec,
+            step.rank,
+            until=planning.now + duration_s,
+            workers=planning.list_worker_keys(pool, step.spec.required_label),
+        )
 
     def _replace_expired_tickets(self, step: WaitingStep, now: float) -> None:
         """Request new tickets for a step that could start with them."""
--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -106,6 +106,7 @@
         sent_at: Time at which this leader sent the start, or None if it has not.
         probation_s: Time for which it has to run before it is cleared of the crashes
             that it was in, in seconds; 0 if it is not a suspect.
+        is_cleared: Whether it has outlived them.
         expected_end_at: Time at which the run is expected to end.
         baseline_at: Time at which `baseline_percent` of its work was done, if known.
         progressed_at: Time at which the worker first reported `percent`.
@@ -117,6 +118,7 @@
     phase_since: float
     sent_at: float | None = None
     probation_s: float = 0.0
+    is_cleared: bool = False
     expected_end_at: float = math.inf
     baseline_at: float | None = None
     baseline_percent: int = 0
@@ -195,7 +197,7 @@
         runs: Assigned runs that may take up resources.
         suspects: Those of them that may crash the worker; it gets no new task until
             they have been cleared.
-        started_at: Time at which a run was last added.
+        started_at: Time at which a run that is not a suspect was last added.
         unassigned_runs: Runs that the worker lists but that are not assigned to it,
             with the time at which a stop was last sent.
         allocated: Resources that the runs take up.
@@ -258,9 +260,10 @@
             return
         run = self.runs[key] = TrackedRun(need, phase, now, probation_s=probation_s)
         self.allocated = self.allocated + need
-        self.started_at = now
         if probation_s:
             self.suspects.add(key)
+        else:
+            self.started_at = now
         if estimate_s:
             run.baseline_at = now
             run.expected_end_at = now + estimate_s * ESTIMATE_FACTOR
@@ -292,6 +295,7 @@
         }
         for key in cleared:
             self.runs[key].probation_s = 0.0
+            self.runs[key].is_cleared = True
         self.suspects -= cleared
         return cleared
 
--- a/tests/dispatch/test_advice_renewal.py
+++ b/tests/dispatch/test_advice_renewal.py
@@ -183,6 +183,22 @@
         assert pool.advice.pending_calls + pool.advice.queued_calls <= 8 * 3
 
 
+# Guards against an advisor without time after a storm of crashes: each waiting step
+# asked about each worker that came back in a call of its own.
+def test_waiting_steps_ask_about_new_workers_together():
+    """Four workers arrive a second; a call takes 0.7 s, and tickets last for 20 s."""
+    advisor = AdvisorSpec(decision_ms=700.0, per_worker_ms=1.0, validity_ms=20_000.0)
+    pool = AdvisedPool(allowed=HEAVY_ALLOWED, advisor=advisor, instances=42)
+    for number in range(8):
+        pool.submit(number, count=1, cpu=4500, estimate_ms=6200)
+    pool.fill()
+    pool.run(FIRST_ADVICE_S)
+    calls = pool.calls
+    pool.run_while_workers_arrive(9.0)
+    # A step asks again after four times the duration of a call, 2.8 s, at the earliest.
+    assert pool.calls - calls <= 8 * 4
+
+
 # Guards against calls without need for ever, and against later jobs that are never
 # renewed in time: jobs that can never be placed stayed at the head of the order.
 def test_tickets_of_steps_that_can_never_fit_are_not_renewed():
