Let the newest report of a worker's capacity hold, and start nothing over it

What callers would see: LIMIT broken, and their tasks slowed or killed on a worker that has less room than its runs need. Change: the report's number is kept with the worker; the leader and the log take no older one, and a new leader no larger capacity in its first 1.5 s, as the newest report may have reached the one before it. A planned run whose worker has shrunk is given back. Nothing fits on a worker with any overcommitted resource.

--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -114,7 +114,7 @@
         self._context.calls.term = fence
         self._ticked_at = self._context.now = now
         self._poll_round_due = self._plan_due = self._cleanup_due = now
-        self._registry.sync_workers(now)
+        self._registry.activate(now)
 
     def deactivate(self) -> None:
         """Stop dispatching and drop everything that is not in the replicated state."""
--- a/src/bluebellyoke/dispatch/placement.py
+++ b/src/bluebellyoke/dispatch/placement.py
@@ -39,15 +39,18 @@
 
 
 def count_fitting_tasks(need: Resources, free: Resources) -> int:
-    """Return how many tasks fit in an amount of resources."""
+    """Return how many tasks fit in an amount of resources.
+
+    None do if any resource is overcommitted, also one that the tasks do not need.
+    """
     max_fits = MAX_TASKS_PER_WORKER
     for wanted, remaining in (
         (need.cpu_millis, free.cpu_millis),
         (need.memory_mb, free.memory_mb),
         (need.accelerators, free.accelerators),
     ):
-        if wanted > 0:
-            max_fits = min(max_fits, remaining // wanted)
+        if wanted > 0 or remaining < 0:
+            max_fits = min(max_fits, remaining // max(wanted, 1))
     return max(max_fits, 0)
 
 
--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -21,6 +21,10 @@
 #: one, in seconds. An instance gives up a heartbeat 1.4 s after it arrived there.
 LEAVE_REORDERING_S = 1.5
 
+#: Time after a change of leader for which an earlier report may still arrive, in
+#: seconds. No worker gets a larger capacity meanwhile.
+REPORT_REORDERING_S = 1.5
+
 #: Outcome that the log shows for the runs of a removed worker.
 LOST = "lost"
 
@@ -41,21 +45,30 @@
         self._stopper = stopper
         self._recorder = recorder
         self._removing: set[tuple[str, int]] = set()
+        self._sequences: dict[tuple[str, int], int] = {}
+        self._activated_at = 0.0
 
     def clear(self) -> None:
         """Drop all tracked workers."""
         self._context.workers.clear()
         self._context.pauses.clear()
         self._removing.clear()
+        self._sequences.clear()
+
+    def activate(self, now: float) -> None:
+        """Track the workers of the store of a new leader."""
+        self._activated_at = now
+        self.sync_workers(now)
 
     def register(
         self, spec: WorkerSpec, wall_time: float, reply: Callable[[Result], None]
     ) -> None:
         """Register a worker or its new description; reply once it is committed."""
         known = self._context.store.workers.get(spec.id)
-        if known is not None and known.incarnation > spec.incarnation:
+        if self._is_outdated(spec, known):
             reply(Result(accepted=True, code="overtaken"))
             return
+        self._sequences[spec.key] = spec.sequence
         is_draining = (
             known is not None
             and known.incarnation == spec.incarnation
@@ -63,7 +76,7 @@
         )
         if not (is_draining or spec.draining):
             self._clear_leaving(spec)
-        if known == spec or is_draining:
+        if is_draining or (known is not None and known.says_the_same(spec)):
             reply(Result(accepted=True, code="known"))
             return
         tracked = self._context.workers.get(spec.id)
@@ -87,6 +100,16 @@
             workflow_commands.EnrolWorker(time=wall_time, spec=spec), finish
         )
 
+    def _is_outdated(self, spec: WorkerSpec, known: WorkerSpec | None) -> bool:
+        """Return whether a report is, or may be, older than what is known."""
+        if known is None or known.incarnation < spec.incarnation:
+            return False
+        newest = max(known.sequence, self._sequences.get(spec.key, 0))
+        if known.incarnation > spec.incarnation or spec.sequence < newest:
+            return True
+        may_be_late = self._context.now - self._activated_at <= REPORT_REORDERING_S
+        return may_be_late and not spec.capacity.fits_in(known.capacity)
+
     def mark_leaving(self, worker_id: str) -> None:
         """Record that a worker has announced that it ends, and poll it at once."""
         worker = self._context.workers.get(worker_id)
@@ -121,12 +144,14 @@
         for name in [
             x for x in self._context.workers if x not in self._context.store.workers
         ]:
-            del self._context.workers[name]
+            self._sequences.pop(self._context.workers.pop(name).spec.key, None)
         for name, spec in self._context.store.workers.items():
             worker = self._context.workers.get(name)
             if worker is not None and worker.spec.incarnation == spec.incarnation:
                 worker.spec = spec
                 continue
+            if worker is not None:
+                self._sequences.pop(worker.spec.key, None)
             worker = self._context.workers[name] = TrackedWorker(
                 spec, now, last_response_at=now, lost_at=now
             )
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from bluebellyoke.cell.resources import Resources
 from bluebellyoke.cell.result import Result
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.events import StartFinished
@@ -102,13 +103,32 @@
             worker = self._context.workers.get(start.worker)
             if worker is None or worker.spec.incarnation != start.incarnation:
                 continue
-            if done == "1":
+            if done == "1" and self._has_shrunk(worker, start):
+                self._give_back(worker, start, wall_time)
+            elif done == "1":
                 self._record_start_wait(start, wall_time)
                 self._send_start(worker, item)
             else:
                 worker.drop_run((start.task, start.run))
                 self._context.needs_planning = True
 
+    def _has_shrunk(
+        self, worker: TrackedWorker, start: workflow_commands.RunStart
+    ) -> bool:
+        """Return whether a planned run no longer fits on its worker."""
+        need = self._context.find_need((start.task, start.run))
+        is_overcommitted = not worker.allocated.fits_in(worker.spec.capacity)
+        return is_overcommitted and need != Resources()
+
+    def _give_back(
+        self, worker: TrackedWorker, start: workflow_commands.RunStart, wall_time: float
+    ) -> None:
+        """End an assigned run that is not sent to its worker."""
+        key = (start.task, start.run)
+        worker.set_phase(key, RunPhase.UNKNOWN, self._context.now)
+        end = workflow_commands.RunEnd(*key, workflow_commands.RunOutcome.NEVER_STARTED)
+        self._recorder.commit(worker, [end], wall_time)
+
     def _record_start_wait(
         self, start: workflow_commands.RunStart, wall_time: float
     ) -> None:
--- a/src/bluebellyoke/platform/bodies.py
+++ b/src/bluebellyoke/platform/bodies.py
@@ -273,6 +273,7 @@
         capacity=Resources(capacity.Cpu, capacity.MemMb, capacity.Gpu),
         labels=announcement.Labels,
         draining=announcement.State == DRAINING,
+        sequence=announcement.Seq,
     )
 
 
--- a/src/bluebellyoke/workflow/specs.py
+++ b/src/bluebellyoke/workflow/specs.py
@@ -163,6 +163,8 @@
         address: IP address and port at which it accepts calls.
         labels: Kind of the worker and its rack.
         draining: Whether it is about to leave and gets no new task.
+        sequence: Number of this report among those of the incarnation. The highest one
+            is the newest, in whichever order they arrive.
     """
 
     id: str
@@ -173,8 +175,13 @@
     capacity: Resources
     labels: tuple[str, ...] = ()
     draining: bool = False
+    sequence: int = 0
 
     @property
     def key(self) -> tuple[str, int]:
         """ID and incarnation of the worker."""
         return self.id, self.incarnation
+
+    def says_the_same(self, other: "WorkerSpec") -> bool:
+        """Return whether two reports differ in their number at most."""
+        return msgspec.structs.replace(self, sequence=other.sequence) == other
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -156,6 +156,12 @@
         known = self.workers.get(spec.id)
         if known is not None and known.incarnation > spec.incarnation:
             return refuse("stale", "a later life of this worker is known")
+        if (
+            known is not None
+            and known.incarnation == spec.incarnation
+            and known.sequence > spec.sequence
+        ):
+            return Result(accepted=True, code="overtaken")
         if known is not None and known.incarnation < spec.incarnation:
             self._end_lost_runs(known.key, command.time)
         if (
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -81,6 +81,7 @@
     assert worker.key == ("i-1", 1700000000000)
     assert worker.capacity == Resources(16000, 32768, 0)
     assert worker.labels == ("a", "r1-3")
+    assert worker.sequence == 4
     assert not worker.draining
     draining = bodies.decode_announcement(
         "i-1", encode({**HEARTBEAT, "State": "draining"})
