Name the crashed workers behind a job that was given up

Cause: explain told of a job that failed for crashes that it failed on 0 workers, as it counted runs that ended failed only. Change: the lines of crashes that a job may have caused belong to its explanation, which names the workers. Test: test_crashed_workers_of_a_job_that_was_given_up_are_named, which failed before.

--- a/src/bluebellyoke/explanation.py
+++ b/src/bluebellyoke/explanation.py
@@ -33,6 +33,7 @@
 _WORKFLOW_CANCELLED = "dispatch: cancels a workflow"
 _WORKFLOW_ENDED = "dispatch: a workflow ended"
 _WORKER_PAUSED = "dispatch: sets a worker aside"
+_WORKER_CRASHED = "dispatch: a worker crashed"
 _WORKER_UNRESPONSIVE = "dispatch: lost a worker's answer"
 _LEADER_CHANGED = "replica: leads"
 
@@ -166,11 +167,18 @@
 
 def _concerns(line: LogLine, request_id: str) -> bool:
     path = line.fields.get("path")
-    if line.fields.get("job") == request_id:
+    if line.fields.get("job") == request_id or _is_suspect(line, request_id):
         return True
     return isinstance(path, str) and path.rpartition("/")[2] == request_id
 
 
+def _is_suspect(line: LogLine, request_id: str) -> bool:
+    """Return whether a line reports a crash that a request may have caused."""
+    suspects = line.fields.get("suspects")
+    is_crash = line.message == _WORKER_CRASHED and isinstance(suspects, list)
+    return is_crash and any(item[:1] == [request_id] for item in suspects)
+
+
 def _determine_verdict(request_lines: list[LogLine]) -> Verdict:
     end = _find_last(request_lines, _WORKFLOW_ENDED)
     if end is not None:
@@ -360,7 +368,15 @@
         for line in cell_lines
         if line.message == _WORKER_PAUSED
     }
-    cause = f"{end.fields.get('reason')}, on {len(workers)} workers"
+    reason = end.fields.get("reason")
+    crashed = [
+        line.fields.get("worker")
+        for line in request_lines
+        if line.message == _WORKER_CRASHED
+    ]
+    if crashed and not workers:
+        return f"{reason} ({', '.join(map(str, crashed))}): the job is at fault"
+    cause = f"{reason}, on {len(workers)} workers"
     if workers & paused:
         return f"{cause}, of which {len(workers & paused)} were set aside for failures"
     if len(workers) >= MIN_FAILED_WORKERS:
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -192,6 +192,26 @@
     assert log.explain().cause.endswith("of which 1 were set aside for failures")
 
 
+def test_crashed_workers_of_a_job_that_was_given_up_are_named(log):
+    log.accept(1.0)
+    for run, worker in ((1, "w1"), (2, "w2")):
+        log.start(run, run, worker)
+        suspects = [[ID, 0, 0, 0, run, 40], ["another", 0, 0, 0, 1, 90]]
+        log.add(
+            run + 0.2, "dispatch: a worker crashed", worker=worker, suspects=suspects
+        )
+        log.end(run + 0.3, run, worker, "lost")
+    log.add(
+        2.4,
+        "dispatch: a workflow ended",
+        job=ID,
+        outcome="failed",
+        reason="2 workers crashed under task 0.0.0",
+    )
+    cause = log.explain().cause
+    assert cause == ("2 workers crashed under task 0.0.0 (w1, w2): the job is at fault")
+
+
 def test_lost_worker_is_named(log):
     log.accept(1.0)
     log.start(1.1, 1, "w1")
