--- a/tests/dispatch/test_capacity.py
+++ b/tests/dispatch/test_capacity.py
@@ -13,9 +13,9 @@
 
 @pytest.fixture
 def simulation():
-    """A cell of one worker, whose tasks run until the test ends them."""
+    """A cell of one worker that has had a leader for a while."""
     simulation = CrashSimulation(workers=1, task_s=1e9)
-    simulation.run(0.1)
+    simulation.run(2)
     return simulation
 
 
--- /dev/null
+++ b/tests/dispatch/test_isolation.py
@@ -0,0 +1,96 @@
+"""Tests of the workers that are set apart for suspects."""
+
+import pytest
+
+from bluebellyoke.cell.resources import Resources
+from bluebellyoke.dispatch.crashes import SUSPECT_AGE_S
+from bluebellyoke.dispatch.isolation import (
+    CRASH_PAUSE_S,
+    MAX_PROBATION_S,
+    CrashPauses,
+    Isolation,
+    compute_probation,
+)
+from bluebellyoke.dispatch.workers import RunPhase, TrackedWorker
+from bluebellyoke.workflow.crashes import SharedCrash, TaskCrashes
+from tests.workflow.factories import create_worker, name_task
+
+NOW = 100.0
+POOL_SIZE = 8
+
+
+@pytest.fixture
+def pool():
+    """Workers that are fully allocated to old runs."""
+    workers = {}
+    for number in range(POOL_SIZE):
+        worker = TrackedWorker(create_worker(f"w{number}"), 0.0)
+        worker.add_run(
+            (name_task(index=number), 1), Resources(4000), RunPhase.STARTED, 0
+        )
+        workers[worker.spec.id] = worker
+    return workers
+
+
+def count_taken(workers, pauses=None):
+    """Return how many workers may be set apart one after the other."""
+    isolation = Isolation(now=NOW, workers=workers, pauses=pauses or CrashPauses())
+    while not isolation.is_full:
+        isolation.take(isolation.order(workers.values())[:1])
+    return len(isolation.chosen)
+
+
+# Guards against retests that take down as many workers as the first crashes did.
+def test_a_quarter_of_a_busy_pool_is_set_apart(pool):
+    assert count_taken(pool) == POOL_SIZE // 4
+
+
+def test_half_of_an_idle_pool_is_set_apart(pool):
+    for worker in pool.values():
+        worker.allocated = Resources()
+    assert count_taken(pool) == POOL_SIZE // 2
+
+
+def test_crashed_workers_count_for_a_while(pool):
+    pauses = CrashPauses()
+    pauses.record_crash("p", NOW - CRASH_PAUSE_S + 0.1)
+    assert count_taken(pool, pauses) == POOL_SIZE // 4 - 1
+    assert pauses.count("p", NOW + 0.1) == 0
+
+
+def test_gang_larger_than_the_bound_runs_alone(pool):
+    isolation = Isolation(now=NOW, workers=pool, pauses=CrashPauses())
+    assert isolation.take(list(pool.values()))
+    assert not isolation.take(list(pool.values())[:1])
+
+
+def test_workers_that_can_be_used_at_once_come_first(pool):
+    for number in range(1, POOL_SIZE):
+        pool[f"w{number}"].started_at = NOW - SUSPECT_AGE_S / 2
+    isolation = Isolation(now=NOW, workers=pool, pauses=CrashPauses())
+    (first, *_) = isolation.order(pool.values())
+    assert first.spec.id == "w0"
+    assert isolation.is_quiet(first)
+    assert not isolation.is_quiet(pool["w1"])
+
+
+# Guards against two possible causes of a crash: a task started beside a suspect.
+def test_worker_of_a_suspect_gets_no_task_until_it_is_cleared():
+    worker = TrackedWorker(
+        create_worker(), 0.0, last_response_at=NOW, has_responded=True
+    )
+    key = (name_task(), 2)
+    worker.add_run(key, Resources(1000), RunPhase.STARTED, NOW, probation_s=0.3)
+    assert not worker.can_accept_tasks(NOW + 0.2, 1.0)
+    assert worker.clear_suspects({key}, NOW + 0.2) == set()
+    assert worker.clear_suspects(set(), NOW + 0.4) == set()
+    assert worker.clear_suspects({key}, NOW + 0.4) == {key}
+    assert worker.can_accept_tasks(NOW + 0.4, 1.0)
+
+
+@pytest.mark.parametrize(("age_ms", "longest"), [(40, 0.5), (60_000, MAX_PROBATION_S)])
+def test_probation_outlasts_the_age_at_the_crash_but_has_an_end(age_ms, longest):
+    shared = SharedCrash("w", 1, age_ms, True, 1)
+    probation_s = compute_probation(TaskCrashes(name_task(), [1], [shared]))
+    assert min(age_ms / 1000, longest) <= probation_s <= longest
+    assert compute_probation(None) == 0
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -42,6 +42,85 @@
 
 
 CASES = [
+    Case(
+        "runs that were young at a crash are suspects",
+        "dispatch/crashes.py",
+        "    return is_young and not run.is_cleared\n",
+        "    return False\n",
+        "tests/dispatch/test_crashes.py tests/dispatch/test_crash_evidence.py",
+    ),
+    Case(
+        "an expired lease is no crash",
+        "dispatch/crashes.py",
+        "    return reason is not RemovalReason.LEASE_EXPIRED and not is_planned\n",
+        "    return not is_planned\n",
+        "tests/dispatch/test_crash_evidence.py",
+    ),
+    Case(
+        "a worker with a suspect gets no other task",
+        "dispatch/workers.py",
+        "            and not self.suspects\n",
+        "",
+        "tests/dispatch/test_isolation.py",
+    ),
+    Case(
+        "a task is given up only for a crash alone",
+        "workflow/crashes.py",
+        "        if len(young) != 1:\n            return None\n"
+        "        (task,) = young\n",
+        "        if not young:\n            return None\n"
+        "        task = min(young, key=lambda item: item.workflow)\n",
+        "tests/workflow/test_crashes.py",
+    ),
+    Case(
+        "a cause clears the other tasks of its crashes",
+        "workflow/crashes.py",
+        "            self._explain(cause)\n",
+        "            pass\n",
+        "tests/dispatch/test_crashes.py tests/workflow/test_crashes.py",
+    ),
+    Case(
+        "crashes are part of a snapshot",
+        "workflow/store.py",
+        "        store.crashes = CrashHistory(snapshot.crashes)\n",
+        "",
+        "tests/dispatch/test_crashes.py",
+    ),
+    Case(
+        "the number of workers used for suspects is bounded",
+        "dispatch/isolation.py",
+        "        return not used or used + len(workers) <= len(members) // divisor\n",
+        "        return True\n",
+        "tests/dispatch/test_crashes.py tests/dispatch/test_isolation.py",
+    ),
+    Case(
+        "an older report of a worker is not taken by the leader",
+        "dispatch/registry.py",
+        "        newest = max(known.sequence, self._sequences.get(spec.key, 0))\n",
+        "        newest = 0\n",
+        "tests/dispatch/test_capacity.py",
+    ),
+    Case(
+        "an older report of a worker is not taken by the log",
+        "workflow/store.py",
+        "            and known.sequence > spec.sequence\n",
+        "            and False\n",
+        "tests/dispatch/test_capacity.py",
+    ),
+    Case(
+        "a new leader takes no larger capacity from a first report",
+        "dispatch/registry.py",
+        "        return may_be_late and not spec.capacity.fits_in(known.capacity)\n",
+        "        return False\n",
+        "tests/dispatch/test_capacity.py",
+    ),
+    Case(
+        "a planned run is not sent to a worker that has shrunk",
+        "dispatch/starts.py",
+        "        return is_overcommitted and need != Resources()\n",
+        "        return False\n",
+        "tests/dispatch/test_capacity.py",
+    ),
     Case(
         "an instance that does not answer is paused ever longer",
         "dispatch/advice.py",
@@ -619,8 +698,8 @@
     Case(
         "a new leader takes over the runs of the store",
         "dispatch/registry.py",
-        "worker.add_run(key, self._context.find_need(key), RunPhase.UNKNOWN, now)",
-        "pass",
+        "            for key in self._context.store.runs.get(spec.key, ()):\n",
+        "            for key in ():\n",
         "tests/dispatch -k random",
     ),
     Case(
--- /dev/null
+++ b/tests/workflow/test_crashes.py
@@ -0,0 +1,93 @@
+"""Tests of the crashes that a task may be blamed for."""
+
+import pytest
+
+from bluebellyoke.workflow.commands import CrashedRun, TaskName
+from bluebellyoke.workflow.crashes import MAX_CRASHES, CrashHistory
+
+DEADLY, YOUNG, OLD = (TaskName(f"{number:016x}", 0, 0, 0) for number in range(3))
+
+
+@pytest.fixture
+def history():
+    return CrashHistory()
+
+
+def crash(history, number, *runs):
+    """Record a crash of the worker with a number; return the tasks to give up.
+
+    Args:
+        runs: Task, number of its run and whether it was young.
+    """
+    crashed = [CrashedRun(task, run, 100, is_young) for task, run, is_young in runs]
+    return [item.task for item in history.record((f"w{number}", 1), crashed)]
+
+
+def is_suspect(history, task):
+    return history.find_suspect(task) is not None
+
+
+def test_first_crash_gives_nothing_up(history):
+    assert crash(history, 1, (DEADLY, 1, True), (OLD, 1, False)) == []
+    assert is_suspect(history, DEADLY)
+    assert not is_suspect(history, OLD)
+
+
+def test_second_crash_alone_is_the_proof(history):
+    crash(history, 1, (DEADLY, 1, True), (YOUNG, 1, True))
+    assert crash(history, 2, (DEADLY, 2, True), (OLD, 1, False)) == [DEADLY]
+
+
+def test_second_crash_beside_another_young_run_proves_nothing(history):
+    crash(history, 1, (DEADLY, 1, True))
+    assert crash(history, 2, (DEADLY, 2, True), (YOUNG, 1, True)) == []
+
+
+# Guards against the loss of jobs that only shared a worker: they are cleared of the
+# crashes whose cause is known.
+def test_cause_clears_the_tasks_that_shared_its_crashes(history):
+    crash(history, 1, (DEADLY, 1, True), (YOUNG, 1, True), (OLD, 1, False))
+    crash(history, 2, (DEADLY, 2, True), (OLD, 2, False))
+    assert not is_suspect(history, YOUNG)
+    assert not is_suspect(history, OLD)
+
+
+def test_task_that_shared_two_crashes_is_a_suspect_once_the_young_ones_are_cleared(
+    history,
+):
+    crash(history, 1, (YOUNG, 1, True), (OLD, 1, False))
+    crash(history, 2, (DEADLY, 1, True), (OLD, 2, False))
+    assert not is_suspect(history, OLD)
+    history.clear(YOUNG)
+    assert not is_suspect(history, OLD)
+    history.clear(DEADLY)
+    assert is_suspect(history, OLD)
+
+
+# Guards against a gang that is given up for one run that crashed several workers.
+def test_crashes_under_one_run_count_once(history):
+    crash(history, 1, (DEADLY, 1, True))
+    assert crash(history, 2, (DEADLY, 1, True)) == []
+    assert crash(history, 3, (DEADLY, 2, True)) == [DEADLY]
+
+
+def test_task_is_given_up_without_proof_before_the_budget_is_used(history):
+    given_up = []
+    for number in range(1, MAX_CRASHES + 1):
+        other = TaskName(f"{number + 100:016x}", 0, 0, 0)
+        assert given_up == []
+        given_up = crash(history, number, (DEADLY, number, True), (other, 1, True))
+    assert given_up == [DEADLY]
+
+
+def test_state_survives_a_snapshot(history):
+    crash(history, 1, (DEADLY, 1, True), (YOUNG, 1, True))
+    restored = CrashHistory(history.dump())
+    assert crash(restored, 2, (DEADLY, 2, True)) == [DEADLY]
+
+
+def test_ended_workflows_are_forgotten(history):
+    crash(history, 1, (DEADLY, 1, True))
+    history.forget_workflow(DEADLY.workflow)
+    assert not history.has_workflow(DEADLY.workflow)
+    assert history.dump() == []
