Test that the log takes no older report of a worker

Cause: the removal case of the check in the log was hidden by the leader's own check. Change: a test of the store alone, which fails without the check.

--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -105,7 +105,7 @@
         "workflow/store.py",
         "            and known.sequence > spec.sequence\n",
         "            and False\n",
-        "tests/dispatch/test_capacity.py",
+        "tests/workflow/test_store.py -k older_report",
     ),
     Case(
         "a new leader takes no larger capacity from a first report",
--- a/tests/workflow/test_store.py
+++ b/tests/workflow/test_store.py
@@ -326,3 +326,17 @@
     assert restored.runs == store.runs
     assert restored.active.keys() == store.active.keys()
     assert restored.get_queue("q") == store.get_queue("q")
+
+
+# Guards against a start over a worker's capacity: a command of an earlier leader with
+# an older report was applied behind a newer one.
+def test_older_report_of_a_worker_is_not_applied():
+    store = create_store(workers=0)
+    for sequence, cpu in ((6, 1000), (5, 4000)):
+        spec = create_worker("w1", cpu=cpu, sequence=sequence)
+        result = store.apply(workflow_commands.EnrolWorker(spec=spec))
+        assert result.accepted
+    assert store.workers["w1"].capacity.cpu_millis == 1000
+    restarted = create_worker("w1", incarnation=2, cpu=4000, sequence=1)
+    store.apply(workflow_commands.EnrolWorker(spec=restarted))
+    assert store.workers["w1"].capacity.cpu_millis == 4000
