--- a/tests/cell/test_jobs.py
+++ b/tests/cell/test_jobs.py
@@ -224,3 +224,20 @@
     )
     state.apply(commands.PlaceTasks(placements=restart_placements, time=11.0))
     assert state.scheduling.jobs["g"].counts[TaskState.RUNNING] == 2
+
+
+# Guards against one task that crashes worker after worker: a session that a newer one
+# of the same worker ends counts nowhere, so the task is placed for ever.
+def test_task_that_crashes_its_workers_is_given_up(state):
+    """The task is alone on each worker, whose process has ended each time."""
+    state.apply(create_job("j", idempotent=True))
+    starts = 0
+    for number in range(10):
+        worker = f"m{number % 2}"
+        starts += place(state, "j", 0, worker, time=10.0 * number + 2)
+        restarted = create_worker(worker, session=f"r{number}", time=10.0 * number + 3)
+        state.apply(restarted)
+        state.apply(commands.AdvanceTime(time=10.0 * number + 9))
+    assert state.scheduling.jobs["j"].summarize_state() == "failed"
+    # Three crashes, and fewer than three starts after them.
+    assert starts < 6
