Judge crashes by what is known of each run, and forget old ones

Causes: all runs that an earlier leader had started counted as young for ever; a suspect on probation counted as young by its age only, so late crashes were proved only on an empty worker; a start that was answered after a connection broke was left out; crashes counted for a task's life, explained or not, so a service would be given up for five crashes of its workers, however far apart. Change: each of these; a crash counts for ten minutes, an explained one of an older run not at all; a probation may last 30 s.

--- a/src/bluebellyoke/dispatch/crashes.py
+++ b/src/bluebellyoke/dispatch/crashes.py
@@ -19,6 +19,9 @@
 #: their host down do so as they start.
 SUSPECT_AGE_S = 0.25
 
+#: Phases of runs that the worker has.
+_CONFIRMED_PHASES = (RunPhase.STARTED, RunPhase.STOPPING)
+
 #: Number of suspects that a log line lists.
 MAX_LOGGED_SUSPECTS = 20
 
@@ -46,7 +49,7 @@
             continue
         age_ms = None
         if run.sent_at is not None:
-            age_ms = round((latest_end - run.sent_at) * 1000)
+            age_ms = max(round((latest_end - run.sent_at) * 1000), 0)
         suspected = _is_suspect(worker, run)
         found.append(CrashedRun(task, number, age_ms, suspected))
     return tuple(found)
@@ -54,6 +57,8 @@
 
 def _was_sent_too_late(worker: TrackedWorker, run: TrackedRun) -> bool:
     """Return whether a run cannot have begun before the crash."""
+    if run.phase in _CONFIRMED_PHASES:
+        return False
     if run.sent_at is None:
         return run.phase is RunPhase.STARTING
     return _has_connection_failed(worker) and run.sent_at > worker.lost_at
@@ -65,11 +70,14 @@
 
 
 def _is_suspect(worker: TrackedWorker, run: TrackedRun) -> bool:
-    """Return whether a run may have been young when its worker crashed."""
-    is_confirmed = run.phase in (RunPhase.STARTED, RunPhase.STOPPING)
-    if run.sent_at is None or not (is_confirmed or run.phase is RunPhase.STARTING):
+    """Return whether a run was on probation, or may have been young, at the crash."""
+    if run.probation_s:
+        return True
+    if run.phase not in _CONFIRMED_PHASES and run.phase is not RunPhase.STARTING:
         return True
-    is_young = run.sent_at > worker.lost_at - SUSPECT_AGE_S
+    # A run of an earlier leader began before this one learned of the worker.
+    latest_start = worker.discovered_at if run.sent_at is None else run.sent_at
+    is_young = latest_start > worker.lost_at - SUSPECT_AGE_S
     return is_young and not run.is_cleared
 
 
--- a/src/bluebellyoke/dispatch/isolation.py
+++ b/src/bluebellyoke/dispatch/isolation.py
@@ -26,7 +26,7 @@
 #: Time for which a suspect has to run in addition to its age at its crashes, and the
 #: maximum of both together, in seconds.
 PROBATION_MARGIN_S = 0.25
-MAX_PROBATION_S = 5.0
+MAX_PROBATION_S = 30.0
 
 
 def compute_probation(crashes: TaskCrashes | None) -> float:
--- a/src/bluebellyoke/workflow/crashes.py
+++ b/src/bluebellyoke/workflow/crashes.py
@@ -22,49 +22,65 @@
 #: Crashes without a young suspect that make a task a suspect that was not young.
 SHARED_CRASHES = 2
 
-#: Crashes that make a task fail without proof.
+#: Runs that ended in a crash that make a task fail without proof.
 MAX_CRASHES = 5
 
+#: Time for which a crash counts, in seconds. A service shares one now and then.
+CRASH_MEMORY_S = 600.0
 
-class SharedCrash(msgspec.Struct, frozen=True, array_like=True):
-    """An unexplained crash that a run of a task was in.
+
+class SharedCrash(msgspec.Struct, array_like=True):
+    """A crash that a run of a task was in.
 
     Attributes:
         worker, incarnation: Worker that crashed.
+        run: Number of the run.
+        time: Wall-clock time of the crash, in seconds.
         age_ms: Time for which the run had run, in milliseconds, or None.
         was_young: Whether the run was young enough to be the cause.
         suspects: Number of tasks that were young at that crash.
+        is_explained: Whether the task has been cleared of it.
     """
 
     worker: str
     incarnation: int = msgspec.field(name="born")
+    run: int
+    time: float
     age_ms: int | None
     was_young: bool
     suspects: int
-
-    @property
-    def suspicion(self) -> float:
-        """Estimated probability that the task is the cause."""
-        return 1 / self.suspects if self.was_young else 0.0
+    is_explained: bool = False
 
     @property
     def worker_key(self) -> tuple[str, int]:
         """ID and incarnation of the worker."""
         return self.worker, self.incarnation
 
+    @property
+    def suspicion(self) -> float:
+        """Estimated probability that the task is the cause."""
+        return 1 / self.suspects if self.was_young else 0.0
+
 
 class TaskCrashes(msgspec.Struct, array_like=True):
-    """Crashes that the runs of a task, or of a gang, were in.
+    """Recent crashes that the runs of a task, or of a gang, were in.
 
     Attributes:
         task: The task, or the first task of the gang.
-        runs: Numbers of the runs that ended in a crash.
-        unexplained: Crashes whose cause is not known.
     """
 
     task: TaskName
-    runs: list[int] = []
-    unexplained: list[SharedCrash] = []
+    crashes: list[SharedCrash] = []
+
+    @property
+    def runs(self) -> set[int]:
+        """Numbers of the runs that ended in a crash."""
+        return {crash.run for crash in self.crashes}
+
+    @property
+    def unexplained(self) -> list[SharedCrash]:
+        """Crashes that the task may have caused."""
+        return [crash for crash in self.crashes if not crash.is_explained]
 
     @property
     def suspicion(self) -> float:
@@ -76,17 +92,27 @@
         """Longest known time from a start to an unexplained crash, in milliseconds."""
         return max((crash.age_ms or 0 for crash in self.unexplained), default=0)
 
+    def drop_before(self, time: float) -> None:
+        """Drop the crashes before a wall-clock time, in seconds."""
+        self.crashes = [crash for crash in self.crashes if crash.time >= time]
+
+    def clear(self) -> None:
+        """Clear the task of all crashes."""
+        for crash in self.crashes:
+            crash.is_explained = True
+
     def clear_of(self, worker_keys: set[tuple[str, int]]) -> None:
-        """Drop the crashes of some workers, which another task has caused.
+        """Clear the task of the crashes of some workers, which another has caused.
 
         A task that was young at its second crash or a later one has to prove itself.
         """
         is_repeated = len(self.runs) >= SHARED_CRASHES
-        self.unexplained = [
-            crash
-            for crash in self.unexplained
-            if crash.worker_key not in worker_keys or (crash.was_young and is_repeated)
-        ]
+        shared = [crash for crash in self.crashes if crash.worker_key in worker_keys]
+        for crash in shared:
+            if not crash.was_young:
+                self.crashes.remove(crash)
+            elif not is_repeated:
+                crash.is_explained = True
 
 
 class CrashHistory:
@@ -135,24 +161,28 @@
         return set(self._workflows)
 
     def record(
-        self, worker_key: tuple[str, int], runs: Iterable[CrashedRun]
+        self, worker_key: tuple[str, int], runs: Iterable[CrashedRun], time: float
     ) -> list[TaskCrashes]:
         """Record a crash; return the tasks that have to be given up.
 
         Args:
             worker_key: ID and incarnation of the worker.
+            time: Wall-clock time, in seconds.
             runs: Runs that the crash ended, a gang by its first task.
         """
+        self._drop_before(time - CRASH_MEMORY_S)
         merged = _merge_gangs(runs)
         young = {item.task for item in merged if item.is_suspect}
+        cause = self._find_cause(young, merged)
         if len(merged) == 1:
             young = {merged[0].task}
-        cause = self._find_cause(young, merged)
         given_up = []
         for item in merged:
             was_young = item.task in young
-            shared = SharedCrash(*worker_key, item.age_ms, was_young, len(young))
-            crashes = self._add(item, shared)
+            shared = SharedCrash(
+                *worker_key, item.run, time, item.age_ms, was_young, len(young)
+            )
+            crashes = self._add(item.task, shared)
             if item.task == cause or len(crashes.runs) >= MAX_CRASHES:
                 given_up.append(crashes)
         if cause is not None:
@@ -160,6 +190,11 @@
         self._update_young()
         return given_up
 
+    def _drop_before(self, time: float) -> None:
+        for crashes in self._tasks.values():
+            crashes.drop_before(time)
+        self._update_young()
+
     def _find_cause(
         self, young: set[TaskName], runs: list[CrashedRun]
     ) -> TaskName | None:
@@ -171,12 +206,10 @@
         run = next(item.run for item in runs if item.task == task)
         return task if crashes is not None and run not in crashes.runs else None
 
-    def _add(self, item: CrashedRun, shared: SharedCrash) -> TaskCrashes:
-        crashes = self._tasks.setdefault(item.task, TaskCrashes(item.task))
-        self._workflows.add(item.task.workflow)
-        if item.run not in crashes.runs:
-            crashes.runs.append(item.run)
-        crashes.unexplained.append(shared)
+    def _add(self, task: TaskName, shared: SharedCrash) -> TaskCrashes:
+        crashes = self._tasks.setdefault(task, TaskCrashes(task))
+        self._workflows.add(task.workflow)
+        crashes.crashes.append(shared)
         return crashes
 
     def _explain(self, cause: TaskName) -> None:
@@ -195,7 +228,7 @@
         crashes = self._tasks.get(task)
         if crashes is None or not crashes.unexplained:
             return False
-        crashes.unexplained = []
+        crashes.clear()
         self._update_young()
         return True
 
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -201,7 +201,7 @@
             for item in runs
         ]
         failed = []
-        for crashes in self.crashes.record(worker_key, grouped):
+        for crashes in self.crashes.record(worker_key, grouped, time):
             workflow = self.workflows[crashes.task.workflow]
             workflow.fail(_describe_crashes(crashes), time)
             self._deactivate_if_finished(workflow)
--- a/tests/dispatch/test_crash_evidence.py
+++ b/tests/dispatch/test_crash_evidence.py
@@ -45,6 +45,31 @@
     assert find_suspects(worker) == [0, 1]
 
 
+# Guards against blame of all runs that an earlier leader started, however long ago.
+def test_runs_of_an_earlier_leader_are_old_once_they_are_known_for_long():
+    worker = create_crashed_worker(known=(RunPhase.STARTED, None))
+    assert find_suspects(worker) == []
+    worker.discovered_at = NOW - 0.1
+    assert find_suspects(worker) == [0]
+
+
+# Guards against a cause that escapes: its start went out and was answered between a
+# connection that broke and the crash.
+def test_confirmed_start_behind_a_broken_connection_is_suspected():
+    worker = create_crashed_worker(confirmed=(RunPhase.STARTED, -0.05))
+    assert find_suspects(worker) == [0]
+
+
+# Guards against a cause that escapes since it crashes its workers late: a suspect stays
+# one until it has outlived its crashes.
+def test_run_on_probation_is_suspected_at_any_age():
+    worker = create_crashed_worker(
+        on_probation=(RunPhase.STARTED, 4.0), old=(RunPhase.STARTED, 4.0)
+    )
+    next(iter(worker.runs.values())).probation_s = 5.0
+    assert find_suspects(worker) == [0]
+
+
 def test_runs_that_cannot_have_begun_are_left_out():
     worker = create_crashed_worker(
         not_sent=(RunPhase.STARTING, None),
