Show crashes and a shrinking worker through the real protocol

Change: the stand-in worker ends its process under a deadly payload, reports another capacity and counts what runs at once; three tests with real instances: a deadly job beside others, a crash whose leader is killed at once, a worker that shrinks and grows.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -79,14 +79,32 @@
         name: ID of the worker.
         control_addresses: Addresses of the instances that accept heartbeats.
         run_s: Run time of each task, in seconds.
-        cpu_millis: CPU capacity, in millicores.
+        cpu_millis: CPU capacity, in millicores; it may be changed.
+        deadly_text: Payload of the tasks that end its process as they start.
+
+    Attributes:
+        acknowledged_cpu_millis: Capacity of the latest heartbeat that was acknowledged.
+        most_running: Largest number of tasks running at once since it was last set.
+        has_crashed: Whether a task has ended its process.
     """
 
-    def __init__(self, name, *, control_addresses, run_s=0.3, cpu_millis=4000):
+    def __init__(
+        self,
+        name,
+        *,
+        control_addresses,
+        run_s=0.3,
+        cpu_millis=4000,
+        deadly_text="(deadly)",
+    ):
         self.name = name
         self.control_addresses = itertools.cycle(control_addresses)
         self.run_s = run_s
         self.cpu_millis = cpu_millis
+        self.deadly_text = deadly_text
+        self.acknowledged_cpu_millis = 0
+        self.most_running = 0
+        self.has_crashed = False
         self.incarnation = int(time.time() * 1000)
         self.started_at = time.monotonic()
         self.lock = threading.Condition()
@@ -114,6 +132,8 @@
 
     def answer(self, path, body, expected):
         """Handle a call and return its status and answer."""
+        if self.has_crashed:
+            raise ConnectionAbortedError(f"{self.name} has crashed")
         if expected != self.name:
             return 421, {}
         handler = {
@@ -126,6 +146,8 @@
                 return 409, {"CurrentTimeMs": self.read_clock_ms(), "Reason": "fence"}
             self.fencing_token = body["FencingToken"]
             status, value = handler(body)
+            if self.has_crashed:
+                raise ConnectionAbortedError(f"{self.name} has crashed")
         return status, {"CurrentTimeMs": self.read_clock_ms(), **value}
 
     def _extend_lease(self, deadline_ms):
@@ -145,8 +167,20 @@
             return 409, {"Reason": "ticket"}
         self.running[key] = time.monotonic() + self.run_s
         self.ledger.append((time.time(), "start", *key))
+        self.most_running = max(self.most_running, len(self.running))
+        if body["TaskSpec"] == self.deadly_text:
+            self._crash()
         return 200, {}
 
+    def _crash(self):
+        """End all runs and connections, and accept no other."""
+        for key in self.running:
+            self.ledger.append((time.time(), "crashed", *key))
+        self.running.clear()
+        self.has_crashed = self.is_closed = True
+        self.lock.notify_all()
+        self.socket.close()
+
     def _stop(self, body):
         key = (body["Task"], body["RunId"])
         self.last_blocked_run[body["Task"]] = max(
@@ -206,5 +240,9 @@
             url = f"http://{next(self.control_addresses)}/-/instances/{self.name}"
             # After a failure the next instance is tried with the next heartbeat.
             with contextlib.suppress(*CALL_ERRORS):
-                httpcore.request("PUT", url, content=json.dumps(heartbeat).encode())
+                response = httpcore.request(
+                    "PUT", url, content=json.dumps(heartbeat).encode()
+                )
+                if response.status == 200:
+                    self.acknowledged_cpu_millis = heartbeat["Capacity"]["Cpu"]
             time.sleep(HEARTBEAT_INTERVAL_S)
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -21,6 +21,9 @@
 PREFIX = "/lohu930/"
 WAIT_S = 60.0
 
+#: Number of workers that are up.
+WORKERS = 2
+
 #: Pause between two submissions of a caller, in seconds.
 SUBMIT_INTERVAL_S = 0.01
 
@@ -162,6 +165,21 @@
                 return value["State"]
         return None
 
+    def wait_for_state(self, job_id, state):
+        """Wait for a job's state while crashed workers are replaced."""
+
+        def has_state():
+            self.replace_crashed_workers()
+            return self.find_state(job_id) == state
+
+        wait_until(has_state, WAIT_S, f"{job_id} {state}")
+
+    def replace_crashed_workers(self):
+        """Start a worker for each that has crashed since the last call."""
+        crashed = sum(worker.has_crashed for worker in self.workers)
+        while len(self.workers) < crashed + WORKERS:
+            self.add_worker(f"w{len(self.workers) + 1}")
+
     def find_leader(self):
         for number in self.processes:
             text = (self.folder / f"log-{number}").read_text()
@@ -222,8 +240,7 @@
     wait_until(
         lambda: all(map(deployment.is_ready, deployment.processes)), WAIT_S, "instances"
     )
-    for name in ("w1", "w2"):
-        deployment.add_worker(name)
+    deployment.replace_crashed_workers()
     wait_until(
         lambda: deployment.put_configuration(CONFIG) == 200, WAIT_S, "the configuration"
     )
@@ -289,6 +306,65 @@
             assert location in response.headers
 
 
+# Guards against a job that crashes worker after worker, and against the loss of those
+# that ran beside it: the same, as the workers and the callers see it.
+def test_job_that_crashes_its_workers_is_given_up(deployment):
+    """Crashed workers come back under other names; the leader is lost meanwhile."""
+    deadly_id, innocent_ids = "00000000000000e0", [f"{x:016x}" for x in range(1, 5)]
+    for worker in deployment.workers:
+        worker.run_s = 1.0
+    for job_id in innocent_ids:
+        assert deployment.call_queue("POST", job_id, create_job(STEPS))[0] == 200
+    deadly = {"TaskSpec": "(deadly)", "Steps": [{"Count": 1, "Cpu": 500}]}
+    assert deployment.call_queue("POST", deadly_id, deadly)[0] == 200
+    deployment.wait_for_state(deadly_id, "failed")
+    crashes = [worker for worker in deployment.workers if worker.has_crashed]
+    assert len(crashes) == 2
+    for job_id in innocent_ids:
+        deployment.wait_for_state(job_id, "completed")
+    deployment.check_ledgers()
+
+
+def test_crashes_are_remembered_by_the_next_leader(deployment):
+    """The leader is killed as soon as the first crash is known."""
+    job_id = "00000000000000e1"
+    deadly = {"TaskSpec": "(deadly)", "Steps": [{"Count": 1, "Cpu": 500}]}
+    assert deployment.call_queue("POST", job_id, deadly, number=4)[0] == 200
+    wait_until(
+        lambda: any(worker.has_crashed for worker in deployment.workers),
+        WAIT_S,
+        "a crash",
+    )
+    deployment.kill(deployment.find_leader())
+    deployment.wait_for_state(job_id, "failed")
+    crashes = [worker for worker in deployment.workers if worker.has_crashed]
+    # Three crashes, and fewer than three starts after them.
+    assert 2 <= len(crashes) < 6
+
+
+# Guards against a start over a worker's capacity, which changes while it runs.
+def test_worker_that_has_shrunk_gets_no_start_over_its_capacity(deployment):
+    job_ids = [f"{x:016x}" for x in range(0xF0, 0xF4)]
+    for worker in deployment.workers:
+        worker.cpu_millis = 1000
+    wait_until(
+        lambda: all(x.acknowledged_cpu_millis == 1000 for x in deployment.workers),
+        WAIT_S,
+        "a heartbeat with the smaller capacity",
+    )
+    for job_id in job_ids:
+        assert deployment.call_queue("POST", job_id, create_job(STEPS))[0] == 200
+    for job_id in job_ids:
+        deployment.wait_for_state(job_id, "completed")
+    assert [worker.most_running for worker in deployment.workers] == [2, 2]
+    for worker in deployment.workers:
+        worker.cpu_millis = 4000
+    large = create_job([{"Count": 2, "Cpu": 3000}])
+    assert deployment.call_queue("POST", "00000000000000f9", large)[0] == 200
+    deployment.wait_for_state("00000000000000f9", "completed")
+    deployment.check_ledgers()
+
+
 def test_jobs_survive_the_leader_and_run_once(deployment):
     job_ids = [f"{number:016x}" for number in range(1, 9)]
     for worker in deployment.workers:
