Let no suspect that cannot start hold up the others

What callers would see: jobs that stand still behind eight suspects whose label or room is missing, and a large suspect that never starts while smaller tasks take all room of a busy pool. Cause: a round looked at eight waiting suspects, to bound the calls to the advisor, and a worker was set apart only where a suspect fitted already. Change: the first eight may ask the advisor, a round looks at 64; a full worker that is large enough is set apart until it has room. Evidence: two tests of tests/dispatch/test_crashes.py, both red before.

--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -39,6 +39,9 @@
 #: Steps whose tasks are larger than any worker do not count.
 RENEWED_STEPS = 8
 
+#: Maximum number of suspects that a round looks at.
+MAX_SUSPECTS_PER_ROUND = 64
+
 #: Maximum number of gangs that reserve workers at the same time.
 MAX_RESERVING_GANGS = 2
 
@@ -128,11 +131,15 @@
             previous=self._isolated,
         )
         waiting = 0
-        for suspect in self._steps.list_suspects():
-            if isolation.is_full or waiting >= RENEWED_STEPS:
+        for suspect in self._steps.list_suspects()[:MAX_SUSPECTS_PER_ROUND]:
+            if isolation.is_full:
                 break
-            if suspect.step.key not in self._paused_until:
-                waiting += not self._plan_suspect(store, suspect, planning, isolation)
+            if suspect.step.key in self._paused_until:
+                continue
+            is_head = waiting < RENEWED_STEPS
+            waiting += not self._plan_suspect(
+                store, suspect, planning, isolation, is_head
+            )
         self._isolated = frozenset(isolation.chosen)
         planning.isolated = isolation.chosen
 
@@ -142,20 +149,26 @@
         suspect: Suspect,
         planning: PlanningRound,
         isolation: Isolation,
+        is_head: bool,
     ) -> bool:
-        """Start one suspect, or a gang, if possible; return whether it has started."""
+        """Start one suspect, or a gang, if possible; return whether it has started.
+
+        Args:
+            is_head: Whether it may ask the advisor while it waits.
+        """
         step = suspect.step
         pool, label = store.find_pool(step.workflow), step.spec.required_label
         advice = None
         workers = planning.list_workers(pool, label)
         if step.queue is not None and step.queue.advisor is not None:
             advice = self._advice.get_step_advice(step.key)
-            self._renew_tickets(step, advice, pool, planning)
+            if is_head:
+                self._renew_tickets(step, advice, pool, planning)
             workers = planning.list_allowed(pool, label, advice)
         reason = self._start_suspect(suspect, workers, planning, isolation, advice)
         if reason is not None:
             planning.wait_reasons[step.key] = reason
-        if reason is not None and advice is not None:
+        if reason is not None and advice is not None and is_head:
             self._request_missing_advice(step, pool, planning)
         return reason is None
 
@@ -173,6 +186,7 @@
         candidates = self._collect_candidates(step, ordered, planning)
         chosen = _choose_few_workers(step.spec, len(indexes), candidates)
         if chosen is None:
+            _free_a_worker(step.spec, ordered, isolation)
             return WaitReason.NO_ROOM if workers else WaitReason.NO_WORKER
         used = [planning.workers[x] for x in {item.worker: None for item in chosen}]
         if not _have_tickets(advice, [x.spec.key for x in used], planning.now):
@@ -412,6 +426,20 @@
             planning.reserved.add(name)
 
 
+def _free_a_worker(
+    spec: StepSpec, ordered: list[TrackedWorker], isolation: Isolation
+) -> None:
+    """Set a worker apart that has room for a suspect once its runs have ended."""
+    full = [
+        worker
+        for worker in ordered
+        if spec.need.fits_in(worker.spec.capacity)
+        and not spec.need.fits_in(worker.free)
+    ]
+    if full and not spec.gang:
+        isolation.take(full[:1])
+
+
 def _choose_few_workers(
     spec: StepSpec, count: int, candidates: list[Candidate]
 ) -> list[Candidate] | None:
--- a/tests/dispatch/test_crashes.py
+++ b/tests/dispatch/test_crashes.py
@@ -197,3 +197,38 @@
             simulation.crash(name)
     simulation.run(30)
     assert set(get_states(simulation).values()) == {"completed"}
+
+
+def blame(simulation, *numbers):
+    """Make the first task of some workflows suspects, as after a crash."""
+    tasks = [workflow_commands.TaskName(number_id(x), 0, 0, 0) for x in numbers]
+    runs = [workflow_commands.CrashedRun(task, 1, 10, True) for task in tasks]
+    simulation.store.crashes.record(("gone", 1), runs, simulation.now)
+
+
+# Guards against suspects that stand still behind others that no worker can run.
+def test_suspects_without_a_worker_hold_up_no_others():
+    simulation = create_cell(deadly=lambda task: False)
+    for number in range(1, 13):
+        step = create_step(1, required_label="none" if number < 12 else "")
+        simulation.submit(create_spec(number_id(number), [step]))
+    blame(simulation, *range(1, 13))
+    simulation.run(2)
+    assert get_states(simulation)[number_id(12)] == "completed"
+
+
+# Guards against a large suspect that waits for ever, as smaller tasks take all room.
+def test_large_suspect_gets_a_worker_of_a_busy_pool():
+    simulation = create_cell(workers=4, deadly=lambda task: False)
+    numbers = iter(range(100, 10_000))
+
+    def submit_small_ones():
+        number = next(numbers)
+        if number % 2:
+            simulation.submit(create_spec(number_id(number)))
+
+    simulation.run(2, submit_small_ones)
+    simulation.submit(create_spec(number_id(1), [create_step(1, cpu=3000)]))
+    blame(simulation, 1)
+    simulation.run(4, submit_small_ones)
+    assert get_states(simulation)[number_id(1)] == "completed"
