Use more of an idle pool to test suspects

Change: workers that suspects have crashed belong to the pool; up to three quarters of it are used while the rest has twice the CPU time in use. The bound of renewals in flight has a test of its own: with fewer calls about new workers the older one no longer noticed its removal.

--- a/src/bluebellyoke/dispatch/isolation.py
+++ b/src/bluebellyoke/dispatch/isolation.py
@@ -15,10 +15,11 @@
 
 __all__ = ["CrashPauses", "Isolation", "compute_probation"]
 
-#: One worker in this many of a pool may be used for suspects, and one in this many if
-#: at most half of the pool's CPU time is allocated.
-BUSY_DIVISOR = 4
-IDLE_DIVISOR = 2
+#: Shares of a pool that may be used for suspects: always the first, and up to the
+#: second if the rest has so many times the CPU time that is allocated.
+MIN_SHARE = 0.25
+MAX_SHARE = 0.75
+SPARE_FACTOR = 2
 
 #: Time for which a worker that a suspect has crashed counts as used, in seconds.
 CRASH_PAUSE_S = 3.5
@@ -113,10 +114,22 @@
         """
         pool = workers[0].spec.pool
         members = [x for x in self.workers.values() if x.spec.pool == pool]
-        used = self.pauses.count(pool, self.now) + sum(
+        crashed = self.pauses.count(pool, self.now)
+        used = crashed + sum(
             bool(x.suspects) or x.spec.id in self.chosen for x in members
         )
-        allocated = sum(x.allocated.cpu_millis for x in members)
-        capacity = sum(x.spec.capacity.cpu_millis for x in members)
-        divisor = IDLE_DIVISOR if 2 * allocated <= capacity else BUSY_DIVISOR
-        return not used or used + len(workers) <= len(members) // divisor
+        limit = _compute_limit(members, len(members) + crashed)
+        return not used or used + len(workers) <= limit
+
+
+def _compute_limit(members: list[TrackedWorker], size: int) -> int:
+    """Return how many workers of a pool may be used for suspects.
+
+    Args:
+        members: Workers of the pool that are up.
+        size: Number of workers, with those that suspects have crashed.
+    """
+    allocated = sum(x.allocated.cpu_millis for x in members)
+    capacity = sum(x.spec.capacity.cpu_millis for x in members) or 1
+    needed = SPARE_FACTOR * allocated / capacity * len(members)
+    return int(max(min(size - needed, size * MAX_SHARE), size * MIN_SHARE))
--- a/tests/dispatch/test_advice.py
+++ b/tests/dispatch/test_advice.py
@@ -237,3 +237,16 @@
     assert len(instances.list_calls()) == 3
     instances.request(("short", 0, 0))
     assert len(instances.list_calls()) == 4
+
+
+# Guards against renewals that take up all instances: workers arrive one after the
+# other, their tickets expire, and no call is answered meanwhile.
+def test_renewals_of_a_step_in_flight_are_bounded():
+    instances = Instances(8)
+    advice = instances.advice.get_step_advice(STEP)
+    for number in range(4):
+        worker_key = (f"w{number}", 1)
+        advice.evaluated.add(worker_key)
+        advice.tickets[worker_key] = ("t", 1.0)
+        instances.renew(until=2.0 + number / 10)
+    assert len(instances.list_calls()) == 2
