--- a/src/bluebellyoke/dispatch/advice.py
+++ b/src/bluebellyoke/dispatch/advice.py
@@ -30,9 +30,9 @@
 #: the tickets from being renewed by ever more calls about ever fewer workers.
 EXTRA_RENEWAL_CALLS = 1
 
-#: A step that has tickets asks about new workers once there is one for this many that
-#: were evaluated, or once so many times the duration of the call have passed since it
-#: last asked. Each call takes the advisor's time, however few workers it names.
+#: A call takes the advisor's time however few workers it names. So a step that has
+#: tickets asks about new workers only if there is one for each so many evaluated ones, or
+#: if its last such call was so many times the duration of a call ago.
 NEW_WORKERS_DIVISOR = 4
 ASK_INTERVAL_CALLS = 4
 
--- a/src/bluebellyoke/dispatch/context.py
+++ b/src/bluebellyoke/dispatch/context.py
@@ -6,7 +6,7 @@
 from bluebellyoke.dispatch.advice import AdviceManager
 from bluebellyoke.dispatch.backlog import BacklogEstimator
 from bluebellyoke.dispatch.calls import WorkerCalls
-from bluebellyoke.dispatch.isolation import CrashPauses, compute_probation
+from bluebellyoke.dispatch.isolation import RecentCrashes, compute_probation
 from bluebellyoke.dispatch.workers import LeaseTimes, TrackedWorker
 from bluebellyoke.leader.sessions import ProposalQueue
 from bluebellyoke.metrics import Metrics
@@ -25,7 +25,7 @@
         calls: Background calls to the workers.
         times: Durations of the workers' leases.
         advice: Advice on which workers may run a step.
-        pauses: Crashes that suspects have caused.
+        recent_crashes: Crashes that suspects have caused.
         backlog: Estimate of when refused callers may retry.
         store: Replicated state.
         workers: Workers as this leader sees them, by ID.
@@ -40,7 +40,7 @@
     calls: WorkerCalls
     times: LeaseTimes
     advice: AdviceManager = field(default_factory=AdviceManager)
-    pauses: CrashPauses = field(default_factory=CrashPauses)
+    recent_crashes: RecentCrashes = field(default_factory=RecentCrashes)
     backlog: BacklogEstimator = field(default_factory=BacklogEstimator)
     store: WorkflowStore = field(default_factory=WorkflowStore)
     workers: dict[str, TrackedWorker] = field(default_factory=dict)
--- a/src/bluebellyoke/dispatch/isolation.py
+++ b/src/bluebellyoke/dispatch/isolation.py
@@ -13,7 +13,7 @@
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.crashes import TaskCrashes
 
-__all__ = ["CrashPauses", "Isolation", "compute_probation"]
+__all__ = ["RecentCrashes", "Isolation", "compute_probation"]
 
 #: Shares of a pool that may be used for suspects: always the first, and up to the
 #: second if the rest has so many times the CPU time that is allocated.
@@ -21,8 +21,8 @@
 MAX_SHARE = 0.75
 SPARE_FACTOR = 2
 
-#: Time for which a worker that a suspect has crashed counts as used, in seconds.
-CRASH_PAUSE_S = 3.5
+#: Time for which a worker that a suspect has crashed counts as down, in seconds.
+CRASH_RECOVERY_S = 3.5
 
 #: Time for which a suspect has to run in addition to its age at its crashes, and the
 #: maximum of both together, in seconds.
@@ -40,7 +40,7 @@
     return min(crashes.max_age_ms / 1000 + PROBATION_MARGIN_S, MAX_PROBATION_S)
 
 
-class CrashPauses:
+class RecentCrashes:
     """Times of the crashes that suspects have caused, by pool."""
 
     def __init__(self) -> None:
@@ -57,7 +57,7 @@
     def count(self, pool: str, now: float) -> int:
         """Return the number of workers of a pool that still count as used."""
         times = self._crashes[pool]
-        while times and now - times[0] >= CRASH_PAUSE_S:
+        while times and now - times[0] >= CRASH_RECOVERY_S:
             times.popleft()
         return len(times)
 
@@ -68,7 +68,7 @@
 
     Attributes:
         workers: All workers, by ID.
-        pauses: Crashes that suspects have caused.
+        recent_crashes: Crashes that suspects have caused.
         previous: IDs of the workers that the last round set apart.
         chosen: IDs of the workers that this round sets apart.
         is_full: Whether a suspect waits for another one's worker.
@@ -76,7 +76,7 @@
 
     now: float
     workers: dict[str, TrackedWorker]
-    pauses: CrashPauses
+    recent_crashes: RecentCrashes
     previous: frozenset[str] = frozenset()
     chosen: dict[str, None] = field(default_factory=dict)
     is_full: bool = False
@@ -98,14 +98,14 @@
         self.chosen.update(dict.fromkeys(worker.spec.id for worker in workers))
         return True
 
-    def is_quiet(self, worker: TrackedWorker) -> bool:
+    def has_no_young_run(self, worker: TrackedWorker) -> bool:
         """Return whether a crash of a worker could not be due to its present runs."""
         return not worker.runs or self.now - worker.started_at >= SUSPECT_AGE_S
 
     def _rank(self, worker: TrackedWorker) -> tuple:
         name = worker.spec.id
-        is_loud = not self.is_quiet(worker)
-        return name not in self.previous, is_loud, len(worker.runs), name
+        must_wait = not self.has_no_young_run(worker)
+        return name not in self.previous, must_wait, len(worker.runs), name
 
     def _may_use(self, workers: list[TrackedWorker]) -> bool:
         """Return whether so many workers more may be used for suspects.
@@ -114,7 +114,7 @@
         """
         pool = workers[0].spec.pool
         members = [x for x in self.workers.values() if x.spec.pool == pool]
-        crashed = self.pauses.count(pool, self.now)
+        crashed = self.recent_crashes.count(pool, self.now)
         used = crashed + sum(
             bool(x.suspects) or x.spec.id in self.chosen for x in members
         )
--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -14,7 +14,7 @@
     StepKey,
     WorkerKey,
 )
-from bluebellyoke.dispatch.isolation import CrashPauses, Isolation
+from bluebellyoke.dispatch.isolation import Isolation, RecentCrashes
 from bluebellyoke.dispatch.placement import (
     Candidate,
     CandidateQueue,
@@ -63,10 +63,10 @@
     """
 
     def __init__(
-        self, advice: AdviceManager, pauses: CrashPauses | None = None
+        self, advice: AdviceManager, recent_crashes: RecentCrashes | None = None
     ) -> None:
         self._advice = advice
-        self._pauses = pauses or CrashPauses()
+        self._recent_crashes = recent_crashes or RecentCrashes()
         self._isolated: frozenset[str] = frozenset()
         self._steps = WaitingSteps()
         self._paused_until: dict[StepKey, float] = {}
@@ -127,7 +127,7 @@
         isolation = Isolation(
             now=planning.now,
             workers=planning.workers,
-            pauses=self._pauses,
+            recent_crashes=self._recent_crashes,
             previous=self._isolated,
         )
         waiting = 0
@@ -192,7 +192,7 @@
         if not _have_tickets(advice, [x.spec.key for x in used], planning.now):
             self._replace_expired_tickets(step, planning.now)
             return WaitReason.NO_TICKET
-        if not isolation.take(used) or not all(map(isolation.is_quiet, used)):
+        if not isolation.take(used) or not all(map(isolation.has_no_young_run, used)):
             return WaitReason.SUSPECT
         run = 1 + max(_get_tasks(step)[index].run for index in indexes)
         for index, candidate in zip(indexes, chosen, strict=True):
--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -51,7 +51,7 @@
     def clear(self) -> None:
         """Drop all tracked workers."""
         self._context.workers.clear()
-        self._context.pauses.clear()
+        self._context.recent_crashes.clear()
         self._removing.clear()
         self._sequences.clear()
 
@@ -212,7 +212,9 @@
         """Log a crash and return the runs that it has ended."""
         self._context.metrics.record_worker_crash(reason.name.lower())
         if worker.suspects:
-            self._context.pauses.record_crash(worker.spec.pool, self._context.now)
+            self._context.recent_crashes.record_crash(
+                worker.spec.pool, self._context.now
+            )
         runs = crashes.list_crashed_runs(worker, self._context.now)
         crashes.log_crash(worker, reason, runs)
         return runs
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -57,7 +57,7 @@
         self._stopper = stopper
         self._recorder = recorder
         self._prober = prober
-        self._planner = Planner(context.advice, context.pauses)
+        self._planner = Planner(context.advice, context.recent_crashes)
         self._waits = WaitReporter(context.advice, context.metrics)
         self.is_pending = False
 
--- a/src/bluebellyoke/workflow/commands.py
+++ b/src/bluebellyoke/workflow/commands.py
@@ -83,7 +83,8 @@
     Attributes:
         age_ms: Upper bound of the time for which it ran, in milliseconds, or None if it
             is unknown.
-        is_suspect: Whether it may have caused the crash, judged by its age.
+        is_suspect: Whether it may have caused the crash, since it was young or had not
+            outlived earlier crashes yet.
     """
 
     task: TaskName
--- a/tests/dispatch/test_isolation.py
+++ b/tests/dispatch/test_isolation.py
@@ -5,10 +5,10 @@
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.dispatch.crashes import SUSPECT_AGE_S
 from bluebellyoke.dispatch.isolation import (
-    CRASH_PAUSE_S,
+    CRASH_RECOVERY_S,
     MAX_PROBATION_S,
-    CrashPauses,
     Isolation,
+    RecentCrashes,
     compute_probation,
 )
 from bluebellyoke.dispatch.workers import RunPhase, TrackedWorker
@@ -32,9 +32,11 @@
     return workers
 
 
-def count_taken(workers, pauses=None):
+def count_taken(workers, recent_crashes=None):
     """Return how many workers may be set apart one after the other."""
-    isolation = Isolation(now=NOW, workers=workers, pauses=pauses or CrashPauses())
+    isolation = Isolation(
+        now=NOW, workers=workers, recent_crashes=recent_crashes or RecentCrashes()
+    )
     while not isolation.is_full:
         isolation.take(isolation.order(workers.values())[:1])
     return len(isolation.chosen)
@@ -57,23 +59,23 @@
 
 def test_workers_that_suspects_have_crashed_belong_to_the_pool(pool):
     """Otherwise each crash would make the retests slower."""
-    pauses = CrashPauses()
+    recent_crashes = RecentCrashes()
     for _ in range(POOL_SIZE):
-        pauses.record_crash("p", NOW)
+        recent_crashes.record_crash("p", NOW)
     for worker in pool.values():
         worker.allocated = Resources()
-    assert count_taken(pool, pauses) == (2 * POOL_SIZE) * 3 // 4 - POOL_SIZE
+    assert count_taken(pool, recent_crashes) == (2 * POOL_SIZE) * 3 // 4 - POOL_SIZE
 
 
 def test_crashed_workers_count_for_a_while(pool):
-    pauses = CrashPauses()
-    pauses.record_crash("p", NOW - CRASH_PAUSE_S + 0.1)
-    assert count_taken(pool, pauses) == POOL_SIZE // 4 - 1
-    assert pauses.count("p", NOW + 0.1) == 0
+    recent_crashes = RecentCrashes()
+    recent_crashes.record_crash("p", NOW - CRASH_RECOVERY_S + 0.1)
+    assert count_taken(pool, recent_crashes) == POOL_SIZE // 4 - 1
+    assert recent_crashes.count("p", NOW + 0.1) == 0
 
 
 def test_gang_larger_than_the_bound_runs_alone(pool):
-    isolation = Isolation(now=NOW, workers=pool, pauses=CrashPauses())
+    isolation = Isolation(now=NOW, workers=pool, recent_crashes=RecentCrashes())
     assert isolation.take(list(pool.values()))
     assert not isolation.take(list(pool.values())[:1])
 
@@ -81,11 +83,11 @@
 def test_workers_that_can_be_used_at_once_come_first(pool):
     for number in range(1, POOL_SIZE):
         pool[f"w{number}"].started_at = NOW - SUSPECT_AGE_S / 2
-    isolation = Isolation(now=NOW, workers=pool, pauses=CrashPauses())
+    isolation = Isolation(now=NOW, workers=pool, recent_crashes=RecentCrashes())
     (first, *_) = isolation.order(pool.values())
     assert first.spec.id == "w0"
-    assert isolation.is_quiet(first)
-    assert not isolation.is_quiet(pool["w1"])
+    assert isolation.has_no_young_run(first)
+    assert not isolation.has_no_young_run(pool["w1"])
 
 
 # Guards against two possible causes of a crash: a task started beside a suspect.
