--- a/src/bluebellyoke/dispatch/advice.py
+++ b/src/bluebellyoke/dispatch/advice.py
@@ -31,8 +31,8 @@
 EXTRA_RENEWAL_CALLS = 1
 
 #: A call takes the advisor's time however few workers it names. So a step that has
-#: tickets asks about new workers only if there is one for each so many evaluated ones, or
-#: if its last such call was so many times the duration of a call ago.
+#: tickets asks about new workers only if there is one for each so many evaluated ones,
+#: or if its last such call was so many times the duration of a call ago.
 NEW_WORKERS_DIVISOR = 4
 ASK_INTERVAL_CALLS = 4
 
