Split the planner and add interfaces for order, costs and observers of runs

Change: the planning of suspects and the requests for tickets move to modules of their own (suspects.py, step_tickets.py). New abstract classes PlacementCost, StepOrder and RunObserver are called where an implementation is given; none is yet. Workspaces are part of the configuration's types, and reports carry the load of a run. The settings table `dispatch` holds three switches, all off. Conclusion: no decision changes while no implementation is given.

--- a/src/bluebellyoke/dispatch/context.py
+++ b/src/bluebellyoke/dispatch/context.py
@@ -6,7 +6,9 @@
 from bluebellyoke.dispatch.advice import AdviceManager
 from bluebellyoke.dispatch.backlog import BacklogEstimator
 from bluebellyoke.dispatch.calls import WorkerCalls
+from bluebellyoke.dispatch.features import DispatchFeatures
 from bluebellyoke.dispatch.isolation import RecentCrashes, compute_probation
+from bluebellyoke.dispatch.observers import RunObserver
 from bluebellyoke.dispatch.workers import LeaseTimes, TrackedWorker
 from bluebellyoke.leader.sessions import ProposalQueue
 from bluebellyoke.metrics import Metrics
@@ -27,6 +29,8 @@
         advice: Advice on which workers may run a step.
         recent_crashes: Crashes that suspects have caused.
         backlog: Estimate of when refused callers may retry.
+        features: Optional parts that are in use.
+        observers: Parts that learn from what workers report about their runs.
         store: Replicated state.
         workers: Workers as this leader sees them, by ID.
         fence: Fencing token of this leader.
@@ -42,6 +46,8 @@
     advice: AdviceManager = field(default_factory=AdviceManager)
     recent_crashes: RecentCrashes = field(default_factory=RecentCrashes)
     backlog: BacklogEstimator = field(default_factory=BacklogEstimator)
+    features: DispatchFeatures = field(default_factory=DispatchFeatures)
+    observers: list[RunObserver] = field(default_factory=list)
     store: WorkflowStore = field(default_factory=WorkflowStore)
     workers: dict[str, TrackedWorker] = field(default_factory=dict)
     fence: int = 0
--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -17,6 +17,7 @@
 from bluebellyoke.dispatch.advice import AdviceManager
 from bluebellyoke.dispatch.calls import WorkerCalls
 from bluebellyoke.dispatch.context import DispatchContext
+from bluebellyoke.dispatch.features import DispatchFeatures
 from bluebellyoke.dispatch.polls import WorkerPoller
 from bluebellyoke.dispatch.probes import WorkerProber
 from bluebellyoke.dispatch.registry import WorkerRegistry
@@ -58,6 +59,7 @@
         proposals: Commands for the log.
         calls: Background calls to the workers.
         times: Durations of the workers' leases.
+        features: Optional parts that are in use.
     """
 
     def __init__(
@@ -66,8 +68,14 @@
         proposals: ProposalQueue,
         calls: WorkerCalls,
         times: LeaseTimes | None = None,
+        features: DispatchFeatures | None = None,
     ) -> None:
-        context = DispatchContext(proposals, calls, times or LeaseTimes())
+        context = DispatchContext(
+            proposals,
+            calls,
+            times or LeaseTimes(),
+            features=features or DispatchFeatures(),
+        )
         self._context = context
         prober = WorkerProber(context)
         self._stopper = RunStopper(context, prober=prober)
@@ -120,6 +128,8 @@
         """Stop dispatching and drop everything that is not in the replicated state."""
         self.advice.clear()
         self._registry.clear()
+        for observer in self._context.observers:
+            observer.clear()
         self._starter.reset()
 
     def tick(self, now: float, wall_time: float) -> None:
--- a/src/bluebellyoke/dispatch/placement.py
+++ b/src/bluebellyoke/dispatch/placement.py
@@ -29,6 +29,7 @@
         capacity: All resources of the worker.
         step_runs: Runs of the current step on the worker; those of earlier rounds count
             only if the step bounds its tasks per worker.
+        cost: Additional cost of a task of the current step on the worker.
     """
 
     worker: str
@@ -36,6 +37,7 @@
     free: Resources
     capacity: Resources
     step_runs: int = 0
+    cost: float = 0.0
 
 
 def count_fitting_tasks(need: Resources, free: Resources) -> int:
@@ -68,7 +70,7 @@
     """Priority queue of the workers for the tasks of a step that is not a gang.
 
     Workers in the rack of the step's data come first, then those that are not deferred,
-    then those with the tightest fit.
+    then those with the lowest cost, then those with the tightest fit.
     The queue is built once for all tasks of the step and updated as they are placed.
 
     Args:
@@ -121,7 +123,7 @@
             remaining.cpu_millis / (candidate.capacity.cpu_millis or 1),
             remaining.memory_mb / (candidate.capacity.memory_mb or 1),
         )
-        return is_far, is_deferred, tightness, candidate.worker
+        return is_far, is_deferred, candidate.cost, tightness, candidate.worker
 
 
 def _has_capacity(step: StepSpec, candidate: Candidate) -> bool:
@@ -164,14 +166,23 @@
     return [racks[rack] for rack in order]
 
 
+def _rank_for_gang(item: tuple[int, Candidate]) -> tuple:
+    fits, candidate = item
+    return candidate.cost, -fits, candidate.worker
+
+
 def _fill_largest_first(
     count: int, counted: list[tuple[int, Candidate]]
 ) -> list[Candidate] | None:
-    """Choose the workers with the most places, or None if the tasks do not all fit."""
+    """Choose the workers with the lowest cost and the most places.
+
+    Returns:
+        A worker for each task, or None if the tasks do not all fit.
+    """
     if sum(fits for fits, _ in counted) < count:
         return None
     chosen: list[Candidate] = []
-    for fits, candidate in sorted(counted, key=lambda item: (-item[0], item[1].worker)):
+    for fits, candidate in sorted(counted, key=_rank_for_gang):
         chosen += [candidate] * min(fits, count - len(chosen))
         if len(chosen) == count:
             break
--- a/src/bluebellyoke/dispatch/planning_round.py
+++ b/src/bluebellyoke/dispatch/planning_round.py
@@ -1,20 +1,25 @@
 """One round of planning, and why it starts nothing for a step."""
 
 import enum
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.dispatch.advice import StepAdvice, StepKey, WorkerKey
+from bluebellyoke.dispatch.costs import PlacementCost, sum_costs
 from bluebellyoke.dispatch.placement import Candidate
+from bluebellyoke.dispatch.waiting import WaitingStep
 from bluebellyoke.dispatch.workers import TrackedWorker
-from bluebellyoke.workflow.commands import RunStart
+from bluebellyoke.workflow.commands import RunStart, TaskName
 
 __all__ = ["PlannedStart", "PlanningRound", "WaitReason"]
 
 #: Time without a response after which a worker gets no new task, in seconds.
 MAX_WORKER_SILENCE_S = 2.5
 
+#: Estimated duration below which a task may use a reserved worker, in milliseconds.
+SHORT_TASK_MS = 900.0
+
 
 class WaitReason(enum.Enum):
     """What a waiting step lacked in a round.
@@ -54,6 +59,7 @@
 
     Attributes:
         workers: All workers, by ID.
+        costs: Costs by which a task prefers some workers to others.
         reserved: IDs of workers that gangs have reserved.
         isolated: IDs of workers that are set apart for suspects.
         reserving: Number of gangs that have reserved workers.
@@ -63,6 +69,7 @@
 
     now: float
     workers: dict[str, TrackedWorker]
+    costs: Sequence[PlacementCost] = ()
     reserved: set[str] = field(default_factory=set)
     isolated: Collection[str] = ()
     reserving: int = 0
@@ -129,6 +136,38 @@
                 found.append(worker)
         return found
 
+    def collect_candidates(
+        self, step: WaitingStep, workers: Sequence[TrackedWorker]
+    ) -> list[Candidate]:
+        """Return what some workers have free for a step and what they would cost it."""
+        is_short = 0 < step.spec.estimate_ms < SHORT_TASK_MS
+        queue = step.queue.name if step.queue is not None else ""
+        candidates = []
+        for worker in workers:
+            if worker.spec.id in self.isolated:
+                continue
+            candidate = self.find_candidate(worker)
+            if step.spec.max_per_worker:
+                candidate.step_runs = _count_step_runs(worker, step.key)
+            if self.costs:
+                candidate.cost = sum_costs(self.costs, step.spec, queue, worker)
+            if is_short or worker.spec.id not in self.reserved:
+                candidates.append(candidate)
+        return candidates
+
+    def add_start(
+        self,
+        step: StepKey,
+        index: int,
+        run: int,
+        worker_key: WorkerKey,
+        advice: StepAdvice | None,
+    ) -> None:
+        """Plan the start of a task on a worker, with its ticket if it needs one."""
+        ticket = advice.find_ticket(worker_key, self.now) if advice is not None else ""
+        start = RunStart(TaskName(*step, index), run, worker_key[0], worker_key[1])
+        self.starts.append(PlannedStart(start, ticket))
+
     def get_max_free(self) -> Resources:
         """Return the most of each resource that any worker has free.
 
@@ -154,3 +193,9 @@
         max((item.memory_mb for item in items), default=0),
         max((item.accelerators for item in items), default=0),
     )
+
+
+def _count_step_runs(worker: TrackedWorker, key: StepKey) -> int:
+    return sum(
+        (name.workflow, name.repetition, name.step) == key for name, _ in worker.runs
+    )
--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -218,6 +218,8 @@
                 unassigned_runs[key] = worker.unassigned_runs.get(key, 0.0)
                 continue
             run.record_progress(running.percent, now)
+            for observer in self._context.observers:
+                observer.record_progress(worker, key, run, running.load, now)
             if run.phase in (RunPhase.UNKNOWN, RunPhase.BLOCKED, RunPhase.BLOCKING):
                 worker.set_phase(key, RunPhase.STARTED, now)
                 self._stopper.stop_incomplete_gangs((running.task,))
--- a/src/bluebellyoke/dispatch/ports.py
+++ b/src/bluebellyoke/dispatch/ports.py
@@ -156,12 +156,15 @@
     Attributes:
         checkpoint: Latest saved progress, or an empty text.
         percent: Share of its work that is done, in percent.
+        load: Tail latency of a long-running task in milliseconds, or the CPU time in
+            use of any other in thousandths of a core; 0 if it is not reported.
     """
 
     task: TaskName
     run: int
     checkpoint: str
     percent: int = 0
+    load: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -144,14 +144,14 @@
         for name in [
             x for x in self._context.workers if x not in self._context.store.workers
         ]:
-            self._sequences.pop(self._context.workers.pop(name).spec.key, None)
+            self._forget(self._context.workers.pop(name))
         for name, spec in self._context.store.workers.items():
             worker = self._context.workers.get(name)
             if worker is not None and worker.spec.incarnation == spec.incarnation:
                 worker.spec = spec
                 continue
             if worker is not None:
-                self._sequences.pop(worker.spec.key, None)
+                self._forget(worker)
             worker = self._context.workers[name] = TrackedWorker(
                 spec, now, last_response_at=now, lost_at=now
             )
@@ -164,6 +164,12 @@
                     probation_s=self._context.find_probation(key),
                 )
 
+    def _forget(self, worker: TrackedWorker) -> None:
+        """Drop what is known of an incarnation that is no longer tracked."""
+        self._sequences.pop(worker.spec.key, None)
+        for observer in self._context.observers:
+            observer.forget_worker(worker)
+
     def remove(
         self, worker: TrackedWorker, reason: RemovalReason, wall_time: float
     ) -> None:
--- a/src/bluebellyoke/dispatch/run_ends.py
+++ b/src/bluebellyoke/dispatch/run_ends.py
@@ -45,10 +45,21 @@
         for end in ends:
             self._context.metrics.record_run(end.outcome.value)
             log_run_end((end.task, end.run), worker.spec.id, end.outcome.value)
+            self._notify_observers(worker, end)
         self._update_health(worker, ends)
         command = workflow_commands.RecordEnds(time=wall_time, ends=tuple(ends))
         self._context.proposals.add(command, finish)
 
+    def _notify_observers(
+        self, worker: TrackedWorker, end: workflow_commands.RunEnd
+    ) -> None:
+        run = worker.runs.get((end.task, end.run))
+        if run is None:
+            return
+        now = self._context.now
+        for observer in self._context.observers:
+            observer.record_end(worker, (end.task, end.run), run, end.outcome, now)
+
     def _update_health(
         self, worker: TrackedWorker, ends: list[workflow_commands.RunEnd]
     ) -> None:
--- /dev/null
+++ b/src/bluebellyoke/dispatch/suspects.py
@@ -0,0 +1,167 @@
+"""Planning of tasks that may crash their workers."""
+
+from collections.abc import Container, Sequence
+
+from bluebellyoke.dispatch.advice import StepAdvice, StepKey
+from bluebellyoke.dispatch.isolation import Isolation, RecentCrashes
+from bluebellyoke.dispatch.placement import (
+    Candidate,
+    count_allowed,
+    select_gang_workers,
+)
+from bluebellyoke.dispatch.planning_round import PlanningRound, WaitReason
+from bluebellyoke.dispatch.step_tickets import StepTickets, have_tickets
+from bluebellyoke.dispatch.waiting import Suspect
+from bluebellyoke.dispatch.workers import TrackedWorker
+from bluebellyoke.workflow.specs import StepSpec
+from bluebellyoke.workflow.store import WorkflowStore
+
+__all__ = ["SuspectPlanner"]
+
+#: Maximum number of suspects that a round looks at.
+MAX_SUSPECTS_PER_ROUND = 64
+
+#: Number of waiting suspects that may ask the advisor.
+RENEWED_SUSPECTS = 8
+
+
+class SuspectPlanner:
+    """Plans suspects on workers that other tasks do not get meanwhile.
+
+    Args:
+        tickets: Requests the tickets that steps need.
+        recent_crashes: Crashes that suspects have caused.
+    """
+
+    def __init__(self, tickets: StepTickets, recent_crashes: RecentCrashes) -> None:
+        self._tickets = tickets
+        self._recent_crashes = recent_crashes
+        self._isolated: frozenset[str] = frozenset()
+
+    def reset(self) -> None:
+        """Forget which workers the last round has set apart."""
+        self._isolated = frozenset()
+
+    def plan(
+        self,
+        store: WorkflowStore,
+        suspects: Sequence[Suspect],
+        planning: PlanningRound,
+        paused: Container[StepKey],
+    ) -> None:
+        """Start tasks that may crash their workers, and set workers apart for them.
+
+        Args:
+            suspects: Waiting suspects, in the order in which they are planned.
+            paused: Steps that are not planned now.
+        """
+        isolation = Isolation(
+            now=planning.now,
+            workers=planning.workers,
+            recent_crashes=self._recent_crashes,
+            previous=self._isolated,
+        )
+        waiting = 0
+        for suspect in suspects[:MAX_SUSPECTS_PER_ROUND]:
+            if isolation.is_full:
+                break
+            if suspect.step.key in paused:
+                continue
+            is_head = waiting < RENEWED_SUSPECTS
+            waiting += not self._plan_suspect(
+                store, suspect, planning, isolation, is_head
+            )
+        self._isolated = frozenset(isolation.chosen)
+        planning.isolated = isolation.chosen
+
+    def _plan_suspect(
+        self,
+        store: WorkflowStore,
+        suspect: Suspect,
+        planning: PlanningRound,
+        isolation: Isolation,
+        is_head: bool,
+    ) -> bool:
+        """Start one suspect, or a gang, if possible; return whether it has started.
+
+        Args:
+            is_head: Whether it may ask the advisor while it waits.
+        """
+        step = suspect.step
+        pool, label = store.find_pool(step.workflow), step.spec.required_label
+        advice = None
+        workers = planning.list_workers(pool, label)
+        if step.queue is not None and step.queue.advisor is not None:
+            advice = self._tickets.get_step_advice(step.key)
+            if is_head:
+                self._tickets.renew(step, advice, pool, planning)
+            workers = planning.list_allowed(pool, label, advice)
+        reason = self._start_suspect(suspect, workers, planning, isolation, advice)
+        if reason is not None:
+            planning.wait_reasons[step.key] = reason
+        if reason is not None and advice is not None and is_head:
+            self._tickets.request_missing(step, pool, planning)
+        return reason is None
+
+    def _start_suspect(
+        self,
+        suspect: Suspect,
+        workers: list[TrackedWorker],
+        planning: PlanningRound,
+        isolation: Isolation,
+        advice: StepAdvice | None,
+    ) -> WaitReason | None:
+        """Start one suspect, or a gang; return why it waits, or None."""
+        step, indexes = suspect.step, suspect.indexes
+        ordered = isolation.order(workers)
+        candidates = planning.collect_candidates(step, ordered)
+        chosen = _choose_few_workers(step.spec, len(indexes), candidates)
+        if chosen is None:
+            _free_a_worker(step.spec, ordered, isolation)
+            return WaitReason.NO_ROOM if workers else WaitReason.NO_WORKER
+        used = [planning.workers[x] for x in {item.worker: None for item in chosen}]
+        if not have_tickets(advice, [x.spec.key for x in used], planning.now):
+            self._tickets.replace_expired(step, planning.now)
+            return WaitReason.NO_TICKET
+        if not isolation.take(used) or not all(map(isolation.has_no_young_run, used)):
+            return WaitReason.SUSPECT
+        run = 1 + max(step.tasks[index].run for index in indexes)
+        for index, candidate in zip(indexes, chosen, strict=True):
+            worker_key = planning.workers[candidate.worker].spec.key
+            planning.add_start(step.key, index, run, worker_key, advice)
+        return None
+
+
+def _free_a_worker(
+    spec: StepSpec, ordered: list[TrackedWorker], isolation: Isolation
+) -> None:
+    """Set a worker apart that has room for a suspect once its runs have ended."""
+    full = [
+        worker
+        for worker in ordered
+        if spec.need.fits_in(worker.spec.capacity)
+        and not spec.need.fits_in(worker.free)
+    ]
+    if full and not spec.gang:
+        isolation.take(full[:1])
+
+
+def _choose_few_workers(
+    spec: StepSpec, count: int, candidates: list[Candidate]
+) -> list[Candidate] | None:
+    """Return the workers for some tasks, among the first ones that they fit on.
+
+    Args:
+        count: Number of tasks: all of a gang, or one.
+        candidates: Workers, the best first.
+    """
+    fitting = [x for x in candidates if count_allowed(spec, x, x.free)]
+    if count == 1:
+        return fitting[:1] or None
+    size = 1
+    while fitting:
+        chosen = select_gang_workers(spec, fitting[:size])
+        if chosen is not None or size >= len(fitting):
+            return chosen
+        size *= 2
+    return None
--- a/src/bluebellyoke/dispatch/waiting.py
+++ b/src/bluebellyoke/dispatch/waiting.py
@@ -11,7 +11,12 @@
 from bluebellyoke.workflow.commands import TaskName
 from bluebellyoke.workflow.specs import QueueSpec, StepSpec
 from bluebellyoke.workflow.store import WorkflowStore
-from bluebellyoke.workflow.workflow import Repetition, TaskState, Workflow
+from bluebellyoke.workflow.workflow import (
+    Repetition,
+    TaskProgress,
+    TaskState,
+    Workflow,
+)
 
 __all__ = ["NextStep", "Suspect", "WaitingStep", "WaitingSteps"]
 
@@ -32,6 +37,12 @@
     indexes: list[int]
     rank: tuple
 
+    @property
+    def tasks(self) -> list[TaskProgress]:
+        """All tasks of the step, by index."""
+        _, repetition, index = self.key
+        return self.workflow.repetitions[repetition].steps[index].tasks
+
 
 @dataclass(frozen=True, slots=True)
 class Suspect:
--- a/src/bluebellyoke/instance/application.py
+++ b/src/bluebellyoke/instance/application.py
@@ -34,6 +34,7 @@
 from bluebellyoke.consensus.storage import holds_replica
 from bluebellyoke.consensus.timing import ElectionTiming
 from bluebellyoke.dispatch.calls import WorkerCalls
+from bluebellyoke.dispatch.features import DispatchFeatures
 from bluebellyoke.dispatch.ports import NullWorkerClient
 from bluebellyoke.dispatch.workers import LeaseTimes
 from bluebellyoke.errors import BluebellyokeError, find_error
@@ -456,6 +457,7 @@
                 lease_s=limits.called_worker_lease_s,
                 max_lease_s=limits.longest_called_worker_lease_s,
             ),
+            features=DispatchFeatures(**settings.dispatch.model_dump()),
         )
         return Replica(
             options=ReplicaOptions(
--- a/src/bluebellyoke/leader/controller.py
+++ b/src/bluebellyoke/leader/controller.py
@@ -16,6 +16,7 @@
 from bluebellyoke.dispatch.calls import WorkerCalls
 from bluebellyoke.dispatch.dispatcher import Dispatcher
 from bluebellyoke.dispatch.events import WorkerEvent
+from bluebellyoke.dispatch.features import DispatchFeatures
 from bluebellyoke.dispatch.ports import NullWorkerClient
 from bluebellyoke.dispatch.queue_requests import QueueRequestHandler
 from bluebellyoke.dispatch.workers import LeaseTimes
@@ -46,6 +47,7 @@
         engine: Planner of placements.
         calls: Background calls to the workers that run workflow tasks.
         lease_times: Lease durations of these workers.
+        features: Optional parts of the dispatcher that are in use.
 
     Attributes:
         active: Whether the local replica acts as leader.
@@ -60,6 +62,7 @@
         engine: PlacementEngine,
         calls: WorkerCalls | None = None,
         lease_times: LeaseTimes | None = None,
+        features: DispatchFeatures | None = None,
     ) -> None:
         self.engine = engine
         self.state = CellState()
@@ -73,7 +76,10 @@
             client=NullWorkerClient(), clock=SystemClock()
         )
         self.dispatcher = Dispatcher(
-            proposals=self._proposals, calls=self.calls, times=lease_times
+            proposals=self._proposals,
+            calls=self.calls,
+            times=lease_times,
+            features=features,
         )
         self._queue_requests = QueueRequestHandler(self.dispatcher)
         self._lease_s = options.instance_lease_s
--- a/src/bluebellyoke/platform/bodies.py
+++ b/src/bluebellyoke/platform/bodies.py
@@ -291,6 +291,7 @@
                 _parse_integer(row[1]),
                 str(row[2] or ""),
                 _parse_integer(row[3]),
+                _parse_integer(row[4] or 0) if len(row) > 4 else 0,
             )
             for row in hold.Running
         )
--- a/src/bluebellyoke/settings.py
+++ b/src/bluebellyoke/settings.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "CellSettings",
+    "DispatchSettings",
     "InstanceSettings",
     "LimitSettings",
     "Settings",
@@ -122,6 +123,14 @@
     snapshot_mb: Annotated[int, pydantic.Field(ge=1, le=1024)] = 16
 
 
+class DispatchSettings(_Table):
+    """Table `dispatch`, equal on all instances of a cell: optional parts."""
+
+    admission: bool = False
+    uneven_workers: bool = False
+    interference: bool = False
+
+
 class LogSettings(_Table):
     """Table `log`."""
 
@@ -136,6 +145,7 @@
     cell: CellSettings
     instance: InstanceSettings
     limits: LimitSettings = LimitSettings()
+    dispatch: DispatchSettings = DispatchSettings()
     log: LogSettings = LogSettings()
 
 
--- a/src/bluebellyoke/workflow/specs.py
+++ b/src/bluebellyoke/workflow/specs.py
@@ -15,6 +15,7 @@
     "StepSpec",
     "WorkerSpec",
     "WorkflowSpec",
+    "WorkspaceSpec",
 ]
 
 
@@ -45,6 +46,7 @@
         priority: Queues with a lower number are planned first.
         attempts: Failed runs of a task that make its workflow fail.
         advisor: Advisor of the queue's steps, or None if any worker may run them.
+        public: Whether requests to the queue need no credential.
     """
 
     name: str
@@ -57,6 +59,7 @@
     priority: int = 0
     attempts: int = 1
     advisor: AdvisorSpec | None = None
+    public: bool = False
 
 
 class PoolSpec(msgspec.Struct, frozen=True, kw_only=True):
@@ -72,16 +75,34 @@
     standby: bool = False
 
 
+class WorkspaceSpec(msgspec.Struct, frozen=True, kw_only=True):
+    """A workspace that submits workflows.
+
+    Attributes:
+        credentials: SHA-256 digests of its keys, in hexadecimal.
+        share: Workflows a second that it may expect to be served, and its weight
+            relative to other workspaces while resources are short.
+        quota: Maximum of what its runs take up; 0 means no limit.
+    """
+
+    name: str
+    credentials: tuple[str, ...] = ()
+    share: float = 1.0
+    quota: Resources = Resources()
+
+
 class Configuration(msgspec.Struct, frozen=True, kw_only=True):
-    """All queues and pools under one version.
+    """All queues, pools and workspaces under one version.
 
     Attributes:
+        workspaces: Workspaces; if there are none, requests need no credential.
         document: Bytes that the operator sent, which are returned on a read.
     """
 
     version: int
     queues: tuple[QueueSpec, ...] = ()
     pools: tuple[PoolSpec, ...] = ()
+    workspaces: tuple[WorkspaceSpec, ...] = ()
     document: bytes = b""
 
 
@@ -137,6 +158,7 @@
         repeats: Number of repetitions of the steps; 0 means one that starts at once.
         first_at_ms: Wall-clock time at which the first repetition starts.
         interval_ms: Time between the starts of two repetitions.
+        workspace: Workspace that submitted it, or an empty text if there is none.
     """
 
     id: str
@@ -146,6 +168,7 @@
     repeats: int = 0
     first_at_ms: int = 0
     interval_ms: int = 0
+    workspace: str = ""
 
     def count_tasks(self) -> int:
         """Return the number of tasks of one repetition."""
