--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -52,8 +52,8 @@
         advice: Advice on which workers may run a step.
         recent_crashes: Crashes that suspects have caused.
         costs: Costs by which a task prefers some workers to others.
-        order: Order of the waiting steps; without it they are planned by priority and
-            age.
+        orders: Orders of the waiting steps, which are applied one after the other.
+            Without any, steps are planned by priority and age.
 
     Attributes:
         wait_reasons: Why each step waits for which the last round started nothing.
@@ -65,14 +65,14 @@
         recent_crashes: RecentCrashes | None = None,
         *,
         costs: Iterable[PlacementCost] = (),
-        order: StepOrder | None = None,
+        orders: Iterable[StepOrder] = (),
     ) -> None:
         self._tickets = StepTickets(advice)
         self._suspects = SuspectPlanner(
             self._tickets, recent_crashes or RecentCrashes()
         )
         self._costs = tuple(costs)
-        self._order = order
+        self._orders = tuple(orders)
         self._steps = WaitingSteps()
         self._paused_until: dict[StepKey, float] = {}
         self.wait_reasons: dict[StepKey, WaitReason] = {}
@@ -99,8 +99,8 @@
         self._steps.update(store, wall_time)
         planning = PlanningRound(now, workers, costs=self._costs)
         waiting = self._steps.list_waiting()
-        if self._order is not None:
-            waiting = self._order.arrange(waiting, planning)
+        for order in self._orders:
+            waiting = order.arrange(waiting, planning)
         if len(waiting) > RENEWED_STEPS:
             planning.get_max_free()
         self._paused_until = {
