Give up a task on workers with sessions under which its workers crash

Change: cell/crashes.py. A new session while the earlier one is live proves a crash. A task that was younger than 30 s is a suspect: it starts on an idle worker, which gets no other task, and fails after three crashes of workers that it had to itself. Ends that are reported and longer runs clear it; expired leases prove nothing.

--- /dev/null
+++ b/src/bluebellyoke/cell/crashes.py
@@ -0,0 +1,98 @@
+"""Crashes of workers under the tasks that run on them.
+
+Rules:
+    * A new session proves a crash if the earlier one is still live: the worker's
+      process has ended without a report. A lease that expires proves nothing.
+    * A task that was young at a crash is a suspect. It starts again on a worker of its
+      own, so that a further crash has one possible cause.
+    * A suspect under which several workers have crashed that it had to itself fails.
+    * A suspect is cleared once it ends, or once it has outlived the suspect age.
+    * The tasks of a gang count as one, since they start together.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from bluebellyoke.cell.jobs import Job, Task
+
+__all__ = [
+    "CrashRecord",
+    "clear",
+    "find_suspects",
+    "is_given_up",
+    "is_suspect",
+    "record_crash",
+]
+
+#: Age up to which a task is suspected of a crash, in seconds. The next session of the
+#: worker begins some seconds after the crash, and the age counts up to then.
+SUSPECT_AGE_S = 30.0
+
+#: Crashes of workers that a task had to itself after which it fails.
+MAX_LONE_CRASHES = 3
+
+
+class CrashRecord(msgspec.Struct, array_like=True):
+    """Crashes that a task was young at.
+
+    Attributes:
+        shared: Crashes of workers that ran other tasks too.
+        alone: Crashes of workers that ran nothing else.
+    """
+
+    shared: int = 0
+    alone: int = 0
+
+
+def _get_key(task: Task) -> int:
+    return 0 if task.job.is_gang else task.index
+
+
+def is_suspect(job: Job, index: int) -> bool:
+    """Return whether a task of a job may crash its worker."""
+    return bool(job.crashes) and (0 if job.is_gang else index) in job.crashes
+
+
+def is_given_up(task: Task) -> bool:
+    """Return whether too many workers have crashed under a task."""
+    record = task.job.crashes.get(_get_key(task))
+    return record is not None and record.alone >= MAX_LONE_CRASHES
+
+
+def is_young(task: Task, now: float) -> bool:
+    """Return whether a placed task has not outlived the suspect age."""
+    return now - task.since < SUSPECT_AGE_S
+
+
+def find_suspects(tasks: Iterable[Task], now: float) -> list[Task]:
+    """Return the suspects among placed tasks that are still young."""
+    return [
+        task
+        for task in tasks
+        if is_suspect(task.job, task.index) and is_young(task, now)
+    ]
+
+
+def record_crash(tasks: Iterable[Task], now: float) -> None:
+    """Record a crash under the tasks of a worker, and clear those that were not young.
+
+    Args:
+        tasks: Tasks that were placed on the worker.
+        now: Wall-clock time, in seconds.
+    """
+    groups = {(task.job.spec.id, _get_key(task)): task for task in tasks}
+    for task in groups.values():
+        if not is_young(task, now):
+            clear(task)
+            continue
+        record = task.job.crashes.setdefault(_get_key(task), CrashRecord())
+        if len(groups) == 1:
+            record.alone += 1
+        else:
+            record.shared += 1
+
+
+def clear(task: Task) -> None:
+    """Clear a task of its crashes."""
+    task.job.crashes.pop(_get_key(task), None)
--- a/src/bluebellyoke/cell/jobs.py
+++ b/src/bluebellyoke/cell/jobs.py
@@ -19,6 +19,7 @@
 from bluebellyoke.cell.resources import Resources
 
 if TYPE_CHECKING:
+    from bluebellyoke.cell.crashes import CrashRecord
     from bluebellyoke.cell.workers import Worker
 
 __all__ = ["Job", "JobClass", "Task", "TaskState", "compute_backoff"]
@@ -107,6 +108,8 @@
         counts: Number of tasks in each state, indexed by state.
         waiting: Indexes of the waiting tasks, oldest first.
         failed_on: Names of the workers on which a task of the job failed.
+        crashes: Crashes of workers that the job may have caused, by index of the task;
+            those of a gang have the index 0.
         learned_s: Moving average of the run time of a task, in seconds, or zero.
         first_start_at: Wall-clock time of the first start, in seconds, or zero.
         finished_at: Wall-clock time at which the job finished, in seconds, or zero.
@@ -121,6 +124,7 @@
     counts: list[int] = field(default_factory=lambda: [0] * len(TaskState))
     waiting: dict[int, None] = field(default_factory=dict)
     failed_on: set[str] = field(default_factory=set)
+    crashes: "dict[int, CrashRecord]" = field(default_factory=dict)
     cancelled: bool = False
     learned_s: float = 0.0
     first_start_at: float = 0.0
--- a/src/bluebellyoke/cell/scheduling.py
+++ b/src/bluebellyoke/cell/scheduling.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from bluebellyoke.cell import crashes
 from bluebellyoke.cell.commands import (
     AdmitWorker,
     JobKind,
@@ -182,7 +183,7 @@
             for placement in group:
                 task = self._find_waiting_task(placement)
                 worker = self.workers.get(placement.worker)
-                if not self._can_place(task, worker, placement):
+                if not self._can_place(task, worker, placement, placed):
                     continue
                 self._place_task(task, worker, now)
                 placed.append(task)
@@ -200,12 +201,20 @@
         return task if task.epoch + 1 == placement.epoch else None
 
     def _can_place(
-        self, task: Task | None, worker: Worker | None, placement: Placement
+        self,
+        task: Task | None,
+        worker: Worker | None,
+        placement: Placement,
+        gang: list[Task],
     ) -> bool:
         if task is None or worker is None or not worker.alive:
             return False
         if worker.session != placement.session or worker.drained:
             return False
+        if crashes.is_suspect(task.job, task.index) and any(
+            other not in gang for other in worker.tasks.values()
+        ):
+            return False
         need = task.job.need
         workspace = self.workspaces[task.job.spec.workspace]
         return worker.can_hold(need) and workspace.has_quota_for(need)
@@ -286,6 +295,7 @@
                 if worker.name != worker_name or worker.session != session:
                     continue
                 self._release_resources(task)
+                crashes.clear(task)
                 self._apply_report(task, worker, report, now)
                 changed += 1
             elif task.state is TaskState.UNKNOWN:
@@ -451,6 +461,8 @@
                 "session-ended", "a newer session has begun; start a new session"
             )
         if existing is not None:
+            if existing.alive:
+                crashes.record_crash(existing.tasks.values(), command.time)
             self.lose_worker(command.worker, existing.session, command.time)
         worker = Worker(
             command.worker,
@@ -492,6 +504,11 @@
         job = task.job
         if task.state is TaskState.CANCELLING:
             self._finish_task(task, TaskState.CANCELLED, now)
+        elif crashes.is_given_up(task):
+            job.reason = job.reason or f"workers crashed under task {task.index}"
+            self._finish_task(task, TaskState.FAILED, now)
+            if job.is_gang:
+                self._stop_other_members(job, task, restart=False, now=now)
         elif job.is_restartable:
             self._requeue(task, now)
             if job.is_gang:
--- a/src/bluebellyoke/cell/snapshot.py
+++ b/src/bluebellyoke/cell/snapshot.py
@@ -10,6 +10,7 @@
 
 from bluebellyoke.cell import commands
 from bluebellyoke.cell.claims import Claim
+from bluebellyoke.cell.crashes import CrashRecord
 from bluebellyoke.cell.jobs import PLACED_STATES, Job, Task, TaskState
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.cell.state import CellState
@@ -48,6 +49,7 @@
     first_start_at: float
     finished_at: float
     reason: str
+    crashes: dict[int, CrashRecord] = {}
 
 
 class WorkerSnapshot(msgspec.Struct, frozen=True, array_like=True):
@@ -218,6 +220,7 @@
         job.first_start_at,
         job.finished_at,
         job.reason,
+        job.crashes,
     )
 
 
@@ -236,6 +239,7 @@
         first_start_at=snapshot.first_start_at,
         finished_at=snapshot.finished_at,
         reason=snapshot.reason,
+        crashes=dict(snapshot.crashes),
     )
     for index, stored in enumerate(snapshot.tasks):
         task = Task(
--- a/src/bluebellyoke/cell/workers.py
+++ b/src/bluebellyoke/cell/workers.py
@@ -10,6 +10,7 @@
 
 from dataclasses import dataclass, field
 
+from bluebellyoke.cell import crashes
 from bluebellyoke.cell.jobs import Task
 from bluebellyoke.cell.resources import Resources
 
@@ -90,11 +91,14 @@
     def is_schedulable(self, now: float) -> bool:
         """Return whether a new task may be placed at wall-clock time `now`, in seconds.
 
-        A worker that was quarantined gets one task at a time until a task succeeds.
+        A worker that was quarantined gets one task at a time until a task succeeds. One
+        that runs a suspect of a crash gets no other task.
         """
         if not self.alive or self.drained or now < self.quarantined_until:
             return False
-        return not self.quarantines or not self.tasks
+        if self.quarantines and self.tasks:
+            return False
+        return not crashes.find_suspects(self.tasks.values(), now)
 
     def allocate(self, need: Resources) -> None:
         """Reserve the resources of a task."""
--- a/src/bluebellyoke/placement/engine.py
+++ b/src/bluebellyoke/placement/engine.py
@@ -24,6 +24,7 @@
 from dataclasses import dataclass, field
 
 from bluebellyoke.cell.commands import JobKind, Placement
+from bluebellyoke.cell.crashes import is_suspect
 from bluebellyoke.cell.jobs import Job, JobClass, Task
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.cell.scheduling import SchedulingState
@@ -128,7 +129,8 @@
         self._unplaceable_jobs: set[str] = set()
         self._location_counts: dict[str, Counter] = {}
         self._planned_counts: dict[str, int] = {}
-        self._waiting_iterators: dict[str, Iterator[int]] = {}
+        self._waiting: dict[str, list[int]] = {}
+        self._isolated: dict[str, str] = {}
 
     def rebuild(self, scheduling: SchedulingState) -> None:
         """Discard all caches and read a scheduling state, as after a leader change."""
@@ -157,7 +159,8 @@
         self._unplaceable_jobs.clear()
         self._location_counts.clear()
         self._planned_counts.clear()
-        self._waiting_iterators.clear()
+        self._waiting.clear()
+        self._isolated.clear()
         result = RoundResult()
         self._relieve_overcommitted(now, result)
         self._plan_urgent(scheduling, now, limit, result)
@@ -303,12 +306,12 @@
     def _add_placements(
         self, job: Job, chosen: list[Candidate], now: float, result: RoundResult
     ) -> None:
-        waiting = self._waiting_iterators.get(job.spec.id)
-        if waiting is None:
-            waiting = self._waiting_iterators[job.spec.id] = iter(job.waiting)
+        waiting = self._list_unplanned(job)
         ends_at = estimate_job_end(job, now)
         for candidate in chosen:
-            index = next(waiting)
+            index = waiting.pop()
+            if is_suspect(job, index):
+                self._isolated[candidate.worker.name] = job.spec.id
             task = job.tasks[index]
             worker = candidate.worker
             self._index.allocate(candidate, job.need)
@@ -338,6 +341,33 @@
         self.waiting_reasons.pop(job.spec.id, None)
         self._reservations.cancel(job.spec.id)
 
+    def _list_unplanned(self, job: Job) -> list[int]:
+        """Return the waiting tasks that the round has not planned, the next one last.
+
+        Suspects of a crash come after the others, since few workers are idle.
+        """
+        waiting = self._waiting.get(job.spec.id)
+        if waiting is None:
+            waiting = self._waiting[job.spec.id] = list(job.waiting)
+            if job.crashes:
+                waiting.sort(key=lambda index: is_suspect(job, index))
+            waiting.reverse()
+        return waiting
+
+    def _may_share(self, candidate: Candidate, job: Job) -> bool:
+        """Return whether the next task of a job may start beside a worker's tasks.
+
+        A suspect of a crash starts on an idle worker, and no other task beside it.
+        """
+        name = candidate.worker.name
+        if self._isolated.get(name, job.spec.id) != job.spec.id:
+            return False
+        if not job.crashes or not is_suspect(job, self._list_unplanned(job)[-1]):
+            return name not in self._isolated
+        if candidate.worker.tasks:
+            return False
+        return job.is_gang or not self._index.has_allocation(candidate)
+
     def _choose_worker(
         self, scheduling: SchedulingState, job: Job, now: float
     ) -> Candidate | None:
@@ -350,7 +380,11 @@
             self._set_waiting_reason(job, "the workspace's quota is used up")
             return None
         for candidate in self._reservations.list_workers(job.spec.id):
-            if candidate.can_hold(need) and candidate.worker.is_schedulable(now):
+            if (
+                candidate.can_hold(need)
+                and candidate.worker.is_schedulable(now)
+                and self._may_share(candidate, job)
+            ):
                 return candidate
         if any(other.fits_in(need) for other in self._unplaceable_needs):
             self._set_waiting_reason(job, "no worker has room")
@@ -361,7 +395,7 @@
             if best is not None:
                 return best
         self._set_waiting_reason(job, "no worker has room")
-        if len(self._unplaceable_needs) < MAX_UNPLACEABLE_NEEDS:
+        if not job.crashes and len(self._unplaceable_needs) < MAX_UNPLACEABLE_NEEDS:
             self._unplaceable_needs.append(need)
         return None
 
@@ -376,6 +410,8 @@
                 continue
             if not self._reservations.allows(candidate, job, now):
                 continue
+            if not self._may_share(candidate, job):
+                continue
             if candidate.worker.quarantines and self._index.has_allocation(candidate):
                 # A worker that is probed after its quarantine gets only one task.
                 continue
--- a/tests/cell/factories.py
+++ b/tests/cell/factories.py
@@ -42,6 +42,8 @@
 def place(state, job_id, index, worker, *, time=2.0):
     """Place one task; return whether it started."""
     task = state.scheduling.find_task(job_id, index)
+    if task is None:
+        return False
     session = state.scheduling.workers[worker].session
     placement = commands.Placement(job_id, index, task.epoch + 1, worker, session)
     result = state.apply(commands.PlaceTasks(placements=(placement,), time=time))
