Decide by the newest configuration who may use a queue

An instance sends the digest of Api-Key with each request, as the last field of QueueRequest. The leader decides on POST, GET, DELETE and the count of a queue from its committed configuration (workflow/access.py): 404 for an unknown path comes first, then 401 and 403, then all other checks. It sets the workspace of a submitted job.

--- a/src/bluebellyoke/dispatch/queue_requests.py
+++ b/src/bluebellyoke/dispatch/queue_requests.py
@@ -1,5 +1,6 @@
 """The leader's replies to callers of queues and to announcements of workers."""
 
+import logging
 import re
 from collections.abc import Callable
 
@@ -9,12 +10,15 @@
 from bluebellyoke.dispatch.dispatcher import Dispatcher
 from bluebellyoke.instance import wire
 from bluebellyoke.workflow import commands as workflow_commands
+from bluebellyoke.workflow.access import LOGGED_DIGITS, AccessDecision, authorize
 from bluebellyoke.workflow.configuration import find_queue
 from bluebellyoke.workflow.specs import QueueSpec, WorkflowSpec
 from bluebellyoke.workflow.store import WorkflowStore
 
 __all__ = ["QueueRequestHandler"]
 
+logger = logging.getLogger("bluebellyoke.dispatch")
+
 _WORKFLOW_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
 
 
@@ -41,6 +45,11 @@
             reply(wire.QueueReply("unknown-queue", reason="no queue has this path"))
             return
         workflow_id = body.path[len(queue.prefix) :]
+        decision = _authorize(store, queue, workflow_id, body)
+        if not decision.admitted:
+            _log_refusal(queue, workflow_id, body, decision)
+            reply(wire.QueueReply(decision.code, reason=decision.reason))
+            return
         if not workflow_id and body.action is wire.QueueAction.READ:
             waiting = self._dispatcher.count_waiting(queue.name)
             reply(wire.QueueReply("accepted", waiting=waiting))
@@ -57,7 +66,12 @@
             )
             self._dispatcher.cancel(command, wall_time, lambda x: reply(_convert(x)))
         else:
-            spec = msgspec.structs.replace(body.draft, id=workflow_id, queue=queue.name)
+            spec = msgspec.structs.replace(
+                body.draft,
+                id=workflow_id,
+                queue=queue.name,
+                workspace=decision.workspace,
+            )
             command = workflow_commands.SubmitWorkflow(spec=spec)
             self._dispatcher.submit(
                 command, wall_time, lambda x: reply(self._convert_submission(x, spec))
@@ -86,6 +100,35 @@
             self._dispatcher.register_worker(body.spec, wall_time, reply)
 
 
+def _authorize(
+    store: WorkflowStore, queue: QueueSpec, workflow_id: str, body: wire.QueueRequest
+) -> AccessDecision:
+    workflow = store.workflows.get(workflow_id)
+    spec = workflow.spec if workflow is not None else None
+    if spec is not None and spec.queue != queue.name:
+        spec = None
+    return authorize(store.configuration, queue, body.credential, spec)
+
+
+def _log_refusal(
+    queue: QueueSpec,
+    workflow_id: str,
+    body: wire.QueueRequest,
+    decision: AccessDecision,
+) -> None:
+    logger.info(
+        "dispatch: refused a caller",
+        extra={
+            "action": body.action.value,
+            "queue": queue.name,
+            "job": workflow_id,
+            "code": decision.code,
+            "workspace": decision.workspace,
+            "credential": body.credential[:LOGGED_DIGITS],
+        },
+    )
+
+
 def _describe(
     store: WorkflowStore, queue: QueueSpec, workflow_id: str
 ) -> wire.QueueReply:
--- a/src/bluebellyoke/instance/queues.py
+++ b/src/bluebellyoke/instance/queues.py
@@ -102,6 +102,7 @@
         *,
         timeout_s: float,
         draft: WorkflowSpec | None = None,
+        credential: str = "",
     ) -> wire.QueueReply:
         """Return the leader's reply to a caller's request to a queue.
 
@@ -111,6 +112,7 @@
             path: Path of the request, which starts with the queue's prefix.
             timeout_s: Timeout for the leader's reply, in seconds.
             draft: Workflow to submit, without its ID and queue.
+            credential: Digest of the caller's key, or an empty text.
         """
         started_at = self._clock.monotonic()
         errors = validate_workflow(draft) if draft is not None else []
@@ -119,7 +121,8 @@
             if errors:
                 reply = wire.QueueReply("malformed", reason="; ".join(errors))
             else:
-                reply = await self._ask_leader(action, host, path, draft, timeout_s)
+                body = wire.QueueRequest(action, host, path, draft, credential)
+                reply = await self._ask_leader(body, timeout_s)
         finally:
             self.open_requests -= 1
         took_s = self._clock.monotonic() - started_at
@@ -138,18 +141,12 @@
         return reply
 
     async def _ask_leader(
-        self,
-        action: wire.QueueAction,
-        host: str,
-        path: str,
-        draft: WorkflowSpec | None,
-        timeout_s: float,
+        self, body: wire.QueueRequest, timeout_s: float
     ) -> wire.QueueReply:
-        is_read = action is wire.QueueAction.READ
+        is_read = body.action is wire.QueueAction.READ
         link_timeout_s = SHORT_LINK_TIMEOUT_S if is_read else LINK_TIMEOUT_S
         if not await self._link.wait_connected(min(link_timeout_s, timeout_s)):
             return wire.QueueReply(UNAVAILABLE, reason="no leader is known now")
-        body = wire.QueueRequest(action, host, path, draft)
         try:
             max_disconnected_s = SHORT_LINK_TIMEOUT_S if is_read else MAX_DISCONNECTED_S
             return await self._link.call(body, timeout_s, max_disconnected_s)
--- a/src/bluebellyoke/instance/wire.py
+++ b/src/bluebellyoke/instance/wire.py
@@ -165,13 +165,16 @@
     without an ID returns the number of waiting workflows.
 
     Attributes:
-        draft: Workflow to submit; the leader sets its ID and queue.
+        draft: Workflow to submit; the leader sets its ID, queue and workspace.
+        credential: SHA-256 digest of the caller's key, in hexadecimal, or an empty text
+            if it sent none.
     """
 
     action: QueueAction
     host: str
     path: str
     draft: WorkflowSpec | None = None
+    credential: str = ""
 
 
 class QueueReply(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/src/bluebellyoke/platform/bodies.py
+++ b/src/bluebellyoke/platform/bodies.py
@@ -3,6 +3,7 @@
 The structs keep the platform's field names; unclear ones have a comment.
 """
 
+import hashlib
 from typing import Annotated
 
 import msgspec
@@ -19,6 +20,7 @@
     StepSpec,
     WorkerSpec,
     WorkflowSpec,
+    WorkspaceSpec,
 )
 
 __all__ = [
@@ -29,6 +31,7 @@
     "decode_job",
     "decode_status",
     "format_task",
+    "hash_key",
 ]
 
 #: Exceptions that msgspec raises for a body that it cannot decode. Values that are
@@ -107,6 +110,7 @@
     Attempts: Integer = 1
     SlackFactor: float = 1.0
     Advisor: RouteAdvisor | None = None
+    Public: bool = False
 
 
 class Service(msgspec.Struct):
@@ -117,20 +121,31 @@
     Standby: bool = False
 
 
+class Capacity(msgspec.Struct):
+    """Resources of a worker, or the most that the runs of a workspace may take up."""
+
+    Cpu: Integer = 0
+    MemMb: Integer = 0
+    Gpu: Integer = 0
+
+
+class Tenant(msgspec.Struct):
+    """A workspace in the configuration; its `Priority` is not used."""
+
+    Name: str
+    # A list that is empty may be sent as null.
+    ApiKeys: tuple[str, ...] | None = None
+    Weight: float = 1.0
+    Cap: Capacity | None = None
+
+
 class Config(msgspec.Struct):
     """Body of a configuration change."""
 
     Version: Integer
     Routes: tuple[Route, ...]
     Services: tuple[Service, ...]
-
-
-class Capacity(msgspec.Struct):
-    """Resources of a worker."""
-
-    Cpu: Integer = 0
-    MemMb: Integer = 0
-    Gpu: Integer = 0
+    Tenants: tuple[Tenant, ...] | None = None
 
 
 class Announcement(msgspec.Struct):
@@ -225,10 +240,30 @@
             )
             for service in config.Services
         ),
+        workspaces=tuple(map(_translate_tenant, config.Tenants or ())),
         document=body,
     )
 
 
+def _translate_tenant(tenant: Tenant) -> WorkspaceSpec:
+    cap = tenant.Cap or Capacity()
+    return WorkspaceSpec(
+        name=tenant.Name,
+        credentials=tuple(_hash_text(key) for key in tenant.ApiKeys or ()),
+        share=tenant.Weight,
+        quota=Resources(cap.Cpu, cap.MemMb, cap.Gpu),
+    )
+
+
+def _hash_text(key: str) -> str:
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def hash_key(key: bytes) -> str:
+    """Return the SHA-256 digest of a caller's key, or an empty text without a key."""
+    return hashlib.sha256(key).hexdigest() if key else ""
+
+
 def _translate_route(route: Route) -> QueueSpec:
     advisor = None
     if route.Advisor is not None:
@@ -248,6 +283,7 @@
         priority=route.Priority,
         attempts=route.Attempts,
         advisor=advisor,
+        public=route.Public,
     )
 
 
--- a/src/bluebellyoke/platform/listeners.py
+++ b/src/bluebellyoke/platform/listeners.py
@@ -34,6 +34,8 @@
 #: HTTP status codes by the code of a queue's reply.
 _STATUS_BY_CODE = {
     "accepted": 200,
+    "unauthenticated": 401,
+    "forbidden": 403,
     "unknown-queue": 404,
     "unknown-job": 410,
     "bad-id": 400,
@@ -136,6 +138,7 @@
             scope["path"],
             timeout_s=_parse_timeout(headers),
             draft=draft,
+            credential=bodies.hash_key(headers.get(b"api-key", b"")),
         )
         status = _STATUS_BY_CODE.get(reply.code, 400)
         if status != 200:
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -1,3 +1,4 @@
+import hashlib
 import json
 
 import pytest
@@ -76,6 +77,62 @@
     assert queue.advisor.validity_ms == 1500
 
 
+def test_workspaces_are_translated_with_digests_of_their_keys():
+    """Guards against keys that are kept in the clear outside the document."""
+    tenants = [
+        {
+            "Name": "w-1",
+            "ApiKeys": ["k-1", "k-\u00e9"],
+            "Priority": 2,
+            "Weight": 3.5,
+            "Cap": {"Cpu": 64000, "MemMb": 1000, "Gpu": 0},
+        },
+        {"Name": "w-2", "ApiKeys": None, "Cap": None},
+    ]
+    body = encode({**CONFIG, "Tenants": tenants})
+    configuration = bodies.decode_configuration(body)
+    first, second = configuration.workspaces
+    digests = tuple(
+        hashlib.sha256(key.encode()).hexdigest() for key in ("k-1", "k-\u00e9")
+    )
+    assert (first.name, first.credentials) == ("w-1", digests)
+    assert (first.share, first.quota) == (3.5, Resources(64000, 1000, 0))
+    assert (second.credentials, second.quota) == ((), Resources())
+    assert configuration.document == body
+    assert bodies.hash_key(b"k-1") == digests[0]
+
+
+@pytest.mark.parametrize("fields", [{}, {"Tenants": None}, {"Tenants": []}])
+def test_configuration_may_have_no_workspaces(fields):
+    configuration = bodies.decode_configuration(encode({**CONFIG, **fields}))
+    assert configuration.workspaces == ()
+
+
+def test_queue_is_public_only_if_the_configuration_says_so():
+    route = CONFIG["Routes"][0]
+    routes = [route, {**route, "Name": "r-2", "Public": True}]
+    configuration = bodies.decode_configuration(encode({**CONFIG, "Routes": routes}))
+    assert [queue.public for queue in configuration.queues] == [False, True]
+
+
+# Guards against a key that an error message shows, and against the end of an instance
+# for an integer that no message can carry.
+@pytest.mark.parametrize(
+    "tenant",
+    [
+        b'{"Name":"w-1","ApiKeys":"secret"}',
+        b'{"Name":"w-1","ApiKeys":["secret",7]}',
+        b'{"Name":"w-1","ApiKeys":["secret"],"Cap":{"Cpu":"1"}}',
+        b'{"Name":"w-1","ApiKeys":["secret"],"Cap":{"Cpu":18446744073709551616}}',
+    ],
+)
+def test_invalid_workspace_is_refused_without_its_keys(tenant):
+    body = encode({**CONFIG, "Tenants": []}).replace(b"[]}", b"[" + tenant + b"]}")
+    with pytest.raises(bodies.UnreadableBodyError) as error:
+        bodies.decode_configuration(body)
+    assert "secret" not in str(error.value)
+
+
 def test_heartbeat_is_translated():
     worker = bodies.decode_announcement("i-1", encode(HEARTBEAT))
     assert worker.key == ("i-1", 1700000000000)
--- a/tests/platform/test_listeners.py
+++ b/tests/platform/test_listeners.py
@@ -1,5 +1,6 @@
 """Responses to the platform, with prepared replies in place of a leader."""
 
+import hashlib
 import json
 
 import anyio
@@ -26,8 +27,11 @@
         self.max_bytes = 1_000_000
         self.calls = []
 
-    async def request(self, action, host, path, *, timeout_s, draft=None):
+    async def request(
+        self, action, host, path, *, timeout_s, draft=None, credential=""
+    ):
         self.calls.append((action, host, path, timeout_s, draft))
+        self.credential = credential
         return self.reply
 
     async def announce(self, announcement):
@@ -89,6 +93,8 @@
     ("code", "status"),
     [
         ("accepted", 200),
+        ("unauthenticated", 401),
+        ("forbidden", 403),
         ("unknown-queue", 404),
         ("unknown-job", 410),
         ("malformed", 400),
@@ -121,6 +127,17 @@
     assert draft.payload == "(text)"
 
 
+# Guards against a request whose key does not reach the leader, and against a key that
+# leaves the adapter in the clear.
+@pytest.mark.parametrize("method", ["POST", "GET", "DELETE"])
+def test_digest_of_the_key_is_sent_to_the_leader(context, queues, method):
+    body = encode(JOB) if method == "POST" else b""
+    call(QueueApp(context), method, "/lohu930/1", body, [(b"api-key", b"k-1")])
+    assert queues.credential == hashlib.sha256(b"k-1").hexdigest()
+    call(QueueApp(context), method, "/lohu930/1", body)
+    assert queues.credential == ""
+
+
 def test_invalid_job_is_refused_and_not_submitted(context, queues):
     status, _, _ = call(QueueApp(context), "POST", "/lohu930/1", encode(JOB)[:-4])
     assert status == 400
