Decide on access again when a command is applied

Cause: a configuration can be committed between the leader's decision on a request and the commit of its command. After a change of leader, that command may be committed long after the new configuration was acknowledged, and would run with a removed credential. Two faults let a caller disturb jobs of others: a refused cancellation stopped the runs of a job with this ID in another queue, and a refused submission dropped its advice.

Change: SubmitWorkflow and CancelWorkflow carry the digest, and the store decides by the configuration at the commit, which also sets the job's workspace. Commands of older logs have none and are applied as before. A workflow keeps the digest that it was accepted with, so that a submission that is sent again after this key was removed is answered as unanswered (504) and not as refused. Runs are stopped and advice is dropped only for a cancelled job and for a submission whose ID is unknown.

Conclusion: no job is accepted or cancelled by a configuration that is older than the one at its commit.

--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -28,6 +28,7 @@
 from bluebellyoke.dispatch.workers import LeaseTimes, TrackedWorker
 from bluebellyoke.leader.sessions import ProposalQueue
 from bluebellyoke.workflow import commands as workflow_commands
+from bluebellyoke.workflow.access import LOGGED_DIGITS
 from bluebellyoke.workflow.configuration import validate_configuration
 from bluebellyoke.workflow.specs import WorkerSpec, WorkflowSpec
 from bluebellyoke.workflow.store import WorkflowStore
@@ -261,17 +262,23 @@
                 extra={
                     "job": spec.id,
                     "queue": spec.queue,
+                    "workspace": spec.workspace,
+                    "credential": (command.credential or "")[:LOGGED_DIGITS],
                     "code": result.code,
                     "tasks": [step.count for step in spec.steps],
                 },
             )
-            if not result.accepted:
+            # A refused submission may have the ID of a workflow that runs.
+            if not result.accepted and spec.id not in self._context.store.workflows:
                 self.advice.drop_workflow(spec.id)
             self._context.needs_planning = True
             reply(result)
 
         self._context.proposals.add(
-            workflow_commands.SubmitWorkflow(time=wall_time, spec=spec), finish
+            workflow_commands.SubmitWorkflow(
+                time=wall_time, spec=spec, credential=command.credential
+            ),
+            finish,
         )
 
     def estimate_wait(self, spec: WorkflowSpec) -> float:
@@ -310,14 +317,17 @@
             )
             if result.accepted:
                 self.advice.drop_workflow(command.workflow)
-            self._stopper.stop_workflow_runs(
-                self._context.store.workflows.get(command.workflow)
-            )
+                self._stopper.stop_workflow_runs(
+                    self._context.store.workflows.get(command.workflow)
+                )
             reply(result)
 
         self._context.proposals.add(
             workflow_commands.CancelWorkflow(
-                time=wall_time, workflow=command.workflow, queue=command.queue
+                time=wall_time,
+                workflow=command.workflow,
+                queue=command.queue,
+                credential=command.credential,
             ),
             finish,
         )
--- a/src/bluebellyoke/dispatch/queue_requests.py
+++ b/src/bluebellyoke/dispatch/queue_requests.py
@@ -10,7 +10,11 @@
 from bluebellyoke.dispatch.dispatcher import Dispatcher
 from bluebellyoke.instance import wire
 from bluebellyoke.workflow import commands as workflow_commands
-from bluebellyoke.workflow.access import LOGGED_DIGITS, AccessDecision, authorize
+from bluebellyoke.workflow.access import (
+    LOGGED_DIGITS,
+    AccessDecision,
+    authorize_request,
+)
 from bluebellyoke.workflow.configuration import find_queue
 from bluebellyoke.workflow.specs import QueueSpec, WorkflowSpec
 from bluebellyoke.workflow.store import WorkflowStore
@@ -45,7 +49,13 @@
             reply(wire.QueueReply("unknown-queue", reason="no queue has this path"))
             return
         workflow_id = body.path[len(queue.prefix) :]
-        decision = _authorize(store, queue, workflow_id, body)
+        decision = authorize_request(
+            store.configuration,
+            queue,
+            body.credential,
+            store.workflows.get(workflow_id),
+            submits=body.action is wire.QueueAction.SUBMIT,
+        )
         if not decision.admitted:
             _log_refusal(queue, workflow_id, body, decision)
             reply(wire.QueueReply(decision.code, reason=decision.reason))
@@ -62,7 +72,7 @@
             reply(_describe(store, queue, workflow_id))
         elif body.action is wire.QueueAction.CANCEL:
             command = workflow_commands.CancelWorkflow(
-                workflow=workflow_id, queue=queue.name
+                workflow=workflow_id, queue=queue.name, credential=body.credential
             )
             self._dispatcher.cancel(command, wall_time, lambda x: reply(_convert(x)))
         else:
@@ -72,7 +82,9 @@
                 queue=queue.name,
                 workspace=decision.workspace,
             )
-            command = workflow_commands.SubmitWorkflow(spec=spec)
+            command = workflow_commands.SubmitWorkflow(
+                spec=spec, credential=body.credential
+            )
             self._dispatcher.submit(
                 command, wall_time, lambda x: reply(self._convert_submission(x, spec))
             )
@@ -100,16 +112,6 @@
             self._dispatcher.register_worker(body.spec, wall_time, reply)
 
 
-def _authorize(
-    store: WorkflowStore, queue: QueueSpec, workflow_id: str, body: wire.QueueRequest
-) -> AccessDecision:
-    workflow = store.workflows.get(workflow_id)
-    spec = workflow.spec if workflow is not None else None
-    if spec is not None and spec.queue != queue.name:
-        spec = None
-    return authorize(store.configuration, queue, body.credential, spec)
-
-
 def _log_refusal(
     queue: QueueSpec,
     workflow_id: str,
--- a/src/bluebellyoke/workflow/access.py
+++ b/src/bluebellyoke/workflow/access.py
@@ -7,6 +7,8 @@
     * A workflow of a workspace admits the callers that have a credential of this
       workspace, also on a public queue. A workflow without a workspace admits the
       callers that its queue admits.
+    * The leader decides before it proposes a command, and the store decides again when
+      it applies the command, since a configuration may be committed in between.
 """
 
 import hmac
@@ -14,8 +16,15 @@
 import msgspec
 
 from bluebellyoke.workflow.specs import Configuration, QueueSpec, WorkflowSpec
+from bluebellyoke.workflow.workflow import Workflow
 
-__all__ = ["LOGGED_DIGITS", "AccessDecision", "authorize", "find_workspace"]
+__all__ = [
+    "LOGGED_DIGITS",
+    "AccessDecision",
+    "authorize",
+    "authorize_request",
+    "find_workspace",
+]
 
 #: Number of digits of a digest that logs may show.
 LOGGED_DIGITS = 8
@@ -26,7 +35,7 @@
 
     Attributes:
         workspace: Workspace of the caller's credential, or an empty text.
-        code: Empty if the request is admitted, else `unauthenticated` or `forbidden`.
+        code: Empty if the request is admitted, else the code of the refusal.
         reason: Explanation of a refusal.
     """
 
@@ -40,6 +49,42 @@
         return not self.code
 
 
+def authorize_request(
+    configuration: Configuration,
+    queue: QueueSpec | None,
+    credential: str | None,
+    workflow: Workflow | None,
+    *,
+    submits: bool,
+) -> AccessDecision:
+    """Decide on a request or on its command.
+
+    Args:
+        configuration: Newest committed configuration.
+        queue: Queue that the request is for, or None if the configuration has none.
+        credential: Digest of the caller's key, an empty text without a key, or None for
+            a command from before workspaces, which is always admitted.
+        workflow: Workflow that has the request's ID, in any queue, or None.
+        submits: Whether the request submits a workflow.
+    """
+    if credential is None or not configuration.workspaces:
+        return AccessDecision()
+    if queue is None:
+        return AccessDecision(code="unknown-queue", reason="no such queue is in force")
+    if workflow is None or workflow.spec.queue != queue.name:
+        return authorize(configuration, queue, credential)
+    decision = authorize(configuration, queue, credential, workflow.spec)
+    if (
+        submits
+        and decision.code == "unauthenticated"
+        and hmac.compare_digest(workflow.credential, credential)
+    ):
+        # The caller must not be told that its job was refused, because the job runs.
+        reason = "the job was accepted with a key that has been removed since"
+        return AccessDecision(code="unanswered", reason=reason)
+    return decision
+
+
 def authorize(
     configuration: Configuration,
     queue: QueueSpec,
--- a/src/bluebellyoke/workflow/commands.py
+++ b/src/bluebellyoke/workflow/commands.py
@@ -100,16 +100,27 @@
 
 
 class SubmitWorkflow(Command, frozen=True, kw_only=True, array_like=True, tag=True):
-    """Accept a workflow; resubmitting the same ID changes nothing."""
+    """Accept a workflow; resubmitting the same ID changes nothing.
+
+    Attributes:
+        credential: Digest of the caller's key or an empty text, by which access is
+            decided again when the command is applied; None in older commands.
+    """
 
     spec: WorkflowSpec
+    credential: str | None = None
 
 
 class CancelWorkflow(Command, frozen=True, kw_only=True, array_like=True, tag=True):
-    """Cancel a workflow: its runs are to be stopped and no further run starts."""
+    """Cancel a workflow: its runs are to be stopped and no further run starts.
+
+    Attributes:
+        credential: As in `SubmitWorkflow`.
+    """
 
     workflow: str
     queue: str
+    credential: str | None = None
 
 
 class EnrolWorker(Command, frozen=True, kw_only=True, array_like=True, tag=True):
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -4,6 +4,7 @@
 
 from bluebellyoke.cell.result import Result, refuse
 from bluebellyoke.workflow import commands as workflow_commands
+from bluebellyoke.workflow.access import AccessDecision, authorize_request
 from bluebellyoke.workflow.crashes import CrashHistory, TaskCrashes
 from bluebellyoke.workflow.specs import Configuration, QueueSpec, WorkerSpec
 from bluebellyoke.workflow.workflow import Workflow
@@ -107,6 +108,9 @@
     def _submit(self, command: workflow_commands.SubmitWorkflow) -> Result:
         spec = command.spec
         known = self.workflows.get(spec.id)
+        decision = self._authorize(command, spec.queue, known)
+        if not decision.admitted:
+            return refuse(decision.code, decision.reason)
         if known is not None:
             if known.spec.queue != spec.queue:
                 return refuse("id-taken", "another queue holds this id; choose another")
@@ -116,11 +120,29 @@
             return refuse("unknown-queue", "no such queue is in force")
         if self.open_tasks + spec.count_tasks() > MAX_OPEN_TASKS:
             return refuse("overloaded", "too many tasks wait; submit later")
+        if command.credential is not None:
+            spec = msgspec.structs.replace(spec, workspace=decision.workspace)
         workflow = Workflow(spec, command.time, queue.attempts, queue.pool)
+        if decision.workspace:
+            workflow.credential = command.credential
         self.workflows[spec.id] = workflow
         self._activate(workflow)
         return Result(accepted=True)
 
+    def _authorize(
+        self,
+        command: workflow_commands.SubmitWorkflow | workflow_commands.CancelWorkflow,
+        queue: str,
+        workflow: Workflow | None,
+    ) -> AccessDecision:
+        return authorize_request(
+            self.configuration,
+            self._queues.get(queue),
+            command.credential,
+            workflow,
+            submits=isinstance(command, workflow_commands.SubmitWorkflow),
+        )
+
     def _activate(self, workflow: Workflow) -> None:
         self._changed.add(workflow.spec.id)
         self.active[workflow.spec.id] = workflow
@@ -128,6 +150,9 @@
 
     def _cancel(self, command: workflow_commands.CancelWorkflow) -> Result:
         workflow = self.workflows.get(command.workflow)
+        decision = self._authorize(command, command.queue, workflow)
+        if not decision.admitted:
+            return refuse(decision.code, decision.reason)
         if workflow is None or workflow.spec.queue != command.queue:
             return refuse("unknown-job", "no such workflow is known")
         workflow.cancel(command.time)
--- a/tests/dispatch/test_access.py
+++ b/tests/dispatch/test_access.py
@@ -1,5 +1,7 @@
 """Refusals of callers without a credential that admits them, by the leader."""
 
+import logging
+
 import pytest
 
 from bluebellyoke.dispatch.queue_requests import QueueRequestHandler
@@ -60,6 +62,21 @@
         return self.simulation.store.workflows[job].spec.workspace
 
 
+def start_runs(simulation):
+    """Run until a worker has accepted a start and listed the run."""
+    for _ in range(20):
+        simulation.advance(0.05)
+        simulation.tick()
+        sent_calls, simulation.sent_calls = simulation.sent_calls, []
+        for sent in sent_calls:
+            simulation.deliver(sent)
+        posted, simulation.events = simulation.events, []
+        for event in posted:
+            simulation.receive(event)
+    assert any(worker.runs for worker in simulation.workers.values())
+    simulation.sent_calls.clear()
+
+
 @pytest.fixture
 def callers():
     """Callers of two workspaces, with a queue for them and a public queue."""
@@ -82,3 +99,184 @@
 def test_job_belongs_to_the_workspace_of_its_credential(callers):
     assert callers.call(SUBMIT, "a1") == "accepted"
     assert callers.get_owner() == "a"
+
+
+def test_resubmission_is_accepted_for_the_same_workspace_only(callers):
+    """Guards against a retry that is refused, and against one that takes a job over."""
+    callers.call(SUBMIT, "a1")
+    assert callers.call(SUBMIT, "a2") == "accepted"
+    assert callers.call(SUBMIT, "b1") == "forbidden"
+    assert callers.call(SUBMIT) == "unauthenticated"
+    assert callers.get_owner() == "a"
+
+
+@pytest.mark.parametrize("action", [READ, CANCEL])
+def test_job_is_read_and_cancelled_by_its_workspace_only(callers, action):
+    """Guards against a workspace that sees or ends the job of another."""
+    callers.call(SUBMIT, "a1")
+    assert callers.call(action, "b1") == "forbidden"
+    assert callers.simulation.store.workflows[JOB].outcome == ""
+    assert callers.call(action, "a2") == "accepted"
+
+
+def test_public_queue_needs_no_credential(callers):
+    path = f"/open/{JOB}"
+    assert callers.call(SUBMIT, path=path) == "accepted"
+    assert callers.get_owner() == ""
+    assert callers.call(READ, path=path) == "accepted"
+    assert callers.call(READ, path="/open/") == "accepted"
+
+
+def test_job_of_a_public_queue_belongs_to_the_workspace_of_its_credential(callers):
+    """Guards against anonymous access to the job of a workspace in a public queue."""
+    path = f"/open/{JOB}"
+    assert callers.call(SUBMIT, "a1", path=path) == "accepted"
+    assert callers.get_owner() == "a"
+    assert callers.call(READ, path=path) == "unauthenticated"
+    assert callers.call(CANCEL, "b1", path=path) == "forbidden"
+    assert callers.call(READ, "a2", path=path) == "accepted"
+
+
+def test_count_of_a_queue_needs_a_credential(callers):
+    assert callers.call(READ, path="/q/") == "unauthenticated"
+    assert callers.call(READ, "b1", path="/q/") == "accepted"
+
+
+# Guards against another order of the checks: an unknown path is unknown to all callers,
+# and only callers with a credential learn about IDs and jobs.
+@pytest.mark.parametrize(
+    ("path", "key", "code"),
+    [
+        (f"/gone/{JOB}", "", "unknown-queue"),
+        (f"/gone/{JOB}", "a1", "unknown-queue"),
+        ("/q/x", "", "unauthenticated"),
+        ("/q/x", "a1", "bad-id"),
+        (f"/q/{JOB}", "", "unauthenticated"),
+        (f"/q/{JOB}", "a1", "unknown-job"),
+    ],
+)
+def test_path_is_checked_before_the_credential_and_the_id_after_it(
+    callers, path, key, code
+):
+    assert callers.call(CANCEL, key, path=path) == code
+
+
+def test_new_configuration_decides_at_once(callers):
+    """Guards against a decision by an earlier configuration."""
+    workspaces = (create_workspace("a", "a3"), WORKSPACES[1])
+    callers.call(SUBMIT, "a1")
+    callers.configure(workspaces=workspaces)
+    assert callers.call(READ, "a1") == "unauthenticated"
+    assert callers.call(READ, "a3") == "accepted"
+    callers.configure(queues=(create_queue("open"),))
+    assert callers.call(READ, "a3") == "unknown-queue"
+
+
+@pytest.mark.parametrize(
+    ("workspaces", "code"),
+    [
+        ((create_workspace("a", "a2"), WORKSPACES[1]), "unauthenticated"),
+        ((WORKSPACES[1],), "unauthenticated"),
+    ],
+)
+def test_credential_that_is_removed_before_the_commit_is_refused(
+    callers, workspaces, code
+):
+    """Guards against a job that runs with a credential that is no longer in force."""
+    replies = callers.send(SUBMIT, "a1")
+    callers.configure(workspaces=workspaces)
+    callers.simulation.commit()
+    assert [reply.code for reply in replies] == [code]
+    assert callers.simulation.store.workflows == {}
+
+
+def test_job_belongs_to_the_workspace_of_its_credential_at_the_commit(callers):
+    """Guards against a job in a workspace that its key has left."""
+    replies = callers.send(SUBMIT, "a1")
+    callers.configure(
+        workspaces=(create_workspace("a", "a2"), create_workspace("b", "a1"))
+    )
+    callers.simulation.commit()
+    assert [reply.code for reply in replies] == ["accepted"]
+    assert callers.get_owner() == "b"
+
+
+def test_cancellation_is_decided_again_at_the_commit(callers):
+    """Guards against a cancellation with a credential that is no longer in force."""
+    callers.call(SUBMIT, "a1")
+    replies = callers.send(CANCEL, "a1")
+    callers.configure(workspaces=(create_workspace("a", "a2"), WORKSPACES[1]))
+    callers.simulation.commit()
+    assert [reply.code for reply in replies] == ["unauthenticated"]
+    assert callers.simulation.store.workflows[JOB].outcome == ""
+
+
+@pytest.mark.parametrize("action", [SUBMIT, CANCEL])
+def test_queue_that_is_removed_before_the_commit_is_unknown(callers, action):
+    callers.call(SUBMIT, "a1")
+    replies = callers.send(action, "a1")
+    callers.configure(queues=(create_queue("open"),))
+    callers.simulation.commit()
+    assert [reply.code for reply in replies] == ["unknown-queue"]
+
+
+def test_accepted_job_is_not_reported_as_refused_after_its_key_was_removed(callers):
+    """Guards against a 401 for a job that runs.
+
+    An instance sends a submission again if the leader was lost before its reply. The
+    key may have been removed meanwhile.
+    """
+    callers.call(SUBMIT, "a1")
+    callers.configure(workspaces=(create_workspace("a", "a2"), WORKSPACES[1]))
+    assert callers.call(SUBMIT, "a1") == "unanswered"
+    assert callers.call(SUBMIT, "x") == "unauthenticated"
+    assert callers.call(SUBMIT) == "unauthenticated"
+    assert callers.call(READ, "a1") == "unauthenticated"
+
+
+def test_job_of_a_removed_workspace_is_finished(callers):
+    """Guards against an accepted job that is lost, or that another workspace sees."""
+    callers.call(SUBMIT, "a1")
+    callers.configure(workspaces=(WORKSPACES[1],))
+    for key, code in (("a1", "unauthenticated"), ("b1", "forbidden")):
+        assert callers.call(READ, key) == code
+        assert callers.call(CANCEL, key) == code
+    callers.simulation.run_until_finished()
+    assert callers.simulation.store.workflows[JOB].outcome == "completed"
+    callers.configure()
+    assert callers.call(READ, "a1") == "accepted"
+
+
+def test_cancellation_in_another_queue_stops_no_run(callers):
+    """Guards against a caller that stops the runs of another workspace."""
+    callers.call(SUBMIT, "a1")
+    simulation = callers.simulation
+    start_runs(simulation)
+    assert callers.call(CANCEL, "b1", path=f"/open/{JOB}") == "unknown-job"
+    assert "stop" not in {call.kind for call in simulation.sent_calls}
+    assert callers.call(CANCEL, "a1") == "accepted"
+    assert "stop" in {call.kind for call in simulation.sent_calls}
+
+
+def test_log_shows_the_first_digits_of_a_digest_only(callers, caplog):
+    """Guards against a key or a whole digest in a log."""
+    with caplog.at_level(logging.INFO, "bluebellyoke.dispatch"):
+        callers.call(SUBMIT, "a1")
+        callers.call(READ, "x")
+    lines = [str(vars(record)) for record in caplog.records]
+    assert [x.credential for x in caplog.records] == [
+        digest("a1")[:8],
+        digest("x")[:8],
+    ]
+    for text in (digest("a1")[:9], digest("x")[:9]):
+        assert not any(text in line for line in lines)
+
+
+def test_refused_submission_keeps_the_advice_for_the_running_job(callers, monkeypatch):
+    """Guards against a caller that delays the job of another by sending its ID."""
+    callers.call(SUBMIT, "a1")
+    dropped = []
+    advice = callers.simulation.dispatcher.advice
+    monkeypatch.setattr(advice, "drop_workflow", dropped.append)
+    assert callers.call(SUBMIT, "b1", path=f"/open/{JOB}") == "id-taken"
+    assert dropped == []
