Refuse configurations with invalid workspaces

Cause: two workspaces with one key or one name, or a negative share or quota, leave open what a request or a run is entitled to.

Change: validate_configuration reports these, and also a workspace without a name or with an empty key, as a request without a key could not be told from one with it. Errors name the workspace and the remedy, and no key or digest. A workspace without keys, a share of 0 and a key that is listed twice in one workspace are valid.

--- a/src/bluebellyoke/workflow/configuration.py
+++ b/src/bluebellyoke/workflow/configuration.py
@@ -1,9 +1,15 @@
 """Validation of configurations and selection of queues by host and path."""
 
-from bluebellyoke.workflow.specs import Configuration, QueueSpec
+import hashlib
+import math
+
+from bluebellyoke.workflow.specs import Configuration, QueueSpec, WorkspaceSpec
 
 __all__ = ["find_queue", "validate_configuration"]
 
+#: Digest of an empty key. A request without a key could not be told from one with it.
+_EMPTY_KEY_DIGEST = hashlib.sha256(b"").hexdigest()
+
 
 def validate_configuration(configuration: Configuration) -> list[str]:
     """Return the errors of a configuration that are independent of the cell's state."""
@@ -25,6 +31,43 @@
             errors.append(f"two queues are named {queue.name!r}; rename one")
         prefixes.add((queue.host, queue.prefix))
         names.add(queue.name)
+    return errors + _validate_workspaces(configuration.workspaces)
+
+
+def _validate_workspaces(workspaces: tuple[WorkspaceSpec, ...]) -> list[str]:
+    errors = []
+    names: set[str] = set()
+    owners: dict[str, str] = {}
+    for workspace in workspaces:
+        errors += _validate_workspace(workspace)
+        if workspace.name in names:
+            errors.append(f"two workspaces are named {workspace.name!r}; rename one")
+        names.add(workspace.name)
+        digests = set(workspace.credentials)
+        # Errors do not name the digest, since it would help to guess a weak key.
+        others = {owners[x] for x in digests if x in owners} - {workspace.name}
+        errors += [
+            f"workspaces {other!r} and {workspace.name!r} share a key; give one of "
+            f"them another key"
+            for other in sorted(others)
+        ]
+        owners.update(dict.fromkeys(digests, workspace.name))
+    return errors
+
+
+def _validate_workspace(workspace: WorkspaceSpec) -> list[str]:
+    name, quota = workspace.name, workspace.quota
+    errors = []
+    if not name:
+        errors.append("a workspace has no name; give it one")
+    if _EMPTY_KEY_DIGEST in workspace.credentials:
+        errors.append(f"workspace {name!r} has an empty key; remove or replace it")
+    if not 0 <= workspace.share < math.inf:
+        errors.append(f"the share of workspace {name!r} must be a number of at least 0")
+    if min(quota.cpu_millis, quota.memory_mb, quota.accelerators) < 0:
+        errors.append(
+            f"the quota of workspace {name!r} must not be negative; 0 means no limit"
+        )
     return errors
 
 
--- a/tests/workflow/test_configuration.py
+++ b/tests/workflow/test_configuration.py
@@ -1,5 +1,6 @@
 import pytest
 
+from bluebellyoke.cell.resources import Resources
 from bluebellyoke.workflow.admission import validate_workflow
 from bluebellyoke.workflow.configuration import find_queue, validate_configuration
 from tests.workflow.factories import (
@@ -8,6 +9,7 @@
     create_spec,
     create_step,
 )
+from tests.workflow.test_access import create_workspace, digest
 
 
 def test_valid_configuration_has_no_error():
@@ -31,6 +33,52 @@
     assert expected_text in errors[0]
 
 
+# Guards against a configuration that leaves open to which workspace a request belongs.
+@pytest.mark.parametrize(
+    ("workspaces", "expected_text"),
+    [
+        ([create_workspace("a", "k"), create_workspace("b", "k")], "'a' and 'b' share"),
+        ([create_workspace("a", "k"), create_workspace("a", "l")], "rename one"),
+        ([create_workspace("a", "k"), create_workspace("a", "k")], "rename one"),
+        ([create_workspace("", "k")], "give it one"),
+        ([create_workspace("a", "k", "")], "remove or replace it"),
+        ([create_workspace("a", "k", share=-0.5)], "at least 0"),
+        ([create_workspace("a", "k", share=float("inf"))], "at least 0"),
+        ([create_workspace("a", "k", share=float("nan"))], "at least 0"),
+        ([create_workspace("a", "k", quota=Resources(-1, 0, 0))], "0 means no limit"),
+        ([create_workspace("a", "k", quota=Resources(0, -1, 0))], "0 means no limit"),
+        ([create_workspace("a", "k", quota=Resources(0, 0, -1))], "0 means no limit"),
+    ],
+)
+def test_invalid_workspace_is_reported_without_its_keys(workspaces, expected_text):
+    configuration = create_configuration(workspaces=tuple(workspaces))
+    (error,) = validate_configuration(configuration)
+    assert expected_text in error
+    assert digest("k")[:8] not in error
+
+
+def test_each_fault_of_the_workspaces_is_reported():
+    workspaces = (
+        create_workspace("a", "k", share=-1.0),
+        create_workspace("b", "k", "l"),
+        create_workspace("c", "l"),
+    )
+    errors = validate_configuration(create_configuration(workspaces=workspaces))
+    assert len(errors) == 3
+
+
+# Guards against the refusal of a configuration in which a workspace has no key for a
+# time, shares nothing, or lists a key twice.
+@pytest.mark.parametrize("keys", [(), ("k",), ("k", "k")])
+def test_valid_workspaces_have_no_error(keys):
+    workspaces = (
+        create_workspace("a", *keys, share=0.0),
+        create_workspace("b", "l", quota=Resources(1000, 0, 0)),
+    )
+    configuration = create_configuration(workspaces=workspaces)
+    assert validate_configuration(configuration) == []
+
+
 def test_longest_prefix_of_the_host_selects_the_queue():
     queues = [
         create_queue("short", prefix="/a/"),
