Test access end to end and count a refused cancellation as none

Cause: the way of a key from the listener through another instance to the leader had no test, and explain gave the verdict cancelled for a cancellation that was refused.

Change: an end-to-end test changes the keys of a workspace three times and calls all instances after each acknowledgement; it also looks for keys and digests in the logs. A test of QueueClient checks that refused requests are counted by code in queue_requests_total. explain counts accepted cancellations only. The log line of a refused caller names the reason.

--- a/src/bluebellyoke/dispatch/queue_requests.py
+++ b/src/bluebellyoke/dispatch/queue_requests.py
@@ -125,6 +125,7 @@
             "queue": queue.name,
             "job": workflow_id,
             "code": decision.code,
+            "reason": decision.reason,
             "workspace": decision.workspace,
             "credential": body.credential[:LOGGED_DIGITS],
         },
--- a/src/bluebellyoke/explanation.py
+++ b/src/bluebellyoke/explanation.py
@@ -183,13 +183,18 @@
     end = _find_last(request_lines, _WORKFLOW_ENDED)
     if end is not None:
         return Verdict(end.fields["outcome"])
-    if any(line.message == _WORKFLOW_CANCELLED for line in request_lines):
+    if any(map(_is_cancellation, request_lines)):
         return Verdict.CANCELLED
     if _was_accepted(request_lines):
         return Verdict.UNFINISHED
     return Verdict.REFUSED if request_lines else Verdict.UNKNOWN
 
 
+def _is_cancellation(line: LogLine) -> bool:
+    is_accepted = line.fields.get("code", "accepted") == "accepted"
+    return line.message == _WORKFLOW_CANCELLED and is_accepted
+
+
 def _was_accepted(request_lines: list[LogLine]) -> bool:
     return any(
         line.message == _WORKFLOW_SUBMITTED
--- a/tests/instance/test_queues.py
+++ b/tests/instance/test_queues.py
@@ -106,6 +106,31 @@
     assert anyio.run(client.read_configuration) is None
 
 
+class RefusingLink(Link):
+    """Link to a leader that refuses each request to a queue."""
+
+    async def call(self, body, timeout_s, max_disconnected_s=0.0):
+        self.calls.append(body)
+        return wire.QueueReply("unauthenticated", reason="no")
+
+
+# Guards against a refusal that is not counted, and against a digest in a log.
+def test_refused_callers_are_counted_by_code(caplog):
+    link, metrics = RefusingLink(b""), Metrics()
+    client = QueueClient(link=link, clock=SystemClock(), metrics=metrics)
+
+    async def request():
+        return await client.request(
+            wire.QueueAction.READ, "h", "/q/", timeout_s=1.0, credential="5c0e7a21d9"
+        )
+
+    with caplog.at_level(logging.INFO, "bluebellyoke.queues"):
+        assert anyio.run(request).code == "unauthenticated"
+    assert [call.credential for call in link.calls] == ["5c0e7a21d9"]
+    assert 'queue_requests_total{outcome="read/unauthenticated"} 1' in metrics.render()
+    assert not any("5c0e7a21d" in str(vars(record)) for record in caplog.records)
+
+
 class FailingAdvisor:
     """Advisor whose first response cannot be decoded."""
 
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -3,6 +3,7 @@
 Instances are real processes; the called workers and the advisor are stand-ins.
 """
 
+import hashlib
 import json
 import os
 import signal
@@ -279,6 +280,53 @@
     assert request_json("GET", unknown_path_url)[0] == 404
 
 
+def test_callers_are_admitted_by_the_newest_configuration(deployment):
+    """Guards against a request that runs without a credential, or with a removed one.
+
+    All instances must decide alike as soon as the configuration is acknowledged.
+    """
+    job_id = "00000000000000c1"
+    tenants = [{"Name": "w-1", "ApiKeys": ["key-1"]}, {"Name": "w-2", "ApiKeys": ["k"]}]
+
+    def apply(version, **fields):
+        config = {**CONFIG, "Version": version, "Tenants": tenants, **fields}
+        assert deployment.put_configuration(config, number=2) == 200
+        return config
+
+    def call(method, key=None, number=4, value=None):
+        url = f"http://{deployment.get_ip(number)}:{deployment.front_port}"
+        headers = {"Api-Key": key} if key else {}
+        return request_json(method, f"{url}{PREFIX}{job_id}", value, headers)[0]
+
+    config = apply(4)
+    job = create_job(STEPS)
+    assert [call("POST", key, value=job) for key in (None, "x")] == [401, 401]
+    assert call("GET", "key-1") == 410
+    assert [call("POST", "key-1", value=job) for _ in range(2)] == [200, 200]
+    for method in ("GET", "DELETE"):
+        assert [call(method, key) for key in (None, "x", "k")] == [401, 401, 403]
+    url = f"http://{deployment.get_ip(4)}:{deployment.control_port}/-/config"
+    assert request_json("GET", url) == (200, config)
+    for version, keys in enumerate((["key-2"], [], ["key-1"]), start=5):
+        tenants[0]["ApiKeys"] = keys
+        apply(version)
+        for number in deployment.processes:
+            expected = 200 if "key-1" in keys else 401
+            assert call("GET", "key-1", number) == expected
+    shared = [*tenants, {"Name": "w-3", "ApiKeys": ["k"]}]
+    invalid = {**CONFIG, "Version": 9, "Tenants": shared}
+    assert deployment.put_configuration(invalid) == 400
+    apply(10, Routes=[{**CONFIG["Routes"][0], "Public": True}])
+    assert call("GET", "k") == 403
+    job_id = "00000000000000c2"
+    assert call("POST", value=job) == 200
+    digest = hashlib.sha256(b"key-1").hexdigest()
+    for number in deployment.processes:
+        text = (deployment.folder / f"log-{number}").read_text()
+        assert "key-1" not in text
+        assert digest[:9] not in text
+
+
 # Guards against CONFIG and LOST on the grown sites: a large configuration held up the
 # stream to the leader, and with it all requests of the instance that relayed it.
 def test_large_configuration_goes_to_the_leader_directly(deployment):
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -253,3 +253,12 @@
     assert explain(ID, logs=[path], json=True) == 0
     assert json.loads(capsys.readouterr().out)["verdict"] == "unfinished"
     assert explain("f" * 16, logs=[path]) == 1
+
+
+def test_refused_cancellation_does_not_count_as_cancelled(log):
+    """Guards against a verdict that a caller without a credential determines."""
+    log.accept(1.0)
+    log.add(2.0, "dispatch: cancels a workflow", job=ID, code="unauthenticated")
+    assert log.explain().verdict is Verdict.UNFINISHED
+    log.add(3.0, "dispatch: cancels a workflow", job=ID, code="accepted")
+    assert log.explain().verdict is Verdict.CANCELLED
