Do not await a reply to a request with a credential for over 2.4 s

Cause: the leader decides by the newest configuration, but a reply can be delayed on its way, for example behind a large configuration on a slow connection. With a deadline of 10 s, a caller could get a refusal by a configuration that was replaced 9 s earlier.

Change: the timeout for the leader's reply is at most 2.4 s if the request has a credential. A reply is no older than its call, so it is no older than 2.4 s. Requests without a credential keep their timeout.

Conclusion: an instance passes on no decision that is older than 2.4 s.

--- a/src/bluebellyoke/instance/queues.py
+++ b/src/bluebellyoke/instance/queues.py
@@ -29,6 +29,11 @@
 #: longer because the leader may have carried out the request.
 MAX_DISCONNECTED_S = 1.2
 
+#: Timeout for the leader's reply to a request with a credential, in seconds. From 2.5 s
+#: after a configuration is acknowledged, no caller may get a reply by an earlier one. A
+#: reply can be delayed on its way, but it is no older than the call that it is for.
+MAX_DECISION_AGE_S = 2.4
+
 #: Timeouts for the leader's reply to a worker or an operator, in seconds.
 ANNOUNCE_TIMEOUT_S = 0.9
 CONFIGURATION_TIMEOUT_S = 0.95
@@ -147,6 +152,8 @@
         link_timeout_s = SHORT_LINK_TIMEOUT_S if is_read else LINK_TIMEOUT_S
         if not await self._link.wait_connected(min(link_timeout_s, timeout_s)):
             return wire.QueueReply(UNAVAILABLE, reason="no leader is known now")
+        if body.credential:
+            timeout_s = min(timeout_s, MAX_DECISION_AGE_S)
         try:
             max_disconnected_s = SHORT_LINK_TIMEOUT_S if is_read else MAX_DISCONNECTED_S
             return await self._link.call(body, timeout_s, max_disconnected_s)
--- a/tests/instance/test_queues.py
+++ b/tests/instance/test_queues.py
@@ -9,6 +9,7 @@
 from bluebellyoke.clock import SystemClock
 from bluebellyoke.instance import wire
 from bluebellyoke.instance.queues import (
+    MAX_DECISION_AGE_S,
     MAX_RELAYED_BYTES,
     MAX_TRANSFER_S,
     AdviceHandler,
@@ -111,6 +112,7 @@
 
     async def call(self, body, timeout_s, max_disconnected_s=0.0):
         self.calls.append(body)
+        self.timeout_s = timeout_s
         return wire.QueueReply("unauthenticated", reason="no")
 
 
@@ -131,6 +133,32 @@
     assert not any("5c0e7a21d" in str(vars(record)) for record in caplog.records)
 
 
+# Guards against a reply that is by an earlier configuration than the one acknowledged
+# 2.5 s ago, and against another timeout for callers without workspaces.
+@pytest.mark.parametrize(
+    ("credential", "timeout_s", "expected_s"),
+    [("5c0e", 9.0, MAX_DECISION_AGE_S), ("5c0e", 1.0, 1.0), ("", 9.0, 9.0)],
+)
+def test_reply_to_a_request_with_a_credential_is_not_awaited_for_long(
+    credential, timeout_s, expected_s
+):
+    link = RefusingLink(b"")
+    client = QueueClient(link=link, clock=SystemClock(), metrics=Metrics())
+
+    async def request():
+        await client.request(
+            wire.QueueAction.READ,
+            "h",
+            "/q/",
+            timeout_s=timeout_s,
+            credential=credential,
+        )
+
+    anyio.run(request)
+    assert link.timeout_s == expected_s
+    assert MAX_DECISION_AGE_S < 2.5
+
+
 class FailingAdvisor:
     """Advisor whose first response cannot be decoded."""
 
