Limit runs by the quota of their workspace and order steps by fair share

Cause: workspaces have a quota on what runs and a share that counts while capacity is scarce; workflows knew neither. Change: the store counts what the placed runs of each workspace take up and takes no start beyond a quota; the planner skips steps without quota before it asks the advisor or reserves workers; FairOrder puts steps beyond the weighted max-min fair share last. A workflow whose gang, or single task, exceeds its quota alone is refused. The grouping of starts moves to workflow/gangs.py. Conclusion: other parts can build on the usage and on the order.

--- a/src/bluebellyoke/cell/resources.py
+++ b/src/bluebellyoke/cell/resources.py
@@ -32,6 +32,11 @@
             self.accelerators - other.accelerators,
         )
 
+    def __mul__(self, count: int) -> "Resources":
+        return Resources(
+            self.cpu_millis * count, self.memory_mb * count, self.accelerators * count
+        )
+
     def fits_in(self, free: "Resources") -> bool:
         """Return whether `free` covers this amount of every resource."""
         return (
--- a/src/bluebellyoke/cell/workspaces.py
+++ b/src/bluebellyoke/cell/workspaces.py
@@ -11,6 +11,7 @@
 
 from bluebellyoke.cell.commands import WorkspaceSpec
 from bluebellyoke.cell.resources import Resources
+from bluebellyoke.cell.sharing import is_within_quota
 
 __all__ = ["Workspace"]
 
@@ -79,18 +80,4 @@
 
     def has_quota_for(self, need: Resources) -> bool:
         """Return whether the remaining quota covers `need`."""
-        quota = self.spec.quota
-        return (
-            (
-                not quota.cpu_millis
-                or self.cpu_millis + need.cpu_millis <= quota.cpu_millis
-            )
-            and (
-                not quota.memory_mb
-                or self.memory_mb + need.memory_mb <= quota.memory_mb
-            )
-            and (
-                not quota.accelerators
-                or self.accelerators + need.accelerators <= quota.accelerators
-            )
-        )
+        return is_within_quota(self.used + need, self.spec.quota)
--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -22,6 +22,7 @@
     PlanningRound,
     WaitReason,
 )
+from bluebellyoke.dispatch.quotas import RoundQuotas
 from bluebellyoke.dispatch.step_tickets import StepTickets, have_tickets
 from bluebellyoke.dispatch.suspects import SuspectPlanner
 from bluebellyoke.dispatch.waiting import WaitingStep, WaitingSteps
@@ -97,7 +98,8 @@
     ) -> list[PlannedStart]:
         """Return the starts to make now; those of a gang are next to each other."""
         self._steps.update(store, wall_time)
-        planning = PlanningRound(now, workers, costs=self._costs)
+        quotas = RoundQuotas(store)
+        planning = PlanningRound(now, workers, quotas, costs=self._costs)
         waiting = self._steps.list_waiting()
         for order in self._orders:
             waiting = order.arrange(waiting, planning)
@@ -116,6 +118,11 @@
             if step.key in self._paused_until:
                 planning.wait_reasons[step.key] = WaitReason.REFUSED
                 continue
+            # A step that waits for its quota neither reserves workers nor asks the
+            # advisor, and leaves the places at the head to others.
+            if not planning.quotas.allows(step):
+                planning.wait_reasons[step.key] = WaitReason.QUOTA
+                continue
             is_head = head_steps < RENEWED_STEPS and _can_ever_fit(step.spec, planning)
             head_steps += is_head
             self._plan_step(store, step, planning, is_head)
@@ -201,7 +208,7 @@
         run = 1 + max(task.run for task in step.tasks)
         for index, candidate in zip(step.indexes, chosen, strict=True):
             worker_key = worker_keys[candidate.worker]
-            planning.add_start(step.key, index, run, worker_key, advice)
+            planning.add_start(step, index, run, worker_key, advice)
             candidate.free = candidate.free - step.spec.need
         return True
 
@@ -235,7 +242,11 @@
         ranked = CandidateQueue(step.spec, candidates, deferred=expired)
         reason = None
         has_started = False
-        for index in step.indexes:
+        allowed = planning.quotas.count_startable(step)
+        for position, index in enumerate(step.indexes):
+            if position >= allowed:
+                reason = reason or WaitReason.QUOTA
+                break
             task = tasks[index]
             candidate = ranked.take(avoid=task.worker if task.failures else "")
             if candidate is None:
@@ -246,7 +257,7 @@
                 reason = WaitReason.NO_TICKET
                 continue
             run = tasks[index].run + 1
-            planning.add_start(step.key, index, run, worker_key, advice)
+            planning.add_start(step, index, run, worker_key, advice)
             has_started = True
         if reason is WaitReason.NO_TICKET:
             self._tickets.replace_expired(step, planning.now)
--- a/src/bluebellyoke/dispatch/planning_round.py
+++ b/src/bluebellyoke/dispatch/planning_round.py
@@ -8,6 +8,7 @@
 from bluebellyoke.dispatch.advice import StepAdvice, StepKey, WorkerKey
 from bluebellyoke.dispatch.costs import PlacementCost, sum_costs
 from bluebellyoke.dispatch.placement import Candidate
+from bluebellyoke.dispatch.quotas import RoundQuotas
 from bluebellyoke.dispatch.waiting import WaitingStep
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.commands import RunStart, TaskName
@@ -32,6 +33,8 @@
         SUSPECT: It may crash its worker, and has to wait for one of those that are set
             apart from the other tasks.
         REFUSED: A worker has just refused it as malformed.
+        QUOTA: The quota of its workspace leaves no room for one of its tasks or, if it
+            is a gang, for all of them.
     """
 
     NO_WORKER = "no-worker"
@@ -40,6 +43,7 @@
     NO_TICKET = "no-ticket"
     SUSPECT = "suspect"
     REFUSED = "refused"
+    QUOTA = "quota"
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +63,7 @@
 
     Attributes:
         workers: All workers, by ID.
+        quotas: What the workspaces may still start.
         costs: Costs by which a task prefers some workers to others.
         reserved: IDs of workers that gangs have reserved.
         isolated: IDs of workers that are set apart for suspects.
@@ -69,6 +74,7 @@
 
     now: float
     workers: dict[str, TrackedWorker]
+    quotas: RoundQuotas
     costs: Sequence[PlacementCost] = ()
     reserved: set[str] = field(default_factory=set)
     isolated: Collection[str] = ()
@@ -157,7 +163,7 @@
 
     def add_start(
         self,
-        step: StepKey,
+        step: WaitingStep,
         index: int,
         run: int,
         worker_key: WorkerKey,
@@ -165,7 +171,9 @@
     ) -> None:
         """Plan the start of a task on a worker, with its ticket if it needs one."""
         ticket = advice.find_ticket(worker_key, self.now) if advice is not None else ""
-        start = RunStart(TaskName(*step, index), run, worker_key[0], worker_key[1])
+        name = TaskName(*step.key, index)
+        start = RunStart(name, run, worker_key[0], worker_key[1])
+        self.quotas.take(step)
         self.starts.append(PlannedStart(start, ticket))
 
     def get_max_free(self) -> Resources:
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -6,6 +6,7 @@
 from bluebellyoke.cell.result import Result
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.events import StartFinished
+from bluebellyoke.dispatch.fair_order import FairOrder
 from bluebellyoke.dispatch.planner import Planner
 from bluebellyoke.dispatch.planning_round import PlannedStart
 from bluebellyoke.dispatch.ports import (
@@ -57,7 +58,9 @@
         self._stopper = stopper
         self._recorder = recorder
         self._prober = prober
-        self._planner = Planner(context.advice, context.recent_crashes)
+        self._planner = Planner(
+            context.advice, context.recent_crashes, orders=(FairOrder(),)
+        )
         self._waits = WaitReporter(context.advice, context.metrics)
         self.is_pending = False
 
--- a/src/bluebellyoke/dispatch/suspects.py
+++ b/src/bluebellyoke/dispatch/suspects.py
@@ -61,10 +61,14 @@
             recent_crashes=self._recent_crashes,
             previous=self._isolated,
         )
-        waiting = 0
-        for suspect in suspects[:MAX_SUSPECTS_PER_ROUND]:
-            if isolation.is_full:
+        waiting = seen = 0
+        for suspect in suspects:
+            if isolation.is_full or seen >= MAX_SUSPECTS_PER_ROUND:
                 break
+            if not planning.quotas.allows(suspect.step):
+                planning.wait_reasons[suspect.step.key] = WaitReason.QUOTA
+                continue
+            seen += 1
             if suspect.step.key in paused:
                 continue
             is_head = waiting < RENEWED_SUSPECTS
@@ -128,7 +132,7 @@
         run = 1 + max(step.tasks[index].run for index in indexes)
         for index, candidate in zip(indexes, chosen, strict=True):
             worker_key = planning.workers[candidate.worker].spec.key
-            planning.add_start(step.key, index, run, worker_key, advice)
+            planning.add_start(step, index, run, worker_key, advice)
         return None
 
 
--- a/src/bluebellyoke/placement/fairness.py
+++ b/src/bluebellyoke/placement/fairness.py
@@ -12,8 +12,9 @@
 
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.cell.scheduling import SchedulingState
+from bluebellyoke.cell.sharing import compute_fair_shares, is_within_quota
 
-__all__ = ["FairShares", "compute_fair_shares"]
+__all__ = ["FairShares"]
 
 #: Half-life of the average excess, in seconds.
 USAGE_HALF_LIFE_S = 300.0
@@ -96,45 +97,4 @@
         self, workspace: str, quota: Resources, need: Resources
     ) -> bool:
         """Return whether the current usage plus `need` is within the quota."""
-        cpu, memory, accelerators = self._usage[workspace]
-        return (
-            (not quota.cpu_millis or cpu + need.cpu_millis <= quota.cpu_millis)
-            and (not quota.memory_mb or memory + need.memory_mb <= quota.memory_mb)
-            and (
-                not quota.accelerators
-                or accelerators + need.accelerators <= quota.accelerators
-            )
-        )
-
-
-def compute_fair_shares(
-    weights: dict[str, float], demands: dict[str, float]
-) -> dict[str, float]:
-    """Return the weighted max-min fair share of each workspace.
-
-    Args:
-        weights: Weight by workspace.
-        demands: Dominant share that each workspace could use, by workspace.
-
-    Returns:
-        Fair dominant share by workspace, from 0 to 1.
-    """
-    fair = dict.fromkeys(demands, 0.0)
-    unsatisfied = {name for name, value in demands.items() if value > 0}
-    remaining = 1.0
-    while unsatisfied and remaining > 1e-12:
-        unit = remaining / sum(weights[name] for name in unsatisfied)
-        satisfied = {
-            name
-            for name in unsatisfied
-            if demands[name] - fair[name] <= unit * weights[name]
-        }
-        if not satisfied:
-            for name in unsatisfied:
-                fair[name] += unit * weights[name]
-            break
-        for name in satisfied:
-            remaining -= demands[name] - fair[name]
-            fair[name] = demands[name]
-        unsatisfied -= satisfied
-    return fair
+        return is_within_quota(Resources(*self._usage[workspace]) + need, quota)
--- a/src/bluebellyoke/workflow/crashes.py
+++ b/src/bluebellyoke/workflow/crashes.py
@@ -92,6 +92,14 @@
         """Longest known time from a start to an unexplained crash, in milliseconds."""
         return max((crash.age_ms or 0 for crash in self.unexplained), default=0)
 
+    def describe(self) -> str:
+        """Return why a workflow fails because of these crashes."""
+        task = self.task
+        return (
+            f"{len(self.runs)} workers crashed under task "
+            f"{task.repetition}.{task.step}.{task.index}"
+        )
+
     def drop_before(self, time: float) -> None:
         """Drop the crashes before a wall-clock time, in seconds."""
         self.crashes = [crash for crash in self.crashes if crash.time >= time]
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -5,7 +5,15 @@
 from bluebellyoke.cell.result import Result, refuse
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.crashes import CrashHistory, TaskCrashes
-from bluebellyoke.workflow.specs import Configuration, QueueSpec, WorkerSpec
+from bluebellyoke.workflow.gangs import find_start_group, is_complete, is_gang
+from bluebellyoke.workflow.quotas import describe_excess, has_quota_for
+from bluebellyoke.workflow.specs import (
+    Configuration,
+    QueueSpec,
+    WorkerSpec,
+    WorkspaceSpec,
+)
+from bluebellyoke.workflow.usage import WorkspaceUsage
 from bluebellyoke.workflow.workflow import Workflow
 
 __all__ = ["MAX_OPEN_TASKS", "RunKey", "WorkflowSnapshot", "WorkflowStore"]
@@ -44,6 +52,7 @@
         open_tasks: Number of tasks of the active workflows.
         runs: Runs that may take up resources, by ID and incarnation of the
             worker.
+        usage: Resources that the runs of each workspace take up.
         crashes: Crashes of workers by the tasks that they may be due to.
     """
 
@@ -54,8 +63,10 @@
         self.active: dict[str, Workflow] = {}
         self.open_tasks = 0
         self.runs: dict[tuple[str, int], dict[RunKey, None]] = {}
+        self.usage = WorkspaceUsage()
         self.crashes = CrashHistory()
         self._queues: dict[str, QueueSpec] = {}
+        self._workspaces: dict[str, WorkspaceSpec] = {}
         self._changed: set[str] = set()
 
     def pop_changed(self) -> set[str]:
@@ -74,6 +85,10 @@
         """Return a queue of the current configuration, or None."""
         return self._queues.get(name)
 
+    def find_workspace(self, name: str) -> WorkspaceSpec | None:
+        """Return a workspace of the current configuration, or None."""
+        return self._workspaces.get(name)
+
     def find_pool(self, workflow: Workflow) -> str:
         """Return the pool that runs a workflow's tasks.
 
@@ -101,6 +116,7 @@
     def _set_configuration(self, configuration: Configuration) -> None:
         self.configuration = configuration
         self._queues = {queue.name: queue for queue in configuration.queues}
+        self._workspaces = {item.name: item for item in configuration.workspaces}
 
     # Workflows.
 
@@ -114,6 +130,10 @@
         queue = self._queues.get(spec.queue)
         if queue is None:
             return refuse("unknown-queue", "no such queue is in force")
+        workspace = self._workspaces.get(spec.workspace)
+        excess = describe_excess(workspace, spec) if workspace is not None else ""
+        if excess:
+            return refuse("malformed", excess)
         if self.open_tasks + spec.count_tasks() > MAX_OPEN_TASKS:
             return refuse("overloaded", "too many tasks wait; submit later")
         workflow = Workflow(spec, command.time, queue.attempts, queue.pool)
@@ -203,7 +223,7 @@
         failed = []
         for crashes in self.crashes.record(worker_key, grouped, time):
             workflow = self.workflows[crashes.task.workflow]
-            workflow.fail(_describe_crashes(crashes), time)
+            workflow.fail(crashes.describe(), time)
             self._deactivate_if_finished(workflow)
             failed.append(workflow.spec.id)
         for item in runs:
@@ -229,7 +249,9 @@
 
         It is that of the first task of its gang, or of the task itself.
         """
-        return msgspec.structs.replace(task, index=0) if self._is_gang(task) else task
+        if not is_gang(self.workflows, task):
+            return task
+        return msgspec.structs.replace(task, index=0)
 
     def _assign(self, command: workflow_commands.AssignRuns) -> Result:
         """Assign runs; a gang whose tasks cannot all be assigned is left out."""
@@ -237,46 +259,26 @@
         starts = command.starts
         position = 0
         while position < len(starts):
-            group = self._find_start_group(starts, position)
+            group = find_start_group(self.workflows, starts, position)
             position += len(group)
-            valid = all(map(self._can_assign, group)) and self._is_complete(group)
+            valid = (
+                all(map(self._can_assign, group))
+                and is_complete(self.workflows, group)
+                and self._is_within_quota(group)
+            )
             if valid:
                 for start in group:
                     self._assign_one(start)
             done.append(("1" if valid else "0") * len(group))
         return Result(accepted=True, detail={"done": "".join(done)})
 
-    def _find_start_group(
-        self, starts: tuple[workflow_commands.RunStart, ...], position: int
-    ) -> tuple[workflow_commands.RunStart, ...]:
-        """Return the starts of one gang, or a single start."""
-        first = starts[position]
-        if not self._is_gang(first.task):
-            return (first,)
-        step = (first.task.workflow, first.task.repetition, first.task.step)
-        end = position
-        while end < len(starts):
-            task = starts[end].task
-            if (task.workflow, task.repetition, task.step) != step:
-                break
-            end += 1
-        return starts[position:end]
-
-    def _is_gang(self, task: workflow_commands.TaskName) -> bool:
-        workflow = self.workflows.get(task.workflow)
-        return (
-            workflow is not None
-            and task.step < len(workflow.spec.steps)
-            and workflow.spec.steps[task.step].gang
-        )
-
-    def _is_complete(self, group: tuple[workflow_commands.RunStart, ...]) -> bool:
-        first = group[0]
-        if not self._is_gang(first.task):
+    def _is_within_quota(self, group: tuple[workflow_commands.RunStart, ...]) -> bool:
+        spec = self.workflows[group[0].task.workflow].spec
+        workspace = self._workspaces.get(spec.workspace)
+        if workspace is None:
             return True
-        step = self.workflows[first.task.workflow].spec.steps[first.task.step]
-        runs = {start.run for start in group}
-        return len(group) == step.count and len(runs) == 1
+        used = self.usage.get_used(spec.workspace)
+        return has_quota_for(workspace, used, spec.steps[group[0].task.step])
 
     def _can_assign(self, start: workflow_commands.RunStart) -> bool:
         workflow = self.workflows.get(start.task.workflow)
@@ -291,6 +293,8 @@
     def _assign_one(self, start: workflow_commands.RunStart) -> None:
         workflow = self.workflows[start.task.workflow]
         workflow.assign(start)
+        step = workflow.spec.steps[start.task.step]
+        self.usage.add(workflow.spec.workspace, step)
         self._changed.add(start.task.workflow)
         key = (start.task, start.run)
         self.runs.setdefault((start.worker, start.incarnation), {})[key] = None
@@ -305,7 +309,9 @@
         task = workflow.find_task(end.task) if workflow is not None else None
         if task is None or task.run != end.run:
             return
-        workflow.record_end(end, time)
+        if workflow.record_end(end, time):
+            step = workflow.spec.steps[end.task.step]
+            self.usage.release(workflow.spec.workspace, step)
         if end.outcome in _CLEARING_OUTCOMES:
             self._clear_of_crashes(end.task)
         if workflow.outcome:
@@ -343,6 +349,7 @@
         store.workers = {spec.id: spec for spec in snapshot.workers}
         store.runs = {spec.key: {} for spec in snapshot.workers}
         store.crashes = CrashHistory(snapshot.crashes)
+        store.usage = WorkspaceUsage(snapshot.workflows)
         for workflow in snapshot.workflows:
             store.workflows[workflow.spec.id] = workflow
             if not workflow.outcome or workflow.placed:
@@ -353,14 +360,6 @@
         return store
 
 
-def _describe_crashes(crashes: TaskCrashes) -> str:
-    task = crashes.task
-    return (
-        f"{len(crashes.runs)} workers crashed under task "
-        f"{task.repetition}.{task.step}.{task.index}"
-    )
-
-
 _HANDLERS = {
     workflow_commands.ApplyConfiguration: WorkflowStore._apply_configuration,
     workflow_commands.SubmitWorkflow: WorkflowStore._submit,
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -726,8 +726,8 @@
     Case(
         "a gang starts only as a whole",
         "workflow/store.py",
-        "valid = all(map(self._can_assign, group)) and self._is_complete(group)",
-        "valid = all(map(self._can_assign, group))",
+        "                and is_complete(self.workflows, group)\n",
+        "",
         "tests/workflow",
     ),
     Case(
@@ -828,6 +828,84 @@
             ),
         ),
     ),
+    Case(
+        "quota: a step without quota is not planned",
+        "dispatch/planner.py",
+        "            if not planning.quotas.allows(step):\n",
+        "            if False:\n",
+        "tests/dispatch/test_quotas.py",
+    ),
+    Case(
+        "quota: a step starts only as many tasks as the quota allows",
+        "dispatch/planner.py",
+        "            if position >= allowed:\n",
+        "            if False:\n",
+        "tests/dispatch/test_quotas.py",
+    ),
+    Case(
+        "quota: what a round has planned counts",
+        "dispatch/planning_round.py",
+        "        self.quotas.take(step)\n",
+        "",
+        "tests/dispatch/test_quotas.py",
+    ),
+    Case(
+        "quota: suspects wait for it too",
+        "dispatch/suspects.py",
+        "            if not planning.quotas.allows(suspect.step):\n",
+        "            if False:\n",
+        "tests/dispatch/test_quotas.py",
+    ),
+    Case(
+        "quota: the log takes no start beyond it",
+        "workflow/store.py",
+        "                and self._is_within_quota(group)\n",
+        "",
+        "tests/workflow/test_usage_stateful.py",
+    ),
+    Case(
+        "quota: a workflow that can never fit is refused",
+        "workflow/store.py",
+        "        if excess:\n",
+        "        if False:\n",
+        "tests/dispatch/test_quotas.py",
+    ),
+    Case(
+        "quota: backfill takes up nothing",
+        "workflow/usage.py",
+        "        if not step.backfill:\n"
+        "            total.used = total.used + step.need\n",
+        "        total.used = total.used + step.need\n",
+        "tests/workflow/test_usage_stateful.py",
+    ),
+    Case(
+        "quota: the usage is counted again from a snapshot",
+        "workflow/store.py",
+        "        store.usage = WorkspaceUsage(snapshot.workflows)\n",
+        "",
+        "tests/workflow/test_usage_stateful.py",
+    ),
+    Case(
+        "quota: steps beyond a fair share come last",
+        "dispatch/fair_order.py",
+        "        return within + beyond if beyond else waiting\n",
+        "        return waiting\n",
+        "tests/dispatch/test_fair_order.py",
+    ),
+    Case(
+        "quota: running tasks count for the fair share",
+        "dispatch/fair_order.py",
+        "            share = used.get(name, 0.0)\n",
+        "            share = used.get(name, 0.0) * 0\n",
+        "tests/dispatch/test_fair_order.py -k running",
+    ),
+    Case(
+        "quota: shares weigh the order",
+        "cell/sharing.py",
+        "        weight = positive[name]\n",
+        "        weight = 1.0\n",
+        "tests/cell/test_sharing.py",
+    ),
 ]
 
 
