--- a/src/bluebellyoke/dispatch/fair_order.py
+++ b/src/bluebellyoke/dispatch/fair_order.py
@@ -18,8 +18,8 @@
 
 __all__ = ["FairOrder"]
 
-#: Share of the workers' capacity that tasks can use. Tasks of 9 cores fill 27 of the 32
-#: cores of a worker.
+#: Share of the workers' capacity that tasks can use, since they rarely fill a worker
+#: exactly.
 USABLE_SHARE = 0.84
 
 #: Weight of a workspace while none that is active is in the configuration.
