Measure planning rounds by number of workspaces, and make the fair order cheaper

Change: rows dispatch.plan_workspaces_* of the benchmark, whose cell is full and short of capacity; the quota is checked without building sums, the fair order stops before it works out demands while capacity suffices.

--- a/bench/dispatch.py
+++ b/bench/dispatch.py
@@ -14,6 +14,7 @@
 from bluebellyoke.cell import commands
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.dispatch.advice import AdviceManager
+from bluebellyoke.dispatch.fair_order import FairOrder
 from bluebellyoke.dispatch.planner import Planner
 from bluebellyoke.dispatch.workers import RunPhase, TrackedWorker
 from bluebellyoke.workflow import commands as workflow_commands
@@ -25,12 +26,18 @@
     StepSpec,
     WorkerSpec,
     WorkflowSpec,
+    WorkspaceSpec,
 )
 from bluebellyoke.workflow.store import WorkflowStore
 
 WORKER_COUNTS = (24, 100, 400, 1600)
 PLANNING_ROUNDS = 5
 
+#: Numbers of workspaces, workers and rounds of the comparison by workspaces.
+WORKSPACE_COUNTS = (0, 20, 1000)
+WORKSPACE_WORKER_COUNTS = (176, 400)
+WORKSPACE_ROUNDS = 40
+
 #: Workers that the advisor evaluates for a step, and one in how many it allows.
 ADVISED_WORKERS = 100
 ADVISED_DIVISOR = 4
@@ -43,7 +50,7 @@
 )
 
 
-def create_store(workers, advisor=None):
+def create_store(workers, advisor=None, workspaces=0):
     """Return a store with one queue and some workers, and the tracked workers by ID."""
     store = WorkflowStore()
     queue = QueueSpec(
@@ -55,7 +62,13 @@
         advisor=advisor,
     )
     configuration = Configuration(
-        version=1, queues=(queue,), pools=(PoolSpec(name="p"),)
+        version=1,
+        queues=(queue,),
+        pools=(PoolSpec(name="p"),),
+        workspaces=tuple(
+            WorkspaceSpec(name=f"s{number}", quota=Resources(10**9))
+            for number in range(workspaces)
+        ),
     )
     store.apply(workflow_commands.ApplyConfiguration(configuration=configuration))
     tracked_workers = {}
@@ -77,13 +90,18 @@
 
 
 def submit_workflows(store, count, first=0):
-    """Submit `count` workflows, alternating between the three kinds of jobs."""
+    """Submit `count` workflows, alternating between the three kinds of jobs.
+
+    They are spread over all workspaces, if there are any.
+    """
+    workspaces = store.configuration.workspaces
     for number in range(first, first + count):
         spec = WorkflowSpec(
             id=f"{number:016x}",
             queue="q",
             payload="x" * 300,
             steps=(STEPS[number % len(STEPS)],),
+            workspace=workspaces[number % len(workspaces)].name if workspaces else "",
         )
         store.apply(workflow_commands.SubmitWorkflow(time=NOW_S, spec=spec))
 
@@ -92,7 +110,7 @@
     """Measure a planning round with one waiting job per two workers."""
     store, tracked_workers = create_store(workers)
     submit_workflows(store, workers // 2)
-    planner = Planner(AdviceManager())
+    planner = create_planner(AdviceManager())
     started_at = time.process_time()
     planned = planner.plan(store, tracked_workers, NOW_S, NOW_S)
     cpu_s = time.process_time() - started_at
@@ -120,6 +138,11 @@
     )
 
 
+def create_planner(advice):
+    """Return a planner with the orders that a dispatcher uses."""
+    return Planner(advice, orders=(FairOrder(),))
+
+
 def measure_full_cell(workers):
     """Measure a planning round in which no task fits on any worker."""
     store, tracked_workers = create_store(workers)
@@ -128,7 +151,7 @@
             number, tracked_worker.spec.capacity, RunPhase.STARTED, NOW_S
         )
     submit_workflows(store, workers // 2)
-    planner = Planner(AdviceManager())
+    planner = create_planner(AdviceManager())
     started_at = time.process_time()
     for _ in range(PLANNING_ROUNDS):
         planner.plan(store, tracked_workers, NOW_S, NOW_S)
@@ -136,21 +159,25 @@
     emit("dispatch.plan_full_cell", round(cpu_s * 1e3, 2), "ms", workers=workers)
 
 
+def add_tickets(store, tracked_workers, advice):
+    """Give each waiting job tickets for a quarter of some workers."""
+    workers = list(tracked_workers.values())[:ADVISED_WORKERS]
+    for number, workflow in enumerate(store.active.values()):
+        found = advice.get_step_advice((workflow.spec.id, 0, 0))
+        found.evaluated.update(worker.spec.key for worker in workers)
+        allowed = list(tracked_workers.values())[number % ADVISED_DIVISOR :]
+        for worker in allowed[: ADVISED_WORKERS // ADVISED_DIVISOR]:
+            found.tickets[worker.spec.key] = ("ticket", NOW_S + 3600.0)
+
+
 def measure_advised_round(workers):
     """Measure a round for steps with advice, of which one job is new."""
     advisor = AdvisorSpec(decision_ms=10.0, per_worker_ms=0.1, validity_ms=2500.0)
     store, tracked_workers = create_store(workers, advisor)
     advice = AdviceManager()
-    planner = Planner(advice)
+    planner = create_planner(advice)
     submit_workflows(store, workers // 2)
-    for number, workflow in enumerate(store.active.values()):
-        found = advice.get_step_advice((workflow.spec.id, 0, 0))
-        for worker in list(tracked_workers.values())[:ADVISED_WORKERS]:
-            found.evaluated.add(worker.spec.key)
-        for worker in list(tracked_workers.values())[number % ADVISED_DIVISOR :][
-            : ADVISED_WORKERS // ADVISED_DIVISOR
-        ]:
-            found.tickets[worker.spec.key] = ("ticket", NOW_S + 3600.0)
+    add_tickets(store, tracked_workers, advice)
     for tracked_worker in tracked_workers.values():
         tracked_worker.add_run(0, tracked_worker.spec.capacity, RunPhase.STARTED, NOW_S)
     planner.plan(store, tracked_workers, NOW_S, NOW_S)
@@ -162,6 +189,47 @@
     emit("dispatch.plan_advised_full", round(cpu_s * 1e3, 2), "ms", workers=workers)
 
 
+def measure_workspaces(workers):
+    """Measure rounds in a full cell by number of workspaces.
+
+    The numbers take turns, so that a change of the machine's load affects all of them.
+    Each row holds the least of all rounds.
+    """
+    advisor = AdvisorSpec(decision_ms=10.0, per_worker_ms=0.1, validity_ms=2500.0)
+    for name, spec in (("full_cell", None), ("advised_full", advisor)):
+        cells = {x: create_full_cell(workers, x, spec) for x in WORKSPACE_COUNTS}
+        least = dict.fromkeys(cells, float("inf"))
+        for number in range(WORKSPACE_ROUNDS):
+            for workspaces, (store, tracked_workers, planner) in cells.items():
+                submit_workflows(store, 1, first=2 * workers + number)
+                started_at = time.process_time()
+                planner.plan(store, tracked_workers, NOW_S, NOW_S)
+                cpu_s = time.process_time() - started_at
+                if number:
+                    least[workspaces] = min(least[workspaces], cpu_s)
+        for workspaces, cpu_s in least.items():
+            emit(
+                f"dispatch.plan_workspaces_{name}",
+                round(cpu_s * 1e3, 3),
+                "ms",
+                workers=workers,
+                workspaces=workspaces,
+                relative=round(cpu_s / least[0], 3),
+            )
+
+
+def create_full_cell(workers, workspaces, advisor):
+    """Return a store, full workers and a planner that has planned one round."""
+    store, tracked_workers = create_store(workers, advisor, workspaces)
+    for worker in tracked_workers.values():
+        worker.add_run(0, worker.spec.capacity, RunPhase.STARTED, NOW_S)
+    submit_workflows(store, 2 * workers)
+    advice = AdviceManager()
+    if advisor is not None:
+        add_tickets(store, tracked_workers, advice)
+    return store, tracked_workers, create_planner(advice)
+
+
 def measure_log_size():
     """Measure the size of the log entries for the start and the end of a task."""
     name = workflow_commands.TaskName("5c0e7a21d94b36f8", 0, 1, 17)
@@ -205,5 +273,7 @@
         measure_planning(workers)
         measure_full_cell(workers)
         measure_advised_round(workers)
+    for workers in WORKSPACE_WORKER_COUNTS:
+        measure_workspaces(workers)
     measure_log_size()
     measure_memory()
--- a/src/bluebellyoke/cell/sharing.py
+++ b/src/bluebellyoke/cell/sharing.py
@@ -10,12 +10,18 @@
 MIN_WEIGHT = 1e-9
 
 
-def is_within_quota(used: Resources, quota: Resources) -> bool:
-    """Return whether an amount is within a quota; an amount of 0 is no limit."""
+def is_within_quota(
+    used: Resources, quota: Resources, need: Resources, count: int = 1
+) -> bool:
+    """Return whether a quota allows `count` more tasks; an amount of 0 is no limit."""
+    cpu, memory, accelerators = quota.cpu_millis, quota.memory_mb, quota.accelerators
     return (
-        (not quota.cpu_millis or used.cpu_millis <= quota.cpu_millis)
-        and (not quota.memory_mb or used.memory_mb <= quota.memory_mb)
-        and (not quota.accelerators or used.accelerators <= quota.accelerators)
+        (not cpu or used.cpu_millis + need.cpu_millis * count <= cpu)
+        and (not memory or used.memory_mb + need.memory_mb * count <= memory)
+        and (
+            not accelerators
+            or used.accelerators + need.accelerators * count <= accelerators
+        )
     )
 
 
@@ -54,16 +60,22 @@
         Fair dominant share by workspace, from 0 to 1.
     """
     fair = dict.fromkeys(demands, 0.0)
-    positive = {
-        name: max(weights[name], MIN_WEIGHT)
-        for name, demand in demands.items()
-        if demand > 0
-    }
-    remaining, weight_left = 1.0, sum(positive.values())
     # The workspaces that are satisfied first have the least demand for their weight.
-    for name in sorted(positive, key=lambda x: demands[x] / positive[x]):
-        weight = positive[name]
-        fair[name] = min(demands[name], remaining * weight / weight_left)
+    order = []
+    weight_left = 0.0
+    for name, demand in demands.items():
+        if demand > 0:
+            weight = max(weights[name], MIN_WEIGHT)
+            weight_left += weight
+            order.append((demand / weight, name, weight))
+    order.sort()
+    remaining = 1.0
+    for level, name, weight in order:
+        fair_level = remaining / weight_left
+        if level > fair_level:
+            fair[name] = fair_level * weight
+        else:
+            fair[name] = demands[name]
         remaining = max(remaining - fair[name], 0.0)
         weight_left = max(weight_left - weight, MIN_WEIGHT)
     return fair
--- a/src/bluebellyoke/cell/workspaces.py
+++ b/src/bluebellyoke/cell/workspaces.py
@@ -80,4 +80,4 @@
 
     def has_quota_for(self, need: Resources) -> bool:
         """Return whether the remaining quota covers `need`."""
-        return is_within_quota(self.used + need, self.spec.quota)
+        return is_within_quota(self.used, self.spec.quota, need)
--- a/src/bluebellyoke/dispatch/fair_order.py
+++ b/src/bluebellyoke/dispatch/fair_order.py
@@ -13,7 +13,6 @@
 from bluebellyoke.dispatch.ordering import StepOrder
 from bluebellyoke.dispatch.planning_round import PlanningRound
 from bluebellyoke.dispatch.waiting import WaitingStep
-from bluebellyoke.workflow.specs import WorkspaceSpec
 from bluebellyoke.workflow.store import WorkflowStore
 
 __all__ = ["FairOrder"]
@@ -41,15 +40,16 @@
         if len(waiting) < 2 or not store.configuration.workspaces:
             return waiting
         total = _sum_capacity(store, waiting, planning)
-        sizes = _measure_steps(waiting, total)
+        sizes, asked = _measure_steps(waiting, total)
         used = {
             name: amount.compute_dominant_share(total)
             for name, amount in store.usage.iter_used()
         }
-        demands = _sum_demands(store, waiting, sizes, used, total)
-        if len(demands) < 2 or sum(demands.values()) <= 1.0:
+        if sum(used.values()) + sum(sizes) <= 1.0:
+            return waiting
+        fair = _compute_fair(store, used, asked, total)
+        if not fair:
             return waiting
-        fair = compute_fair_shares(_find_weights(store, demands), demands)
         within, beyond = [], []
         for step, size in zip(waiting, sizes, strict=True):
             name = step.workflow.spec.workspace
@@ -73,54 +73,63 @@
     return Resources(int(cpu * USABLE_SHARE), int(memory * USABLE_SHARE), accelerators)
 
 
-def _measure_steps(waiting: Sequence[WaitingStep], total: Resources) -> list[float]:
-    """Return the dominant share of the waiting tasks of each step."""
-    return [
-        0.0
-        if step.spec.backfill
-        else len(step.indexes) * step.spec.need.compute_dominant_share(total)
-        for step in waiting
-    ]
+def _measure_steps(
+    waiting: Sequence[WaitingStep], total: Resources
+) -> tuple[list[float], dict[str, float]]:
+    """Return the dominant share that each step asks for, and the sum by workspace."""
+    per_cpu = 1 / (total.cpu_millis or 1)
+    per_memory = 1 / (total.memory_mb or 1)
+    per_accelerator = 1 / (total.accelerators or 1)
+    sizes: list[float] = []
+    asked: dict[str, float] = {}
+    for step in waiting:
+        need, size = step.spec.need, 0.0
+        if not step.spec.backfill:
+            size = len(step.indexes) * max(
+                need.cpu_millis * per_cpu,
+                need.memory_mb * per_memory,
+                need.accelerators * per_accelerator,
+            )
+        sizes.append(size)
+        name = step.workflow.spec.workspace
+        asked[name] = asked.get(name, 0.0) + size
+    return sizes, asked
 
 
-def _sum_demands(
+def _compute_fair(
     store: WorkflowStore,
-    waiting: Sequence[WaitingStep],
-    sizes: Sequence[float],
     used: dict[str, float],
+    asked: dict[str, float],
     total: Resources,
 ) -> dict[str, float]:
-    """Return what each active workspace could use, at most its quota."""
+    """Return the fair share of each active workspace; nothing while capacity suffices.
+
+    A workspace demands what it uses and asks for, at most its quota.
+    """
     demands = dict(used)
-    for step, size in zip(waiting, sizes, strict=True):
-        name = step.workflow.spec.workspace
+    for name, size in asked.items():
         demands[name] = demands.get(name, 0.0) + size
-    return {
-        name: _limit(demand, store.find_workspace(name), total)
-        for name, demand in demands.items()
-    }
-
-
-def _limit(demand: float, workspace: WorkspaceSpec | None, total: Resources) -> float:
+    weights: dict[str, float] = {}
+    for name, demand in demands.items():
+        workspace = store.find_workspace(name)
+        if workspace is not None:
+            weights[name] = workspace.share
+            demands[name] = _limit(demand, workspace.quota, total)
+    if len(demands) < 2 or sum(demands.values()) <= 1.0:
+        return {}
+    average = sum(weights.values()) / len(weights) if weights else DEFAULT_WEIGHT
+    for name in demands.keys() - weights.keys():
+        weights[name] = average
+    return compute_fair_shares(weights, demands)
+
+
+def _limit(demand: float, quota: Resources, total: Resources) -> float:
     """Return a demand, at most the dominant share at which the quota is used up."""
-    if workspace is None:
-        return demand
-    quota = workspace.quota
-    for bound, available in (
-        (quota.cpu_millis, total.cpu_millis),
-        (quota.memory_mb, total.memory_mb),
-        (quota.accelerators, total.accelerators),
-    ):
-        if bound and available:
-            demand = min(demand, bound / available)
+    cpu, memory, accelerators = quota.cpu_millis, quota.memory_mb, quota.accelerators
+    if cpu and cpu < demand * total.cpu_millis:
+        demand = cpu / total.cpu_millis
+    if memory and memory < demand * total.memory_mb:
+        demand = memory / total.memory_mb
+    if accelerators and accelerators < demand * total.accelerators:
+        demand = accelerators / total.accelerators
     return demand
-
-
-def _find_weights(store: WorkflowStore, demands: dict[str, float]) -> dict[str, float]:
-    found = {name: store.find_workspace(name) for name in demands}
-    shares = [item.share for item in found.values() if item is not None]
-    average = sum(shares) / len(shares) if shares else DEFAULT_WEIGHT
-    return {
-        name: item.share if item is not None else average
-        for name, item in found.items()
-    }
--- a/src/bluebellyoke/dispatch/quotas.py
+++ b/src/bluebellyoke/dispatch/quotas.py
@@ -9,6 +9,9 @@
 
 __all__ = ["RoundQuotas"]
 
+#: Quota that limits nothing.
+UNLIMITED = Resources()
+
 
 class RoundQuotas:
     """Quotas and usage of the workspaces, with what the round has planned.
@@ -63,4 +66,7 @@
         name = step.workflow.spec.workspace
         if not name or step.spec.backfill:
             return None
-        return self._store.find_workspace(name)
+        workspace = self._store.find_workspace(name)
+        if workspace is None or workspace.quota == UNLIMITED:
+            return None
+        return workspace
--- a/src/bluebellyoke/placement/fairness.py
+++ b/src/bluebellyoke/placement/fairness.py
@@ -97,4 +97,4 @@
         self, workspace: str, quota: Resources, need: Resources
     ) -> bool:
         """Return whether the current usage plus `need` is within the quota."""
-        return is_within_quota(Resources(*self._usage[workspace]) + need, quota)
+        return is_within_quota(Resources(*self._usage[workspace]), quota, need)
--- a/src/bluebellyoke/workflow/quotas.py
+++ b/src/bluebellyoke/workflow/quotas.py
@@ -20,7 +20,9 @@
     """Return whether a gang, or some other tasks, fit into what a quota leaves."""
     if step.backfill:
         return True
-    return is_within_quota(used + compute_start_need(step, count), workspace.quota)
+    return is_within_quota(
+        used, workspace.quota, step.need, step.count if step.gang else count
+    )
 
 
 def fits_alone(workspace: WorkspaceSpec, step: StepSpec) -> bool:
--- a/tests/cell/test_sharing.py
+++ b/tests/cell/test_sharing.py
@@ -20,7 +20,7 @@
 @given(used=AMOUNTS, quota=AMOUNTS, need=AMOUNTS)
 def test_count_agrees_with_the_check_of_the_quota(used, quota, need):
     count = count_within_quota(used, quota, need, 5)
-    fits = [is_within_quota(used + need * x, quota) for x in range(7)]
+    fits = [is_within_quota(used, quota, need, x) for x in range(7)]
     assert count == next((x - 1 for x in range(1, 6) if not fits[x]), 5)
 
 
--- a/tests/workflow/test_usage_stateful.py
+++ b/tests/workflow/test_usage_stateful.py
@@ -126,7 +126,9 @@
         limits = self.store.find_workspace(workspace)
         if "1" in result.detail["done"] and limits is not None and not step.backfill:
             used = count_plainly(self.store)[0][workspace]
-            assert is_within_quota(used, limits.quota), "a start exceeds the quota"
+            assert is_within_quota(used, limits.quota, Resources()), (
+                "a start exceeds the quota"
+            )
 
     @precondition(lambda self: self.store.workflows)
     @rule(
