Refuse jobs that cannot be useful in time, and a workspace's excess under load

Cause: under load every job was accepted and ended late, and one workspace could take the capacity of all others. Change: where dispatch.admission is set (the platform's contract `pressure`), a fluid model of free cores, expected ends of runs and waiting work predicts the end of a job. It is refused if it would end after three times its objective, counted from its first attempt, or if it exceeds its workspace's share while capacity is scarce. Jobs are accepted where nothing is known, while a leader is new, and if room is free. A refusal is confirmed by an entry of the log, so that no replaced leader sends one. Refusals, prediction errors and both kinds of wrong decision are counted.

--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -14,12 +14,14 @@
 
 from bluebellyoke.cell.result import Result, refuse
 from bluebellyoke.dispatch import events
+from bluebellyoke.dispatch.admission import AdmissionControl, AdmissionDecision
 from bluebellyoke.dispatch.advice import AdviceManager
 from bluebellyoke.dispatch.calls import WorkerCalls
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.features import DispatchFeatures
 from bluebellyoke.dispatch.polls import WorkerPoller
 from bluebellyoke.dispatch.probes import WorkerProber
+from bluebellyoke.dispatch.refusals import RefusalSender
 from bluebellyoke.dispatch.registry import WorkerRegistry
 from bluebellyoke.dispatch.run_ends import RunEndRecorder
 from bluebellyoke.dispatch.selection import order_by_room
@@ -91,6 +93,12 @@
             registry=self._registry,
             prober=prober,
         )
+        self._admission: AdmissionControl | None = None
+        if context.features.admission:
+            self._admission = AdmissionControl(context)
+            context.observers.append(self._admission.ratios)
+        self._refusals = RefusalSender(context)
+        self._submitting: set[str] = set()
         self._ticked_at = 0.0
         self._poll_round_due = 0.0
         self._plan_due = 0.0
@@ -123,6 +131,8 @@
         self._ticked_at = self._context.now = now
         self._poll_round_due = self._plan_due = self._cleanup_due = now
         self._registry.activate(now)
+        if self._admission is not None:
+            self._admission.activate(now)
 
     def deactivate(self) -> None:
         """Stop dispatching and drop everything that is not in the replicated state."""
@@ -131,6 +141,8 @@
         for observer in self._context.observers:
             observer.clear()
         self._starter.reset()
+        self._refusals.clear()
+        self._submitting.clear()
 
     def tick(self, now: float, wall_time: float) -> None:
         """Poll workers, plan runs and drop old records as they become due."""
@@ -140,6 +152,9 @@
         if now >= self._cleanup_due:
             self._cleanup_due = now + CLEANUP_INTERVAL_S
             self._drop_old_records(wall_time)
+        if self._admission is not None:
+            self._admission.tick(now, wall_time)
+        self._refusals.send(wall_time)
         self._plan_if_due(now, wall_time)
         self.advice.tick(now)
 
@@ -252,10 +267,14 @@
     ) -> None:
         """Accept a workflow; advice on its first steps is requested meanwhile."""
         spec = command.spec
-        if spec.id not in self._context.store.workflows:
+        is_known = spec.id in self._context.store.workflows
+        if not is_known and not self._admit(spec, wall_time, reply):
+            return
+        if not is_known:
             self._prefetch_advice(spec, wall_time)
 
         def finish(result: Result) -> None:
+            self._submitting.discard(spec.id)
             logger.info(
                 "dispatch: took a workflow",
                 extra={
@@ -270,10 +289,22 @@
             self._context.needs_planning = True
             reply(result)
 
+        self._submitting.add(spec.id)
         self._context.proposals.add(
             workflow_commands.SubmitWorkflow(time=wall_time, spec=spec), finish
         )
 
+    def _admit(
+        self, spec: WorkflowSpec, wall_time: float, reply: Callable[[Result], None]
+    ) -> bool:
+        """Return whether a new workflow is accepted; refuse it if not."""
+        if self._admission is None or spec.id in self._submitting:
+            return True
+        decision = self._admission.decide(spec, self._context.now, wall_time)
+        if not decision.is_accepted:
+            self._refusals.add(spec, _describe_refusal(decision), reply)
+        return decision.is_accepted
+
     def estimate_wait(self, spec: WorkflowSpec) -> float:
         """Return the time until a workflow's tasks can be accepted, in seconds."""
         open_tasks = self._context.store.open_tasks
@@ -330,3 +361,8 @@
             and not workflow.outcome
             for workflow in self._context.store.active.values()
         )
+
+
+def _describe_refusal(decision: AdmissionDecision) -> Result:
+    retry_after_s = str(decision.retry_after_s)
+    return refuse("overloaded", decision.reason, retry_after_s=retry_after_s)
--- /dev/null
+++ b/src/bluebellyoke/dispatch/pool_forecast.py
@@ -0,0 +1,85 @@
+"""Free cores of a pool over the near future and the work that waits for them."""
+
+import bisect
+import itertools
+import math
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+__all__ = ["LAST_SLOT", "SLOT_S", "PoolForecast"]
+
+#: Fraction of the capacity that work gets at least in the model. It keeps predictions
+#: finite while higher priorities are expected to take up all cores.
+MIN_RATE_FRACTION = 0.01
+
+#: Length of a time slot, in seconds, and number of the last one. Runs that end later
+#: count as ending then. The number bounds the cost of a prediction.
+SLOT_S = 0.1
+LAST_SLOT = 100
+
+
+@dataclass(slots=True)
+class PoolForecast:
+    """Free cores of a pool over the near future, and the work that waits for them.
+
+    Attributes:
+        capacity: Cores of the workers that are not about to leave.
+        free: Cores that are free now.
+        releases: Times in seconds from now at which cores are released, ascending.
+        cores: Cores that are free from each of these times if nothing starts.
+        punctual: Waiting work of jobs that can still be on time, by priority, in
+            core-seconds.
+        late: Waiting work of jobs that are late but useful, by priority.
+        waiting_cores: Cores that the first steps of the waiting jobs take up.
+    """
+
+    capacity: float = 0.0
+    free: float = 0.0
+    releases: list[float] = field(default_factory=list)
+    cores: list[float] = field(default_factory=list)
+    punctual: dict[int, float] = field(default_factory=lambda: defaultdict(float))
+    late: dict[int, float] = field(default_factory=lambda: defaultdict(float))
+    waiting_cores: float = 0.0
+
+    def set_releases(self, slots: dict[int, float]) -> None:
+        """Set the cores that running tasks release, by the number of a time slot."""
+        numbers = sorted(slots)
+        self.releases = [number * SLOT_S for number in numbers]
+        released = itertools.accumulate(slots[number] for number in numbers)
+        self.cores = [min(self.free + x, self.capacity) for x in released]
+
+    def find_release(self, cores: float) -> float:
+        """Return when so many cores are free if nothing starts, or infinity."""
+        if cores <= self.free:
+            return 0.0
+        index = bisect.bisect_left(self.cores, cores)
+        return self.releases[index] if index < len(self.cores) else math.inf
+
+    def find_time(self, work: float, reserved: float) -> float:
+        """Return when free cores have done some work, in seconds from now.
+
+        Args:
+            work: Work in core-seconds.
+            reserved: Cores that work of higher priority takes up.
+        """
+        if work <= 0:
+            return 0.0
+        floor = MIN_RATE_FRACTION * self.capacity
+        since_s, cores = 0.0, max(self.free - reserved, floor)
+        for at_s, free in zip(self.releases, self.cores, strict=True):
+            done = (at_s - since_s) * cores
+            if done >= work:
+                break
+            work -= done
+            since_s, cores = at_s, max(free - reserved, floor)
+        return since_s + work / cores if cores > 0 else math.inf
+
+    def sum_ahead(self, priority: int, *, with_late: bool) -> float:
+        """Return the waiting work of equal or higher priority, in core-seconds."""
+        groups = (self.punctual, self.late) if with_late else (self.punctual,)
+        return sum(
+            work
+            for group in groups
+            for other, work in group.items()
+            if other <= priority
+        )
--- a/src/bluebellyoke/dispatch/queue_requests.py
+++ b/src/bluebellyoke/dispatch/queue_requests.py
@@ -69,7 +69,9 @@
         """Return the reply to a submission, with a retry time if it is overloaded."""
         if result.code != "overloaded":
             return _convert(result)
-        wait_s = self._dispatcher.estimate_wait(spec)
+        # Admission gives the time with the refusal; the limit of open tasks does not.
+        wait_s = float(result.detail.get("retry_after_s", 0))
+        wait_s = wait_s or self._dispatcher.estimate_wait(spec)
         return wire.QueueReply(result.code, reason=result.reason, retry_after_s=wait_s)
 
     def handle_announcement(
--- /dev/null
+++ b/src/bluebellyoke/dispatch/run_ratios.py
@@ -0,0 +1,73 @@
+"""Ratio of actual to declared run times, by queue."""
+
+from bluebellyoke.dispatch.context import DispatchContext
+from bluebellyoke.dispatch.observers import RunObserver
+from bluebellyoke.dispatch.workers import TrackedRun, TrackedWorker
+from bluebellyoke.workflow.commands import RunOutcome
+from bluebellyoke.workflow.store import RunKey
+
+__all__ = ["RunRatios"]
+
+#: Weight of a new run in the mean. It averages about 50 runs, so that single estimates
+#: that are off by a factor of 1.9 move it little.
+SAMPLE_WEIGHT = 0.02
+
+#: Bounds of the ratio of a single run.
+MIN_RATIO = 0.2
+MAX_RATIO = 5.0
+
+
+class RunRatios(RunObserver):
+    """Learns by which factor the estimates of a queue are off on average.
+
+    Args:
+        context: Shared state of the dispatcher.
+    """
+
+    def __init__(self, context: DispatchContext) -> None:
+        self._context = context
+        self._ratios: dict[str, float] = {}
+
+    def get_ratio(self, queue: str) -> float:
+        """Return the mean ratio of a queue, 1 if nothing is known."""
+        return self._ratios.get(queue, 1.0)
+
+    def record_progress(
+        self,
+        worker: TrackedWorker,
+        key: RunKey,
+        run: TrackedRun,
+        load: int,
+        now: float,
+    ) -> None:
+        """Ignore the progress; only whole runs count."""
+
+    def record_end(
+        self,
+        worker: TrackedWorker,
+        key: RunKey,
+        run: TrackedRun,
+        outcome: RunOutcome,
+        now: float,
+    ) -> None:
+        """Take the run time of a run that is done and began without a checkpoint."""
+        if outcome is not RunOutcome.DONE or run.sent_at is None:
+            return
+        workflow = self._context.store.workflows.get(key[0].workflow)
+        task = workflow.find_task(key[0]) if workflow is not None else None
+        if task is None or task.checkpoint:
+            return
+        estimate_s = workflow.spec.steps[key[0].step].estimate_ms / 1000
+        if not estimate_s:
+            return
+        ratio = min(max((now - run.sent_at) / estimate_s, MIN_RATIO), MAX_RATIO)
+        queue = workflow.spec.queue
+        old = self._ratios.get(queue, 1.0)
+        self._ratios[queue] = old + SAMPLE_WEIGHT * (ratio - old)
+
+    def forget_worker(self, worker: TrackedWorker) -> None:
+        """Keep the ratios, which are not those of a worker."""
+
+    def clear(self) -> None:
+        """Forget all ratios."""
+        self._ratios.clear()
--- a/src/bluebellyoke/metrics.py
+++ b/src/bluebellyoke/metrics.py
@@ -61,6 +61,19 @@
         """Count the steps that a check found to wait long, by the reason."""
         self._counters["overdue_steps_total", reason] += count
 
+    def record_prediction_error(self, seconds: float) -> None:
+        """Record by how much a job ended after its predicted end, or before it."""
+        kind = "late" if seconds > 0 else "early"
+        self._record(f"prediction_error_seconds_{kind}", abs(seconds))
+
+    def record_refusal(self, cause: str) -> None:
+        """Count a job that was refused under load, by the cause."""
+        self._counters["admission_refusals_total", cause] += 1
+
+    def record_admission_error(self, kind: str) -> None:
+        """Count a decision on a job that has proved wrong."""
+        self._counters["admission_errors_total", kind] += 1
+
     def record_tick_interval(self, seconds: float) -> None:
         """Record the time between two turns of the leader's dispatcher."""
         self._record("dispatch_tick_interval_seconds", seconds)
--- a/src/bluebellyoke/platform/settings.py
+++ b/src/bluebellyoke/platform/settings.py
@@ -9,6 +9,7 @@
 
 from bluebellyoke.settings import (
     CellSettings,
+    DispatchSettings,
     InstanceSettings,
     LimitSettings,
     Settings,
@@ -45,6 +46,9 @@
 #: Size of the log that triggers a snapshot, in MiB.
 SNAPSHOT_MB = 8
 
+#: Contract of deployments in which jobs compete for capacity.
+PRESSURE_CONTRACT = "pressure"
+
 Endpoint = Annotated[str, pydantic.Field(pattern=r"^[0-9.]+:[0-9]+$")]
 
 
@@ -90,6 +94,8 @@
     Listen: ListenTable = ListenTable()
     FaultTolerance: FaultToleranceTable = FaultToleranceTable()
     Bounds: BoundsTable = BoundsTable()
+    # Properties of the deployment that it announces to its programs.
+    Contracts: tuple[str, ...] = ()
 
 
 def find_settings_path() -> Path:
@@ -156,6 +162,9 @@
             called_worker_lease_s=max_hold_s * 5 / 6,
             snapshot_mb=SNAPSHOT_MB,
         ),
+        dispatch=DispatchSettings(
+            admission=PRESSURE_CONTRACT in platform_settings.Contracts
+        ),
     )
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -87,3 +87,17 @@
 def test_missing_file_is_reported(tmp_path):
     with pytest.raises(SettingsError):
         read_settings(tmp_path / "none.toml")
+
+
+# Guards against refusals under load in deployments that have not agreed to them, and
+# against none in those that have.
+@pytest.mark.parametrize(
+    ("line", "expected"),
+    [("", False), ('Contracts = ["other"]', False), ('Contracts = ["pressure"]', True)],
+)
+def test_admission_is_in_use_where_the_deployment_calls_for_it(
+    tmp_path, line, expected
+):
+    text = TEXT.replace("NewField = 7", line)
+    settings = translate_settings(read_settings(write(tmp_path, text)))
+    assert settings.dispatch.admission is expected
