--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -98,8 +98,13 @@
     ) -> list[PlannedStart]:
         """Return the starts to make now; those of a gang are next to each other."""
         self._steps.update(store, wall_time)
-        quotas = RoundQuotas(store)
-        planning = PlanningRound(now, workers, quotas, costs=self._costs)
+        planning = PlanningRound(
+            now,
+            workers,
+            RoundQuotas(store),
+            wall_time=wall_time,
+            costs=self._costs,
+        )
         waiting = self._steps.list_waiting()
         for order in self._orders:
             waiting = order.arrange(waiting, planning)
--- a/src/bluebellyoke/dispatch/planning_round.py
+++ b/src/bluebellyoke/dispatch/planning_round.py
@@ -64,6 +64,7 @@
     Attributes:
         workers: All workers, by ID.
         quotas: What the workspaces may still start.
+        wall_time: Wall-clock time, in seconds.
         costs: Costs by which a task prefers some workers to others.
         reserved: IDs of workers that gangs have reserved.
         isolated: IDs of workers that are set apart for suspects.
@@ -75,6 +76,7 @@
     now: float
     workers: dict[str, TrackedWorker]
     quotas: RoundQuotas
+    wall_time: float = 0.0
     costs: Sequence[PlacementCost] = ()
     reserved: set[str] = field(default_factory=set)
     isolated: Collection[str] = ()
