Move runs off slow, stalled and failing workers if they end earlier elsewhere

Cause: a run that saves progress stayed on a worker that had slowed down or stood still, although a stop and a start from its checkpoint take 1.5 s.

Change: a run that would end after twice its expected time is stopped if that gains at least 1.5 s and a sound worker has room. A task is not moved again before its next run has ended otherwise, and not if its run began from a checkpoint, which holds across leaders. At most 4 runs a second are moved, 8 at once; gangs only as a whole. A run that is only long has the usual rate for its worker, so a move gains nothing.

--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -27,6 +27,7 @@
 from bluebellyoke.dispatch.selection import order_by_room
 from bluebellyoke.dispatch.starts import RunStarter
 from bluebellyoke.dispatch.stops import RunStopper
+from bluebellyoke.dispatch.stragglers import StragglerMover
 from bluebellyoke.dispatch.worker_speeds import WorkerSpeeds
 from bluebellyoke.dispatch.workers import LeaseTimes, TrackedWorker
 from bluebellyoke.leader.sessions import ProposalQueue
@@ -80,10 +81,11 @@
             features=features or DispatchFeatures(),
         )
         self._context = context
-        if context.features.uneven_workers:
-            _add_uneven_workers(context)
         prober = WorkerProber(context)
         self._stopper = RunStopper(context, prober=prober)
+        self._mover: StragglerMover | None = None
+        if context.features.uneven_workers:
+            self._mover = _add_uneven_workers(context, self._stopper)
         self._recorder = RunEndRecorder(context, self._stopper)
         self._registry = WorkerRegistry(context, self._stopper, self._recorder)
         self._starter = RunStarter(
@@ -135,6 +137,8 @@
         self._registry.clear()
         for observer in self._context.observers:
             observer.clear()
+        if self._mover is not None:
+            self._mover.clear()
         self._starter.reset()
 
     def tick(self, now: float, wall_time: float) -> None:
@@ -145,6 +149,8 @@
         if now >= self._cleanup_due:
             self._cleanup_due = now + CLEANUP_INTERVAL_S
             self._drop_old_records(wall_time)
+        if self._mover is not None:
+            self._mover.tick(now)
         self._plan_if_due(now, wall_time)
         self.advice.tick(now)
 
@@ -337,9 +343,12 @@
         )
 
 
-def _add_uneven_workers(context: DispatchContext) -> None:
-    """Learn run times and the speed of workers, and place tasks by them."""
+def _add_uneven_workers(
+    context: DispatchContext, stopper: RunStopper
+) -> StragglerMover:
+    """Learn run times and the speed of workers, and place and move tasks by them."""
     run_times = RunTimes()
     speeds = WorkerSpeeds(run_times, context.find_run, context.metrics)
     context.observers.append(speeds)
     context.costs.append(ExpectedEndCost(speeds, run_times, context.find_queue))
+    return StragglerMover(context, stopper=stopper, speeds=speeds, run_times=run_times)
--- a/src/bluebellyoke/dispatch/worker_speeds.py
+++ b/src/bluebellyoke/dispatch/worker_speeds.py
@@ -127,6 +127,11 @@
         known = self._slowdowns.get(worker.spec.id)
         return 1.0 / known.ratio if known is not None else 1.0
 
+    def get_slowdown_start(self, worker: TrackedWorker) -> float:
+        """Return the time at which the latest slowdown of a worker was noticed."""
+        known = self._slowdowns.get(worker.spec.id)
+        return known.began_at if known is not None else 0.0
+
     def set_level(self, worker: TrackedWorker, level: float) -> None:
         """Set what is known of a worker: the logarithm of its factor."""
         estimate = self._find_estimate(worker)
--- a/src/bluebellyoke/metrics.py
+++ b/src/bluebellyoke/metrics.py
@@ -77,6 +77,10 @@
         """Count a change of what is known of a worker's speed."""
         self._counters["worker_speed_changes_total", kind] += 1
 
+    def record_moved_runs(self, reason: str, count: int) -> None:
+        """Count the runs that are moved off a worker, by what is wrong with it."""
+        self._counters["moved_runs_total", reason] += count
+
     def record_prediction_error(self, seconds: float) -> None:
         """Record how far the run time of a task was off the expected one."""
         self._record("run_time_error_seconds", seconds)
--- a/tests/dispatch/fleet.py
+++ b/tests/dispatch/fleet.py
@@ -9,11 +9,15 @@
 
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.dispatch.advice import AdviceManager
+from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.expected_end import ExpectedEndCost
 from bluebellyoke.dispatch.planner import Planner
 from bluebellyoke.dispatch.run_times import RunTimes
+from bluebellyoke.dispatch.stops import RunStopper
+from bluebellyoke.dispatch.stragglers import StragglerMover
 from bluebellyoke.dispatch.worker_speeds import WorkerSpeeds
-from bluebellyoke.dispatch.workers import RunPhase, TrackedWorker
+from bluebellyoke.dispatch.workers import LeaseTimes, RunPhase, TrackedWorker
+from bluebellyoke.leader.sessions import ProposalQueue
 from bluebellyoke.metrics import Metrics
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.commands import RunOutcome
@@ -27,6 +31,10 @@
 )
 
 TICK_S = 0.02
+
+#: Longest time of a stop, and of a start from a checkpoint, in seconds.
+STOP_S = 0.9
+RESUME_S = 0.6
 REPORT_INTERVAL_S = 1.0
 
 LONG_TASK_SHARE = 0.03
@@ -39,6 +47,7 @@
 
     work: float
     done: float = 0.0
+    begins_at: float = 0.0
 
 
 @dataclass
@@ -56,6 +65,19 @@
     reported_at: float = 0.0
 
 
+class FleetCalls:
+    """Takes the calls to workers; a stop takes effect after `STOP_S`."""
+
+    def __init__(self):
+        self.term = 0
+        self.metrics = Metrics()
+        self.stops = []
+
+    def stop(self, spec, request):
+        """Note a stop."""
+        self.stops.append((spec.id, (request.task, request.run)))
+
+
 @dataclass
 class Job:
     """A submitted job."""
@@ -73,9 +95,12 @@
         factors: Factor of each worker.
         queues: Queues, or None for one without an objective.
         is_uneven: Whether placement takes account of the speed of workers.
+        is_moving: Whether stragglers are moved.
     """
 
-    def __init__(self, factors, queues=None, *, cores=32, is_uneven=True, seed=1):
+    def __init__(
+        self, factors, queues=None, *, cores=32, is_uneven=True, is_moving=False, seed=1
+    ):
         self.now = 1000.0
         self.random = random.Random(seed)
         self.store = create_store(
@@ -84,9 +109,27 @@
         self.workers = {}
         self.machines = {}
         self.jobs = {}
-        self.metrics = Metrics()
+        self.calls = FleetCalls()
+        self.metrics = self.calls.metrics
+        self.context = DispatchContext(
+            ProposalQueue(),
+            self.calls,
+            LeaseTimes(),
+            store=self.store,
+            workers=self.workers,
+        )
         self.run_times = RunTimes()
-        self.speeds = WorkerSpeeds(self.run_times, self.find_run, self.metrics)
+        self.speeds = WorkerSpeeds(self.run_times, self.context.find_run, self.metrics)
+        self.mover = StragglerMover(
+            self.context,
+            stopper=RunStopper(self.context, prober=None),
+            speeds=self.speeds,
+            run_times=self.run_times,
+        )
+        self.moves = is_moving
+        self.stopping = []
+        self.saved = {}
+        self.checkpoint = "saved"
         self.cost = ExpectedEndCost(self.speeds, self.run_times, self.store.get_queue)
         costs = [self.cost] if is_uneven else []
         self.planner = Planner(AdviceManager(), costs=costs)
@@ -117,10 +160,6 @@
             )
         )
 
-    def find_run(self, key):
-        workflow = self.store.workflows[key[0].workflow]
-        return workflow.spec.queue, workflow.spec.steps[key[0].step], True
-
     # Load.
 
     def draw_work(self, mean_s, long_share=LONG_TASK_SHARE):
@@ -155,16 +194,33 @@
         for _ in range(round(seconds / TICK_S)):
             on_tick()
             self.now += TICK_S
+            self.context.now = self.now
             for name in list(self.machines):
                 self._advance(self.workers[name], self.machines[name])
+            self._stop()
+            if self.moves:
+                self.mover.tick(self.now)
             self._plan()
 
+    def _stop(self):
+        self.stopping += [(self.now + STOP_S, *x) for x in self.calls.stops]
+        self.calls.stops = []
+        for due, name, key in list(self.stopping):
+            if self.now < due:
+                continue
+            self.stopping.remove((due, name, key))
+            run = self.machines[name].runs.get(key)
+            if run is not None:
+                self.saved[key[0]] = run.done
+                self.end_run(name, key, RunOutcome.STOPPED, self.checkpoint)
+
     def _advance(self, worker, machine):
         worker.last_response_at = self.now
         done = TICK_S / (machine.factor * machine.slowdown)
         ended = []
         for key, run in machine.runs.items():
-            run.done += done
+            if self.now > run.begins_at:
+                run.done += done
             if run.done >= run.work:
                 ended.append(key)
         if not ended and self.now - machine.reported_at < REPORT_INTERVAL_S:
@@ -179,12 +235,12 @@
         for key in ended:
             self.end_run(worker.spec.id, key)
 
-    def end_run(self, name, key, outcome=RunOutcome.DONE):
+    def end_run(self, name, key, outcome=RunOutcome.DONE, checkpoint=""):
         """End a run on a worker."""
         worker = self.workers[name]
         del self.machines[name].runs[key]
         self.speeds.record_end(worker, key, worker.runs[key], outcome, self.now)
-        end = workflow_commands.RunEnd(*key, outcome)
+        end = workflow_commands.RunEnd(*key, outcome, checkpoint)
         self.store.apply(workflow_commands.RecordEnds(time=self.now, ends=(end,)))
         worker.drop_run(key)
         workflow = self.store.workflows[key[0].workflow]
@@ -199,14 +255,19 @@
         self.store.apply(workflow_commands.AssignRuns(starts=starts))
         for start in starts:
             key = (start.task, start.run)
-            step = self.find_run(key)[1]
             worker = self.workers[start.worker]
             worker.add_run(
-                key, step.need, RunPhase.STARTED, self.now, step.estimate_ms / 1000
+                key,
+                self.context.find_need(key),
+                RunPhase.STARTED,
+                self.now,
+                self.context.find_estimate(key),
             )
             worker.runs[key].sent_at = self.now
-            work = self.jobs[start.task.workflow].works[start.task.index]
-            self.machines[start.worker].runs[key] = SimulatedRun(work)
+            run = SimulatedRun(self.jobs[start.task.workflow].works[start.task.index])
+            if start.task in self.saved:
+                run.done, run.begins_at = self.saved[start.task], self.now + RESUME_S
+            self.machines[start.worker].runs[key] = run
 
     # Results.
 
