--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -18,6 +18,7 @@
 from bluebellyoke.dispatch.advice import AdviceManager
 from bluebellyoke.dispatch.calls import WorkerCalls
 from bluebellyoke.dispatch.context import DispatchContext
+from bluebellyoke.dispatch.expected_end import ExpectedEndCost
 from bluebellyoke.dispatch.features import DispatchFeatures
 from bluebellyoke.dispatch.ordering import StepOrder
 from bluebellyoke.dispatch.polls import WorkerPoller
@@ -25,10 +26,13 @@
 from bluebellyoke.dispatch.refusals import RefusalSender
 from bluebellyoke.dispatch.registry import WorkerRegistry
 from bluebellyoke.dispatch.run_ends import RunEndRecorder
+from bluebellyoke.dispatch.run_times import RunTimes
 from bluebellyoke.dispatch.selection import order_by_room
 from bluebellyoke.dispatch.starts import RunStarter
 from bluebellyoke.dispatch.stops import RunStopper
+from bluebellyoke.dispatch.stragglers import StragglerMover
 from bluebellyoke.dispatch.urgency import UrgencyOrder
+from bluebellyoke.dispatch.worker_speeds import WorkerSpeeds
 from bluebellyoke.dispatch.workers import LeaseTimes, TrackedWorker
 from bluebellyoke.leader.sessions import ProposalQueue
 from bluebellyoke.workflow import commands as workflow_commands
@@ -84,6 +88,9 @@
         self._context = context
         prober = WorkerProber(context)
         self._stopper = RunStopper(context, prober=prober)
+        self._mover: StragglerMover | None = None
+        if context.features.uneven_workers:
+            self._mover = _add_uneven_workers(context, self._stopper)
         self._recorder = RunEndRecorder(context, self._stopper)
         self._registry = WorkerRegistry(context, self._stopper, self._recorder)
         self._admission: AdmissionControl | None = None
@@ -149,6 +156,8 @@
         self._registry.clear()
         for observer in self._context.observers:
             observer.clear()
+        if self._mover is not None:
+            self._mover.clear()
         self._starter.reset()
         self._refusals.clear()
         self._submitting.clear()
@@ -164,6 +173,8 @@
         if self._admission is not None:
             self._admission.tick(now, wall_time)
         self._refusals.send(wall_time)
+        if self._mover is not None:
+            self._mover.tick(now)
         self._plan_if_due(now, wall_time)
         self.advice.tick(now)
 
@@ -384,3 +395,14 @@
 def _describe_refusal(decision: AdmissionDecision) -> Result:
     retry_after_s = str(decision.retry_after_s)
     return refuse("overloaded", decision.reason, retry_after_s=retry_after_s)
+
+
+def _add_uneven_workers(
+    context: DispatchContext, stopper: RunStopper
+) -> StragglerMover:
+    """Learn run times and the speed of workers, and place and move tasks by them."""
+    run_times = RunTimes()
+    speeds = WorkerSpeeds(run_times, context.find_run, context.metrics)
+    context.observers.append(speeds)
+    context.costs.append(ExpectedEndCost(speeds, run_times, context.find_queue))
+    return StragglerMover(context, stopper=stopper, speeds=speeds, run_times=run_times)
--- a/src/bluebellyoke/dispatch/planning_round.py
+++ b/src/bluebellyoke/dispatch/planning_round.py
@@ -1,12 +1,12 @@
 """One round of planning, and why it starts nothing for a step."""
 
 import enum
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.dispatch.advice import StepAdvice, StepKey, WorkerKey
-from bluebellyoke.dispatch.costs import PlacementCost, sum_costs
+from bluebellyoke.dispatch.costs import CostTables
 from bluebellyoke.dispatch.placement import Candidate
 from bluebellyoke.dispatch.quotas import RoundQuotas
 from bluebellyoke.dispatch.waiting import WaitingStep
@@ -65,7 +65,7 @@
         workers: All workers, by ID.
         quotas: What the workspaces may still start.
         wall_time: Wall-clock time, in seconds.
-        costs: Costs by which a task prefers some workers to others.
+        costs: Costs by which a task prefers some workers to others, if there are any.
         reserved: IDs of workers that gangs have reserved.
         isolated: IDs of workers that are set apart for suspects.
         reserving: Number of gangs that have reserved workers.
@@ -77,7 +77,7 @@
     workers: dict[str, TrackedWorker]
     quotas: RoundQuotas
     wall_time: float = 0.0
-    costs: Sequence[PlacementCost] = ()
+    costs: CostTables | None = None
     reserved: set[str] = field(default_factory=set)
     isolated: Collection[str] = ()
     reserving: int = 0
@@ -149,20 +149,27 @@
     ) -> list[Candidate]:
         """Return what some workers have free for a step and what they would cost it."""
         is_short = 0 < step.spec.estimate_ms < SHORT_TASK_MS
-        queue = step.queue.name if step.queue is not None else ""
+        excluded = () if is_short else self.reserved
+        isolated, known = self.isolated, self._candidates
+        costs = self._find_costs(step)
         candidates = []
         for worker in workers:
-            if worker.spec.id in self.isolated:
+            name = worker.spec.id
+            if name in isolated:
                 continue
-            candidate = self.find_candidate(worker)
+            candidate = known.get(name) or self.find_candidate(worker)
             if step.spec.max_per_worker:
                 candidate.step_runs = _count_step_runs(worker, step.key)
-            if self.costs:
-                candidate.cost = sum_costs(self.costs, step.spec, queue, worker)
-            if is_short or worker.spec.id not in self.reserved:
+            candidate.cost = costs[name] if costs is not None else 0.0
+            if name not in excluded:
                 candidates.append(candidate)
         return candidates
 
+    def _find_costs(self, step: WaitingStep) -> Mapping[str, float] | None:
+        if self.costs is None:
+            return None
+        return self.costs.find(step.spec, step.queue.name if step.queue else "")
+
     def add_start(
         self,
         step: WaitingStep,
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -65,6 +65,7 @@
         self._planner = Planner(
             context.advice,
             context.recent_crashes,
+            costs=context.costs,
             orders=(*orders, FairOrder()),
         )
         self._waits = WaitReporter(context.advice, context.metrics)
--- a/src/bluebellyoke/platform/settings.py
+++ b/src/bluebellyoke/platform/settings.py
@@ -163,7 +163,9 @@
             snapshot_mb=SNAPSHOT_MB,
         ),
         dispatch=DispatchSettings(
-            admission=PRESSURE_CONTRACT in platform_settings.Contracts
+            admission=PRESSURE_CONTRACT in platform_settings.Contracts,
+            # It has no effect until workers report different speeds.
+            uneven_workers=True,
         ),
     )
 
