Answer repeated submissions truthfully for jobs without a workspace too

Cause: a stateful test of access found that a job that was accepted when its queue needed no key, with a key that no configuration holds, was reported as refused (401) when its caller sent it again after the configuration had workspaces. The job runs.

Change: a workflow keeps the digest that it was submitted with, also if that is of no workspace.

Conclusion: no submission is refused with 401 if the same key has submitted the job.

--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -123,8 +123,7 @@
         if command.credential is not None:
             spec = msgspec.structs.replace(spec, workspace=decision.workspace)
         workflow = Workflow(spec, command.time, queue.attempts, queue.pool)
-        if decision.workspace:
-            workflow.credential = command.credential
+        workflow.credential = command.credential or ""
         self.workflows[spec.id] = workflow
         self._activate(workflow)
         return Result(accepted=True)
--- a/src/bluebellyoke/workflow/workflow.py
+++ b/src/bluebellyoke/workflow/workflow.py
@@ -91,8 +91,7 @@
         outcome: `completed`, `failed` or `cancelled` once it has ended.
         reason: Reason of the outcome.
         placed: Number of runs that may still take up resources.
-        credential: Digest of the key that it was accepted with if it is of a workspace,
-            else an empty text.
+        credential: Digest of the key that it was submitted with, or an empty text.
     """
 
     spec: WorkflowSpec
--- a/tests/dispatch/test_access.py
+++ b/tests/dispatch/test_access.py
@@ -280,3 +280,15 @@
     monkeypatch.setattr(advice, "drop_workflow", dropped.append)
     assert callers.call(SUBMIT, "b1", path=f"/open/{JOB}") == "id-taken"
     assert dropped == []
+
+
+@pytest.mark.parametrize("key", ["", "x"])
+def test_job_from_before_the_workspaces_is_not_reported_as_refused(callers, key):
+    """Guards against a 401 for a job that was accepted when no key was needed."""
+    callers.configure(workspaces=())
+    assert callers.call(SUBMIT, key) == "accepted"
+    callers.configure()
+    assert callers.call(SUBMIT, key) == "unanswered"
+    assert callers.call(SUBMIT, "y") == "unauthenticated"
+    assert callers.call(READ, key) == "unauthenticated"
+    assert callers.call(READ, "a1") == "accepted"
