Fail workflows that no quota lets run, and report quotas

Cause: a gang accepted under a larger quota would wait forever, and nobody could see why a workspace waits. Change: the leader proposes FailOversized once a step has exceeded its quota alone for 2.5 s and its workflow has no runs; the store decides from the newest quota. A log line per workspace at its quota, at most one in 10 s and 10 a check; metrics of the 64 busiest workspaces; status shows the same; explain names the quota, from logs and on an instance, also for workflows. Reading of log lines moves to log_lines.py.

--- a/src/bluebellyoke/commands.py
+++ b/src/bluebellyoke/commands.py
@@ -18,7 +18,8 @@
 from bluebellyoke.client import ApiResponse, Client
 from bluebellyoke.clock import SystemClock
 from bluebellyoke.errors import BluebellyokeError, find_error
-from bluebellyoke.explanation import LogLine, Verdict, explain_request, read_lines
+from bluebellyoke.explanation import Verdict, explain_request
+from bluebellyoke.log_lines import LogLine, read_lines
 from bluebellyoke.settings import Settings, load_settings
 
 __all__ = ["COMMANDS"]
--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -10,14 +10,15 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from bluebellyoke.cell.result import Result, refuse
 from bluebellyoke.dispatch import events
-from bluebellyoke.dispatch.advice import AdviceManager
+from bluebellyoke.dispatch.advice import AdviceManager, StepKey
 from bluebellyoke.dispatch.calls import WorkerCalls
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.features import DispatchFeatures
+from bluebellyoke.dispatch.planning_round import WaitReason
 from bluebellyoke.dispatch.polls import WorkerPoller
 from bluebellyoke.dispatch.probes import WorkerProber
 from bluebellyoke.dispatch.registry import WorkerRegistry
@@ -27,6 +28,7 @@
 from bluebellyoke.dispatch.stops import RunStopper
 from bluebellyoke.dispatch.workers import LeaseTimes, TrackedWorker
 from bluebellyoke.leader.sessions import ProposalQueue
+from bluebellyoke.metrics import Metrics
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.configuration import validate_configuration
 from bluebellyoke.workflow.specs import WorkerSpec, WorkflowSpec
@@ -101,6 +103,16 @@
         """Advice on which workers may run a step."""
         return self._context.advice
 
+    @property
+    def wait_reasons(self) -> Mapping[StepKey, WaitReason]:
+        """Why each step waits for which the last round started nothing."""
+        return self._starter.wait_reasons
+
+    @property
+    def metrics(self) -> Metrics:
+        """Histograms and counters."""
+        return self._context.metrics
+
     @property
     def workers(self) -> dict[str, TrackedWorker]:
         """Workers as this leader sees them, by ID."""
@@ -267,6 +279,7 @@
             )
             if not result.accepted:
                 self.advice.drop_workflow(spec.id)
+                self._record_refusal(spec, result)
             self._context.needs_planning = True
             reply(result)
 
@@ -274,6 +287,11 @@
             workflow_commands.SubmitWorkflow(time=wall_time, spec=spec), finish
         )
 
+    def _record_refusal(self, spec: WorkflowSpec, result: Result) -> None:
+        # A name that is not configured may be any text, so it gets no label.
+        if self._context.store.find_workspace(spec.workspace) is not None:
+            self._context.metrics.record_refused_workflow(spec.workspace, result.code)
+
     def estimate_wait(self, spec: WorkflowSpec) -> float:
         """Return the time until a workflow's tasks can be accepted, in seconds."""
         open_tasks = self._context.store.open_tasks
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -1,14 +1,17 @@
 """Planned starts, from their commit to the worker's response."""
 
 import logging
+from collections.abc import Mapping
 
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.cell.result import Result
+from bluebellyoke.dispatch.advice import StepKey
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.events import StartFinished
 from bluebellyoke.dispatch.fair_order import FairOrder
+from bluebellyoke.dispatch.oversized import OversizedWorkflows
 from bluebellyoke.dispatch.planner import Planner
-from bluebellyoke.dispatch.planning_round import PlannedStart
+from bluebellyoke.dispatch.planning_round import PlannedStart, WaitReason
 from bluebellyoke.dispatch.ports import (
     NotReachedError,
     OtherLifeError,
@@ -16,6 +19,7 @@
     StartResult,
 )
 from bluebellyoke.dispatch.probes import WorkerProber
+from bluebellyoke.dispatch.quota_reports import QuotaReporter
 from bluebellyoke.dispatch.run_ends import RunEndRecorder
 from bluebellyoke.dispatch.stops import RunStopper
 from bluebellyoke.dispatch.waits import WaitReporter
@@ -62,6 +66,8 @@
             context.advice, context.recent_crashes, orders=(FairOrder(),)
         )
         self._waits = WaitReporter(context.advice, context.metrics)
+        self._oversized = OversizedWorkflows(context, recorder)
+        self._quota_reports = QuotaReporter(context)
         self.is_pending = False
 
     def reset(self) -> None:
@@ -69,13 +75,23 @@
         self.is_pending = False
         self._planner.reset()
         self._waits.reset()
+        self._oversized.reset()
+        self._quota_reports.reset()
+
+    @property
+    def wait_reasons(self) -> Mapping[StepKey, WaitReason]:
+        """Why each step waits for which the last round started nothing."""
+        return self._planner.wait_reasons
 
     def plan(self, now: float, wall_time: float) -> None:
         """Plan a round of starts and propose the assignment of its runs."""
         planned = self._planner.plan(
             self._context.store, self._context.workers, now, wall_time
         )
-        self._waits.check(self._planner.wait_reasons, now)
+        reasons = self._planner.wait_reasons
+        self._waits.check(reasons, now)
+        self._oversized.check(reasons, now, wall_time)
+        self._quota_reports.check(reasons, now)
         if not planned:
             return
         self.is_pending = True
--- a/src/bluebellyoke/dispatch/waits.py
+++ b/src/bluebellyoke/dispatch/waits.py
@@ -9,7 +9,7 @@
 from bluebellyoke.dispatch.planning_round import WaitReason
 from bluebellyoke.metrics import Metrics
 
-__all__ = ["WaitReporter"]
+__all__ = ["WaitReporter", "describe_wait"]
 
 logger = logging.getLogger("bluebellyoke.dispatch")
 
@@ -21,6 +21,22 @@
 FIRST_REPORT_S = 1.0
 
 
+_DESCRIPTIONS = {
+    WaitReason.NO_WORKER: "no worker that may run it accepts tasks",
+    WaitReason.NO_ROOM: "its tasks fit on no worker that it may use",
+    WaitReason.RESERVED: "gangs have reserved workers that it may use",
+    WaitReason.NO_TICKET: "the ticket for a worker with room has expired",
+    WaitReason.SUSPECT: "it may crash its worker and needs one of its own",
+    WaitReason.REFUSED: "a worker has just refused it as malformed",
+    WaitReason.QUOTA: "the quota of its workspace is used up",
+}
+
+
+def describe_wait(reason: WaitReason) -> str:
+    """Return a wait reason as a clause."""
+    return _DESCRIPTIONS[reason]
+
+
 @dataclass(slots=True)
 class Wait:
     """A step for which no check has found a start since it began to wait.
--- a/src/bluebellyoke/explanation.py
+++ b/src/bluebellyoke/explanation.py
@@ -8,12 +8,13 @@
 
 import enum
 import itertools
-import json
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass
-from datetime import datetime, timedelta
+from datetime import timedelta
 
-__all__ = ["Explanation", "LogLine", "Span", "Verdict", "explain_request", "read_lines"]
+from bluebellyoke.log_lines import LogLine
+
+__all__ = ["Explanation", "Span", "Verdict", "explain_request"]
 
 #: Longest time between a refusal and a leader change that explains it.
 LEADER_CHANGE_WINDOW_S = 3.0
@@ -30,6 +31,7 @@
 _RUN_STARTED = "dispatch: starts a run"
 _START_FAILED = "dispatch: a start failed"
 _RUN_ENDED = "dispatch: a run ended"
+_STEP_WAITS = "dispatch: a step waits"
 _WORKFLOW_CANCELLED = "dispatch: cancels a workflow"
 _WORKFLOW_ENDED = "dispatch: a workflow ended"
 _WORKER_PAUSED = "dispatch: sets a worker aside"
@@ -40,8 +42,6 @@
 #: Messages about the cell or a worker that may explain a request's latency or end.
 _CELL_EVENTS = (_LEADER_CHANGED, _WORKER_PAUSED, _WORKER_UNRESPONSIVE)
 
-_TIME_FORMAT = "%Y-%m-%d %H:%M:%S,%f"
-
 #: Descriptions of a span, by the message or the run outcome at its end.
 _SPAN_DESCRIPTIONS = {
     _WORKFLOW_SUBMITTED: "until a leader accepted it",
@@ -73,22 +73,6 @@
     COMPLETED = "completed"
 
 
-@dataclass(frozen=True, slots=True)
-class LogLine:
-    """One line of an instance's log."""
-
-    time: datetime
-    instance: str
-    message: str
-    fields: dict
-
-    @property
-    def task(self) -> tuple | None:
-        """Repetition, step and index of the task that the line is about, if any."""
-        task = self.fields.get("task")
-        return tuple(task) if isinstance(task, list) else None
-
-
 @dataclass(frozen=True, slots=True)
 class Span:
     """Time between two events on the critical path of a request.
@@ -122,28 +106,6 @@
     lines: tuple[LogLine, ...]
 
 
-def read_lines(sources: Iterable[Iterable[str]]) -> Iterator[LogLine]:
-    """Yield the log lines in text sources, skipping all other content."""
-    for source in sources:
-        for text in source:
-            yield from _parse(text)
-
-
-def _parse(text: str) -> Iterator[LogLine]:
-    """Yield the log lines in a line of text, which may have a prefix."""
-    decoder = json.JSONDecoder()
-    position = text.find('{"time"')
-    while position >= 0:
-        try:
-            value, end = decoder.raw_decode(text, position)
-            time = datetime.strptime(value["time"], _TIME_FORMAT)
-            yield LogLine(time, value.get("instance", ""), value["message"], value)
-        except (ValueError, KeyError, TypeError):
-            # A line may be truncated, for example if its process was killed.
-            end = position + 1
-        position = text.find('{"time"', end)
-
-
 def explain_request(lines: Iterable[LogLine], request_id: str) -> Explanation:
     """Explain the outcome of a request.
 
@@ -214,13 +176,30 @@
     for before, after in itertools.pairwise(path):
         duration_s = max((after.time - before.time).total_seconds(), 0.0)
         events = [line for line in cell_lines if before.time < line.time <= after.time]
-        description = _describe_wait(before, after) + _describe_events(
-            events, after.fields.get("worker")
-        )
+        description = (
+            _describe_quota_wait(request_lines, before, after)
+            or _describe_wait(before, after)
+        ) + _describe_events(events, after.fields.get("worker"))
         spans.append(Span(duration_s, description, after))
     return tuple(spans)
 
 
+def _describe_quota_wait(
+    request_lines: list[LogLine], before: LogLine, after: LogLine
+) -> str:
+    """Describe a wait whose last report names the quota; else return an empty text."""
+    reasons = [
+        line.fields.get("reason")
+        for line in request_lines
+        if line.message == _STEP_WAITS
+        and before.time < line.time <= after.time
+        and after.message == _RUN_STARTED
+        and line.fields.get("step") == list(after.task[:2])
+    ]
+    is_quota = reasons[-1:] == ["quota"]
+    return "while it waited for the quota of its workspace" if is_quota else ""
+
+
 def _describe_events(lines: list[LogLine], worker: str | None) -> str:
     """Describe what happened to the cell or to a worker during a span."""
     description = ""
--- a/src/bluebellyoke/leader/controller.py
+++ b/src/bluebellyoke/leader/controller.py
@@ -216,6 +216,8 @@
             sessions=self.sessions,
             slots=self.slots,
             waiting_reasons=self.engine.waiting_reasons,
+            step_waits=self.dispatcher.wait_reasons,
+            metrics=self.dispatcher.metrics,
         )
         return queries.answer_query(context, query, now, wall_time)
 
--- a/src/bluebellyoke/leader/queries.py
+++ b/src/bluebellyoke/leader/queries.py
@@ -8,9 +8,14 @@
 
 from bluebellyoke.cell.jobs import Job, Task, TaskState
 from bluebellyoke.cell.state import CellState
+from bluebellyoke.dispatch.advice import StepKey
+from bluebellyoke.dispatch.planning_round import WaitReason
+from bluebellyoke.dispatch.waits import describe_wait
 from bluebellyoke.instance import wire
 from bluebellyoke.leader.sessions import InstanceSession
 from bluebellyoke.leader.slots import SlotManager
+from bluebellyoke.metrics import Metrics
+from bluebellyoke.workflow.workspace_figures import list_workspace_figures
 
 __all__ = ["QueryContext", "answer_query"]
 
@@ -27,12 +32,16 @@
         sessions: Streams of the instances, by number.
         slots: Slots and leases of the instances.
         waiting_reasons: Why jobs could not be placed in the last round, by job.
+        step_waits: Why steps of workflows waited in the last round.
+        metrics: Counters of refused workflows.
     """
 
     state: CellState
     sessions: Mapping[int, InstanceSession]
     slots: SlotManager
     waiting_reasons: Mapping[str, str]
+    step_waits: Mapping[StepKey, WaitReason]
+    metrics: Metrics
 
 
 def answer_query(
@@ -90,6 +99,7 @@
             name: {"used": asdict(item.used), "unfinished_jobs": item.unfinished_jobs}
             for name, item in scheduling.workspaces.items()
         },
+        "queue_workspaces": _describe_queue_workspaces(context),
         "upstreams": {
             item.name: {
                 "service": item.service,
@@ -102,6 +112,21 @@
     }
 
 
+def _describe_queue_workspaces(context: QueryContext) -> dict:
+    """Return the busiest workspaces that submit to queues."""
+    return {
+        name: {
+            "running": item.running,
+            "waiting": item.waiting,
+            "used": asdict(item.used),
+            "quota": asdict(item.quota),
+            "share": item.share,
+            "refused": context.metrics.count_refused_workflows(name),
+        }
+        for name, item in list_workspace_figures(context.state.workflows).items()
+    }
+
+
 def report_job(
     context: QueryContext, subject: str, now: float, wall_time: float
 ) -> dict | None:
@@ -139,7 +164,7 @@
     """Return why the tasks of a job wait and where placed tasks run."""
     job = context.state.scheduling.jobs.get(subject)
     if job is None:
-        return None
+        return _explain_workflow(context, subject)
     return {
         "id": subject,
         "state": job.summarize_state(),
@@ -152,6 +177,26 @@
     }
 
 
+def _explain_workflow(context: QueryContext, subject: str) -> dict | None:
+    """Return why the steps of a workflow wait, or None for an unknown workflow."""
+    workflow = context.state.workflows.workflows.get(subject)
+    if workflow is None:
+        return None
+    return {
+        "id": subject,
+        "queue": workflow.spec.queue,
+        "workspace": workflow.spec.workspace,
+        "state": workflow.state,
+        "reason": workflow.reason,
+        "running": workflow.placed,
+        "why": [
+            f"step {step} of repetition {repetition} waits: {describe_wait(reason)}"
+            for (name, repetition, step), reason in context.step_waits.items()
+            if name == subject
+        ],
+    }
+
+
 def _explain(context: QueryContext, job: Job, wall_time: float) -> str:
     if job.finished_at:
         return job.reason or f"it has finished: {job.summarize_state()}"
--- a/src/bluebellyoke/metrics.py
+++ b/src/bluebellyoke/metrics.py
@@ -1,8 +1,12 @@
 """Latency histograms and counters of an instance."""
 
 from collections import Counter
+from collections.abc import Mapping
 
 from hdrh.histogram import HdrHistogram
+from msgspec.structs import asdict
+
+from bluebellyoke.workflow.workspace_figures import WorkspaceFigures
 
 __all__ = ["Metrics"]
 
@@ -11,6 +15,11 @@
 HIGHEST_US = 600_000_000
 SIGNIFICANT_DIGITS = 2
 
+#: Maximum number of workspaces whose refusals are counted by name, which bounds the
+#: number of labels, and the name for all others.
+MAX_REFUSED_WORKSPACES = 64
+OTHER_WORKSPACES = "(others)"
+
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 
 
@@ -20,6 +29,9 @@
     def __init__(self) -> None:
         self._histograms: dict[str, HdrHistogram] = {}
         self._counters: Counter[tuple[str, str]] = Counter()
+        self._workspaces: Mapping[str, WorkspaceFigures] = {}
+        self._refused: Counter[tuple[str, str]] = Counter()
+        self._refused_names: set[str] = set()
 
     def record_request_wait(self, seconds: float) -> None:
         """Record the time from a request's arrival to its dispatch to an upstream."""
@@ -73,6 +85,29 @@
         """Count an ended run by its outcome."""
         self._counters["runs_total", outcome] += 1
 
+    def set_workspaces(self, figures: Mapping[str, WorkspaceFigures]) -> None:
+        """Replace the figures of the workspaces, whose number the caller bounds."""
+        self._workspaces = figures
+
+    def record_refused_workflow(self, workspace: str, code: str) -> None:
+        """Count a refused workflow by workspace and cause.
+
+        Workspaces beyond a maximum number are counted under one name.
+        """
+        if len(self._refused_names) < MAX_REFUSED_WORKSPACES:
+            self._refused_names.add(workspace)
+        if workspace not in self._refused_names:
+            workspace = OTHER_WORKSPACES
+        self._refused[workspace, code] += 1
+
+    def count_refused_workflows(self, workspace: str) -> dict[str, int]:
+        """Return the number of refused workflows of a workspace by cause."""
+        return {
+            code: count
+            for (name, code), count in sorted(self._refused.items())
+            if name == workspace
+        }
+
     def _record(self, name: str, seconds: float) -> None:
         histogram = self._histograms.get(name)
         if histogram is None:
@@ -95,4 +130,33 @@
             lines.append(f"{full_name}_count {histogram.get_total_count()}")
         for (name, label), count in sorted(self._counters.items()):
             lines.append(f'bluebellyoke_{name}{{outcome="{label}"}} {count}')
+        lines += self._render_workspaces()
         return "\n".join(lines) + "\n"
+
+    def _render_workspaces(self) -> list[str]:
+        lines = []
+        for name, item in sorted(self._workspaces.items()):
+            label = f'workspace="{_escape(name)}"'
+            for figure, value in (
+                ("running", item.running),
+                ("waiting", item.waiting),
+                ("share", item.share),
+            ):
+                lines.append(f"bluebellyoke_workspace_{figure}{{{label}}} {value:g}")
+            for figure, amount in (("used", item.used), ("quota", item.quota)):
+                lines += [
+                    f"bluebellyoke_workspace_{figure}"
+                    f'{{{label},resource="{resource}"}} {value}'
+                    for resource, value in asdict(amount).items()
+                ]
+        for (name, code), count in sorted(self._refused.items()):
+            lines.append(
+                "bluebellyoke_workspace_refused_total"
+                f'{{workspace="{_escape(name)}",cause="{code}"}} {count}'
+            )
+        return lines
+
+
+def _escape(label: str) -> str:
+    """Return a label value in the notation of the Prometheus text format."""
+    return label.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/src/bluebellyoke/workflow/commands.py
+++ b/src/bluebellyoke/workflow/commands.py
@@ -13,6 +13,7 @@
     "CancelWorkflow",
     "CrashedRun",
     "EnrolWorker",
+    "FailOversized",
     "ForgetWorkflows",
     "RecordEnds",
     "RemoveWorker",
@@ -152,6 +153,18 @@
     workflows: tuple[str, ...]
 
 
+class FailOversized(Command, frozen=True, kw_only=True, array_like=True, tag=True):
+    """Fail workflows of which a step exceeds the quota of its workspace alone.
+
+    A workflow with placed runs does not fail, nor does one that fits again.
+
+    Attributes:
+        steps: ID of the workflow and index of the step.
+    """
+
+    steps: tuple[tuple[str, int], ...]
+
+
 WorkflowCommand = (
     ApplyConfiguration
     | SubmitWorkflow
@@ -161,4 +174,5 @@
     | AssignRuns
     | RecordEnds
     | ForgetWorkflows
+    | FailOversized
 )
--- a/src/bluebellyoke/workflow/quotas.py
+++ b/src/bluebellyoke/workflow/quotas.py
@@ -4,14 +4,7 @@
 from bluebellyoke.cell.sharing import is_within_quota
 from bluebellyoke.workflow.specs import StepSpec, WorkflowSpec, WorkspaceSpec
 
-__all__ = ["compute_start_need", "describe_excess", "fits_alone", "has_quota_for"]
-
-
-def compute_start_need(step: StepSpec, count: int = 1) -> Resources:
-    """Return what a start takes up: a whole gang, or some other tasks."""
-    if step.backfill:
-        return Resources()
-    return step.need * (step.count if step.gang else count)
+__all__ = ["describe_excess", "describe_step_excess", "has_quota_for"]
 
 
 def has_quota_for(
@@ -25,24 +18,33 @@
     )
 
 
-def fits_alone(workspace: WorkspaceSpec, step: StepSpec) -> bool:
-    """Return whether a gang, or one other task, fits into an unused quota."""
-    return has_quota_for(workspace, Resources(), step)
-
-
 def describe_excess(workspace: WorkspaceSpec, spec: WorkflowSpec) -> str:
     """Return why a workflow can never run within a quota, or an empty text."""
-    for number, step in enumerate(spec.steps):
-        if not fits_alone(workspace, step):
-            what = f"the gang of step {number}" if step.gang else f"step {number}"
-            need, quota = compute_start_need(step), workspace.quota
-            return (
-                f"{what} needs {_format(need)} at once, more than the quota of "
-                f"workspace {workspace.name!r}: {_format(quota)}"
-            )
+    for number in range(len(spec.steps)):
+        excess = describe_step_excess(workspace, spec, number)
+        if excess:
+            return excess
     return ""
 
 
+def describe_step_excess(
+    workspace: WorkspaceSpec, spec: WorkflowSpec, number: int
+) -> str:
+    """Return why a step can never run within a quota, or an empty text.
+
+    It cannot if its gang, or one task of another step, exceeds the quota alone.
+    """
+    step = spec.steps[number]
+    if has_quota_for(workspace, Resources(), step):
+        return ""
+    what = f"the gang of step {number}" if step.gang else f"a task of step {number}"
+    need = step.need * (step.count if step.gang else 1)
+    return (
+        f"{what} needs {_format(need)} at once, more than the quota of workspace "
+        f"{workspace.name!r}: {_format(workspace.quota)}"
+    )
+
+
 def _format(amount: Resources) -> str:
     return (
         f"{amount.cpu_millis} mCPU, {amount.memory_mb} MiB, "
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -6,7 +6,11 @@
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.crashes import CrashHistory, TaskCrashes
 from bluebellyoke.workflow.gangs import find_start_group, is_complete, is_gang
-from bluebellyoke.workflow.quotas import describe_excess, has_quota_for
+from bluebellyoke.workflow.quotas import (
+    describe_excess,
+    describe_step_excess,
+    has_quota_for,
+)
 from bluebellyoke.workflow.specs import (
     Configuration,
     QueueSpec,
@@ -163,6 +167,24 @@
                 del self.workflows[name]
         return Result(accepted=True)
 
+    def _fail_oversized(self, command: workflow_commands.FailOversized) -> Result:
+        failed = []
+        for name, step in command.steps:
+            workflow = self.active.get(name)
+            if workflow is None or workflow.outcome or workflow.placed:
+                continue
+            workspace = self._workspaces.get(workflow.spec.workspace)
+            if workspace is None:
+                continue
+            excess = describe_step_excess(workspace, workflow.spec, step)
+            if excess:
+                workflow.fail(excess, command.time)
+                self._forget_crashes(name)
+                self._changed.add(name)
+                self._deactivate_if_finished(workflow)
+                failed.append(name)
+        return Result(accepted=True, detail={"failed": " ".join(failed)})
+
     def _deactivate_if_finished(self, workflow: Workflow) -> None:
         if not workflow.outcome or workflow.placed:
             return
@@ -365,6 +387,7 @@
     workflow_commands.SubmitWorkflow: WorkflowStore._submit,
     workflow_commands.CancelWorkflow: WorkflowStore._cancel,
     workflow_commands.ForgetWorkflows: WorkflowStore._forget,
+    workflow_commands.FailOversized: WorkflowStore._fail_oversized,
     workflow_commands.EnrolWorker: WorkflowStore._enrol,
     workflow_commands.RemoveWorker: WorkflowStore._remove,
     workflow_commands.AssignRuns: WorkflowStore._assign,
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -5,7 +5,8 @@
 import pytest
 
 from bluebellyoke.commands import explain
-from bluebellyoke.explanation import Verdict, explain_request, read_lines
+from bluebellyoke.explanation import Verdict, explain_request
+from bluebellyoke.log_lines import read_lines
 
 ID = "5c0e7a21d94b36f8"
 
@@ -253,3 +254,20 @@
     assert explain(ID, logs=[path], json=True) == 0
     assert json.loads(capsys.readouterr().out)["verdict"] == "unfinished"
     assert explain("f" * 16, logs=[path]) == 1
+
+
+# Guards against a wait for the quota that is put down to full workers.
+def test_wait_for_the_quota_is_named(log):
+    log.accept(1.0)
+    log.add(
+        2.5,
+        "dispatch: a step waits",
+        job=ID,
+        step=[0, 0],
+        reason="quota",
+        waited_s=1.0,
+    )
+    log.start(4.0, 1, "w1")
+    log.end(4.5, 1, "w1", "done")
+    log.finish(4.6, "completed")
+    assert "3.00 s passed while it waited for the quota" in log.explain().cause
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -866,8 +866,8 @@
     Case(
         "quota: a workflow that can never fit is refused",
         "workflow/store.py",
-        "        if excess:\n",
-        "        if False:\n",
+        "        if excess:\n            return refuse(",
+        "        if False:\n            return refuse(",
         "tests/dispatch/test_quotas.py",
     ),
     Case(
@@ -902,10 +902,66 @@
     Case(
         "quota: shares weigh the order",
         "cell/sharing.py",
-        "        weight = positive[name]\n",
-        "        weight = 1.0\n",
+        "            weight = max(weights[name], MIN_WEIGHT)\n",
+        "            weight = 1.0\n",
         "tests/cell/test_sharing.py",
     ),
+    Case(
+        "quota: a workflow that no longer fits fails",
+        "dispatch/starts.py",
+        "        self._oversized.check(reasons, now, wall_time)\n",
+        "",
+        "tests/dispatch/test_quota_faults.py -k gang_fails",
+    ),
+    Case(
+        "quota: a quota that is low for a moment fails nothing",
+        "dispatch/oversized.py",
+        "            if now - since >= GRACE_S\n",
+        "            if now >= since\n",
+        "tests/dispatch/test_quota_faults.py -k gang_fails",
+    ),
+    Case(
+        "quota: a workflow with runs does not fail for a lowered quota",
+        "workflow/store.py",
+        "workflow is None or workflow.outcome or workflow.placed:",
+        "workflow is None or workflow.outcome:",
+        "tests/dispatch/test_quota_faults.py -k with_runs",
+    ),
+    Case(
+        "quota: the newest quota decides on a failure",
+        "workflow/store.py",
+        "            if excess:\n                workflow.fail",
+        "            if True:\n                workflow.fail",
+        "tests/dispatch/test_quota_faults.py -k failure_is_decided",
+    ),
+    Case(
+        "quota: the planner counts the runs of earlier leaders",
+        "dispatch/quotas.py",
+        "else self._store.usage.get_used(workspace)",
+        "else Resources()",
+        "tests/dispatch/test_quota_faults.py -k new_leader",
+    ),
+    Case(
+        "quota: a full quota is logged once an interval",
+        "dispatch/quota_reports.py",
+        "            self._logged_at[name] = now\n",
+        "",
+        "tests/dispatch/test_quota_faults.py -k logged",
+    ),
+    Case(
+        "quota: the number of labels is bounded",
+        "metrics.py",
+        "        if workspace not in self._refused_names:\n",
+        "        if False:\n",
+        "tests/dispatch/test_quota_faults.py -k metrics",
+    ),
+    Case(
+        "quota: explain names the wait for it",
+        "explanation.py",
+        "        and after.message == _RUN_STARTED\n",
+        "        and False\n",
+        "tests/test_explanation.py -k quota",
+    ),
 ]
 
 
