Plan workspaces a little above their share before one far above it

Cause: in a full cell, a workspace with two overlapping gangs is above its fair share for some seconds; its short jobs then waited behind those of the workspace whose burst filled the cell. Change: steps beyond the fair share are split at twice the share. A played cell compares the jobs of other workspaces with and without a burst. Both new tests fail without the order (seen).

--- a/src/bluebellyoke/dispatch/fair_order.py
+++ b/src/bluebellyoke/dispatch/fair_order.py
@@ -1,9 +1,9 @@
 """Order of the waiting steps by the fair shares of their workspaces.
 
 While the workspaces ask for more than the workers have, steps that begin within the
-weighted max-min fair share of their workspace are planned first, then all others. A
-step beyond the share still starts if there is room for it. Only workspaces with runs or
-with waiting steps are looked at.
+weighted max-min fair share of their workspace are planned first, then those that begin
+within twice the share, then all others. A step beyond the share still starts if there
+is room for it. Only workspaces with runs or with waiting steps are looked at.
 """
 
 from collections.abc import Sequence
@@ -21,6 +21,11 @@
 #: cores of a worker.
 USABLE_SHARE = 0.84
 
+#: Multiple of its fair share from which on a workspace is planned after those that are
+#: only above theirs. A workspace with its usual traffic has up to twice its average in
+#: use while two of its gangs overlap.
+FAR_ABOVE = 2.0
+
 #: Weight of a workspace while none that is active is in the configuration.
 DEFAULT_WEIGHT = 1.0
 
@@ -50,13 +55,18 @@
         fair = _compute_fair(store, used, asked, total)
         if not fair:
             return waiting
-        within, beyond = [], []
+        within, above, far_above = [], [], []
         for step, size in zip(waiting, sizes, strict=True):
             name = step.workflow.spec.workspace
             share = used.get(name, 0.0)
-            (within if share < fair[name] else beyond).append(step)
+            if share < fair[name]:
+                within.append(step)
+            elif share < FAR_ABOVE * fair[name]:
+                above.append(step)
+            else:
+                far_above.append(step)
             used[name] = share + size
-        return within + beyond if beyond else waiting
+        return within + above + far_above
 
 
 def _sum_capacity(
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -888,7 +888,7 @@
     Case(
         "quota: steps beyond a fair share come last",
         "dispatch/fair_order.py",
-        "        return within + beyond if beyond else waiting\n",
+        "        return within + above + far_above\n",
         "        return waiting\n",
         "tests/dispatch/test_fair_order.py",
     ),
@@ -962,6 +962,13 @@
         "        and False\n",
         "tests/test_explanation.py -k quota",
     ),
+    Case(
+        "quota: workspaces a little above their share come before a hot one",
+        "dispatch/fair_order.py",
+        "            elif share < FAR_ABOVE * fair[name]:\n",
+        "            elif False:\n",
+        "tests/dispatch/test_hot_workspace.py",
+    ),
 ]
 
 
