--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -5,7 +5,8 @@
 import pytest
 
 from bluebellyoke.commands import explain
-from bluebellyoke.explanation import Verdict, explain_request, read_lines
+from bluebellyoke.explanation import Verdict, explain_request
+from bluebellyoke.log_lines import read_lines
 
 ID = "5c0e7a21d94b36f8"
 
@@ -262,3 +263,20 @@
     assert log.explain().verdict is Verdict.UNFINISHED
     log.add(3.0, "dispatch: cancels a workflow", job=ID, code="accepted")
     assert log.explain().verdict is Verdict.CANCELLED
+
+
+# Guards against a wait for the quota that is put down to full workers.
+def test_wait_for_the_quota_is_named(log):
+    log.accept(1.0)
+    log.add(
+        2.5,
+        "dispatch: a step waits",
+        job=ID,
+        step=[0, 0],
+        reason="quota",
+        waited_s=1.0,
+    )
+    log.start(4.0, 1, "w1")
+    log.end(4.5, 1, "w1", "done")
+    log.finish(4.6, "completed")
+    assert "3.00 s passed while it waited for the quota" in log.explain().cause
