Stop tasks that save progress for short jobs that would be late

Cause: a short job has 0.5 s to find room, and tasks of the other queues hold it for seconds. Change: dispatch/preemption.py compares what short jobs need with what running tasks release in the time they have left, and stops runs for the difference: runs of lower priority outside gangs that save progress, were never stopped before and whose job stays on time, on the worker where the least work is lost. Stops are bounded by a rate and a fraction of the cores, and none is made for a workspace without quota. The prediction for priority 0 counts the room that stops can make. The formula for lost work is shared with placement/preemption.py (cell/lost_work.py).

--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -21,6 +21,7 @@
 from bluebellyoke.dispatch.features import DispatchFeatures
 from bluebellyoke.dispatch.ordering import StepOrder
 from bluebellyoke.dispatch.polls import WorkerPoller
+from bluebellyoke.dispatch.preemption import Preemptor
 from bluebellyoke.dispatch.probes import WorkerProber
 from bluebellyoke.dispatch.refusals import RefusalSender
 from bluebellyoke.dispatch.registry import WorkerRegistry
@@ -87,16 +88,25 @@
         self._registry = WorkerRegistry(context, self._stopper, self._recorder)
         self._admission: AdmissionControl | None = None
         orders: list[StepOrder] = []
+        preemptor: Preemptor | None = None
         if context.features.admission:
             self._admission = AdmissionControl(context)
             context.observers.append(self._admission.ratios)
-            orders.append(UrgencyOrder(self._admission))
+            urgency = UrgencyOrder(self._admission)
+            orders.append(urgency)
+            preemptor = Preemptor(
+                context,
+                admission=self._admission,
+                urgency=urgency,
+                stopper=self._stopper,
+            )
         self._starter = RunStarter(
             context,
             stopper=self._stopper,
             recorder=self._recorder,
             prober=prober,
             orders=orders,
+            preemptor=preemptor,
         )
         self._poller = WorkerPoller(
             context,
--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -129,6 +129,15 @@
             pool = store.find_pool(step.workflow)
             self._tickets.request_missing(step, pool, planning)
 
+    def list_lacking_room(self) -> list[WaitingStep]:
+        """Return the steps for which the last round found no room at all."""
+        reasons = (WaitReason.NO_ROOM, WaitReason.RESERVED)
+        return [
+            step
+            for step in self._steps.list_waiting()
+            if self.wait_reasons.get(step.key) in reasons
+        ]
+
     # One step.
 
     def _plan_step(
--- a/src/bluebellyoke/dispatch/prediction.py
+++ b/src/bluebellyoke/dispatch/prediction.py
@@ -20,7 +20,7 @@
 from bluebellyoke.workflow.specs import QueueSpec, WorkflowSpec, WorkspaceSpec
 from bluebellyoke.workflow.workflow import Workflow
 
-__all__ = ["JobPredictor", "Prediction"]
+__all__ = ["PREEMPTING_PRIORITY", "JobPredictor", "Prediction"]
 
 #: Maximum age of the summary, in seconds. A renewal takes 2.4 ms with 176 workers and
 #: 1,224 runs. Accepted jobs are added to the summary meanwhile.
@@ -34,6 +34,9 @@
 #: least, in the prediction for lower priorities.
 MIN_REMAINING_FRACTION = 0.4
 
+#: Priority of the queues that tasks of others are stopped for.
+PREEMPTING_PRIORITY = 0
+
 #: Fraction of the capacity that lower priorities may not plan with at least.
 RESERVED_FRACTION = 0.1
 
@@ -121,13 +124,15 @@
         earliest_s = pool.find_release(min(shape.gang_width, pool.capacity))
         quota_s = self._find_quota_end(spec, shape)
 
+        with_stops = queue.priority == PREEMPTING_PRIORITY
         # The work ahead has gone on since the summary was made.
         elapsed_s = self._context.now - self._refreshed_at
 
         def find_end(work: float) -> tuple[float, float]:
-            start_s = max(pool.find_time(work, reserved), earliest_s) - elapsed_s
-            start_s = max(start_s, 0.0)
-            end_s = pool.find_time(work + shape.work * ratio, reserved) - elapsed_s
+            start_s = pool.find_time(work, reserved, with_stops=with_stops)
+            start_s = max(max(start_s, earliest_s) - elapsed_s, 0.0)
+            work += shape.work * ratio
+            end_s = pool.find_time(work, reserved, with_stops=with_stops) - elapsed_s
             return start_s, max(start_s + shape.chain_s * ratio, end_s, quota_s)
 
         start_s, end_s = find_end(ahead)
@@ -141,6 +146,14 @@
             capacity=pool.capacity,
         )
 
+    def sum_released(self, name: str, seconds: float) -> float:
+        """Return the cores of a pool that running tasks release within some time."""
+        pool = self.get_pool(name)
+        if pool is None:
+            return 0.0
+        elapsed_s = self._context.now - self._refreshed_at
+        return pool.count_cores(elapsed_s + seconds) - pool.count_cores(elapsed_s)
+
     def has_room(self, queue: QueueSpec, shape: JobShape, *, reserve: bool) -> bool:
         """Return whether a job would start at once without taking room from others.
 
@@ -238,12 +251,25 @@
         workflow = self._context.store.workflows.get(job)
         if workflow is None:
             return []
+        self._count_stoppable(workflow)
         ratio = self._ratios.get_ratio(workflow.spec.queue)
         return [
             0.0 if x.long_running or x.backfill else x.estimate_ms / 1000 * ratio
             for x in workflow.spec.steps
         ]
 
+    def _count_stoppable(self, workflow: Workflow) -> None:
+        """Count the cores of a workflow's runs that may be stopped for short jobs."""
+        queue = self._context.store.get_queue(workflow.spec.queue)
+        repetition = workflow.repetitions.get(0)
+        if queue is None or queue.priority <= PREEMPTING_PRIORITY or not repetition:
+            return
+        pool = self._pools[queue.pool]
+        for spec, step in zip(workflow.spec.steps, repetition.steps, strict=True):
+            if spec.checkpoints and not spec.gang and not step.is_done:
+                placed = min(len(step.tasks) - step.done, workflow.placed)
+                pool.stoppable += placed * spec.need.cpu_millis / 1000
+
     def _collect_waiting(self, placed: dict[str, float], wall_time: float) -> None:
         """Sum up the work of the accepted jobs that is not placed."""
         store = self._context.store
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -16,6 +16,7 @@
     StartRequest,
     StartResult,
 )
+from bluebellyoke.dispatch.preemption import Preemptor
 from bluebellyoke.dispatch.probes import WorkerProber
 from bluebellyoke.dispatch.run_ends import RunEndRecorder
 from bluebellyoke.dispatch.stops import RunStopper
@@ -43,6 +44,7 @@
         recorder: Commits ends of runs.
         prober: Sends probes.
         orders: Orders of the waiting steps.
+        preemptor: Stops runs for steps that find no room, or None.
 
     Attributes:
         is_pending: Whether planned runs are waiting for their commit.
@@ -56,12 +58,14 @@
         recorder: RunEndRecorder,
         prober: WorkerProber,
         orders: Iterable[StepOrder] = (),
+        preemptor: Preemptor | None = None,
     ) -> None:
         self._context = context
         self._stopper = stopper
         self._recorder = recorder
         self._prober = prober
         self._planner = Planner(context.advice, context.recent_crashes, orders=orders)
+        self._preemptor = preemptor
         self._waits = WaitReporter(context.advice, context.metrics)
         self.is_pending = False
 
@@ -70,6 +74,8 @@
         self.is_pending = False
         self._planner.reset()
         self._waits.reset()
+        if self._preemptor is not None:
+            self._preemptor.clear()
 
     def plan(self, now: float, wall_time: float) -> None:
         """Plan a round of starts and propose the assignment of its runs."""
@@ -77,6 +83,9 @@
             self._context.store, self._context.workers, now, wall_time
         )
         self._waits.check(self._planner.wait_reasons, now)
+        if self._preemptor is not None:
+            lacking = self._planner.list_lacking_room()
+            self._preemptor.check(lacking, now, wall_time)
         if not planned:
             return
         self.is_pending = True
--- a/src/bluebellyoke/dispatch/urgency.py
+++ b/src/bluebellyoke/dispatch/urgency.py
@@ -1,5 +1,6 @@
 """Order of the waiting steps by the time left in which their jobs are useful."""
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 from operator import itemgetter
@@ -10,6 +11,8 @@
 from bluebellyoke.dispatch.ordering import StepOrder
 from bluebellyoke.dispatch.planning_round import PlanningRound
 from bluebellyoke.dispatch.waiting import WaitingStep
+from bluebellyoke.workflow.specs import QueueSpec
+from bluebellyoke.workflow.workflow import Workflow
 
 __all__ = ["UrgencyOrder"]
 
@@ -75,7 +78,9 @@
         keyed = []
         overdue = []
         for step in waiting:
-            times = self._times.get(step.key) or self._find_times(step)
+            times = self._times.get(step.key) or self._find_times(
+                step.key, step.workflow, step.queue
+            )
             if wall_time > times.useful_until + MAX_USELESS_WAIT_S:
                 overdue.append(step)
             keyed.append((self._rank(step, times, wall_time), step))
@@ -83,6 +88,17 @@
         ordered = [step for _, step in keyed]
         return _promote(ordered, overdue) if overdue else ordered
 
+    def find_latest_start(
+        self, key: StepKey, workflow: Workflow, queue: QueueSpec | None
+    ) -> float:
+        """Return the wall-clock time until which a step has to start to be on time.
+
+        It is infinity for a step without an objective.
+        """
+        times = self._times.get(key) or self._find_times(key, workflow, queue)
+        has_objective = times.useful_until != math.inf
+        return times.punctual_until if has_objective else math.inf
+
     def _rank(self, step: WaitingStep, times: _Times, wall_time: float) -> tuple:
         workflow = step.workflow
         until = times.begun_until if workflow.has_started else times.punctual_until
@@ -95,24 +111,25 @@
         is_excess = self._admission.is_excess(workflow.spec.id)
         return step.rank[0], is_excess, group, until, step.rank, step.key
 
-    def _find_times(self, step: WaitingStep) -> _Times:
-        workflow = step.workflow
+    def _find_times(
+        self, key: StepKey, workflow: Workflow, queue: QueueSpec | None
+    ) -> _Times:
         spec = workflow.spec
         first_at = workflow.submitted_at - self._admission.get_delay(spec.id)
-        shape = describe_job(spec, step.queue)
+        shape = describe_job(spec, queue)
         if shape is None:
             until = first_at + NO_OBJECTIVE_SLACK_S
-            times = _Times(until, float("inf"), float("inf"))
+            times = _Times(until, math.inf, math.inf)
         else:
             ratio = self._admission.ratios.get_ratio(spec.queue)
-            chain_s = compute_remaining_chains(spec)[step.key[2]] * ratio
+            chain_s = compute_remaining_chains(spec)[key[2]] * ratio
             due_at = first_at + shape.objective_s
             times = _Times(
                 due_at - chain_s - START_MARGIN_S,
                 first_at + shape.useful_s - chain_s - START_MARGIN_S,
                 due_at - chain_s / MAX_ESTIMATE_ERROR - START_MARGIN_S,
             )
-        self._times[step.key] = times
+        self._times[key] = times
         return times
 
 
--- a/src/bluebellyoke/metrics.py
+++ b/src/bluebellyoke/metrics.py
@@ -74,6 +74,11 @@
         """Count a decision on a job that has proved wrong."""
         self._counters["admission_errors_total", kind] += 1
 
+    def record_preemption(self, stops: int, lost_work: float) -> None:
+        """Count runs that were stopped for short jobs, and the core-seconds lost."""
+        self._counters["preemptions_total", "stopped"] += stops
+        self._counters["preempted_core_millis_total", "lost"] += round(lost_work * 1000)
+
     def record_tick_interval(self, seconds: float) -> None:
         """Record the time between two turns of the leader's dispatcher."""
         self._record("dispatch_tick_interval_seconds", seconds)
--- a/src/bluebellyoke/placement/preemption.py
+++ b/src/bluebellyoke/placement/preemption.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from bluebellyoke.cell.jobs import Job, JobClass, Task, TaskState
+from bluebellyoke.cell.lost_work import compute_lost_work
 from bluebellyoke.cell.scheduling import SchedulingState
 from bluebellyoke.placement.candidates import Candidate, CandidateIndex
 from bluebellyoke.placement.fairness import FairShares
@@ -27,9 +28,7 @@
 #: Minimum time between two searches for the same workspace, in seconds.
 FAIRNESS_INTERVAL_S = 0.5
 
-#: Cost factor of a task with checkpoints, and additional cost of a service in core
-#: seconds.
-CHECKPOINT_COST = 0.1
+#: Additional cost of a service in core seconds.
 SERVICE_COST = 1000.0
 
 
@@ -205,9 +204,9 @@
 def compute_cost(task: Task, now: float) -> float:
     """Return the work that is lost by preempting a task, in core seconds."""
     job = task.job
-    cost = max(now - task.since, 0.0) * job.need.cpu_millis / 1000
-    if job.spec.checkpoint:
-        cost *= CHECKPOINT_COST
+    cost = compute_lost_work(
+        now - task.since, job.need, saves_progress=bool(job.spec.checkpoint)
+    )
     if job.job_class is JobClass.SERVICE:
         cost += SERVICE_COST
     if job.is_gang:
--- a/tests/dispatch/load.py
+++ b/tests/dispatch/load.py
@@ -125,7 +125,9 @@
 
     def configure(self, workspaces):
         configuration = create_configuration(
-            version=2, queues=(LONG, BATCH, SHORT), workspaces=workspaces
+            version=self.store.configuration.version + 1,
+            queues=(LONG, BATCH, SHORT),
+            workspaces=workspaces,
         )
         command = workflow_commands.ApplyConfiguration(configuration=configuration)
         self.dispatcher.change_configuration(command, self.now, lambda result: None)
