--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -19,6 +19,7 @@
     StartRequest,
     StartResult,
 )
+from bluebellyoke.dispatch.preemption import Preemptor
 from bluebellyoke.dispatch.probes import WorkerProber
 from bluebellyoke.dispatch.quota_reports import QuotaReporter
 from bluebellyoke.dispatch.run_ends import RunEndRecorder
@@ -47,6 +48,7 @@
         recorder: Commits ends of runs.
         prober: Sends probes.
         orders: Orders of the waiting steps.
+        preemptor: Stops runs for steps that find no room, or None.
 
     Attributes:
         is_pending: Whether planned runs are waiting for their commit.
@@ -60,6 +62,7 @@
         recorder: RunEndRecorder,
         prober: WorkerProber,
         orders: Iterable[StepOrder] = (),
+        preemptor: Preemptor | None = None,
     ) -> None:
         self._context = context
         self._stopper = stopper
@@ -71,6 +74,7 @@
             costs=context.costs,
             orders=(*orders, FairOrder()),
         )
+        self._preemptor = preemptor
         self._waits = WaitReporter(context.advice, context.metrics)
         self._oversized = OversizedWorkflows(context, recorder)
         self._quota_reports = QuotaReporter(context)
@@ -83,6 +87,8 @@
         self._waits.reset()
         self._oversized.reset()
         self._quota_reports.reset()
+        if self._preemptor is not None:
+            self._preemptor.clear()
 
     @property
     def wait_reasons(self) -> Mapping[StepKey, WaitReason]:
@@ -98,6 +104,9 @@
         self._waits.check(reasons, now)
         self._oversized.check(reasons, now, wall_time)
         self._quota_reports.check(reasons, now)
+        if self._preemptor is not None:
+            lacking = self._planner.list_lacking_room()
+            self._preemptor.check(lacking, now, wall_time)
         if not planned:
             return
         self.is_pending = True
