Add the call that sets the pace of a run

Cause: a backfill task that slows a serving task on its worker could only be stopped, which loses its work. Change: PaceRequest, PaceResult and WorkerClient.pace; the platform's client sends /-/pace; WorkerCalls posts PaceFinished. The simulated workers of the dispatcher's tests answer the call. The translation of a 409 is shared with the start. Conclusion: no decision uses the call yet. The new tests fail without the change (seen: the import of PaceRequest fails on the unchanged sources).

--- a/src/bluebellyoke/dispatch/calls.py
+++ b/src/bluebellyoke/dispatch/calls.py
@@ -9,6 +9,7 @@
 
 from bluebellyoke.clock import Clock
 from bluebellyoke.dispatch.events import (
+    PaceFinished,
     PollFinished,
     StartFinished,
     StopFinished,
@@ -16,6 +17,7 @@
 )
 from bluebellyoke.dispatch.ports import (
     NoAnswerError,
+    PaceRequest,
     PollRequest,
     StartRequest,
     StatusReport,
@@ -30,8 +32,8 @@
 
 logger = logging.getLogger("bluebellyoke.dispatch")
 
-#: Timeout of a start, a stop or a probe, in seconds. A worker responds within
-#: milliseconds; after a timeout, another call finds out the outcome.
+#: Timeout of a start, a stop, a pace request or a probe, in seconds. A worker responds
+#: within milliseconds; after a timeout, another call finds out the outcome.
 CALL_TIMEOUT_S = 0.35
 
 #: Timeout of a poll in addition to the wait that it allows the worker, in seconds.
@@ -84,6 +86,10 @@
         """Stop a run in the background."""
         self._spawn(self._stop, worker, request, self.term)
 
+    def pace(self, worker: WorkerSpec, request: PaceRequest) -> None:
+        """Limit the progress of a run in the background."""
+        self._spawn(self._pace, worker, request, self.term)
+
     def poll(self, worker: WorkerSpec, request: PollRequest) -> None:
         """Poll or probe a worker in the background."""
         self._spawn(self._poll, worker, request, self.term)
@@ -124,6 +130,22 @@
             )
         )
 
+    async def _pace(self, worker: WorkerSpec, request: PaceRequest, term: int) -> None:
+        result, error = await self._make_call(
+            "pace", self._client.pace(worker, request), worker, CALL_TIMEOUT_S
+        )
+        self._post(
+            PaceFinished(
+                term=term,
+                worker=worker.id,
+                incarnation=worker.incarnation,
+                error=error,
+                key=(request.task, request.run),
+                percent=request.percent,
+                result=result,
+            )
+        )
+
     async def _poll(self, worker: WorkerSpec, request: PollRequest, term: int) -> None:
         """Poll a worker; post the timeout when it occurs, and a later response too."""
         sent_at = self._clock.monotonic()
--- a/src/bluebellyoke/dispatch/events.py
+++ b/src/bluebellyoke/dispatch/events.py
@@ -2,11 +2,17 @@
 
 from dataclasses import dataclass
 
-from bluebellyoke.dispatch.ports import StartResult, StatusReport
+from bluebellyoke.dispatch.ports import PaceResult, StartResult, StatusReport
 from bluebellyoke.errors import BluebellyokeError
 from bluebellyoke.workflow.store import RunKey
 
-__all__ = ["PollFinished", "StartFinished", "StopFinished", "WorkerEvent"]
+__all__ = [
+    "PaceFinished",
+    "PollFinished",
+    "StartFinished",
+    "StopFinished",
+    "WorkerEvent",
+]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -60,3 +66,16 @@
 
     key: RunKey
     accepted: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PaceFinished(WorkerEvent):
+    """A request to pace a run has ended.
+
+    Attributes:
+        percent: Limit that was requested, in percent.
+    """
+
+    key: RunKey
+    percent: int
+    result: PaceResult | None = None
--- a/src/bluebellyoke/dispatch/ports.py
+++ b/src/bluebellyoke/dispatch/ports.py
@@ -19,6 +19,8 @@
     "NotReachedError",
     "NullWorkerClient",
     "OtherLifeError",
+    "PaceRequest",
+    "PaceResult",
     "PollRequest",
     "RunningRun",
     "StartRequest",
@@ -130,6 +132,35 @@
     fence: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PaceRequest:
+    """Request to limit the progress of a run and the interference that it causes.
+
+    Attributes:
+        percent: Limit from 0 to 100, in percent; a run starts with 100.
+        fence: Fencing token of the leader.
+    """
+
+    task: TaskName
+    run: int
+    percent: int
+    fence: int
+
+
+class PaceResult(enum.Enum):
+    """A worker's response to a request to pace a run.
+
+    Attributes:
+        PACED: The limit is in force shortly after the response.
+        FENCED: The worker knows a higher fencing token.
+        OUTDATED: The worker knows the run as ended or knows a later run of the task.
+    """
+
+    PACED = "paced"
+    FENCED = "fenced"
+    OUTDATED = "outdated"
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PollRequest:
     """Request to renew a worker's lease and to report its runs.
@@ -218,6 +249,10 @@
     async def stop(self, worker: WorkerSpec, request: StopRequest) -> bool:
         """Stop or block a run; return whether the worker accepted the request."""
 
+    @abc.abstractmethod
+    async def pace(self, worker: WorkerSpec, request: PaceRequest) -> PaceResult:
+        """Limit the progress of a run."""
+
     @abc.abstractmethod
     async def poll(
         self, worker: WorkerSpec, request: PollRequest
@@ -244,6 +279,10 @@
         """Raise `NotReachedError`."""
         raise NotReachedError(worker.address, refused=False)
 
+    async def pace(self, worker: WorkerSpec, request: PaceRequest) -> PaceResult:
+        """Raise `NotReachedError`."""
+        raise NotReachedError(worker.address, refused=False)
+
     async def poll(
         self, worker: WorkerSpec, request: PollRequest
     ) -> StatusReport | None:
--- a/src/bluebellyoke/platform/clients.py
+++ b/src/bluebellyoke/platform/clients.py
@@ -1,5 +1,8 @@
 """HTTP clients of the platform's workers and of its advisor."""
 
+from collections.abc import Mapping
+from typing import TypeVar
+
 import msgspec
 
 from bluebellyoke.dispatch.ports import (
@@ -8,6 +11,8 @@
     NoAnswerError,
     NotReachedError,
     OtherLifeError,
+    PaceRequest,
+    PaceResult,
     PollRequest,
     StartRequest,
     StartResult,
@@ -21,6 +26,8 @@
 
 __all__ = ["PlatformAdvisor", "PlatformWorkerClient"]
 
+_Result = TypeVar("_Result", StartResult, PaceResult)
+
 #: Results by the `Reason` of a 409 response.
 _CONFLICT_RESULTS = {
     "fence": StartResult.FENCED,
@@ -30,6 +37,12 @@
     "ticket": StartResult.BAD_TICKET,
 }
 
+#: Results of a request to pace a run by the `Reason` of a 409 response.
+_PACE_CONFLICT_RESULTS = {
+    "fence": PaceResult.FENCED,
+    "old": PaceResult.OUTDATED,
+}
+
 
 class PlatformWorkerClient(WorkerClient):
     """Client of the platform's workers."""
@@ -56,10 +69,7 @@
         if response.status in (429, 503):
             return StartResult.UNHEALTHY
         if response.status == 409:
-            reason = _decode_object(worker, response).get("Reason")
-            if isinstance(reason, str) and reason in _CONFLICT_RESULTS:
-                return _CONFLICT_RESULTS[reason]
-            raise NoAnswerError(worker.address, f"status 409 with reason {reason!r}")
+            return _find_conflict_result(worker, response, _CONFLICT_RESULTS)
         if response.status == 400:
             return StartResult.INVALID
         # A proxy or a failing worker may respond after the run has begun.
@@ -75,6 +85,21 @@
         response = await self._call(worker, "/-/run-stop", value)
         return response.status == 200
 
+    async def pace(self, worker: WorkerSpec, request: PaceRequest) -> PaceResult:
+        """Limit the progress of a run."""
+        value = {
+            "Task": bodies.format_task(request.task),
+            "RunId": request.run,
+            "Percent": request.percent,
+            "FencingToken": request.fence,
+        }
+        response = await self._call(worker, "/-/pace", value)
+        if response.status == 200:
+            return PaceResult.PACED
+        if response.status == 409:
+            return _find_conflict_result(worker, response, _PACE_CONFLICT_RESULTS)
+        raise NoAnswerError(worker.address, f"status {response.status}")
+
     async def poll(
         self, worker: WorkerSpec, request: PollRequest
     ) -> StatusReport | None:
@@ -143,6 +168,16 @@
         await self._caller.close()
 
 
+def _find_conflict_result(
+    worker: WorkerSpec, response: HttpResponse, results: Mapping[str, _Result]
+) -> _Result:
+    """Return the result for the reason of a 409 response."""
+    reason = _decode_object(worker, response).get("Reason")
+    if isinstance(reason, str) and reason in results:
+        return results[reason]
+    raise NoAnswerError(worker.address, f"status 409 with reason {reason!r}")
+
+
 def _decode_object(worker: WorkerSpec, response: HttpResponse) -> dict:
     try:
         value = msgspec.json.decode(response.content)
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -14,6 +14,8 @@
     EndedRun,
     NoAnswerError,
     OtherLifeError,
+    PaceRequest,
+    PaceResult,
     PollRequest,
     RunningRun,
     StartRequest,
@@ -32,6 +34,12 @@
 
 CALL_DELAY_S = 1e-6
 
+EVENTS = {
+    "start": events.StartFinished,
+    "stop": events.StopFinished,
+    "pace": events.PaceFinished,
+}
+
 
 @dataclass
 class SentCall:
@@ -43,7 +51,7 @@
 
     kind: str
     spec: WorkerSpec
-    request: StartRequest | StopRequest | PollRequest
+    request: StartRequest | StopRequest | PaceRequest | PollRequest
     term: int
     sent_at: float
     is_finished: bool = False
@@ -73,6 +81,8 @@
     expired_end: int = 0
     blocked: dict = field(default_factory=dict)
     percents: dict = field(default_factory=dict)
+    loads: dict = field(default_factory=dict)
+    paces: dict = field(default_factory=dict)
 
     def advance(self, seconds):
         self.clock_ms += seconds * 1000 * self.clock_rate
@@ -110,6 +120,9 @@
     def poll(self, spec, request):
         self._add("poll", spec, request)
 
+    def pace(self, spec, request):
+        self._add("pace", spec, request)
+
     def _add(self, kind, spec, request):
         # A call is sent shortly after the tick or event that causes it.
         sent = SentCall(
@@ -211,6 +224,7 @@
         handler = {
             "start": self.handle_start,
             "stop": self.handle_stop,
+            "pace": self.handle_pace,
             "poll": self.handle_poll,
         }
         self.finish_call(sent, **handler[sent.kind](worker, sent.request))
@@ -248,8 +262,9 @@
             )
         else:
             key = (sent.request.task, sent.request.run)
-            kind = events.StartFinished if sent.kind == "start" else events.StopFinished
-            event = kind(**base, key=key, **fields)
+            if sent.kind == "pace":
+                base["percent"] = sent.request.percent
+            event = EVENTS[sent.kind](**base, key=key, **fields)
         self.events.append(event)
 
     def receive(self, event):
@@ -286,6 +301,16 @@
             worker.end(key, workflow_commands.RunOutcome.STOPPED)
         return {"accepted": True}
 
+    def handle_pace(self, worker, request):
+        if request.fence < worker.fence:
+            return {"result": PaceResult.FENCED}
+        worker.fence = request.fence
+        key = (request.task, request.run)
+        if key not in worker.runs:
+            return {"result": PaceResult.OUTDATED}
+        worker.paces[key] = request.percent
+        return {"result": PaceResult.PACED}
+
     def handle_poll(self, worker, request):
         if request.fence < worker.fence:
             return {"report": None}
@@ -299,7 +324,13 @@
         worker.acknowledged_end = max(worker.acknowledged_end, request.acknowledged_end)
         worker.ended = [x for x in worker.ended if x.number > worker.acknowledged_end]
         running = tuple(
-            RunningRun(task, run, "", worker.percents.get((task, run), 0))
+            RunningRun(
+                task,
+                run,
+                "",
+                worker.percents.get((task, run), 0),
+                worker.loads.get((task, run), 0),
+            )
             for task, run in worker.runs
         )
         report = StatusReport(
--- a/tests/dispatch/test_calls.py
+++ b/tests/dispatch/test_calls.py
@@ -10,6 +10,8 @@
 from bluebellyoke.dispatch.calls import WorkerCalls
 from bluebellyoke.dispatch.ports import (
     NoAnswerError,
+    PaceRequest,
+    PaceResult,
     PollRequest,
     StatusReport,
     StopRequest,
@@ -33,6 +35,9 @@
     async def stop(self, worker, request):
         raise NoAnswerError(worker.address, "reset")
 
+    async def pace(self, worker, request):
+        return PaceResult.PACED
+
     async def poll(self, worker, request):
         return StatusReport(1, worker.incarnation, (), ())
 
@@ -98,6 +103,15 @@
     assert 'worker_calls_total{outcome="stop/NoAnswerError"} 1' in text
 
 
+# Guards against a pace whose answer the leader never learns of.
+def test_event_of_a_pace_request_carries_the_run_the_limit_and_the_result():
+    request = PaceRequest(task=STOP.task, run=3, percent=25, fence=1)
+    event, text = call(lambda calls, worker: calls.pace(worker, request))
+    assert (event.key, event.percent) == ((STOP.task, 3), 25)
+    assert event.result is PaceResult.PACED
+    assert 'worker_calls_total{outcome="pace/answered"} 1' in text
+
+
 def test_unexpected_error_of_a_call_does_not_end_the_task_group():
     event, _ = call(lambda calls, worker: calls.start(worker, STOP))
     assert isinstance(event.error, NoAnswerError)
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -11,6 +11,8 @@
     NoAnswerError,
     NotReachedError,
     OtherLifeError,
+    PaceRequest,
+    PaceResult,
     PollRequest,
     StartRequest,
     StartResult,
@@ -207,6 +209,55 @@
     assert server.connections == 1
 
 
+def pace_once(response):
+    async def body(server, address):
+        client = PlatformWorkerClient()
+        worker = create_worker("i-1", address=address)
+        request = PaceRequest(task=TASK, run=2, percent=40, fence=7)
+        try:
+            return server, await client.pace(worker, request)
+        finally:
+            await client.close()
+
+    return run_against([response], body)
+
+
+# Guards against a worker that does not find the run or the token in the request.
+def test_request_to_pace_a_run_has_all_fields():
+    server, _ = pace_once((200, {}))
+    head, value = server.requests[0]
+    assert head.startswith("POST /-/pace ")
+    assert "Expected-Instance: i-1" in head
+    assert value == {
+        "Task": "5c0e7a21d94b36f8.0.1.17",
+        "RunId": 2,
+        "Percent": 40,
+        "FencingToken": 7,
+    }
+
+
+@pytest.mark.parametrize(
+    ("response", "expected"),
+    [
+        ((200, {}), PaceResult.PACED),
+        ((409, {"Reason": "fence"}), PaceResult.FENCED),
+        ((409, {"Reason": "old"}), PaceResult.OUTDATED),
+    ],
+)
+def test_responses_to_a_pace_request_are_translated(response, expected):
+    assert pace_once(response)[1] is expected
+
+
+# Guards against a run that counts as paced although the worker did not say so.
+@pytest.mark.parametrize(
+    "response",
+    [(status, {}) for status in (202, 400, 404, 503)] + [(409, {"Reason": "room"})],
+)
+def test_undocumented_response_to_a_pace_request_raises_an_error(response):
+    with pytest.raises(NoAnswerError):
+        pace_once(response)
+
+
 def ask_once(response):
     async def body(server, address):
         advisor = PlatformAdvisor(address)
