--- a/src/bluebellyoke/dispatch/context.py
+++ b/src/bluebellyoke/dispatch/context.py
@@ -62,7 +62,7 @@
 
     def find_need(self, key: RunKey) -> Resources:
         """Return the resources that a run takes up; a backfill run takes up none."""
-        step = self._find_step(key)
+        step = self.find_step(key)
         return Resources() if step.backfill else step.need
 
     def find_probation(self, key: RunKey) -> float:
@@ -76,8 +76,9 @@
         It is unknown for a run that resumes from a checkpoint.
         """
         task = self.store.workflows[key[0].workflow].find_task(key[0])
-        return 0.0 if task.checkpoint else self._find_step(key).estimate_ms / 1000
+        return 0.0 if task.checkpoint else self.find_step(key).estimate_ms / 1000
 
-    def _find_step(self, key: RunKey) -> StepSpec:
+    def find_step(self, key: RunKey) -> StepSpec:
+        """Return the step of a run whose workflow is known."""
         name = key[0]
         return self.store.workflows[name.workflow].spec.steps[name.step]
--- a/src/bluebellyoke/metrics.py
+++ b/src/bluebellyoke/metrics.py
@@ -20,6 +20,8 @@
     def __init__(self) -> None:
         self._histograms: dict[str, HdrHistogram] = {}
         self._counters: Counter[tuple[str, str]] = Counter()
+        self._totals: Counter[str] = Counter()
+        self._gauges: dict[str, float] = {}
 
     def record_request_wait(self, seconds: float) -> None:
         """Record the time from a request's arrival to its dispatch to an upstream."""
@@ -73,6 +75,14 @@
         """Count an ended run by its outcome."""
         self._counters["runs_total", outcome] += 1
 
+    def set_paced_runs(self, count: int) -> None:
+        """Set the number of backfill runs that are slowed down at present."""
+        self._gauges["paced_runs"] = count
+
+    def record_unused_backfill(self, core_seconds: float) -> None:
+        """Add processor time that backfill runs could not use while slowed down."""
+        self._totals["backfill_unused_core_seconds_total"] += core_seconds
+
     def _record(self, name: str, seconds: float) -> None:
         histogram = self._histograms.get(name)
         if histogram is None:
@@ -95,4 +105,8 @@
             lines.append(f"{full_name}_count {histogram.get_total_count()}")
         for (name, label), count in sorted(self._counters.items()):
             lines.append(f'bluebellyoke_{name}{{outcome="{label}"}} {count}')
+        for name, total in sorted(self._totals.items()):
+            lines.append(f"bluebellyoke_{name} {total:.3f}")
+        for name, value in sorted(self._gauges.items()):
+            lines.append(f"bluebellyoke_{name} {value:g}")
         return "\n".join(lines) + "\n"
