--- a/src/bluebellyoke/metrics.py
+++ b/src/bluebellyoke/metrics.py
@@ -75,6 +75,10 @@
         """Count an ended run by its outcome."""
         self._counters["runs_total", outcome] += 1
 
+    def set_interfering_pairs(self, count: int) -> None:
+        """Set the number of pairs of images that are known to slow each other down."""
+        self._gauges["interfering_pairs"] = count
+
     def set_paced_runs(self, count: int) -> None:
         """Set the number of backfill runs that are slowed down at present."""
         self._gauges["paced_runs"] = count
--- a/tests/dispatch/test_pacing.py
+++ b/tests/dispatch/test_pacing.py
@@ -91,6 +91,8 @@
     simulation = create_simulation(4)
     simulation.serving["w1"].base_ms = 150.0
     simulation.run(60.0)
+    assert set(list_paces(simulation)) <= {0, 100}
+    assert len(simulation.paced) >= 4
     assert len(simulation.stopped) <= 1
 
 
@@ -99,6 +101,7 @@
     simulation = create_simulation(4, gang=True, checkpoints=True)
     simulation.serving["w1"].base_ms = 150.0
     simulation.run(30.0)
+    assert list_paces(simulation) == [0] * 4
     assert simulation.stopped == []
 
 
@@ -227,6 +230,7 @@
     simulation.workers[name].end(key, RunOutcome.DONE)
     simulation.run(1.0)
     before = len(simulation.paced)
+    assert before
     simulation.run(5.0)
     assert len(simulation.paced) == before
 
