Place tasks apart from those that they interfere with

Cause: what is learned of interference had no effect on placement. Change: InterferenceCost adds the known slowdowns of a task and its neighbours, in both directions, and for backfill tasks the pressure on a worker's serving tasks; it orders workers and never keeps a task from starting. A step without a known pair is neutral, for which the planner makes no estimates. InterferenceControl connects the parts where the feature is on. Starts that avoid a worker are logged and counted, and `explain` tells of them and of paced runs. Tails are compared with those of peers including the exposures of the peers: without that, a slowdown of two of three replicas at the same time was found at half its size and not believed. A run counts as limited for a while after its limit.

--- a/src/bluebellyoke/dispatch/context.py
+++ b/src/bluebellyoke/dispatch/context.py
@@ -6,6 +6,7 @@
 from bluebellyoke.dispatch.advice import AdviceManager
 from bluebellyoke.dispatch.backlog import BacklogEstimator
 from bluebellyoke.dispatch.calls import WorkerCalls
+from bluebellyoke.dispatch.costs import PlacementCost
 from bluebellyoke.dispatch.features import DispatchFeatures
 from bluebellyoke.dispatch.isolation import RecentCrashes, compute_probation
 from bluebellyoke.dispatch.observers import RunObserver
@@ -31,6 +32,7 @@
         backlog: Estimate of when refused callers may retry.
         features: Optional parts that are in use.
         observers: Parts that learn from what workers report about their runs.
+        costs: Costs by which the planner prefers some workers to others.
         store: Replicated state.
         workers: Workers as this leader sees them, by ID.
         fence: Fencing token of this leader.
@@ -48,6 +50,7 @@
     backlog: BacklogEstimator = field(default_factory=BacklogEstimator)
     features: DispatchFeatures = field(default_factory=DispatchFeatures)
     observers: list[RunObserver] = field(default_factory=list)
+    costs: list[PlacementCost] = field(default_factory=list)
     store: WorkflowStore = field(default_factory=WorkflowStore)
     workers: dict[str, TrackedWorker] = field(default_factory=dict)
     fence: int = 0
--- a/src/bluebellyoke/dispatch/costs.py
+++ b/src/bluebellyoke/dispatch/costs.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 
 from bluebellyoke.dispatch.workers import TrackedWorker
+from bluebellyoke.workflow.commands import RunStart
 from bluebellyoke.workflow.specs import StepSpec
 
 __all__ = ["PlacementCost", "sum_costs"]
@@ -32,10 +33,19 @@
             Cost in units of the expected run time; 0 is neutral, more is worse.
         """
 
+    def is_neutral(self, step: StepSpec) -> bool:
+        """Return whether no worker has a cost for a step, which saves the estimates."""
+        return False
+
+    def record_starts(self, starts: Sequence[RunStart]) -> None:  # noqa: B027
+        """Take note of the starts of a round, before the workers get their runs."""
+
 
 def sum_costs(
     costs: Sequence[PlacementCost], step: StepSpec, queue: str, worker: TrackedWorker
 ) -> float:
     """Return the sum of all costs, rounded so that noise does not order workers."""
-    total = sum(cost.estimate(step, queue, worker) for cost in costs)
-    return round(total / COST_STEP) * COST_STEP
+    total = 0.0
+    for cost in costs:
+        total += cost.estimate(step, queue, worker)
+    return round(total / COST_STEP) * COST_STEP if total else 0.0
--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -18,7 +18,7 @@
 from bluebellyoke.dispatch.calls import WorkerCalls
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.features import DispatchFeatures
-from bluebellyoke.dispatch.pacing import BackfillPacer
+from bluebellyoke.dispatch.interference_control import InterferenceControl
 from bluebellyoke.dispatch.polls import WorkerPoller
 from bluebellyoke.dispatch.probes import WorkerProber
 from bluebellyoke.dispatch.registry import WorkerRegistry
@@ -81,6 +81,11 @@
         prober = WorkerProber(context)
         self._stopper = RunStopper(context, prober=prober)
         self._recorder = RunEndRecorder(context, self._stopper)
+        self._interference = None
+        if context.features.interference:
+            self._interference = InterferenceControl(
+                context, stopper=self._stopper, prober=prober
+            )
         self._registry = WorkerRegistry(context, self._stopper, self._recorder)
         self._starter = RunStarter(
             context, stopper=self._stopper, recorder=self._recorder, prober=prober
@@ -92,19 +97,11 @@
             registry=self._registry,
             prober=prober,
         )
-        self._pacer = self._create_pacer(prober)
         self._ticked_at = 0.0
         self._poll_round_due = 0.0
         self._plan_due = 0.0
         self._cleanup_due = 0.0
 
-    def _create_pacer(self, prober: WorkerProber) -> BackfillPacer | None:
-        if not self._context.features.interference:
-            return None
-        pacer = BackfillPacer(self._context, stopper=self._stopper, prober=prober)
-        self._context.observers.append(pacer)
-        return pacer
-
     @property
     def advice(self) -> AdviceManager:
         """Advice on which workers may run a step."""
@@ -146,8 +143,8 @@
         self._context.metrics.record_tick_interval(now - self._ticked_at)
         self._ticked_at = self._context.now = now
         self._poll_workers(now, wall_time)
-        if self._pacer is not None:
-            self._pacer.tick(now)
+        if self._interference is not None:
+            self._interference.tick(now)
         if now >= self._cleanup_due:
             self._cleanup_due = now + CLEANUP_INTERVAL_S
             self._drop_old_records(wall_time)
@@ -195,8 +192,8 @@
             self._starter.receive(worker, event, now, wall_time)
         elif isinstance(event, events.StopFinished):
             self._stopper.receive(worker, event, now)
-        elif isinstance(event, events.PaceFinished) and self._pacer is not None:
-            self._pacer.receive(worker, event, now)
+        elif self._interference is not None:
+            self._interference.receive(worker, event, now)
 
     # Workers' announcements.
 
--- a/src/bluebellyoke/dispatch/exposure.py
+++ b/src/bluebellyoke/dispatch/exposure.py
@@ -9,9 +9,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from bluebellyoke.workflow.store import RunKey
-
-__all__ = ["Baseline", "EndedRuns", "ServingPeers", "TailSample", "add_overlap"]
+__all__ = ["Baseline", "EndedRuns", "add_overlap"]
 
 #: Number of ended runs of a worker that are kept for comparisons. Those of the last
 #: seconds are needed, and some 10 short runs a second end on a worker.
@@ -69,56 +67,10 @@
         for image, exposure in exposures.items():
             means[image] = means.get(image, 0.0) + gain * exposure
         self.exposures = {
-            image: mean for image, mean in means.items() if mean >= MIN_EXPOSURE
+            image: mean for image, mean in means.items() if abs(mean) >= MIN_EXPOSURE
         }
 
 
-@dataclass(slots=True)
-class ServingPeers:
-    """Latest levels of the tail latencies of the serving tasks of an image."""
-
-    levels: dict[RunKey, float] = field(default_factory=dict)
-    total: float = 0.0
-
-    def update(self, key: RunKey, level: float) -> float:
-        """Set the level of a task and return the mean of the others, or 0."""
-        self.total += level - self.levels.get(key, 0.0)
-        self.levels[key] = level
-        others = len(self.levels) - 1
-        return (self.total - level) / others if others else 0.0
-
-    def remove(self, key: RunKey) -> None:
-        """Drop a task that has ended."""
-        self.total -= self.levels.pop(key, 0.0)
-
-
-@dataclass(frozen=True, slots=True)
-class TailSample:
-    """Tail latency of a serving task in one report.
-
-    Attributes:
-        level: Logarithm of its inverse.
-        peers: Mean level of the other tasks of its image in their latest reports.
-        exposures: Exposure to each image, or None if it is no evidence.
-    """
-
-    level: float
-    peers: float
-    exposures: dict[str, float] | None
-
-    def compare_to_peers(self, later_peers: float, baseline: Baseline) -> float:
-        """Return the level relative to the peers, whose reports come at other times.
-
-        The mean of the peers at the time of the sample lies between those known at the
-        task's report and at its next one. Of the possible levels, the one that is next
-        to the baseline is taken, so that a change that the peers share is no evidence.
-        """
-        low, high = sorted((self.peers, later_peers))
-        if not baseline.weight:
-            return self.level - (low + high) / 2
-        return min(max(baseline.level, self.level - high), self.level - low)
-
-
 class EndedRuns:
     """Images of the runs that have ended on a worker, with their times."""
 
--- a/src/bluebellyoke/dispatch/interference.py
+++ b/src/bluebellyoke/dispatch/interference.py
@@ -17,15 +17,10 @@
 from dataclasses import dataclass, field
 
 from bluebellyoke.dispatch.context import DispatchContext
-from bluebellyoke.dispatch.exposure import (
-    Baseline,
-    EndedRuns,
-    ServingPeers,
-    TailSample,
-    add_overlap,
-)
+from bluebellyoke.dispatch.exposure import Baseline, EndedRuns, add_overlap
 from bluebellyoke.dispatch.observers import RunObserver
 from bluebellyoke.dispatch.pair_table import PairTable
+from bluebellyoke.dispatch.serving_peers import ServingPeers, TailSample
 from bluebellyoke.dispatch.workers import TrackedRun, TrackedWorker
 from bluebellyoke.workflow.commands import RunOutcome
 from bluebellyoke.workflow.specs import StepSpec
@@ -50,8 +45,8 @@
 TAIL_NOISE = 0.3**2
 
 #: Number of observations after which older ones fade. A tail latency is compared with
-#: the one before it only: with a weight of 3, loads of their own that swing by half in
-#: 13 s were taken for interference in 3 of 30 simulated cells, with 1 in none.
+#: the one before it only: with a weight of 2, loads of their own that swing by half in
+#: 13 s were taken for interference in 1 of 30 simulated cells, with 1 in none.
 PART_WEIGHT = 10
 RUN_WEIGHT = 30
 TAIL_WEIGHT = 1
@@ -59,8 +54,6 @@
 #: Maximum number of images on workers whose run times are compared.
 MAX_RUN_BASELINES = 4096
 
-FULL_PACE = 100
-
 
 @dataclass(slots=True)
 class ObservedRun:
@@ -95,18 +88,19 @@
     Args:
         context: Shared state of the dispatcher.
         table: Receives the evidence.
-        find_pace: Returns the limit of a run on a worker, in percent.
+        was_limited: Returns whether a run on a worker may have been limited at any time
+            since another time.
     """
 
     def __init__(
         self,
         context: DispatchContext,
         table: PairTable,
-        find_pace: Callable[[TrackedWorker, RunKey], int],
+        was_limited: Callable[[TrackedWorker, RunKey, float], bool],
     ) -> None:
         self._context = context
         self._table = table
-        self._find_pace = find_pace
+        self._was_limited = was_limited
         self._workers: dict[tuple[str, int], ObservedWorker] = {}
         self._run_baselines: dict[tuple[str, tuple[str, int]], Baseline] = {}
         self._peers: dict[str, ServingPeers] = {}
@@ -183,7 +177,7 @@
         peers = self._peers.get(observed.image)
         if peers is not None:
             peers.remove(key)
-            if not peers.levels:
+            if not peers.reports:
                 del self._peers[observed.image]
 
     def forget_worker(self, worker: TrackedWorker) -> None:
@@ -214,23 +208,21 @@
         tail_ms: int,
         now: float,
     ) -> None:
+        # A pace follows from the tail, so that a change of the tail after it may be its
+        # cause as well as its effect: no exposures are known beside a limited run.
+        exposures = self._measure_exposures(worker, key, now - TAIL_WINDOW_S, now)
         level = -math.log(tail_ms)
         peers = self._peers.setdefault(observed.image, ServingPeers())
-        mean = peers.update(key, level)
-        exposures = self._measure_exposures(worker, key, now - TAIL_WINDOW_S, now)
+        mean = peers.update(key, level, exposures)
         previous, observed.tail = observed.tail, TailSample(level, mean, exposures)
         observed.observed_at = now
         if previous is None:
             return
-        if previous.exposures is None:
-            # A pace follows from the tail, so that a change of the tail after it may be
-            # its cause as well as its effect.
-            observed.baseline = Baseline(TAIL_NOISE, TAIL_WEIGHT)
-            return
         relative = previous.compare_to_peers(mean, observed.baseline)
-        self._compare(
-            worker, observed.image, observed.baseline, relative, previous.exposures, now
-        )
+        if relative is None:
+            observed.baseline = Baseline(TAIL_NOISE, TAIL_WEIGHT)
+        else:
+            self._compare(worker, observed.image, observed.baseline, *relative, now)
 
     def _observe_progress(
         self,
@@ -309,7 +301,7 @@
         duration_s = now - since
         for other, run in worker.runs.items():
             step = self._context.find_step(other)
-            if step.backfill and self._find_pace(worker, other) < FULL_PACE:
+            if step.backfill and self._was_limited(worker, other, since):
                 return None
             if other == key or not step.image:
                 continue
--- a/src/bluebellyoke/dispatch/pace_orders.py
+++ b/src/bluebellyoke/dispatch/pace_orders.py
@@ -20,6 +20,9 @@
 #: Pace of a run that is not limited, in percent.
 FULL_PACE = 100
 
+#: Time after which an order takes effect, in seconds.
+EFFECT_S = 0.1
+
 #: Delay before an unanswered order is repeated, in seconds: the first and the longest.
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 1.0
@@ -40,6 +43,7 @@
     Attributes:
         percent: Limit that the run is meant to have, or None before the first decision.
         in_force: Limit that the worker has confirmed, or None if it is unknown.
+        full_since: Time since which the run has not been limited, if it is not now.
         confirmed_at: Time of the latest confirmation.
         cpu_millis: Most processor time that the run has been seen to use.
         is_sending: Whether an order is in flight.
@@ -52,6 +56,7 @@
     step: StepSpec
     percent: int | None
     in_force: int | None
+    full_since: float = -math.inf
     confirmed_at: float = -math.inf
     cpu_millis: int = 0
     is_sending: bool = False
@@ -104,6 +109,8 @@
         """Process the result of an order and send the next one if there is any."""
         paced.is_sending = False
         if event.result is PaceResult.PACED:
+            if paced.in_force != event.percent:
+                paced.full_since = now + EFFECT_S
             paced.in_force, paced.failures = event.percent, 0
             paced.confirmed_at = now
         else:
--- a/src/bluebellyoke/dispatch/pacing.py
+++ b/src/bluebellyoke/dispatch/pacing.py
@@ -8,6 +8,7 @@
 """
 
 import logging
+import math
 from collections.abc import Callable
 
 from bluebellyoke.dispatch.context import DispatchContext
@@ -86,13 +87,15 @@
         self._engaged: set[tuple[str, int]] = set()
         self._tick_due = 0.0
 
-    def find_pace(self, worker: TrackedWorker, key: RunKey) -> int:
-        """Return the limit of a run in percent; an unknown one counts as 0."""
+    def was_limited(self, worker: TrackedWorker, key: RunKey, since: float) -> bool:
+        """Return whether a run may have been limited at any time since another time."""
         state = self._states.get(worker.spec.key)
         paced = state.runs.get(key) if state is not None else None
         if paced is None:
-            return FULL_PACE
-        return min(paced.percent or 0, paced.in_force or 0)
+            run = worker.runs.get(key)
+            return run is not None and run.sent_at is None
+        is_full = paced.percent == paced.in_force == FULL_PACE
+        return not is_full or paced.full_since > since
 
     def estimate_pressure(self, worker: TrackedWorker) -> float:
         """Return how much a new backfill run would be slowed down, from 0 to 1."""
@@ -140,6 +143,8 @@
             is_own = run.sent_at is not None
             in_force = FULL_PACE if is_own else None
             paced = state.runs[key] = PacedRun(key, step, None, in_force)
+            if not is_own:
+                paced.full_since = math.inf
         paced.cpu_millis = max(paced.cpu_millis, load)
 
     def _get_state(self, worker: TrackedWorker) -> WorkerPacing:
@@ -214,7 +219,7 @@
             state.over_since, state.has_own_load = None, False
         elif state.over_since is None:
             state.over_since = now
-        self._set_first_limits(state, now)
+        self._set_first_limits(state, worst, now)
         has_report, state.has_report = state.has_report, False
         if worst is None:
             self._change(state, list(state.runs.values()), FULL_PACE, worst, now)
@@ -225,7 +230,9 @@
                 self._speed_up(state, worst, now)
         self._send(state, now)
 
-    def _set_first_limits(self, state: WorkerPacing, now: float) -> None:
+    def _set_first_limits(
+        self, state: WorkerPacing, worst: Tail | None, now: float
+    ) -> None:
         """Set the limits of runs that are new to this leader."""
         new = [x for x in state.runs.values() if x.percent is None]
         if not new:
@@ -238,6 +245,7 @@
                 paced.percent = _choose_found_limit(state.ratio)
             if paced.is_limited:
                 state.changed_at = now
+                _log_pace(state, paced, worst)
 
     def _slow_down(self, state: WorkerPacing, worst: Tail, now: float) -> None:
         running = [x for x in state.runs.values() if x.percent > 0]
@@ -293,10 +301,7 @@
                 continue
             state.changed_at = now
             paced.percent = percent
-            logger.info(
-                "dispatch: paces a run",
-                extra={"percent": percent, **state.describe(paced, worst)},
-            )
+            _log_pace(state, paced, worst)
 
     def _send(self, state: WorkerPacing, now: float) -> None:
         for paced in state.runs.values():
@@ -345,3 +350,8 @@
     if ratio >= NEAR:
         return RAISE_STEP
     return FULL_PACE // 2 if ratio >= IDLE else FULL_PACE
+
+
+def _log_pace(state: WorkerPacing, paced: PacedRun, worst: Tail | None) -> None:
+    fields = {"percent": paced.percent, **state.describe(paced, worst)}
+    logger.info("dispatch: paces a run", extra=fields)
--- a/src/bluebellyoke/dispatch/planning_round.py
+++ b/src/bluebellyoke/dispatch/planning_round.py
@@ -142,6 +142,7 @@
         """Return what some workers have free for a step and what they would cost it."""
         is_short = 0 < step.spec.estimate_ms < SHORT_TASK_MS
         queue = step.queue.name if step.queue is not None else ""
+        costs = [cost for cost in self.costs if not cost.is_neutral(step.spec)]
         candidates = []
         for worker in workers:
             if worker.spec.id in self.isolated:
@@ -149,8 +150,10 @@
             candidate = self.find_candidate(worker)
             if step.spec.max_per_worker:
                 candidate.step_runs = _count_step_runs(worker, step.key)
-            if self.costs:
-                candidate.cost = sum_costs(self.costs, step.spec, queue, worker)
+            if costs:
+                candidate.cost = sum_costs(costs, step.spec, queue, worker)
+            elif self.costs:
+                candidate.cost = 0.0
             if is_short or worker.spec.id not in self.reserved:
                 candidates.append(candidate)
         return candidates
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -57,7 +57,9 @@
         self._stopper = stopper
         self._recorder = recorder
         self._prober = prober
-        self._planner = Planner(context.advice, context.recent_crashes)
+        self._planner = Planner(
+            context.advice, context.recent_crashes, costs=context.costs
+        )
         self._waits = WaitReporter(context.advice, context.metrics)
         self.is_pending = False
 
@@ -76,6 +78,9 @@
         if not planned:
             return
         self.is_pending = True
+        starts = tuple(item.start for item in planned)
+        for cost in self._context.costs:
+            cost.record_starts(starts)
         for item in planned:
             start = item.start
             key = (start.task, start.run)
@@ -88,7 +93,6 @@
                 self._context.find_estimate(key),
                 self._context.find_probation(key),
             )
-        starts = tuple(item.start for item in planned)
         self._context.proposals.add(
             workflow_commands.AssignRuns(time=wall_time, starts=starts),
             lambda result: self._handle_assignment(planned, result, wall_time),
--- a/src/bluebellyoke/explanation.py
+++ b/src/bluebellyoke/explanation.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 
+from bluebellyoke.interference_explanation import describe_interference
+
 __all__ = ["Explanation", "LogLine", "Span", "Verdict", "explain_request", "read_lines"]
 
 #: Longest time between a refusal and a leader change that explains it.
@@ -217,6 +219,7 @@
         description = _describe_wait(before, after) + _describe_events(
             events, after.fields.get("worker")
         )
+        description += describe_interference(after, request_lines)
         spans.append(Span(duration_s, description, after))
     return tuple(spans)
 
--- a/src/bluebellyoke/metrics.py
+++ b/src/bluebellyoke/metrics.py
@@ -75,6 +75,10 @@
         """Count an ended run by its outcome."""
         self._counters["runs_total", outcome] += 1
 
+    def record_task_kept_apart(self) -> None:
+        """Count a start that avoids a worker because of a known interference."""
+        self._totals["tasks_kept_apart_total"] += 1
+
     def set_interfering_pairs(self, count: int) -> None:
         """Set the number of pairs of images that are known to slow each other down."""
         self._gauges["interfering_pairs"] = count
@@ -110,7 +114,7 @@
         for (name, label), count in sorted(self._counters.items()):
             lines.append(f'bluebellyoke_{name}{{outcome="{label}"}} {count}')
         for name, total in sorted(self._totals.items()):
-            lines.append(f"bluebellyoke_{name} {total:.3f}")
+            lines.append(f"bluebellyoke_{name} {total:.10g}")
         for name, value in sorted(self._gauges.items()):
             lines.append(f"bluebellyoke_{name} {value:g}")
         return "\n".join(lines) + "\n"
--- a/tests/dispatch/neighbours.py
+++ b/tests/dispatch/neighbours.py
@@ -88,7 +88,9 @@
         self.table = PairTable(self.metrics)
         self.paces = {}
         self.learner = InterferenceLearner(
-            self.context, self.table, lambda worker, key: self.paces.get(key, 100)
+            self.context,
+            self.table,
+            lambda worker, key, since: self.paces.get(key, 100) < 100,
         )
         self.now = 1000.0
         self.numbers = itertools.count()
--- a/tests/dispatch/serving.py
+++ b/tests/dispatch/serving.py
@@ -36,6 +36,7 @@
     Attributes:
         base_ms: Tail latency without any backfill task.
         effects: Increase of the latency by each backfill task at full pace, by index.
+        image_effects: Increase of the latency by other tasks, by image.
         loads: Processor time in use of each backfill task, by index.
         paces: Times at which a pace takes effect, with the pace, by run.
         history: Recent latencies with their times.
@@ -45,6 +46,7 @@
 
     base_ms: float = 50.0
     effects: dict[int, float] = field(default_factory=dict)
+    image_effects: dict[str, float] = field(default_factory=dict)
     loads: dict[int, int] = field(default_factory=dict)
     paces: dict[tuple, list[tuple[float, int]]] = field(default_factory=dict)
     history: list[tuple[float, float]] = field(default_factory=list)
@@ -140,6 +142,8 @@
             if key[0].workflow == BACKFILL:
                 effect = serving.effects.get(key[0].index, 0.0)
                 latency += effect * self.get_pace(name, key) / 100
+            image = self.store.workflows[key[0].workflow].spec.steps[0].image
+            latency += serving.image_effects.get(image, 0.0)
         serving.history.append((self.now, latency))
         serving.history = [
             x for x in serving.history if x[0] > self.now - REPORT_WINDOW_S
--- a/tests/dispatch/test_pacing.py
+++ b/tests/dispatch/test_pacing.py
@@ -202,6 +202,16 @@
     assert list_paces(simulation) == [100] * 3
 
 
+# Guards against a limit by a new leader that no line tells of.
+def test_first_limit_by_a_new_leader_is_logged(simulation, caplog):
+    simulation.serving["w1"].base_ms = 95.0
+    simulation.change_leader()
+    with caplog.at_level(logging.INFO, "bluebellyoke.dispatch"):
+        simulation.run(0.2)
+    lines = [x for x in caplog.records if x.message == "dispatch: paces a run"]
+    assert [x.percent for x in lines] == list_paces(simulation)
+
+
 # Guards against a change of leader that takes away the protection of a serving task.
 def test_new_leader_keeps_the_tail_below_its_target():
     simulation = create_simulation(3)
@@ -262,6 +272,33 @@
     assert "bluebellyoke_backfill_unused_core_seconds_total 0." in text
 
 
+def was_limited(simulation, since):
+    name, key = simulation.list_runs(BACKFILL)[0]
+    worker = simulation.dispatcher.workers[name]
+    return simulation.dispatcher._interference._pacer.was_limited(worker, key, since)
+
+
+# Guards against speeds of limited runs that are taken for interference.
+def test_run_counts_as_limited_until_some_time_after_its_limit(simulation):
+    begun_at = simulation.now
+    assert not was_limited(simulation, begun_at)
+    simulation.serving["w1"].effects = {0: 60.0}
+    simulation.run(4.0)
+    assert was_limited(simulation, simulation.now)
+    simulation.serving["w1"].effects = {}
+    simulation.run(30.0)
+    assert was_limited(simulation, begun_at)
+    assert not was_limited(simulation, simulation.now)
+
+
+# Guards against a limit of the earlier leader that the next one does not know of.
+def test_run_that_another_leader_started_counts_as_limited_at_first(simulation):
+    simulation.change_leader()
+    assert was_limited(simulation, simulation.now)
+    simulation.run(8.0)
+    assert not was_limited(simulation, simulation.now)
+
+
 # Guards against a change of behaviour where the setting is off.
 @pytest.mark.parametrize("interference", [False, True])
 def test_runs_are_paced_only_where_the_feature_is_on(interference):
--- a/tests/test_explanation.py
+++ b/tests/test_explanation.py
@@ -253,3 +253,43 @@
     assert explain(ID, logs=[path], json=True) == 0
     assert json.loads(capsys.readouterr().out)["verdict"] == "unfinished"
     assert explain("f" * 16, logs=[path]) == 1
+
+
+# Guards against a choice of a worker that an operator cannot explain.
+def test_task_that_was_kept_apart_is_explained(log):
+    log.accept(1.0)
+    log.add(
+        1.19,
+        "dispatch: kept a task apart",
+        job=ID,
+        task=[0, 0, 0],
+        run=1,
+        worker="w2",
+        image="batch",
+        other="web",
+        avoided="w1",
+        factor=1.8,
+    )
+    log.start(1.2, 1, "w2")
+    log.end(2.0, 1, "w2", "done")
+    log.finish(2.0, "completed")
+    span = log.explain().spans[0]
+    assert "kept apart from image web on w1: 1.8 times as long" in span.description
+
+
+# Guards against a backfill task whose long run time has no visible cause.
+@pytest.mark.parametrize("is_stopped", [False, True])
+def test_run_that_was_paced_is_explained(log, is_stopped):
+    log.accept(1.0)
+    log.start(1.2, 1, "w2")
+    fields = {"job": ID, "task": [0, 0, 0], "run": 1, "worker": "w2", "image": "web"}
+    log.add(2.0, "dispatch: paces a run", percent=0, **fields)
+    log.add(9.0, "dispatch: paces a run", percent=20, **fields)
+    if is_stopped:
+        log.add(9.5, "dispatch: stops a paced run", reason="no effect", **fields)
+    log.end(10.0, 1, "w2", "stopped" if is_stopped else "done")
+    log.finish(10.0, "completed")
+    explanation = log.explain()
+    text = "slowed down to 0 percent beside image web"
+    assert text in explanation.cause
+    assert ("and stopped for it" in explanation.cause) is is_stopped
