Raise paces slowly also beside a serving task that is fairly busy

Cause: between 0.75 and 0.9 of a target nothing changed, so that a run that a short peak had paused stayed paused for as long as the serving task was that busy by itself. Change: in this range one run at a time is raised, 8 s after the latest change. Conclusion: the new test was seen to fail without the change.

--- a/src/bluebellyoke/dispatch/pacing.py
+++ b/src/bluebellyoke/dispatch/pacing.py
@@ -35,7 +35,9 @@
 logger = logging.getLogger("bluebellyoke.dispatch")
 
 #: Tail latency as a share of its target: above `NEAR` runs are slowed down, below
-#: `CALM` one of them at a time is sped up, below `IDLE` all of them.
+#: `CALM` one of them at a time is sped up, below `IDLE` all of them. Between `CALM`
+#: and `NEAR` runs are sped up at the longest interval, since the tail may be due to the
+#: load of the serving task alone.
 NEAR = 0.9
 CALM = 0.75
 IDLE = 0.5
@@ -226,7 +228,7 @@
         elif has_report and now - state.changed_at >= SETTLE_S:
             if state.ratio >= NEAR:
                 self._slow_down(state, worst, now)
-            elif state.ratio < CALM:
+            elif state.ratio < CALM or now - state.changed_at >= MAX_RAISE_INTERVAL_S:
                 self._speed_up(state, worst, now)
         self._send(state, now)
 
--- a/tests/dispatch/test_pacing.py
+++ b/tests/dispatch/test_pacing.py
@@ -86,6 +86,18 @@
     assert max(steps) <= 20
 
 
+# Guards against a harmless run that is paused for ever beside a busy serving task.
+def test_pace_is_raised_beside_a_tail_that_stays_fairly_high(simulation):
+    simulation.serving["w1"].base_ms = 95.0
+    simulation.run(8.0)
+    assert list_paces(simulation) == [0]
+    simulation.serving["w1"].base_ms = 80.0
+    simulation.run(8.0)
+    assert list_paces(simulation)[0] <= 20
+    simulation.run(52.0)
+    assert list_paces(simulation) == [100]
+
+
 # Guards against backfill work that is thrown away: a pace of 0 already ends its effect.
 def test_own_load_of_a_serving_task_stops_at_most_one_run():
     simulation = create_simulation(4)
