Let the stand-in worker pace runs

Cause: the call was tested against prepared responses only. Change: the stand-in of the platform's worker carries out /-/pace, with fencing and ended runs, and a test lets the client pace a run there. Conclusion: the test was seen to fail without the stand-in's handler and without its effect on the run time.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -111,6 +111,7 @@
         self.fencing_token = 0
         self.lease_deadline_ms = 0
         self.running = {}
+        self.paces = {}
         self.ended = []
         self.end_numbers = itertools.count(1)
         self.last_blocked_run = {}
@@ -139,6 +140,7 @@
         handler = {
             "/-/run-start": self._start,
             "/-/run-stop": self._stop,
+            "/-/pace": self._pace,
             "/-/hold": self._hold,
         }[path]
         with self.lock:
@@ -177,6 +179,7 @@
         for key in self.running:
             self.ledger.append((time.time(), "crashed", *key))
         self.running.clear()
+        self.paces.clear()
         self.has_crashed = self.is_closed = True
         self.lock.notify_all()
         self.socket.close()
@@ -190,6 +193,13 @@
             self._end(key, "stopped")
         return 200, {}
 
+    def _pace(self, body):
+        key = (body["Task"], body["RunId"])
+        if key not in self.running:
+            return 409, {"Reason": "old"}
+        self.paces[key] = body["Percent"]
+        return 200, {}
+
     def _hold(self, body):
         if "DeadlineMs" in body:
             self._extend_lease(body["DeadlineMs"])
@@ -205,6 +215,7 @@
 
     def _end(self, key, outcome):
         del self.running[key]
+        self.paces.pop(key, None)
         self.last_blocked_run[key[0]] = max(
             self.last_blocked_run.get(key[0], 0), key[1]
         )
@@ -213,9 +224,14 @@
         self.lock.notify_all()
 
     def _run_tasks(self):
+        ticked_at = time.monotonic()
         while not self.is_closed:
             time.sleep(TICK_S)
             with self.lock:
+                elapsed_s = time.monotonic() - ticked_at
+                ticked_at += elapsed_s
+                for key, percent in self.paces.items():
+                    self.running[key] += elapsed_s * (1 - percent / 100)
                 has_lapsed = self.read_clock_ms() > self.lease_deadline_ms
                 for key, end_at in list(self.running.items()):
                     if has_lapsed:
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -1,5 +1,6 @@
 """Calls to workers and the advisor, against a server with prepared responses."""
 
+import dataclasses
 import json
 import socket
 
@@ -21,6 +22,7 @@
 from bluebellyoke.errors import BluebellyokeError
 from bluebellyoke.platform.clients import PlatformAdvisor, PlatformWorkerClient
 from bluebellyoke.workflow.commands import TaskName
+from standins.platform import CalledWorker
 from tests.workflow.factories import create_worker
 
 TASK = TaskName("5c0e7a21d94b36f8", 0, 1, 17)
@@ -258,6 +260,40 @@
         pace_once(response)
 
 
+@pytest.fixture
+def called_worker():
+    worker = CalledWorker("i-1", control_addresses=["127.0.0.1:1"], run_s=0.2)
+    yield worker
+    worker.close()
+
+
+async def pace(client, worker, percent, fence=7):
+    request = PaceRequest(task=TASK, run=2, percent=percent, fence=fence)
+    return await client.pace(worker, request)
+
+
+# Guards against a client and a worker that each follow the interface in their own way.
+def test_worker_paces_a_run_until_it_ends(called_worker):
+    worker = create_worker("i-1", address=called_worker.address)
+
+    async def run():
+        client = PlatformWorkerClient()
+        request = dataclasses.replace(START, deadline_ms=6000, ticket="ticket-i-1")
+        assert await client.start(worker, request) is StartResult.STARTED
+        assert await pace(client, worker, 0) is PaceResult.PACED
+        assert await pace(client, worker, 50, fence=6) is PaceResult.FENCED
+        await anyio.sleep(0.6)
+        assert called_worker.running
+        assert await pace(client, worker, 100) is PaceResult.PACED
+        with anyio.fail_after(WAIT_S):
+            while called_worker.running:
+                await anyio.sleep(0.02)
+        assert await pace(client, worker, 0) is PaceResult.OUTDATED
+        await client.close()
+
+    anyio.run(run)
+
+
 def ask_once(response):
     async def body(server, address):
         advisor = PlatformAdvisor(address)
