--- a/src/bluebellyoke/dispatch/features.py
+++ b/src/bluebellyoke/dispatch/features.py
@@ -12,7 +12,8 @@
     Attributes:
         admission: Refuse jobs that cannot end in time while room is short.
         uneven_workers: Learn run times and the speed of workers, and place by them.
-        interference: Learn which tasks slow each other down, and keep them apart.
+        interference: Learn which tasks slow each other down, keep them apart, and slow
+            down backfill tasks beside serving tasks that near their targets.
     """
 
     admission: bool = False
