--- a/src/bluebellyoke/dispatch/context.py
+++ b/src/bluebellyoke/dispatch/context.py
@@ -65,7 +65,7 @@
 
     def find_need(self, key: RunKey) -> Resources:
         """Return the resources that a run takes up; a backfill run takes up none."""
-        step = self._find_step(key)
+        step = self.find_step(key)
         return Resources() if step.backfill else step.need
 
     def find_probation(self, key: RunKey) -> float:
@@ -79,7 +79,7 @@
         It is unknown for a run that resumes from a checkpoint.
         """
         task = self.store.workflows[key[0].workflow].find_task(key[0])
-        return 0.0 if task.checkpoint else self._find_step(key).estimate_ms / 1000
+        return 0.0 if task.checkpoint else self.find_step(key).estimate_ms / 1000
 
     def find_queue(self, name: str) -> QueueSpec | None:
         """Return a queue of the current configuration, or None."""
@@ -99,6 +99,7 @@
         step = workflow.spec.steps[name.step]
         return workflow.spec.queue, step, not task.checkpoint
 
-    def _find_step(self, key: RunKey) -> StepSpec:
+    def find_step(self, key: RunKey) -> StepSpec:
+        """Return the step of a run whose workflow is known."""
         name = key[0]
         return self.store.workflows[name.workflow].spec.steps[name.step]
--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -20,6 +20,7 @@
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.expected_end import ExpectedEndCost
 from bluebellyoke.dispatch.features import DispatchFeatures
+from bluebellyoke.dispatch.interference_control import InterferenceControl
 from bluebellyoke.dispatch.ordering import StepOrder
 from bluebellyoke.dispatch.planning_round import WaitReason
 from bluebellyoke.dispatch.polls import WorkerPoller
@@ -95,6 +96,11 @@
         if context.features.uneven_workers:
             self._mover = _add_uneven_workers(context, self._stopper)
         self._recorder = RunEndRecorder(context, self._stopper)
+        self._interference = None
+        if context.features.interference:
+            self._interference = InterferenceControl(
+                context, stopper=self._stopper, prober=prober
+            )
         self._registry = WorkerRegistry(context, self._stopper, self._recorder)
         self._admission: AdmissionControl | None = None
         orders: list[StepOrder] = []
@@ -189,6 +195,8 @@
         self._context.metrics.record_tick_interval(now - self._ticked_at)
         self._ticked_at = self._context.now = now
         self._poll_workers(now, wall_time)
+        if self._interference is not None:
+            self._interference.tick(now)
         if now >= self._cleanup_due:
             self._cleanup_due = now + CLEANUP_INTERVAL_S
             self._drop_old_records(wall_time)
@@ -241,6 +249,8 @@
             self._starter.receive(worker, event, now, wall_time)
         elif isinstance(event, events.StopFinished):
             self._stopper.receive(worker, event, now)
+        elif self._interference is not None:
+            self._interference.receive(worker, event, now)
 
     # Workers' announcements.
 
--- a/src/bluebellyoke/explanation.py
+++ b/src/bluebellyoke/explanation.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from bluebellyoke.interference_explanation import describe_interference
 from bluebellyoke.log_lines import LogLine
 
 __all__ = ["Explanation", "Span", "Verdict", "explain_request"]
@@ -185,6 +186,7 @@
             _describe_quota_wait(request_lines, before, after)
             or _describe_wait(before, after)
         ) + _describe_events(events, after.fields.get("worker"))
+        description += describe_interference(after, request_lines)
         spans.append(Span(duration_s, description, after))
     return tuple(spans)
 
--- a/src/bluebellyoke/metrics.py
+++ b/src/bluebellyoke/metrics.py
@@ -32,6 +32,8 @@
         self._workspaces: Mapping[str, WorkspaceFigures] = {}
         self._refused: Counter[tuple[str, str]] = Counter()
         self._refused_names: set[str] = set()
+        self._totals: Counter[str] = Counter()
+        self._gauges: dict[str, float] = {}
 
     def record_request_wait(self, seconds: float) -> None:
         """Record the time from a request's arrival to its dispatch to an upstream."""
@@ -138,6 +140,22 @@
             if name == workspace
         }
 
+    def record_task_kept_apart(self) -> None:
+        """Count a start that avoids a worker because of a known interference."""
+        self._totals["tasks_kept_apart_total"] += 1
+
+    def set_interfering_pairs(self, count: int) -> None:
+        """Set the number of pairs of images that are known to slow each other down."""
+        self._gauges["interfering_pairs"] = count
+
+    def set_paced_runs(self, count: int) -> None:
+        """Set the number of backfill runs that are slowed down at present."""
+        self._gauges["paced_runs"] = count
+
+    def record_unused_backfill(self, core_seconds: float) -> None:
+        """Add processor time that backfill runs could not use while slowed down."""
+        self._totals["backfill_unused_core_seconds_total"] += core_seconds
+
     def _record(self, name: str, seconds: float) -> None:
         histogram = self._histograms.get(name)
         if histogram is None:
@@ -161,6 +179,10 @@
         for (name, label), count in sorted(self._counters.items()):
             lines.append(f'bluebellyoke_{name}{{outcome="{label}"}} {count}')
         lines += self._render_workspaces()
+        for name, total in sorted(self._totals.items()):
+            lines.append(f"bluebellyoke_{name} {total:.10g}")
+        for name, value in sorted(self._gauges.items()):
+            lines.append(f"bluebellyoke_{name} {value:g}")
         return "\n".join(lines) + "\n"
 
     def _render_workspaces(self) -> list[str]:
--- a/src/bluebellyoke/platform/settings.py
+++ b/src/bluebellyoke/platform/settings.py
@@ -49,6 +49,9 @@
 #: Contract of deployments in which jobs compete for capacity.
 PRESSURE_CONTRACT = "pressure"
 
+#: Contract of deployments whose long-running tasks share workers with backfill tasks.
+SHARING_CONTRACT = "sharing"
+
 Endpoint = Annotated[str, pydantic.Field(pattern=r"^[0-9.]+:[0-9]+$")]
 
 
@@ -166,6 +169,7 @@
             admission=PRESSURE_CONTRACT in platform_settings.Contracts,
             # It has no effect until workers report different speeds.
             uneven_workers=True,
+            interference=SHARING_CONTRACT in platform_settings.Contracts,
         ),
     )
 
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -8,12 +8,15 @@
 import dataclasses
 from dataclasses import dataclass, field
 
+from bluebellyoke.cell.resources import Resources
 from bluebellyoke.dispatch import events
 from bluebellyoke.dispatch.dispatcher import Dispatcher
 from bluebellyoke.dispatch.ports import (
     EndedRun,
     NoAnswerError,
     OtherLifeError,
+    PaceRequest,
+    PaceResult,
     PollRequest,
     RunningRun,
     StartRequest,
@@ -32,6 +35,12 @@
 
 CALL_DELAY_S = 1e-6
 
+EVENTS = {
+    "start": events.StartFinished,
+    "stop": events.StopFinished,
+    "pace": events.PaceFinished,
+}
+
 
 @dataclass
 class SentCall:
@@ -43,7 +52,7 @@
 
     kind: str
     spec: WorkerSpec
-    request: StartRequest | StopRequest | PollRequest
+    request: StartRequest | StopRequest | PaceRequest | PollRequest
     term: int
     sent_at: float
     is_finished: bool = False
@@ -73,6 +82,8 @@
     expired_end: int = 0
     blocked: dict = field(default_factory=dict)
     percents: dict = field(default_factory=dict)
+    loads: dict = field(default_factory=dict)
+    paces: dict = field(default_factory=dict)
 
     def advance(self, seconds):
         self.clock_ms += seconds * 1000 * self.clock_rate
@@ -110,6 +121,9 @@
     def poll(self, spec, request):
         self._add("poll", spec, request)
 
+    def pace(self, spec, request):
+        self._add("pace", spec, request)
+
     def _add(self, kind, spec, request):
         # A call is sent shortly after the tick or event that causes it.
         sent = SentCall(
@@ -128,7 +142,9 @@
 
     features = None
 
-    def __init__(self, workers=3):
+    def __init__(self, workers=3, features=None):
+        if features is not None:
+            self.features = features
         self.now = 1000.0
         self.store = create_store(workers=0)
         self.sent_calls = []
@@ -215,6 +231,7 @@
         handler = {
             "start": self.handle_start,
             "stop": self.handle_stop,
+            "pace": self.handle_pace,
             "poll": self.handle_poll,
         }
         self.finish_call(sent, **handler[sent.kind](worker, sent.request))
@@ -252,8 +269,9 @@
             )
         else:
             key = (sent.request.task, sent.request.run)
-            kind = events.StartFinished if sent.kind == "start" else events.StopFinished
-            event = kind(**base, key=key, **fields)
+            if sent.kind == "pace":
+                base["percent"] = sent.request.percent
+            event = EVENTS[sent.kind](**base, key=key, **fields)
         self.events.append(event)
 
     def receive(self, event):
@@ -290,6 +308,16 @@
             worker.end(key, workflow_commands.RunOutcome.STOPPED)
         return {"accepted": True}
 
+    def handle_pace(self, worker, request):
+        if request.fence < worker.fence:
+            return {"result": PaceResult.FENCED}
+        worker.fence = request.fence
+        key = (request.task, request.run)
+        if key not in worker.runs:
+            return {"result": PaceResult.OUTDATED}
+        worker.paces[key] = request.percent
+        return {"result": PaceResult.PACED}
+
     def handle_poll(self, worker, request):
         if request.fence < worker.fence:
             return {"report": None}
@@ -297,13 +325,23 @@
         if request.deadline_ms is not None:
             worker.extend(request.deadline_ms)
         for end in worker.ended:
-            is_done = end.outcome is workflow_commands.RunOutcome.DONE
+            # A long-running task is started again until its workflow is cancelled.
+            is_done = (
+                end.outcome is workflow_commands.RunOutcome.DONE
+                and not self.find_step(end.task).long_running
+            )
             if worker.expired_end < end.number <= request.acknowledged_end and is_done:
                 self.acknowledged.add(end.task)
         worker.acknowledged_end = max(worker.acknowledged_end, request.acknowledged_end)
         worker.ended = [x for x in worker.ended if x.number > worker.acknowledged_end]
         running = tuple(
-            RunningRun(task, run, "", worker.percents.get((task, run), 0))
+            RunningRun(
+                task,
+                run,
+                "",
+                worker.percents.get((task, run), 0),
+                worker.loads.get((task, run), 0),
+            )
             for task, run in worker.runs
         )
         report = StatusReport(
@@ -311,8 +349,12 @@
         )
         return {"report": report}
 
+    def find_step(self, task):
+        return self.store.workflows[task.workflow].spec.steps[task.step]
+
     def find_need(self, task):
-        return self.store.workflows[task.workflow].spec.steps[task.step].need
+        step = self.find_step(task)
+        return Resources() if step.backfill else step.need
 
     def crash(self, name):
         """Restart a worker as a new incarnation without runs."""
--- a/tests/dispatch/test_preemption.py
+++ b/tests/dispatch/test_preemption.py
@@ -144,11 +144,11 @@
 # Guards against stops for a workspace that may not use the room.
 @pytest.mark.parametrize(("cpu", "may_stop"), [(4000, False), (60_000, True)])
 def test_nothing_is_stopped_for_a_workspace_without_quota(simulation, cpu, may_stop):
+    fill(simulation)
     quota = Resources(cpu, 0, 0)
     simulation.configure(
         (WorkspaceSpec(name="a", credentials=("a",), share=9.0, quota=quota),)
     )
-    fill(simulation)
     submit_short(simulation, workspace="a")
     simulation.run(2.0)
     assert (count_stops(simulation) > 0) is may_stop
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -1,5 +1,6 @@
 """Calls to workers and the advisor, against a server with prepared responses."""
 
+import dataclasses
 import json
 import socket
 
@@ -11,6 +12,8 @@
     NoAnswerError,
     NotReachedError,
     OtherLifeError,
+    PaceRequest,
+    PaceResult,
     PollRequest,
     StartRequest,
     StartResult,
@@ -19,6 +22,7 @@
 from bluebellyoke.errors import BluebellyokeError
 from bluebellyoke.platform.clients import PlatformAdvisor, PlatformWorkerClient
 from bluebellyoke.workflow.commands import TaskName
+from standins.platform import CalledWorker
 from tests.workflow.factories import create_worker
 
 TASK = TaskName("5c0e7a21d94b36f8", 0, 1, 17)
@@ -207,6 +211,89 @@
     assert server.connections == 1
 
 
+def pace_once(response):
+    async def body(server, address):
+        client = PlatformWorkerClient()
+        worker = create_worker("i-1", address=address)
+        request = PaceRequest(task=TASK, run=2, percent=40, fence=7)
+        try:
+            return server, await client.pace(worker, request)
+        finally:
+            await client.close()
+
+    return run_against([response], body)
+
+
+# Guards against a worker that does not find the run or the token in the request.
+def test_request_to_pace_a_run_has_all_fields():
+    server, _ = pace_once((200, {}))
+    head, value = server.requests[0]
+    assert head.startswith("POST /-/pace ")
+    assert "Expected-Instance: i-1" in head
+    assert value == {
+        "Task": "5c0e7a21d94b36f8.0.1.17",
+        "RunId": 2,
+        "Percent": 40,
+        "FencingToken": 7,
+    }
+
+
+@pytest.mark.parametrize(
+    ("response", "expected"),
+    [
+        ((200, {}), PaceResult.PACED),
+        ((409, {"Reason": "fence"}), PaceResult.FENCED),
+        ((409, {"Reason": "old"}), PaceResult.OUTDATED),
+    ],
+)
+def test_responses_to_a_pace_request_are_translated(response, expected):
+    assert pace_once(response)[1] is expected
+
+
+# Guards against a run that counts as paced although the worker did not say so.
+@pytest.mark.parametrize(
+    "response",
+    [(status, {}) for status in (202, 400, 404, 503)] + [(409, {"Reason": "room"})],
+)
+def test_undocumented_response_to_a_pace_request_raises_an_error(response):
+    with pytest.raises(NoAnswerError):
+        pace_once(response)
+
+
+@pytest.fixture
+def called_worker():
+    worker = CalledWorker("i-1", control_addresses=["127.0.0.1:1"], run_s=0.2)
+    yield worker
+    worker.close()
+
+
+async def pace(client, worker, percent, fence=7):
+    request = PaceRequest(task=TASK, run=2, percent=percent, fence=fence)
+    return await client.pace(worker, request)
+
+
+# Guards against a client and a worker that each follow the interface in their own way.
+def test_worker_paces_a_run_until_it_ends(called_worker):
+    worker = create_worker("i-1", address=called_worker.address)
+
+    async def run():
+        client = PlatformWorkerClient()
+        request = dataclasses.replace(START, deadline_ms=6000, ticket="ticket-i-1")
+        assert await client.start(worker, request) is StartResult.STARTED
+        assert await pace(client, worker, 0) is PaceResult.PACED
+        assert await pace(client, worker, 50, fence=6) is PaceResult.FENCED
+        await anyio.sleep(0.6)
+        assert called_worker.running
+        assert await pace(client, worker, 100) is PaceResult.PACED
+        with anyio.fail_after(WAIT_S):
+            while called_worker.running:
+                await anyio.sleep(0.02)
+        assert await pace(client, worker, 0) is PaceResult.OUTDATED
+        await client.close()
+
+    anyio.run(run)
+
+
 def ask_once(response):
     async def body(server, address):
         advisor = PlatformAdvisor(address)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -108,3 +108,13 @@
     text = TEXT.replace("NewField = 7", line)
     settings = translate_settings(read_settings(write(tmp_path, text)))
     assert settings.dispatch.admission is expected
+
+
+# Guards against long-running tasks that miss their targets since nothing is paced.
+@pytest.mark.parametrize(
+    ("line", "expected"), [("", False), ('Contracts = ["base", "sharing"]', True)]
+)
+def test_pacing_is_in_use_where_tasks_share_workers(tmp_path, line, expected):
+    text = TEXT.replace("NewField = 7", line)
+    settings = translate_settings(read_settings(write(tmp_path, text)))
+    assert settings.dispatch.interference is expected
