Keep quota for a waiting gang from the steps behind it

Cause: smaller tasks of the same workspace took up what each ended run gave back, so a gang at the quota could wait forever. Change: the first gang of a workspace that waits for quota keeps it. Steps behind it start while less than half of the quota is in use, which the bounded wait needs, and short tasks start at all times. A gang that exceeds the quota alone keeps none. Conclusion: gangs of up to half a quota start once the runs before them have ended.

--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -122,6 +122,7 @@
             # advisor, and leaves the places at the head to others.
             if not planning.quotas.allows(step):
                 planning.wait_reasons[step.key] = WaitReason.QUOTA
+                planning.quotas.keep(step)
                 continue
             is_head = head_steps < RENEWED_STEPS and _can_ever_fit(step.spec, planning)
             head_steps += is_head
--- a/src/bluebellyoke/dispatch/planning_round.py
+++ b/src/bluebellyoke/dispatch/planning_round.py
@@ -18,9 +18,6 @@
 #: Time without a response after which a worker gets no new task, in seconds.
 MAX_WORKER_SILENCE_S = 2.5
 
-#: Estimated duration below which a task may use a reserved worker, in milliseconds.
-SHORT_TASK_MS = 900.0
-
 
 class WaitReason(enum.Enum):
     """What a waiting step lacked in a round.
@@ -146,7 +143,6 @@
         self, step: WaitingStep, workers: Sequence[TrackedWorker]
     ) -> list[Candidate]:
         """Return what some workers have free for a step and what they would cost it."""
-        is_short = 0 < step.spec.estimate_ms < SHORT_TASK_MS
         queue = step.queue.name if step.queue is not None else ""
         candidates = []
         for worker in workers:
@@ -157,7 +153,7 @@
                 candidate.step_runs = _count_step_runs(worker, step.key)
             if self.costs:
                 candidate.cost = sum_costs(self.costs, step.spec, queue, worker)
-            if is_short or worker.spec.id not in self.reserved:
+            if step.is_short or worker.spec.id not in self.reserved:
                 candidates.append(candidate)
         return candidates
 
--- a/src/bluebellyoke/dispatch/quotas.py
+++ b/src/bluebellyoke/dispatch/quotas.py
@@ -1,7 +1,7 @@
 """What the workspaces may still start in a round of planning."""
 
 from bluebellyoke.cell.resources import Resources
-from bluebellyoke.cell.sharing import count_within_quota
+from bluebellyoke.cell.sharing import count_within_quota, is_within_quota
 from bluebellyoke.dispatch.waiting import WaitingStep
 from bluebellyoke.workflow.quotas import has_quota_for
 from bluebellyoke.workflow.specs import WorkspaceSpec
@@ -27,6 +27,7 @@
     def __init__(self, store: WorkflowStore) -> None:
         self._store = store
         self._used: dict[str, Resources] = {}
+        self._kept: dict[str, Resources] = {}
 
     @property
     def store(self) -> WorkflowStore:
@@ -38,7 +39,10 @@
         workspace = self._find_limits(step)
         if workspace is None:
             return True
-        return has_quota_for(workspace, self.get_used(workspace.name), step.spec)
+        spec = step.spec
+        count = spec.count if spec.gang else 1
+        used, quota = self.get_used(workspace.name), self._find_quota(workspace, step)
+        return is_within_quota(used, quota, spec.need, count)
 
     def count_startable(self, step: WaitingStep) -> int:
         """Return how many of a step's waiting tasks may start."""
@@ -46,8 +50,30 @@
         workspace = self._find_limits(step)
         if workspace is None:
             return count
-        used = self.get_used(workspace.name)
-        return count_within_quota(used, workspace.quota, step.spec.need, count)
+        used, quota = self.get_used(workspace.name), self._find_quota(workspace, step)
+        return count_within_quota(used, quota, step.spec.need, count)
+
+    def keep(self, step: WaitingStep) -> None:
+        """Keep quota for a gang that waits for it from the steps behind it.
+
+        Else smaller tasks behind it would take up what each ended run gives back. They
+        start nevertheless while less than half of the quota is in use, and short tasks
+        may use all of it. Only the first gang of a workspace keeps quota.
+        """
+        workspace = self._find_limits(step)
+        if workspace is None or not step.spec.gang or workspace.name in self._kept:
+            return
+        if has_quota_for(workspace, Resources(), step.spec):
+            self._kept[workspace.name] = step.spec.need * step.spec.count
+
+    def _find_quota(self, workspace: WorkspaceSpec, step: WaitingStep) -> Resources:
+        """Return the quota that a step may use."""
+        kept = self._kept.get(workspace.name)
+        if kept is None or step.is_short:
+            return workspace.quota
+        spec = step.spec
+        need = spec.need * spec.count if spec.gang else spec.need
+        return _reduce(workspace.quota, kept, need)
 
     def take(self, step: WaitingStep) -> None:
         """Take up the resources of one planned task."""
@@ -70,3 +96,21 @@
         if workspace is None or workspace.quota == UNLIMITED:
             return None
         return workspace
+
+
+def _reduce(quota: Resources, kept: Resources, need: Resources) -> Resources:
+    """Return a quota less an amount, at least half of it and one more start.
+
+    0 stays without a limit.
+    """
+    return Resources(
+        _reduce_amount(quota.cpu_millis, kept.cpu_millis, need.cpu_millis),
+        _reduce_amount(quota.memory_mb, kept.memory_mb, need.memory_mb),
+        _reduce_amount(quota.accelerators, kept.accelerators, need.accelerators),
+    )
+
+
+def _reduce_amount(bound: int, kept: int, need: int) -> int:
+    if not bound:
+        return 0
+    return min(max(bound - kept, (bound - 1) // 2 + need, 1), bound)
--- a/src/bluebellyoke/dispatch/waiting.py
+++ b/src/bluebellyoke/dispatch/waiting.py
@@ -18,7 +18,11 @@
     Workflow,
 )
 
-__all__ = ["NextStep", "Suspect", "WaitingStep", "WaitingSteps"]
+__all__ = ["SHORT_TASK_MS", "NextStep", "Suspect", "WaitingStep", "WaitingSteps"]
+
+#: Estimated duration below which a task may use a reserved worker, or quota that is
+#: kept for a gang, in milliseconds.
+SHORT_TASK_MS = 900.0
 
 
 @dataclass(slots=True)
@@ -37,6 +41,11 @@
     indexes: list[int]
     rank: tuple
 
+    @property
+    def is_short(self) -> bool:
+        """Whether the tasks are known to end soon."""
+        return 0 < self.spec.estimate_ms < SHORT_TASK_MS
+
     @property
     def tasks(self) -> list[TaskProgress]:
         """All tasks of the step, by index."""
--- a/src/bluebellyoke/dispatch/waits.py
+++ b/src/bluebellyoke/dispatch/waits.py
@@ -28,7 +28,7 @@
     WaitReason.NO_TICKET: "the ticket for a worker with room has expired",
     WaitReason.SUSPECT: "it may crash its worker and needs one of its own",
     WaitReason.REFUSED: "a worker has just refused it as malformed",
-    WaitReason.QUOTA: "the quota of its workspace is used up",
+    WaitReason.QUOTA: "the quota of its workspace is used up or kept for a gang",
 }
 
 
--- a/tests/dispatch/test_quotas.py
+++ b/tests/dispatch/test_quotas.py
@@ -200,3 +200,40 @@
     if code != "ok":
         assert result.code == code
         assert "3000 mCPU" in result.reason
+
+
+# Guards against a gang that waits forever, since smaller tasks behind it take up what
+# each ended run gives back.
+def test_tasks_behind_a_gang_leave_it_quota():
+    cell = QuotaCell({"a": 6000})
+    cell.submit([create_step(6)], workspace="a")
+    cell.plan_and_start()
+    gang = cell.submit([create_step(3, gang=True)], workspace="a")
+    cell.submit([create_step(20)], workspace="a")
+    for _ in range(2):
+        cell.end_runs(1)
+        assert cell.plan_and_start() == ()
+    cell.end_runs(1)
+    assert list_jobs(cell.plan_and_start()) == [gang] * 3
+
+
+# Guards against tasks that wait for a gang although less than half of the quota is in
+# use, and against short ones that wait at all.
+def test_tasks_start_behind_a_gang_while_half_of_the_quota_is_free():
+    cell = QuotaCell({"a": 6000})
+    cell.submit([create_step(1, cpu=1500)], workspace="a")
+    cell.plan_and_start()
+    cell.submit([create_step(5, gang=True)], workspace="a")
+    later = cell.submit([create_step(3, cpu=1200)], workspace="a")
+    assert list_jobs(cell.plan_and_start()) == [later] * 2
+    short = cell.submit([create_step(3, estimate_ms=600.0)], workspace="a")
+    assert list_jobs(cell.plan_and_start()) == [short] * 2
+
+
+# Guards against quota that is kept for a gang that exceeds it alone.
+def test_gang_that_never_fits_keeps_no_quota():
+    cell = QuotaCell({"a": 6000})
+    cell.submit([create_step(5, gang=True)], workspace="a")
+    cell.configure({"a": 4000})
+    later = cell.submit([create_step(4)], workspace="a")
+    assert list_jobs(cell.plan_and_start()) == [later] * 4
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -969,6 +969,27 @@
         "            elif False:\n",
         "tests/dispatch/test_hot_workspace.py",
     ),
+    Case(
+        "quota: a gang keeps quota from the tasks behind it",
+        "dispatch/planner.py",
+        "                planning.quotas.keep(step)\n",
+        "",
+        "tests/dispatch/test_quotas.py",
+    ),
+    Case(
+        "quota: a gang keeps no quota from tasks while half of it is free",
+        "dispatch/quotas.py",
+        "max(bound - kept, (bound - 1) // 2 + need, 1)",
+        "max(bound - kept, 1)",
+        "tests/dispatch/test_quotas.py",
+    ),
+    Case(
+        "quota: a gang that never fits keeps none",
+        "dispatch/quotas.py",
+        "        if has_quota_for(workspace, Resources(), step.spec):\n",
+        "        if True:\n",
+        "tests/dispatch/test_quotas.py",
+    ),
 ]
 
 
