--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -128,11 +128,13 @@
             # advisor, and leaves the places at the head to others.
             if not planning.quotas.allows(step):
                 planning.wait_reasons[step.key] = WaitReason.QUOTA
+                planning.quotas.keep(step)
                 continue
             is_head = head_steps < RENEWED_STEPS and _can_ever_fit(step.spec, planning)
             head_steps += is_head
             self._plan_step(store, step, planning, is_head)
         self._prefetch_advice(store, planning)
+        planning.drop_reasons_of_started_steps()
         self.wait_reasons = planning.wait_reasons
         return planning.starts
 
@@ -172,7 +174,8 @@
             self._tickets.renew(step, advice, pool, planning)
         workers = planning.list_allowed(pool, label, advice)
         if self._place(step, workers, planning, advice):
-            self._tickets.withdraw(step.key)
+            if not step.is_part:
+                self._tickets.withdraw(step.key)
         else:
             self._tickets.request_missing(step, pool, planning)
 
--- a/src/bluebellyoke/dispatch/planning_round.py
+++ b/src/bluebellyoke/dispatch/planning_round.py
@@ -18,9 +18,6 @@
 #: Time without a response after which a worker gets no new task, in seconds.
 MAX_WORKER_SILENCE_S = 2.5
 
-#: Estimated duration below which a task may use a reserved worker, in milliseconds.
-SHORT_TASK_MS = 900.0
-
 
 class WaitReason(enum.Enum):
     """What a waiting step lacked in a round.
@@ -148,8 +145,7 @@
         self, step: WaitingStep, workers: Sequence[TrackedWorker]
     ) -> list[Candidate]:
         """Return what some workers have free for a step and what they would cost it."""
-        is_short = 0 < step.spec.estimate_ms < SHORT_TASK_MS
-        excluded = () if is_short else self.reserved
+        excluded = () if step.is_short else self.reserved
         isolated, known = self.isolated, self._candidates
         costs = self._find_costs(step)
         candidates = []
@@ -185,6 +181,12 @@
         self.quotas.take(step)
         self.starts.append(PlannedStart(start, ticket))
 
+    def drop_reasons_of_started_steps(self) -> None:
+        """Drop the wait reasons of steps of which an order has put a part first."""
+        for item in self.starts:
+            name = item.start.task
+            self.wait_reasons.pop((name.workflow, name.repetition, name.step), None)
+
     def get_max_free(self) -> Resources:
         """Return the most of each resource that any worker has free.
 
--- a/src/bluebellyoke/dispatch/waiting.py
+++ b/src/bluebellyoke/dispatch/waiting.py
@@ -18,7 +18,11 @@
     Workflow,
 )
 
-__all__ = ["NextStep", "Suspect", "WaitingStep", "WaitingSteps"]
+__all__ = ["SHORT_TASK_MS", "NextStep", "Suspect", "WaitingStep", "WaitingSteps"]
+
+#: Estimated duration below which a task may use a reserved worker, or quota that is
+#: kept for a gang, in milliseconds.
+SHORT_TASK_MS = 900.0
 
 
 @dataclass(slots=True)
@@ -28,6 +32,8 @@
     Attributes:
         indexes: Indexes of the waiting tasks.
         rank: Sort key; steps with a lower rank are planned first.
+        is_part: Whether an order has divided the step, and these are not its last
+            waiting tasks.
     """
 
     workflow: Workflow
@@ -36,6 +42,12 @@
     spec: StepSpec
     indexes: list[int]
     rank: tuple
+    is_part: bool = False
+
+    @property
+    def is_short(self) -> bool:
+        """Whether the tasks are known to end soon."""
+        return 0 < self.spec.estimate_ms < SHORT_TASK_MS
 
     @property
     def tasks(self) -> list[TaskProgress]:
