Compare the free cores with waiting jobs of equal or higher rank only

Cause: gangs that wait for room made short jobs count as without room, though these are planned first; returned jobs were refused while room was free. Change: waiting cores are counted by priority.

--- a/src/bluebellyoke/dispatch/pool_forecast.py
+++ b/src/bluebellyoke/dispatch/pool_forecast.py
@@ -43,7 +43,8 @@
         punctual: Waiting work of jobs that can still be on time, by priority, in
             core-seconds.
         late: Waiting work of jobs that are late but useful, by priority.
-        waiting_cores: Cores that the first steps of the waiting jobs take up.
+        waiting_cores: Cores that the first steps of the waiting jobs take up, by
+            priority.
     """
 
     capacity: float = 0.0
@@ -55,7 +56,7 @@
     stopped_cores: list[float] = field(default_factory=list)
     punctual: dict[int, float] = field(default_factory=lambda: defaultdict(float))
     late: dict[int, float] = field(default_factory=lambda: defaultdict(float))
-    waiting_cores: float = 0.0
+    waiting_cores: dict[int, float] = field(default_factory=lambda: defaultdict(float))
 
     def set_releases(self, slots: dict[int, float]) -> None:
         """Set the cores that running tasks release, by the number of a time slot."""
--- a/src/bluebellyoke/dispatch/prediction.py
+++ b/src/bluebellyoke/dispatch/prediction.py
@@ -155,7 +155,7 @@
         return pool.count_cores(elapsed_s + seconds) - pool.count_cores(elapsed_s)
 
     def has_room(self, queue: QueueSpec, shape: JobShape, *, reserve: bool) -> bool:
-        """Return whether a job would start at once without taking room from others.
+        """Return whether there is room for a job and those of equal or higher rank.
 
         Args:
             reserve: Whether the reserve for the highest priority must stay free.
@@ -164,7 +164,12 @@
         if pool is None:
             return True
         kept = RESERVED_FRACTION * pool.capacity if reserve else 0.0
-        return pool.free - pool.waiting_cores - kept >= shape.width
+        waiting = sum(
+            cores
+            for priority, cores in pool.waiting_cores.items()
+            if priority <= queue.priority
+        )
+        return pool.free - waiting - kept >= shape.width
 
     def add_job(
         self, spec: WorkflowSpec, queue: QueueSpec, shape: JobShape, now: float
@@ -174,7 +179,7 @@
         pool = self.get_pool(queue.pool)
         if pool is not None:
             pool.punctual[queue.priority] += work
-            pool.waiting_cores += shape.width
+            pool.waiting_cores[queue.priority] += shape.width
         self._shapes[spec.id] = shape
         self._decay_load(now)
         key = (queue.pool, queue.priority)
@@ -311,7 +316,8 @@
     ) -> None:
         """Add waiting work to its group; work without use comes after all others."""
         pool = self._pools[self._context.store.find_pool(workflow)]
-        pool.waiting_cores += shape.width * _compute_unplaced(workflow)
+        unplaced = _compute_unplaced(workflow)
+        pool.waiting_cores[queue.priority] += shape.width * unplaced
         own_s = 0.0 if workflow.has_started else shape.chain_s
         if age_s + own_s <= shape.objective_s:
             pool.punctual[queue.priority] += work
