--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -122,11 +122,13 @@
     """A store, the leader's dispatcher, workers, and calls and events in flight.
 
     Attributes:
+        features: Optional parts of the dispatcher that are in use.
         acknowledged: Tasks whose done run has been acknowledged to its worker.
     """
 
-    def __init__(self, workers=3):
+    def __init__(self, workers=3, features=None):
         self.now = 1000.0
+        self.features = features
         self.store = create_store(workers=0)
         self.sent_calls = []
         self.events = []
@@ -155,6 +157,7 @@
             proposals=self.proposals,
             calls=self.calls,
             times=LeaseTimes(lease_s=5.0, max_lease_s=MAX_LEASE_MS / 1000),
+            features=self.features,
         )
         self.dispatcher.activate(self.store, self.term, self.now)
 
--- a/tests/dispatch/test_dispatcher_random.py
+++ b/tests/dispatch/test_dispatcher_random.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from bluebellyoke.dispatch.features import DispatchFeatures
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.dispatch.simulation import DispatcherSimulation
 from tests.workflow.factories import create_spec, create_step
@@ -135,3 +136,68 @@
 @pytest.mark.parametrize("seed", range(60))
 def test_late_reports_cause_no_second_run(seed):
     LateResponseScenario(seed).run()
+
+
+UNEVEN_STEPS = (
+    [create_step(1, cpu=1000, estimate_ms=2000, checkpoints=True)],
+    [create_step(4, cpu=700, estimate_ms=4000, checkpoints=True)],
+    [create_step(3, cpu=700, gang=True, estimate_ms=4000, checkpoints=True)],
+)
+
+
+class UnevenScenario(RandomScenario):
+    """A scenario in which workers make progress and slow down at times.
+
+    Attributes:
+        moves: Number of runs that the leaders have moved.
+    """
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        features = DispatchFeatures(uneven_workers=True)
+        self.simulation = DispatcherSimulation(features=features)
+        self.rates = {}
+        self.progress = {}
+        self.moves = 0
+
+    def inject_event(self):
+        simulation, chance = self.simulation, self.random.random()
+        name = self.random.choice(sorted(simulation.workers))
+        if chance < 0.06 and self.job_count < 2 * MAX_JOBS:
+            self.job_count += 1
+            steps = self.random.choice(UNEVEN_STEPS)
+            simulation.submit(create_spec(f"{self.job_count:016x}", steps))
+        elif chance < 0.065:
+            simulation.crash(name)
+        elif chance < 0.07:
+            simulation.change_leader()
+        elif chance < 0.10:
+            self.rates[name] = self.random.choice((1.0, 1.0, 20.0))
+        elif chance < 0.12:
+            self.end_random_run(simulation.workers[name])
+
+    def step(self):
+        calls, before = self.simulation.calls, self.simulation.now
+        super().step()
+        elapsed = self.simulation.now - before
+        for name, worker in self.simulation.workers.items():
+            for key in worker.runs:
+                done = self.progress.get(key, 0.0) + elapsed * self.rates.get(name, 20)
+                self.progress[key] = min(done, 99.0)
+                worker.percents[key] = int(self.progress[key])
+        counters = calls.metrics._counters
+        self.moves += sum(
+            x for (name, _), x in counters.items() if name == "moved_runs_total"
+        )
+        for key in [x for x in counters if x[0] == "moved_runs_total"]:
+            del counters[key]
+
+
+# Guards against moves of runs that break a rule, also while the network is faulty.
+def test_moves_keep_all_rules():
+    moves = 0
+    for seed in range(60):
+        scenario = UnevenScenario(seed)
+        scenario.run()
+        moves += scenario.moves
+    assert moves > 20
