Measure rates of progress by the worker's clock

Cause: reports that had waited, while the leader was held up or the network was slow, made all workers look slowed down, and their runs would have been moved.

Change: windows use the clock in the report. Complete runs and reports older than the last one do not count. The median of the windows is worked out only if it can matter.

--- a/src/bluebellyoke/dispatch/progress_marks.py
+++ b/src/bluebellyoke/dispatch/progress_marks.py
@@ -10,8 +10,10 @@
     """Progress of a run at the ends of the windows over which its rate is measured.
 
     Attributes:
-        first_at, first_percent: First known progress.
-        at, percent: Progress at the start of the current window.
+        first_at, first_clock_ms: Time of the first report, by the leader's and by the
+            worker's clock. Reports may wait on the way, so rates need the latter.
+        first_percent: Progress that it held.
+        at, clock_ms, percent: The same for the start of the current window.
         rate: Mean rate before the current window, in percent a second; 0 if unknown.
         rate_scale: Speed of the worker at that time relative to its usual one.
         is_counted: Whether the run time of the run has been counted.
@@ -19,8 +21,10 @@
     """
 
     first_at: float
+    first_clock_ms: int
     first_percent: int
     at: float
+    clock_ms: int
     percent: int
     rate: float = 0.0
     rate_scale: float = 1.0
--- a/src/bluebellyoke/dispatch/slowdowns.py
+++ b/src/bluebellyoke/dispatch/slowdowns.py
@@ -67,6 +67,8 @@
             Whether the worker has slowed down or recovered by it.
         """
         self._windows.append((now, max(ratio, MIN_RATIO)))
+        if ratio >= SLOW_RATIO and not self.is_slow:
+            return False
         recent = [x for at, x in self._windows if now - at <= MAX_WINDOW_AGE_S]
         if len(recent) < MIN_WINDOWS:
             return False
--- a/src/bluebellyoke/dispatch/worker_speeds.py
+++ b/src/bluebellyoke/dispatch/worker_speeds.py
@@ -150,31 +150,39 @@
         now: float,
     ) -> None:
         """Measure the rate of a run once its window is long enough."""
-        mark = run.mark
+        mark, clock_ms = run.mark, worker.clock_ms
         if mark is None:
             found = self._find_run(key)
-            run.mark = ProgressMark(now, run.percent, now, run.percent)
+            run.mark = ProgressMark(
+                now, clock_ms, run.percent, now, clock_ms, run.percent
+            )
             run.mark.is_usable = found is not None and _tells_speed(found[1], worker)
             return
-        elapsed = now - mark.at
-        if elapsed < MIN_WINDOW_S or not mark.is_usable:
+        elapsed_s = (clock_ms - mark.clock_ms) / 1000
+        if (
+            elapsed_s < MIN_WINDOW_S
+            or not mark.is_usable
+            or run.percent >= COMPLETE_PERCENT
+        ):
             return
         progress = run.percent - mark.percent
-        if max(progress, mark.rate * elapsed) < MIN_WINDOW_PERCENT:
+        if max(progress, mark.rate * elapsed_s) < MIN_WINDOW_PERCENT:
             return
         self._close_window(worker, run, mark, now)
-        is_known = run.percent - mark.first_percent >= MIN_COUNTED_PERCENT
-        if is_known and not mark.is_counted:
+        progress = run.percent - mark.first_percent
+        if progress >= MIN_COUNTED_PERCENT and not mark.is_counted:
             mark.is_counted = True
-            rate = (run.percent - mark.first_percent) / (now - mark.first_at)
-            self._count(worker, key, mark.first_at, COMPLETE_PERCENT / rate, now)
+            duration_s = (clock_ms - mark.first_clock_ms) / 1000
+            duration_s *= COMPLETE_PERCENT / progress
+            self._count(worker, key, mark.first_at, duration_s, now)
         if now >= self._refresh_due:
             self._refresh(now)
 
     def _close_window(
         self, worker: TrackedWorker, run: TrackedRun, mark: ProgressMark, now: float
     ) -> None:
-        rate = (run.percent - mark.percent) / (now - mark.at)
+        elapsed_s = (worker.clock_ms - mark.clock_ms) / 1000
+        rate = max(run.percent - mark.percent, 0) / elapsed_s
         slowdown = self._slowdowns.get(worker.spec.id)
         if slowdown is None:
             slowdown = self._slowdowns[worker.spec.id] = Slowdown()
@@ -190,7 +198,7 @@
         elif not slowdown.is_slow and ratio >= STEADY_RATIO:
             mark.rate += RATE_SHARE * (rate - mark.rate)
             mark.rate_scale = 1.0
-        mark.at, mark.percent = now, run.percent
+        mark.at, mark.clock_ms, mark.percent = now, worker.clock_ms, run.percent
 
     def _report_slowdown(
         self, worker: TrackedWorker, slowdown: Slowdown, now: float
--- a/tests/dispatch/test_worker_speeds.py
+++ b/tests/dispatch/test_worker_speeds.py
@@ -242,3 +242,55 @@
     worker.runs[key].mark = None
     fleet.end_run("w01", key, RunOutcome.STOPPED)
     assert fleet.speeds._estimates["w01"].runs == known
+
+
+def report_all(fleet, name, percent, clock_s, now_s):
+    """Let a worker report the same progress of all its runs."""
+    worker = fleet.workers[name]
+    worker.record_clock(round(clock_s * 1000), now_s)
+    for key, run in worker.runs.items():
+        run.record_progress(percent, now_s)
+        fleet.speeds.record_progress(worker, key, run, 0, now_s)
+
+
+def start_runs(fleet, count=6):
+    fleet.submit("batch", count, 3500, 10.0, works=[10.0] * count)
+    fleet.run(0.02)
+    (name,) = [name for name, machine in fleet.machines.items() if machine.runs]
+    return name
+
+
+# Guards against workers that look slow, and runs that are moved off all of them, after
+# the leader or the network has been held up.
+def test_reports_that_arrive_late_are_no_slowdown():
+    fleet = create_fleet([1.0] * 2)
+    name = start_runs(fleet)
+    for second in range(1, 5):
+        report_all(fleet, name, 10 * second, second, fleet.now + second)
+    report_all(fleet, name, 50, 5, fleet.now + 9)
+    report_all(fleet, name, 60, 6, fleet.now + 9)
+    assert get_slowdown(fleet, name) == 1.0
+    for second in (7, 8):
+        report_all(fleet, name, 54 + second, second, fleet.now + 3 + second)
+    assert get_slowdown(fleet, name) > 1.0
+
+
+# Guards against an older report that arrives after a newer one.
+def test_reports_that_overtake_each_other_are_no_slowdown():
+    fleet = create_fleet([1.0] * 2)
+    name = start_runs(fleet)
+    for second in range(1, 5):
+        report_all(fleet, name, 10 * second, second, fleet.now + second)
+    for clock_s, percent in ((3, 30), (5, 50), (4.5, 45), (6, 60)):
+        report_all(fleet, name, percent, clock_s, fleet.now + 6)
+        assert get_slowdown(fleet, name) == 1.0
+
+
+def test_complete_run_is_no_slowdown():
+    fleet = create_fleet([1.0] * 2)
+    name = start_runs(fleet)
+    for second in (1, 2, 3):
+        report_all(fleet, name, 33 * second, second, fleet.now + second)
+    for second in (4, 5, 6):
+        report_all(fleet, name, 100, second, fleet.now + second)
+    assert get_slowdown(fleet, name) == 1.0
