Move stragglers only where their objective is at risk and much is free

Cause: in a simulated wave with slowdowns, moves emptied slow workers, and short jobs started there; batches were moved although they would have met their objective.

Change: a run must also exceed 0.6 of its job's objective, and a quarter of the CPU time of sound workers must be free. A slowdown without evidence, as on a worker whose runs were moved, is kept for 7 s.

--- a/src/bluebellyoke/dispatch/slowdowns.py
+++ b/src/bluebellyoke/dispatch/slowdowns.py
@@ -24,11 +24,13 @@
 MAX_WINDOW_AGE_S = 1.5
 MAX_WINDOWS = 12
 
-#: Time without evidence after which a slowdown counts as over, in seconds.
+#: Time without evidence after which a slowdown counts as over, in seconds, and its
+#: minimum duration unless runs show that it is over. A worker whose runs have been
+#: moved away shows nothing, and slowdowns due to other load last about 6 s.
 EXPIRY_S = 3.0
+MIN_DURATION_S = 7.0
 
 #: Duration from which a slowdown counts as the worker's normal speed, in seconds.
-#: Slowdowns due to other load on the machine last about 6 s.
 MAX_DURATION_S = 15.0
 
 
@@ -96,7 +98,11 @@
 
     def has_expired(self, now: float) -> bool:
         """Return whether there has been no evidence of the slowdown for long."""
-        return self.is_slow and now - self.seen_at > EXPIRY_S
+        return (
+            self.is_slow
+            and now - self.seen_at > EXPIRY_S
+            and now - self.began_at > MIN_DURATION_S
+        )
 
     def is_permanent(self, now: float) -> bool:
         """Return whether it lasts for so long that it is the worker's normal speed."""
--- a/src/bluebellyoke/dispatch/stragglers.py
+++ b/src/bluebellyoke/dispatch/stragglers.py
@@ -41,6 +41,10 @@
 #: that is left. Run times vary by 50%.
 LATE_FACTOR = 2.0
 
+#: Share of the objective of its job that it has to exceed as well. The rest is for
+#: other steps and for waits.
+OBJECTIVE_SHARE = 0.6
+
 #: Longest time of a stop, of a start from a checkpoint and of the wait in between, in
 #: seconds.
 MOVE_S = 0.9 + 0.6 + 0.3
@@ -64,6 +68,10 @@
 MOVES_PER_S = 4.0
 MAX_MOVES = 8.0
 
+#: Share of the CPU time of sound workers that has to be free. With less, other tasks
+#: would start in the place of the moved one, on the same worker.
+MIN_FREE_SHARE = 0.25
+
 #: Number of tasks that are remembered as moved.
 MAX_MOVED = 2000
 
@@ -172,10 +180,19 @@
         total_s = now - begun_at + left_s
         return (
             gain_s >= MIN_GAIN_S
-            and total_s > LATE_FACTOR * predicted.seconds
+            and total_s > self._compute_limit(queue, predicted.seconds)
             and self._has_room_elsewhere(worker, step, key)
         )
 
+    def _compute_limit(self, queue: str, expected_s: float) -> float:
+        """Return the run time from which a run is far over its expected time."""
+        limit_s = LATE_FACTOR * expected_s
+        spec = self._context.find_queue(queue)
+        if spec is not None:
+            objective_s = spec.slack_factor * expected_s + spec.target_ms / 1000
+            limit_s = max(limit_s, OBJECTIVE_SHARE * objective_s)
+        return limit_s
+
     def _estimate_gain(
         self,
         worker: TrackedWorker,
@@ -205,6 +222,7 @@
         self, worker: TrackedWorker, step: StepSpec, key: RunKey
     ) -> bool:
         """Return whether other workers have room for the tasks that are to be moved."""
+        free = capacity = 0
         missing = sum(x is worker for x, _ in self._list_members(key, step)) or 1
         for other in self._context.workers.values():
             if (
@@ -219,9 +237,9 @@
             ):
                 continue
             missing -= count_fitting_tasks(step.need, other.free)
-            if missing <= 0:
-                return True
-        return False
+            free += other.free.cpu_millis
+            capacity += other.spec.capacity.cpu_millis
+        return missing <= 0 and free >= MIN_FREE_SHARE * capacity
 
     # Moves.
 
--- a/tests/dispatch/test_worker_speeds.py
+++ b/tests/dispatch/test_worker_speeds.py
@@ -294,3 +294,12 @@
     for second in (4, 5, 6):
         report_all(fleet, name, 100, second, fleet.now + second)
     assert get_slowdown(fleet, name) == 1.0
+
+
+# Guards against tasks that start on a slow worker again because its runs were moved.
+def test_slowdown_lasts_for_some_time_without_evidence():
+    slowdown = Slowdown()
+    for _ in range(3):
+        slowdown.record(0.2, 100.0)
+    assert not slowdown.has_expired(106.0)
+    assert slowdown.has_expired(107.5)
