--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -10,7 +10,6 @@
 from bluebellyoke.dispatch.events import StartFinished
 from bluebellyoke.dispatch.fair_order import FairOrder
 from bluebellyoke.dispatch.ordering import StepOrder
-from bluebellyoke.dispatch.oversized import OversizedWorkflows
 from bluebellyoke.dispatch.planner import Planner
 from bluebellyoke.dispatch.planning_round import PlannedStart, WaitReason
 from bluebellyoke.dispatch.ports import (
@@ -76,7 +75,6 @@
         )
         self._preemptor = preemptor
         self._waits = WaitReporter(context.advice, context.metrics)
-        self._oversized = OversizedWorkflows(context, recorder)
         self._quota_reports = QuotaReporter(context)
         self.is_pending = False
 
@@ -85,7 +83,6 @@
         self.is_pending = False
         self._planner.reset()
         self._waits.reset()
-        self._oversized.reset()
         self._quota_reports.reset()
         if self._preemptor is not None:
             self._preemptor.clear()
@@ -102,7 +99,6 @@
         )
         reasons = self._planner.wait_reasons
         self._waits.check(reasons, now)
-        self._oversized.check(reasons, now, wall_time)
         self._quota_reports.check(reasons, now)
         if self._preemptor is not None:
             lacking = self._planner.list_lacking_room()
--- a/src/bluebellyoke/workflow/commands.py
+++ b/src/bluebellyoke/workflow/commands.py
@@ -13,7 +13,6 @@
     "CancelWorkflow",
     "CrashedRun",
     "EnrolWorker",
-    "FailOversized",
     "ForgetWorkflows",
     "RecordEnds",
     "RemoveWorker",
@@ -164,18 +163,6 @@
     workflows: tuple[str, ...]
 
 
-class FailOversized(Command, frozen=True, kw_only=True, array_like=True, tag=True):
-    """Fail workflows of which a step exceeds the quota of its workspace alone.
-
-    A workflow with placed runs does not fail, nor does one that fits again.
-
-    Attributes:
-        steps: ID of the workflow and index of the step.
-    """
-
-    steps: tuple[tuple[str, int], ...]
-
-
 WorkflowCommand = (
     ApplyConfiguration
     | SubmitWorkflow
@@ -185,5 +172,4 @@
     | AssignRuns
     | RecordEnds
     | ForgetWorkflows
-    | FailOversized
 )
