Order by urgency without refusing jobs where jobs compete for capacity

Change: the setting dispatch.urgency turns on the order and preemption without refusals; the adapter sets it for the contract `pressure`, and no longer dispatch.admission.

--- a/src/bluebellyoke/dispatch/admission.py
+++ b/src/bluebellyoke/dispatch/admission.py
@@ -2,7 +2,8 @@
 
 A job is refused only if the backlog keeps it from being useful to its caller, or if it
 exceeds the share of its workspace while capacity is scarce. If nothing is known, or if
-room is free, it is accepted.
+room is free, it is accepted. Without the setting `dispatch.admission` nothing is
+refused; jobs are judged all the same, since their order depends on it.
 """
 
 import enum
@@ -42,6 +43,7 @@
         USEFUL: It is expected to end late but to be useful.
         TOO_LATE: It is refused, as it would end too late to be useful.
         OVER_SHARE: It is refused, as its workspace exceeds its share.
+        NOT_REFUSED: It would be refused if the settings allowed it.
     """
 
     UNKNOWN = "unknown"
@@ -50,6 +52,7 @@
     USEFUL = "useful"
     TOO_LATE = "too-late"
     OVER_SHARE = "over-share"
+    NOT_REFUSED = "not-refused"
 
 
 #: Causes of refusals.
@@ -186,6 +189,8 @@
         )
         prediction = self.predictor.predict(spec, queue, shape)
         cause = self._find_cause(request, prediction)
+        if cause in _REFUSALS and not self._context.features.admission:
+            cause = Cause.NOT_REFUSED
         if cause in _REFUSALS:
             decision = self._refuse(request, prediction, cause, now)
         else:
--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -14,28 +14,21 @@
 
 from bluebellyoke.cell.result import Result, refuse
 from bluebellyoke.dispatch import events
-from bluebellyoke.dispatch.admission import AdmissionControl, AdmissionDecision
+from bluebellyoke.dispatch.admission import AdmissionDecision
 from bluebellyoke.dispatch.advice import AdviceManager, StepKey
 from bluebellyoke.dispatch.calls import WorkerCalls
 from bluebellyoke.dispatch.context import DispatchContext
-from bluebellyoke.dispatch.expected_end import ExpectedEndCost
 from bluebellyoke.dispatch.features import DispatchFeatures
-from bluebellyoke.dispatch.interference_control import InterferenceControl
-from bluebellyoke.dispatch.ordering import StepOrder
+from bluebellyoke.dispatch.optional_parts import OptionalParts
 from bluebellyoke.dispatch.planning_round import WaitReason
 from bluebellyoke.dispatch.polls import WorkerPoller
-from bluebellyoke.dispatch.preemption import Preemptor
 from bluebellyoke.dispatch.probes import WorkerProber
 from bluebellyoke.dispatch.refusals import RefusalSender
 from bluebellyoke.dispatch.registry import WorkerRegistry
 from bluebellyoke.dispatch.run_ends import RunEndRecorder
-from bluebellyoke.dispatch.run_times import RunTimes
 from bluebellyoke.dispatch.selection import order_by_room
 from bluebellyoke.dispatch.starts import RunStarter
 from bluebellyoke.dispatch.stops import RunStopper
-from bluebellyoke.dispatch.stragglers import StragglerMover
-from bluebellyoke.dispatch.urgency import UrgencyOrder
-from bluebellyoke.dispatch.worker_speeds import WorkerSpeeds
 from bluebellyoke.dispatch.workers import LeaseTimes, TrackedWorker
 from bluebellyoke.leader.sessions import ProposalQueue
 from bluebellyoke.metrics import Metrics
@@ -92,37 +85,16 @@
         self._context = context
         prober = WorkerProber(context)
         self._stopper = RunStopper(context, prober=prober)
-        self._mover: StragglerMover | None = None
-        if context.features.uneven_workers:
-            self._mover = _add_uneven_workers(context, self._stopper)
+        self._parts = OptionalParts(context, stopper=self._stopper, prober=prober)
         self._recorder = RunEndRecorder(context, self._stopper)
-        self._interference = None
-        if context.features.interference:
-            self._interference = InterferenceControl(
-                context, stopper=self._stopper, prober=prober
-            )
         self._registry = WorkerRegistry(context, self._stopper, self._recorder)
-        self._admission: AdmissionControl | None = None
-        orders: list[StepOrder] = []
-        preemptor: Preemptor | None = None
-        if context.features.admission:
-            self._admission = AdmissionControl(context)
-            context.observers.append(self._admission.ratios)
-            urgency = UrgencyOrder(self._admission)
-            orders.append(urgency)
-            preemptor = Preemptor(
-                context,
-                admission=self._admission,
-                urgency=urgency,
-                stopper=self._stopper,
-            )
         self._starter = RunStarter(
             context,
             stopper=self._stopper,
             recorder=self._recorder,
             prober=prober,
-            orders=orders,
-            preemptor=preemptor,
+            orders=self._parts.orders,
+            preemptor=self._parts.preemptor,
         )
         self._poller = WorkerPoller(
             context,
@@ -175,8 +147,7 @@
         self._ticked_at = self._context.now = now
         self._poll_round_due = self._plan_due = self._cleanup_due = now
         self._registry.activate(now)
-        if self._admission is not None:
-            self._admission.activate(now)
+        self._parts.activate(now)
 
     def deactivate(self) -> None:
         """Stop dispatching and drop everything that is not in the replicated state."""
@@ -184,8 +155,7 @@
         self._registry.clear()
         for observer in self._context.observers:
             observer.clear()
-        if self._mover is not None:
-            self._mover.clear()
+        self._parts.clear()
         self._starter.reset()
         self._refusals.clear()
         self._submitting.clear()
@@ -195,16 +165,11 @@
         self._context.metrics.record_tick_interval(now - self._ticked_at)
         self._ticked_at = self._context.now = now
         self._poll_workers(now, wall_time)
-        if self._interference is not None:
-            self._interference.tick(now)
         if now >= self._cleanup_due:
             self._cleanup_due = now + CLEANUP_INTERVAL_S
             self._drop_old_records(wall_time)
-        if self._admission is not None:
-            self._admission.tick(now, wall_time)
+        self._parts.tick(now, wall_time)
         self._refusals.send(wall_time)
-        if self._mover is not None:
-            self._mover.tick(now)
         self._plan_if_due(now, wall_time)
         self.advice.tick(now)
 
@@ -249,8 +214,8 @@
             self._starter.receive(worker, event, now, wall_time)
         elif isinstance(event, events.StopFinished):
             self._stopper.receive(worker, event, now)
-        elif self._interference is not None:
-            self._interference.receive(worker, event, now)
+        elif self._parts.interference is not None:
+            self._parts.interference.receive(worker, event, now)
 
     # Workers' announcements.
 
@@ -357,9 +322,10 @@
         self, spec: WorkflowSpec, wall_time: float, reply: Callable[[Result], None]
     ) -> bool:
         """Return whether a new workflow is accepted; refuse it if not."""
-        if self._admission is None or spec.id in self._submitting:
+        admission = self._parts.admission
+        if admission is None or spec.id in self._submitting:
             return True
-        decision = self._admission.decide(spec, self._context.now, wall_time)
+        decision = admission.decide(spec, self._context.now, wall_time)
         if not decision.is_accepted:
             self._refusals.add(spec, _describe_refusal(decision), reply)
         return decision.is_accepted
@@ -433,14 +399,3 @@
 def _describe_refusal(decision: AdmissionDecision) -> Result:
     retry_after_s = str(decision.retry_after_s)
     return refuse("overloaded", decision.reason, retry_after_s=retry_after_s)
-
-
-def _add_uneven_workers(
-    context: DispatchContext, stopper: RunStopper
-) -> StragglerMover:
-    """Learn run times and the speed of workers, and place and move tasks by them."""
-    run_times = RunTimes()
-    speeds = WorkerSpeeds(run_times, context.find_run, context.metrics)
-    context.observers.append(speeds)
-    context.costs.append(ExpectedEndCost(speeds, run_times, context.find_queue))
-    return StragglerMover(context, stopper=stopper, speeds=speeds, run_times=run_times)
--- a/src/bluebellyoke/platform/settings.py
+++ b/src/bluebellyoke/platform/settings.py
@@ -166,7 +166,7 @@
             snapshot_mb=SNAPSHOT_MB,
         ),
         dispatch=DispatchSettings(
-            admission=PRESSURE_CONTRACT in platform_settings.Contracts,
+            urgency=PRESSURE_CONTRACT in platform_settings.Contracts,
             # It has no effect until workers report different speeds.
             uneven_workers=True,
             interference=SHARING_CONTRACT in platform_settings.Contracts,
--- a/src/bluebellyoke/settings.py
+++ b/src/bluebellyoke/settings.py
@@ -127,7 +127,9 @@
     """Table `dispatch`, equal on all instances of a cell: optional parts."""
 
     admission: bool = False
+    urgency: bool = False
     uneven_workers: bool = False
+    move_stragglers: bool = False
     interference: bool = False
 
 
--- a/tests/dispatch/load.py
+++ b/tests/dispatch/load.py
@@ -85,6 +85,7 @@
     Args:
         workers: Number of workers.
         admission: Whether admission and its order are in use.
+        urgency: Whether the order is in use without admission.
         workspaces: Share of each workspace by name.
         seed: Seed of the traffic.
 
@@ -93,8 +94,10 @@
         lost_work: Work that stops have lost, in core-seconds.
     """
 
-    def __init__(self, workers=44, *, admission=True, workspaces=None, seed=1):
-        self.features = DispatchFeatures(admission=admission)
+    def __init__(
+        self, workers=44, *, admission=True, urgency=False, workspaces=None, seed=1
+    ):
+        self.features = DispatchFeatures(admission=admission, urgency=urgency)
         self.rng = random.Random(seed)
         self.jobs, self.due, self.held_polls = {}, [], {}
         self.run_ends, self.run_began, self.stop_ends = {}, {}, {}
--- a/tests/dispatch/test_admission.py
+++ b/tests/dispatch/test_admission.py
@@ -117,7 +117,7 @@
     simulation.run_until_idle()
     command = workflow_commands.SubmitWorkflow(spec=spec)
     simulation.dispatcher.submit(command, simulation.now, lambda result: None)
-    admission = simulation.dispatcher._admission
+    admission = simulation.dispatcher._parts.admission
     expected = simulation.now - refused_at
     admission.tick(simulation.now + 1.0, simulation.now + 1.0)
     assert admission.get_delay(spec.id) == pytest.approx(expected, abs=0.1)
@@ -152,6 +152,13 @@
     assert submit(simulation, create_short(1)).code == "accepted"
 
 
+# Guards against refusals where the settings ask for the order only.
+def test_order_by_urgency_alone_refuses_nothing():
+    simulation = LoadSimulation(workers=8, admission=False, urgency=True)
+    fill(simulation)
+    assert submit(simulation, create_short(1)).code == "accepted"
+
+
 # Guards against a backlog of low priority that keeps short jobs out, though it is
 # planned after them.
 def test_backlog_of_lower_priority_refuses_no_short_job(simulation):
@@ -191,7 +198,7 @@
     simulation.add_usual_traffic(6)
     simulation.add_traffic("batch", 6, factor=4)
     simulation.run(6)
-    admission = simulation.dispatcher._admission
+    admission = simulation.dispatcher._parts.admission
     specs = [
         create_spec(f"{number:016x}", create_short(number).steps, queue="short")
         for number in range(200)
--- a/tests/dispatch/test_dispatcher_random.py
+++ b/tests/dispatch/test_dispatcher_random.py
@@ -192,7 +192,7 @@
         scenario = InterferenceScenario(seed)
         scenario.run()
         scenario.simulation.tick()
-        control = scenario.simulation.dispatcher._interference
+        control = scenario.simulation.dispatcher._parts.interference
         assert not any(x.runs or x.tails for x in control._pacer._states.values())
         paces += scenario.paces
     assert paces >= 10
@@ -214,7 +214,7 @@
 
     def __init__(self, seed):
         super().__init__(seed)
-        features = DispatchFeatures(uneven_workers=True)
+        features = DispatchFeatures(uneven_workers=True, move_stragglers=True)
         self.simulation = DispatcherSimulation(features=features)
         self.rates = {}
         self.progress = {}
--- a/tests/dispatch/test_pacing.py
+++ b/tests/dispatch/test_pacing.py
@@ -287,7 +287,9 @@
 def was_limited(simulation, since):
     name, key = simulation.list_runs(BACKFILL)[0]
     worker = simulation.dispatcher.workers[name]
-    return simulation.dispatcher._interference._pacer.was_limited(worker, key, since)
+    return simulation.dispatcher._parts.interference._pacer.was_limited(
+        worker, key, since
+    )
 
 
 # Guards against speeds of limited runs that are taken for interference.
--- a/tests/dispatch/test_separation.py
+++ b/tests/dispatch/test_separation.py
@@ -23,7 +23,7 @@
 
 def teach(simulation, victim="web", other="batch", slowdown=0.6):
     """Let the leader know of an interference."""
-    table = simulation.dispatcher._interference._table
+    table = simulation.dispatcher._parts.interference._table
     for number in range(20):
         worker = (f"x{number % 2}", 1)
         table.add_evidence(victim, {other: 1.0}, slowdown, 0.04, worker, simulation.now)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -57,7 +57,7 @@
 def test_speed_of_workers_is_learned_in_every_deployment(tmp_path):
     settings = translate_settings(read_settings(write(tmp_path, TEXT)))
     assert settings.dispatch.uneven_workers
-    assert not settings.dispatch.admission
+    assert not settings.dispatch.urgency
 
 
 def test_instance_without_data_dir_has_no_data_folder(tmp_path):
@@ -96,18 +96,17 @@
         read_settings(tmp_path / "none.toml")
 
 
-# Guards against refusals under load in deployments that have not agreed to them, and
-# against none in those that have.
+# Guards against another order in deployments that have not asked for it, and against
+# refusals, which keep jobs out that would have run.
 @pytest.mark.parametrize(
     ("line", "expected"),
     [("", False), ('Contracts = ["other"]', False), ('Contracts = ["pressure"]', True)],
 )
-def test_admission_is_in_use_where_the_deployment_calls_for_it(
-    tmp_path, line, expected
-):
+def test_urgency_is_in_use_where_the_deployment_calls_for_it(tmp_path, line, expected):
     text = TEXT.replace("NewField = 7", line)
     settings = translate_settings(read_settings(write(tmp_path, text)))
-    assert settings.dispatch.admission is expected
+    assert settings.dispatch.urgency is expected
+    assert not settings.dispatch.admission
 
 
 # Guards against long-running tasks that miss their targets since nothing is paced.
