Move the removal of old records out of the dispatcher

Change: the removal of finished workflows, with its two constants, is the class RecordCleaner in dispatch/record_cleanup.py. Conclusion: no change of behaviour.

--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -23,6 +23,7 @@
 from bluebellyoke.dispatch.planning_round import WaitReason
 from bluebellyoke.dispatch.polls import WorkerPoller
 from bluebellyoke.dispatch.probes import WorkerProber
+from bluebellyoke.dispatch.record_cleanup import RecordCleaner
 from bluebellyoke.dispatch.refusals import RefusalSender
 from bluebellyoke.dispatch.registry import WorkerRegistry
 from bluebellyoke.dispatch.run_ends import RunEndRecorder
@@ -51,12 +52,6 @@
 #: Time between two checks of all workers for due polls, in seconds.
 POLL_ROUND_INTERVAL_S = 0.02
 
-#: Time for which the record of a finished workflow is kept, in seconds.
-RECORD_RETENTION_S = 240.0
-
-#: Time between two removals of old records, in seconds.
-CLEANUP_INTERVAL_S = 5.0
-
 
 class Dispatcher:
     """Plans runs, calls workers and records the ends of the runs.
@@ -104,11 +99,11 @@
             prober=prober,
         )
         self._refusals = RefusalSender(context)
+        self._record_cleaner = RecordCleaner(context)
         self._submitting: set[str] = set()
         self._ticked_at = 0.0
         self._poll_round_due = 0.0
         self._plan_due = 0.0
-        self._cleanup_due = 0.0
 
     @property
     def advice(self) -> AdviceManager:
@@ -145,7 +140,8 @@
         self._context.fence = fence
         self._context.calls.term = fence
         self._ticked_at = self._context.now = now
-        self._poll_round_due = self._plan_due = self._cleanup_due = now
+        self._poll_round_due = self._plan_due = now
+        self._record_cleaner.activate(now)
         self._registry.activate(now)
         self._parts.activate(now)
 
@@ -165,9 +161,7 @@
         self._context.metrics.record_tick_interval(now - self._ticked_at)
         self._ticked_at = self._context.now = now
         self._poll_workers(now, wall_time)
-        if now >= self._cleanup_due:
-            self._cleanup_due = now + CLEANUP_INTERVAL_S
-            self._drop_old_records(wall_time)
+        self._record_cleaner.tick(now, wall_time)
         self._parts.tick(now, wall_time)
         self._refusals.send(wall_time)
         self._plan_if_due(now, wall_time)
@@ -231,19 +225,6 @@
 
     # Callers and operators.
 
-    def _drop_old_records(self, wall_time: float) -> None:
-        old = [
-            name
-            for name, workflow in self._context.store.workflows.items()
-            if workflow.outcome
-            and not workflow.placed
-            and wall_time - workflow.finished_at > RECORD_RETENTION_S
-        ]
-        if old:
-            self._context.proposals.add(
-                workflow_commands.ForgetWorkflows(time=wall_time, workflows=tuple(old))
-            )
-
     def change_configuration(
         self,
         command: workflow_commands.ApplyConfiguration,
