Use the shared quota check and one commit timeout under contention

Cause: preemption repeated the check of cell/sharing.py, two modules held the same COMMIT_TIMEOUT_S, and describe_step_excess was public without a caller outside its module. Change: is_within_quota is used, the timeout is defined once, describe_step_excess is private, _add_admission is named _add_contention_parts, since it also adds the order and the preemptor; unclear comments on both are replaced. Conclusion: no change of behaviour.

--- a/src/bluebellyoke/dispatch/admission.py
+++ b/src/bluebellyoke/dispatch/admission.py
@@ -11,7 +11,7 @@
 import math
 from dataclasses import dataclass
 
-from bluebellyoke.dispatch.admission_errors import AdmissionErrors
+from bluebellyoke.dispatch.admission_errors import COMMIT_TIMEOUT_S, AdmissionErrors
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.log_limits import LogLimit
 from bluebellyoke.dispatch.objectives import JobShape, describe_job
@@ -25,13 +25,10 @@
 
 logger = logging.getLogger("bluebellyoke.dispatch")
 
-#: Time after the start of a leader in which it accepts all jobs, in seconds. It has
-#: heard of the progress of all runs by then.
+#: Time after the start of a leader in which it accepts all jobs, in seconds. All workers
+#: have reported the progress of their runs by then.
 WARM_UP_S = 2.0
 
-#: Time for which an accepted job need not be in the store yet, in seconds.
-COMMIT_TIMEOUT_S = 5.0
-
 
 class Cause(enum.StrEnum):
     """Why a job is accepted or refused.
@@ -116,7 +113,7 @@
 
 
 class AdmissionControl:
-    """Decides which jobs are accepted.
+    """Judges new jobs, and refuses some of them if the settings allow it.
 
     Args:
         context: Shared state of the dispatcher.
@@ -135,7 +132,7 @@
         self._accept_log, self._refuse_log = LogLimit(), LogLimit()
 
     def activate(self, now: float) -> None:
-        """Start with full buckets and without knowledge."""
+        """Start with full buckets and without data of an earlier leader."""
         self.predictor.clear()
         self._returns.clear()
         self._first_attempts.clear()
--- a/src/bluebellyoke/dispatch/admission_errors.py
+++ b/src/bluebellyoke/dispatch/admission_errors.py
@@ -8,7 +8,7 @@
 from bluebellyoke.dispatch.prediction import JobPredictor
 from bluebellyoke.workflow.specs import QueueSpec
 
-__all__ = ["AdmissionErrors"]
+__all__ = ["COMMIT_TIMEOUT_S", "AdmissionErrors"]
 
 #: Maximum number of accepted jobs whose end is compared with its prediction.
 MAX_EXPECTED = 20_000
@@ -35,7 +35,7 @@
     """A refused job.
 
     Attributes:
-        until: Monotonic time until which a start would have been in time, in seconds.
+        until: Monotonic time until which a start would have been on time, in seconds.
     """
 
     queue: QueueSpec
@@ -71,14 +71,18 @@
         due_at: float,
         useless_at: float,
     ) -> None:
-        """Take note of an accepted job; all times are wall-clock times."""
+        """Record the times of an accepted job; all times are wall-clock times."""
         if len(self._expected) < MAX_EXPECTED:
             self._expected[job] = _Expectation(
                 accepted_at, predicted_at, due_at, useless_at
             )
 
     def record_refusal(self, queue: QueueSpec, shape: JobShape, until: float) -> None:
-        """Take note of a job that was refused for lack of capacity."""
+        """Record a job that was refused for lack of capacity.
+
+        Args:
+            until: Monotonic time until which an end would have been on time.
+        """
         start_until = until - shape.chain_s
         self._refused.append(_Refusal(queue, shape, start_until))
 
--- a/src/bluebellyoke/dispatch/features.py
+++ b/src/bluebellyoke/dispatch/features.py
@@ -10,7 +10,8 @@
     """Which optional parts are in use.
 
     Attributes:
-        admission: Refuse jobs that cannot end in time while room is short.
+        admission: Refuse jobs that cannot end in time while room is short; includes
+            `urgency`.
         urgency: Plan jobs that can end on time before late ones, and stop tasks that
             save progress for short jobs that would be late.
         uneven_workers: Learn run times and the speed of workers, and place by them.
--- a/src/bluebellyoke/dispatch/optional_parts.py
+++ b/src/bluebellyoke/dispatch/optional_parts.py
@@ -48,7 +48,7 @@
                 context, stopper=stopper, prober=prober
             )
         if features.admission or features.urgency:
-            self._add_admission(context, stopper)
+            self._add_contention_parts(context, stopper)
 
     def _add_worker_speeds(self, context: DispatchContext, stopper: RunStopper) -> None:
         run_times = RunTimes()
@@ -60,7 +60,9 @@
                 context, stopper=stopper, speeds=speeds, run_times=run_times
             )
 
-    def _add_admission(self, context: DispatchContext, stopper: RunStopper) -> None:
+    def _add_contention_parts(
+        self, context: DispatchContext, stopper: RunStopper
+    ) -> None:
         self.admission = AdmissionControl(context)
         context.observers.append(self.admission.ratios)
         urgency = UrgencyOrder(self.admission)
@@ -75,7 +77,11 @@
             self.admission.activate(now)
 
     def clear(self) -> None:
-        """Drop what the parts have planned; observers are cleared by the dispatcher."""
+        """Drop the planned moves.
+
+        The dispatcher clears the observers, and `RunStarter.reset` the preemptor;
+        `activate` clears the data of admission.
+        """
         if self.mover is not None:
             self.mover.clear()
 
--- a/src/bluebellyoke/dispatch/preemption.py
+++ b/src/bluebellyoke/dispatch/preemption.py
@@ -13,6 +13,7 @@
 
 from bluebellyoke.cell.lost_work import compute_lost_work
 from bluebellyoke.cell.resources import Resources
+from bluebellyoke.cell.sharing import is_within_quota
 from bluebellyoke.dispatch.admission import AdmissionControl
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.planning_round import MAX_WORKER_SILENCE_S
@@ -85,12 +86,13 @@
         self._urgency = urgency
         self._stopper = stopper
         self._search_due = 0.0
+        # Run of each task that was stopped, and worker of each run that still stops.
         self._stopped: dict[TaskName, int] = {}
         self._stopping: dict[RunKey, str] = {}
         self._stop_times: deque[float] = deque()
 
     def clear(self) -> None:
-        """Forget all stops; tasks that hold a checkpoint are still left alone."""
+        """Forget all stops; tasks that hold a checkpoint are still not stopped."""
         self._search_due = 0.0
         self._stopped.clear()
         self._stopping.clear()
@@ -183,29 +185,21 @@
         workspace = self._admission.predictor.find_workspace(spec)
         if workspace is None or workspace.quota == Resources():
             return True
-        used = step.spec.need
+        used = Resources()
         workflows = self._context.store.workflows
         for worker in self._context.workers.values():
             for (name, _), run in worker.runs.items():
                 workflow = workflows.get(name.workflow)
                 if workflow is not None and workflow.spec.workspace == spec.workspace:
                     used = used + run.need
-        quota = workspace.quota
-        return all(
-            not limit or amount <= limit
-            for amount, limit in (
-                (used.cpu_millis, quota.cpu_millis),
-                (used.memory_mb, quota.memory_mb),
-                (used.accelerators, quota.accelerators),
-            )
-        )
+        return is_within_quota(used, workspace.quota, step.spec.need)
 
     # Victims.
 
     def _list_victims(
         self, pool: str, now: float, wall_time: float
     ) -> dict[str, list[_Candidate]]:
-        """Return the runs that may be stopped by worker, the cheapest first."""
+        """Return the runs that may be stopped, by worker, least lost work first."""
         found: dict[str, list[_Candidate]] = {}
         for worker in self._context.workers.values():
             if worker.spec.pool != pool:
@@ -228,7 +222,7 @@
         """Return whether a run may be stopped.
 
         A task that resumed from a checkpoint has been stopped before, or has lost its
-        worker, and is left alone. A gang is not stopped, as all its members would lose
+        worker, and is not stopped. A gang is not stopped, as all its members would lose
         the work since their last common checkpoint. The job of the task must be on time
         even if the task begins anew after the stop.
         """
@@ -293,13 +287,22 @@
         missing: float,
         released: float,
     ) -> float:
-        """Stop runs to make room for tasks of a step; return the cores they use."""
+        """Stop runs to make room for tasks of a step; return the cores that come free.
+
+        Args:
+            tasks: Number of tasks that need room.
+            victims: Runs that may be stopped, by worker; those of used workers are
+                removed.
+            missing: Cores that the waiting steps lack, for the log.
+            released: Cores that come free by themselves in time, for the log.
+        """
         cores, lost, stopped = 0.0, 0.0, 0
         for _ in range(tasks):
             chosen = self._find_cheapest(step, victims)
             if chosen is None or not self._may_stop_more(len(chosen.keys), now):
                 break
-            # One task gets the room of a worker, as the free part counts only once.
+            # Each worker is used for one task, since its free resources, of which the
+            # task takes a part, count only once.
             del victims[chosen.worker.spec.id]
             for key in chosen.keys:
                 cores += chosen.worker.runs[key].need.cpu_millis / 1000
@@ -335,6 +338,7 @@
 
 
 def _compute_loss(run: TrackedRun, now: float) -> float:
+    """Return the work that a stop and the resumption cost, in core-seconds."""
     begun_at = run.phase_since if run.sent_at is None else run.sent_at
     resume = RESUME_S * run.need.cpu_millis / 1000
     return resume + compute_lost_work(now - begun_at, run.need, saves_progress=True)
--- a/src/bluebellyoke/workflow/quotas.py
+++ b/src/bluebellyoke/workflow/quotas.py
@@ -4,7 +4,7 @@
 from bluebellyoke.cell.sharing import is_within_quota
 from bluebellyoke.workflow.specs import StepSpec, WorkflowSpec, WorkspaceSpec
 
-__all__ = ["describe_excess", "describe_step_excess", "has_quota_for"]
+__all__ = ["describe_excess", "has_quota_for"]
 
 
 def has_quota_for(
@@ -21,13 +21,13 @@
 def describe_excess(workspace: WorkspaceSpec, spec: WorkflowSpec) -> str:
     """Return why a workflow can never run within a quota, or an empty text."""
     for number in range(len(spec.steps)):
-        excess = describe_step_excess(workspace, spec, number)
+        excess = _describe_step_excess(workspace, spec, number)
         if excess:
             return excess
     return ""
 
 
-def describe_step_excess(
+def _describe_step_excess(
     workspace: WorkspaceSpec, spec: WorkflowSpec, number: int
 ) -> str:
     """Return why a step can never run within a quota, or an empty text.
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -7,10 +7,7 @@
 from bluebellyoke.workflow.access import AccessDecision, authorize_request
 from bluebellyoke.workflow.crashes import CrashHistory, TaskCrashes
 from bluebellyoke.workflow.gangs import find_start_group, is_complete, is_gang
-from bluebellyoke.workflow.quotas import (
-    describe_excess,
-    has_quota_for,
-)
+from bluebellyoke.workflow.quotas import describe_excess, has_quota_for
 from bluebellyoke.workflow.specs import (
     Configuration,
     QueueSpec,
