Explain constants under contention by their effect instead of a load

Cause: comments justified constants by the figures of one customer, some named no unit or reason, and some names did not tell what a function returns (_limit, _compute_fair, FRESH_). Change: comments state the effect of a larger or smaller value; _limit is _replace_zeros in prediction and _cap_demand in fair_order, _compute_fair is _compute_bounds, FRESH_FRACTION is FIRST_REFUSAL_FRACTION; figurative wording is replaced. Conclusion: no change of behaviour.

--- a/src/bluebellyoke/dispatch/admission.py
+++ b/src/bluebellyoke/dispatch/admission.py
@@ -25,8 +25,8 @@
 
 logger = logging.getLogger("bluebellyoke.dispatch")
 
-#: Time after the start of a leader in which it accepts all jobs, in seconds. All workers
-#: have reported the progress of their runs by then.
+#: Time after the start of a leader in which it accepts all jobs, in seconds. All
+#: workers have reported the progress of their runs by then.
 WARM_UP_S = 2.0
 
 
--- a/src/bluebellyoke/dispatch/fair_order.py
+++ b/src/bluebellyoke/dispatch/fair_order.py
@@ -24,8 +24,8 @@
 USABLE_SHARE = 0.84
 
 #: Multiple of its fair share from which on a workspace is planned after those that are
-#: only above theirs. A workspace with its usual traffic has up to twice its average in
-#: use while two of its gangs overlap.
+#: only above theirs. A workspace whose average is its fair share reaches twice the
+#: share while two of its gangs overlap.
 FAR_ABOVE = 2.0
 
 #: Dominant share from which on a step is divided where it crosses a bound. Narrower
@@ -58,7 +58,7 @@
         }
         if sum(used.values()) + sum(sizes) <= 1.0:
             return waiting
-        fair = _compute_fair(store, used, asked, total)
+        fair = _compute_bounds(store, used, asked, total)
         if not fair:
             return waiting
         within, above, far_above = groups = ([], [], [])
@@ -150,7 +150,7 @@
     return sizes, asked
 
 
-def _compute_fair(
+def _compute_bounds(
     store: WorkflowStore,
     used: dict[str, float],
     asked: dict[str, float],
@@ -168,7 +168,7 @@
         workspace = store.find_workspace(name)
         if workspace is not None:
             weights[name] = workspace.share
-            demands[name] = _limit(demand, workspace.quota, total)
+            demands[name] = _cap_demand(demand, workspace.quota, total)
     if len(demands) < 2 or sum(demands.values()) <= 1.0:
         return {}
     average = sum(weights.values()) / len(weights) if weights else DEFAULT_WEIGHT
@@ -177,7 +177,7 @@
     return compute_fair_shares(weights, demands)
 
 
-def _limit(demand: float, quota: Resources, total: Resources) -> float:
+def _cap_demand(demand: float, quota: Resources, total: Resources) -> float:
     """Return a demand, at most the dominant share at which the quota is used up."""
     cpu, memory, accelerators = quota.cpu_millis, quota.memory_mb, quota.accelerators
     if cpu and cpu < demand * total.cpu_millis:
--- a/src/bluebellyoke/dispatch/log_limits.py
+++ b/src/bluebellyoke/dispatch/log_limits.py
@@ -2,7 +2,7 @@
 
 __all__ = ["LogLimit"]
 
-#: Lines of one kind in a second.
+#: Maximum number of lines of one kind in a second.
 MAX_LINES_PER_S = 50
 
 
--- a/src/bluebellyoke/dispatch/pool_forecast.py
+++ b/src/bluebellyoke/dispatch/pool_forecast.py
@@ -18,8 +18,8 @@
 #: finite while higher priorities are expected to take up all cores.
 MIN_RATE_FRACTION = 0.01
 
-#: Length of a time slot, in seconds, and number of the last one. Runs that end later
-#: count as ending then. The number bounds the cost of a prediction.
+#: Length of a time slot, in seconds, and number of the last slot, 10 s from now. Runs
+#: that end later count as ending in it. The number bounds the cost of a prediction.
 SLOT_S = 0.1
 LAST_SLOT = 100
 
@@ -59,7 +59,10 @@
     waiting_cores: dict[int, float] = field(default_factory=lambda: defaultdict(float))
 
     def set_releases(self, slots: dict[int, float]) -> None:
-        """Set the cores that running tasks release, by the number of a time slot."""
+        """Set the cores that running tasks release, by the number of a time slot.
+
+        `free`, `capacity` and `stoppable` must have been set before.
+        """
         numbers = sorted(slots)
         self.releases = [number * SLOT_S for number in numbers]
         released = itertools.accumulate(slots[number] for number in numbers)
--- a/src/bluebellyoke/dispatch/prediction.py
+++ b/src/bluebellyoke/dispatch/prediction.py
@@ -26,31 +26,35 @@
 #: 1,224 runs. Accepted jobs are added to the summary meanwhile.
 REFRESH_INTERVAL_S = 0.4
 
-#: Time constant of the measured load of each priority, in seconds. It is longer than a
-#: burst of 4 to 7 s, so that a burst is not taken for a lasting load.
+#: Time constant of the measured load of each priority, in seconds. It is several times
+#: as long as a burst of seconds, so that a burst is not taken for a lasting load.
 LOAD_WINDOW_S = 30.0
 
 #: Fraction of the capacity that work of higher priority is expected to leave free at
 #: least, in the prediction for lower priorities.
 MIN_REMAINING_FRACTION = 0.4
 
-#: Priority of the queues that tasks of others are stopped for.
+#: Priority of the queues for which tasks of other queues are stopped.
 PREEMPTING_PRIORITY = 0
 
-#: Fraction of the capacity that lower priorities may not plan with at least.
+#: Fraction of the capacity that is reserved for priority 0 at least, in the prediction
+#: for lower priorities and for jobs beyond the share of their workspace.
 RESERVED_FRACTION = 0.1
 
-#: Quota of a resource that has no limit.
+#: Amount that stands for an unlimited resource; more than any worker has.
 _UNLIMITED = 1 << 60
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Prediction:
-    """Predicted times of a job and what they are based on, in seconds from now.
+    """Predicted times of a job, in seconds from now, and what they are based on.
 
     Attributes:
-        late_end_s: End of the job if it waits behind all other useful jobs.
-        ahead: Waiting work of equal or higher rank, in core-seconds.
+        start_s: Start of its first tasks.
+        end_s: End if it waits behind the jobs of equal or higher priority that can
+            still be on time.
+        late_end_s: End if it also waits behind the late jobs that are still useful.
+        ahead: Waiting work of the jobs that `end_s` counts, in core-seconds.
         free: Free cores.
         capacity: Cores of all workers.
     """
@@ -207,7 +211,7 @@
         workspace = self.find_workspace(spec)
         if workspace is None or workspace.quota == Resources():
             return 0.0
-        own = _compute_quota_seconds(spec, _limit(workspace.quota))
+        own = _compute_quota_seconds(spec, _replace_zeros(workspace.quota))
         return self._workspace_work.get(spec.workspace, 0.0) + own
 
     def find_workspace(self, spec: WorkflowSpec) -> WorkspaceSpec | None:
@@ -281,7 +285,7 @@
         shapes = self._shapes
         self._shapes = {}
         quotas = {
-            item.name: _limit(item.quota)
+            item.name: _replace_zeros(item.quota)
             for item in store.configuration.workspaces
             if item.quota != Resources()
         }
@@ -314,7 +318,7 @@
         work: float,
         age_s: float,
     ) -> None:
-        """Add waiting work to its group; work without use comes after all others."""
+        """Add waiting work to its group; useless work is not counted."""
         pool = self._pools[self._context.store.find_pool(workflow)]
         unplaced = _compute_unplaced(workflow)
         pool.waiting_cores[queue.priority] += shape.width * unplaced
@@ -371,8 +375,8 @@
     )
 
 
-def _limit(quota: Resources) -> Resources:
-    """Return a quota in which no resource without a limit counts."""
+def _replace_zeros(quota: Resources) -> Resources:
+    """Return a quota whose zeros, which mean no limit, are very large amounts."""
     return Resources(
         quota.cpu_millis or _UNLIMITED,
         quota.memory_mb or _UNLIMITED,
--- a/src/bluebellyoke/dispatch/quotas.py
+++ b/src/bluebellyoke/dispatch/quotas.py
@@ -54,11 +54,12 @@
         return count_within_quota(used, quota, step.spec.need, count)
 
     def keep(self, step: WaitingStep) -> None:
-        """Keep quota for a gang that waits for it from the steps behind it.
+        """Reserve quota for a gang that waits for it; steps behind it may not use it.
 
-        Else smaller tasks behind it would take up what each ended run gives back. They
-        start nevertheless while less than half of the quota is in use, and short tasks
-        may use all of it. Only the first gang of a workspace keeps quota.
+        Otherwise smaller tasks behind it would take up the quota that each ended run
+        releases. They start nevertheless while less than half of the quota is in use,
+        and short tasks may use all of it. Quota is reserved for the first gang of a
+        workspace only.
         """
         workspace = self._find_limits(step)
         if workspace is None or not step.spec.gang or workspace.name in self._kept:
@@ -99,7 +100,7 @@
 
 
 def _reduce(quota: Resources, kept: Resources, need: Resources) -> Resources:
-    """Return a quota less an amount, at least half of it and one more start.
+    """Return a quota less the reserved amount, at least half of it and one more start.
 
     0 stays without a limit.
     """
--- a/src/bluebellyoke/dispatch/refusals.py
+++ b/src/bluebellyoke/dispatch/refusals.py
@@ -1,8 +1,8 @@
-"""Refusals of jobs, which are sent only while this leader is certain to lead.
+"""Refusals of jobs, which are sent only if this leader still leads.
 
 A leader that has been replaced must not refuse a job that its successor has accepted.
 So refusals are confirmed by an entry of the log that is proposed after the decision,
-one for all refusals of a turn.
+one for all refusals of a tick.
 """
 
 from collections.abc import Callable
@@ -41,7 +41,7 @@
     def add(
         self, spec: WorkflowSpec, result: Result, reply: Callable[[Result], None]
     ) -> None:
-        """Refuse a job in the next turn."""
+        """Refuse a job once the entry that the next tick proposes is committed."""
         self._refusals.append(_Refusal(spec, result, reply))
 
     def send(self, wall_time: float) -> None:
--- a/src/bluebellyoke/dispatch/returns.py
+++ b/src/bluebellyoke/dispatch/returns.py
@@ -1,10 +1,10 @@
-"""When refused callers may return, so that they neither crowd nor come too late.
+"""Times after which refused callers may return, spread over the near future.
 
 Callers that are refused together would return together. Each whole second of the near
 future takes as many returns as jobs can be accepted in it, and a hash of the job
-decides which of these seconds it gets. A part of each second is kept for jobs that were
-refused before, so that these get the earlier ones. The state is a count for each second
-and a table of fixed size.
+decides which of these seconds it gets. A part of each second is reserved for jobs that
+were refused before, so that these get the earlier ones. The state is a count for each
+second and a table of fixed size.
 """
 
 import math
@@ -16,7 +16,7 @@
 #: Maximum time after which a refused caller may return, in seconds.
 MAX_RETRY_AFTER_S = 60
 
-#: Number of entries of the table of first attempts.
+#: Number of entries of the table of first attempts, which bounds its memory.
 TABLE_SIZE = 8192
 
 #: Time after which an attempt no longer counts as one of the same job, in seconds. It
@@ -24,7 +24,7 @@
 ATTEMPT_RETENTION_S = 300.0
 
 #: Fraction of the returns in a second that jobs without an earlier refusal get.
-FRESH_FRACTION = 0.8
+FIRST_REFUSAL_FRACTION = 0.8
 
 _HASH_RANGE = 1 << 32
 
@@ -99,13 +99,15 @@
             rate: Jobs that can be accepted a second from then on.
         """
         counts = self._counts[cause]
-        is_fresh = age_s <= 0
-        limit = max(math.floor(rate * (FRESH_FRACTION if is_fresh else 1.0)), 1)
+        is_first_refusal = age_s <= 0
+        limit = max(
+            math.floor(rate * (FIRST_REFUSAL_FRACTION if is_first_refusal else 1.0)), 1
+        )
         earliest = max(math.ceil(min(opens_in_s, MAX_RETRY_AFTER_S)), 1)
         base = math.ceil(now)
         expected = sum(n for second, n in counts.items() if second >= base + earliest)
         window = min(expected // limit + 1, MAX_RETRY_AFTER_S + 1 - earliest)
-        position = int(window * _hash_job(job) / _HASH_RANGE) if is_fresh else 0
+        position = int(window * _hash_job(job) / _HASH_RANGE) if is_first_refusal else 0
         seconds = [earliest + (position + x) % window for x in range(window)]
         chosen = next(
             (x for x in seconds if counts[base + x] < limit),
--- a/src/bluebellyoke/dispatch/run_ratios.py
+++ b/src/bluebellyoke/dispatch/run_ratios.py
@@ -8,16 +8,18 @@
 
 __all__ = ["RunRatios"]
 
-#: Weight of a new run in the mean. It averages about 50 runs, so that single estimates
-#: that are off by a factor of 1.9 move it little.
+#: Weight of a new run in the mean. It averages about 50 runs, so that the error of a
+#: single estimate changes it little.
 SAMPLE_WEIGHT = 0.02
 
-#: Fraction of the runs that are below the high ratio, and the step by which the high
-#: ratio follows them. A job of several tasks takes as long as the slowest of them.
+#: Fraction of the runs that are below the high ratio, and the amount by which a run
+#: changes the high ratio: a run above it adds `HIGH_FRACTION` of the step, and a run
+#: below it subtracts the rest. A job of several tasks takes as long as the slowest of
+#: them.
 HIGH_FRACTION = 0.8
 HIGH_STEP = 0.05
 
-#: Bounds of the ratio of a single run.
+#: Bounds of the ratio of a single run, which limit the effect of outliers.
 MIN_RATIO = 0.2
 MAX_RATIO = 5.0
 
--- a/src/bluebellyoke/dispatch/token_buckets.py
+++ b/src/bluebellyoke/dispatch/token_buckets.py
@@ -1,15 +1,16 @@
-"""Token buckets, which tell the jobs within a workspace's share from its excess."""
+"""Token buckets, which separate jobs within a workspace's share from its excess."""
 
 from dataclasses import dataclass
 
 __all__ = ["TokenBucket"]
 
-#: Depth of a bucket, in seconds of the share. Random arrivals at the rate of the share
-#: stay within it mostly, and a burst of more than 4 s does not.
+#: Depth of a bucket, in seconds of the share. A longer time lets more of a burst count
+#: as within the share; a shorter one lets random arrivals at the rate of the share
+#: count as excess.
 DEPTH_S = 2.0
 
-#: Minimum depth, in jobs. A small share must allow the two jobs that a caller may
-#: submit together.
+#: Minimum depth, in jobs, so that two jobs that arrive together are within a small
+#: share.
 MIN_DEPTH = 2.0
 
 
--- a/src/bluebellyoke/dispatch/urgency.py
+++ b/src/bluebellyoke/dispatch/urgency.py
@@ -20,19 +20,22 @@
 #: the call and the response of the worker.
 START_MARGIN_S = 0.1
 
-#: Factor by which the estimates may be too long. A job that has begun is given up only
-#: if it would be late even so, since the work done so far would be lost.
+#: Factor by which an estimate is assumed to be too long at most. A job that has begun
+#: counts as late only if it would be late even then, since its work so far would be
+#: lost.
 MAX_ESTIMATE_ERROR = 1.9
 
 #: Time for which a step without an objective waits behind the others, in seconds.
 NO_OBJECTIVE_SLACK_S = 5.0
 
-#: Time after the end of its usefulness from which a job goes before all others, and the
-#: number of steps that do so at a time, so that a backlog of them holds up nobody.
+#: Time, in seconds, after the end of its usefulness from which a job goes before all
+#: others, so that it ends, and the number of steps that do so at a time, so that a
+#: backlog of them does not delay the other jobs.
 MAX_USELESS_WAIT_S = 20.0
 MAX_OVERDUE_STEPS = 2
 
-#: Size of the cache, in multiples of the waiting steps, above which it is cleared.
+#: Number of cached times for each waiting step, and in total, above both of which the
+#: cache is cleared.
 CACHE_FACTOR = 4
 MIN_CACHE_SIZE = 1000
 
@@ -44,7 +47,8 @@
     Attributes:
         punctual_until: Latest start from which its job still ends on time.
         useful_until: Latest start from which its job is still useful.
-        begun_until: As the first, if the job has begun.
+        begun_until: Latest start from which its job, if it has begun, may still end on
+            time because the estimates are too long.
     """
 
     punctual_until: float
--- a/src/bluebellyoke/placement/engine.py
+++ b/src/bluebellyoke/placement/engine.py
@@ -130,6 +130,7 @@
         self._location_counts: dict[str, Counter] = {}
         self._planned_counts: dict[str, int] = {}
         self._waiting: dict[str, list[int]] = {}
+        # Job of the suspect that the round starts on a worker, by worker.
         self._isolated: dict[str, str] = {}
 
     def rebuild(self, scheduling: SchedulingState) -> None:
--- a/src/bluebellyoke/platform/bodies.py
+++ b/src/bluebellyoke/platform/bodies.py
@@ -256,6 +256,7 @@
 
 
 def _hash_text(key: str) -> str:
+    """Return the digest of a configured key; validation refuses an empty key."""
     return hashlib.sha256(key.encode()).hexdigest()
 
 
--- a/src/bluebellyoke/workflow/access.py
+++ b/src/bluebellyoke/workflow/access.py
@@ -57,7 +57,10 @@
     *,
     submits: bool,
 ) -> AccessDecision:
-    """Decide on a request or on its command.
+    """Decide on a request, or on its command when it is applied.
+
+    In addition to `authorize`, it covers queues that do not exist, IDs that another
+    queue holds, and repeated submissions whose key has been removed.
 
     Args:
         configuration: Newest committed configuration.
@@ -115,7 +118,7 @@
 
 
 def find_workspace(configuration: Configuration, credential: str) -> str:
-    """Return the name of the workspace that a credential is of, or an empty text."""
+    """Return the name of the workspace that has a credential, or an empty text."""
     prefix = credential[:LOGGED_DIGITS]
     for workspace in configuration.workspaces:
         for digest in workspace.credentials:
