Find the key of a task's crashes in one place

Cause: is_suspect repeated the rule of _get_key that the members of a gang share one key. Change: _get_key takes the job and the index and is used in all places. Conclusion: no change of behaviour.

--- a/src/bluebellyoke/cell/crashes.py
+++ b/src/bluebellyoke/cell/crashes.py
@@ -29,7 +29,7 @@
 #: worker begins some seconds after the crash, and the age counts up to then.
 SUSPECT_AGE_S = 30.0
 
-#: Crashes of workers that a task had to itself after which it fails.
+#: Crashes of workers that ran no other task, after which the task under them fails.
 MAX_LONE_CRASHES = 3
 
 
@@ -45,18 +45,19 @@
     alone: int = 0
 
 
-def _get_key(task: Task) -> int:
-    return 0 if task.job.is_gang else task.index
+def _get_key(job: Job, index: int) -> int:
+    """Return the key of a task's crashes, which the members of a gang share."""
+    return 0 if job.is_gang else index
 
 
 def is_suspect(job: Job, index: int) -> bool:
     """Return whether a task of a job may crash its worker."""
-    return bool(job.crashes) and (0 if job.is_gang else index) in job.crashes
+    return bool(job.crashes) and _get_key(job, index) in job.crashes
 
 
 def is_given_up(task: Task) -> bool:
     """Return whether too many workers have crashed under a task."""
-    record = task.job.crashes.get(_get_key(task))
+    record = task.job.crashes.get(_get_key(task.job, task.index))
     return record is not None and record.alone >= MAX_LONE_CRASHES
 
 
@@ -81,12 +82,16 @@
         tasks: Tasks that were placed on the worker.
         now: Wall-clock time, in seconds.
     """
-    groups = {(task.job.spec.id, _get_key(task)): task for task in tasks}
+    groups = {
+        (task.job.spec.id, _get_key(task.job, task.index)): task for task in tasks
+    }
     for task in groups.values():
         if not is_young(task, now):
             clear(task)
             continue
-        record = task.job.crashes.setdefault(_get_key(task), CrashRecord())
+        record = task.job.crashes.setdefault(
+            _get_key(task.job, task.index), CrashRecord()
+        )
         if len(groups) == 1:
             record.alone += 1
         else:
@@ -94,5 +99,5 @@
 
 
 def clear(task: Task) -> None:
-    """Clear a task of its crashes."""
-    task.job.crashes.pop(_get_key(task), None)
+    """Remove the record of the crashes under a task."""
+    task.job.crashes.pop(_get_key(task.job, task.index), None)
--- a/src/bluebellyoke/dispatch/token_buckets.py
+++ b/src/bluebellyoke/dispatch/token_buckets.py
@@ -49,7 +49,7 @@
         self.tokens = min(self.tokens + earned, self.depth)
 
     def has_token(self) -> bool:
-        """Return whether a job is within the share now."""
+        """Return whether another job is within the share now."""
         return self.rate > 0 and self.tokens >= 1
 
     def take(self) -> None:
