Move the class of a tracked run to a module of its own

Change: TrackedRun, RunPhase and the constants of stalls and of complete progress are in dispatch/tracked_run.py. All imports follow. No behaviour changes; the cases of tests/unprotected.py name text that stays in workers.py.

--- a/bench/dispatch.py
+++ b/bench/dispatch.py
@@ -19,8 +19,9 @@
 from bluebellyoke.dispatch.fair_order import FairOrder
 from bluebellyoke.dispatch.planner import Planner
 from bluebellyoke.dispatch.run_times import RunTimes
+from bluebellyoke.dispatch.tracked_run import RunPhase
 from bluebellyoke.dispatch.worker_speeds import WorkerSpeeds
-from bluebellyoke.dispatch.workers import RunPhase, TrackedWorker
+from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.metrics import Metrics
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.specs import (
--- a/src/bluebellyoke/dispatch/crashes.py
+++ b/src/bluebellyoke/dispatch/crashes.py
@@ -3,12 +3,8 @@
 import logging
 from collections.abc import Collection
 
-from bluebellyoke.dispatch.workers import (
-    RemovalReason,
-    RunPhase,
-    TrackedRun,
-    TrackedWorker,
-)
+from bluebellyoke.dispatch.tracked_run import RunPhase, TrackedRun
+from bluebellyoke.dispatch.workers import RemovalReason, TrackedWorker
 from bluebellyoke.workflow.commands import CrashedRun
 
 __all__ = ["SUSPECT_AGE_S", "has_crashed", "list_crashed_runs", "log_crash"]
--- a/src/bluebellyoke/dispatch/interference.py
+++ b/src/bluebellyoke/dispatch/interference.py
@@ -21,7 +21,8 @@
 from bluebellyoke.dispatch.observers import RunObserver
 from bluebellyoke.dispatch.pair_table import PairTable
 from bluebellyoke.dispatch.serving_peers import ServingPeers, TailSample
-from bluebellyoke.dispatch.workers import TrackedRun, TrackedWorker
+from bluebellyoke.dispatch.tracked_run import TrackedRun
+from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.commands import RunOutcome
 from bluebellyoke.workflow.specs import StepSpec
 from bluebellyoke.workflow.store import RunKey
--- a/src/bluebellyoke/dispatch/observers.py
+++ b/src/bluebellyoke/dispatch/observers.py
@@ -2,7 +2,8 @@
 
 import abc
 
-from bluebellyoke.dispatch.workers import TrackedRun, TrackedWorker
+from bluebellyoke.dispatch.tracked_run import TrackedRun
+from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.commands import RunOutcome
 from bluebellyoke.workflow.store import RunKey
 
--- a/src/bluebellyoke/dispatch/pace_orders.py
+++ b/src/bluebellyoke/dispatch/pace_orders.py
@@ -11,7 +11,8 @@
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.events import PaceFinished
 from bluebellyoke.dispatch.ports import NotReachedError, PaceRequest, PaceResult
-from bluebellyoke.dispatch.workers import RunPhase, TrackedWorker
+from bluebellyoke.dispatch.tracked_run import RunPhase
+from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.specs import StepSpec
 from bluebellyoke.workflow.store import RunKey
 
--- a/src/bluebellyoke/dispatch/pace_stops.py
+++ b/src/bluebellyoke/dispatch/pace_stops.py
@@ -11,7 +11,7 @@
 from bluebellyoke.dispatch.pace_orders import PacedRun
 from bluebellyoke.dispatch.pace_state import SETTLE_S, Tail, WorkerPacing
 from bluebellyoke.dispatch.stops import RunStopper
-from bluebellyoke.dispatch.workers import RunPhase
+from bluebellyoke.dispatch.tracked_run import RunPhase
 
 __all__ = ["PausedRunStops"]
 
--- a/src/bluebellyoke/dispatch/pacing.py
+++ b/src/bluebellyoke/dispatch/pacing.py
@@ -25,7 +25,8 @@
 from bluebellyoke.dispatch.pace_stops import PausedRunStops
 from bluebellyoke.dispatch.probes import WorkerProber
 from bluebellyoke.dispatch.stops import RunStopper
-from bluebellyoke.dispatch.workers import TrackedRun, TrackedWorker
+from bluebellyoke.dispatch.tracked_run import TrackedRun
+from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.commands import RunOutcome
 from bluebellyoke.workflow.specs import StepSpec
 from bluebellyoke.workflow.store import RunKey
--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -15,7 +15,8 @@
 from bluebellyoke.dispatch.registry import WorkerRegistry
 from bluebellyoke.dispatch.run_ends import RunEndRecorder
 from bluebellyoke.dispatch.stops import RunStopper
-from bluebellyoke.dispatch.workers import RemovalReason, RunPhase, TrackedWorker
+from bluebellyoke.dispatch.tracked_run import RunPhase
+from bluebellyoke.dispatch.workers import RemovalReason, TrackedWorker
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.store import RunKey
 
--- a/src/bluebellyoke/dispatch/prediction.py
+++ b/src/bluebellyoke/dispatch/prediction.py
@@ -16,7 +16,7 @@
 from bluebellyoke.dispatch.objectives import JobShape, describe_job
 from bluebellyoke.dispatch.pool_forecast import LAST_SLOT, SLOT_S, PoolForecast
 from bluebellyoke.dispatch.run_ratios import RunRatios
-from bluebellyoke.dispatch.workers import COMPLETE_PERCENT, TrackedRun
+from bluebellyoke.dispatch.tracked_run import COMPLETE_PERCENT, TrackedRun
 from bluebellyoke.workflow.specs import QueueSpec, WorkflowSpec, WorkspaceSpec
 from bluebellyoke.workflow.workflow import Workflow
 
--- a/src/bluebellyoke/dispatch/preemption.py
+++ b/src/bluebellyoke/dispatch/preemption.py
@@ -19,9 +19,10 @@
 from bluebellyoke.dispatch.pool_forecast import MAX_STOP_S, MAX_STOPPING_FRACTION
 from bluebellyoke.dispatch.prediction import PREEMPTING_PRIORITY
 from bluebellyoke.dispatch.stops import RunStopper
+from bluebellyoke.dispatch.tracked_run import RunPhase, TrackedRun
 from bluebellyoke.dispatch.urgency import UrgencyOrder
 from bluebellyoke.dispatch.waiting import WaitingStep
-from bluebellyoke.dispatch.workers import RunPhase, TrackedRun, TrackedWorker
+from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.commands import TaskName
 from bluebellyoke.workflow.store import RunKey
 
--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -8,7 +8,8 @@
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.run_ends import RunEndRecorder, log_run_end
 from bluebellyoke.dispatch.stops import RunStopper
-from bluebellyoke.dispatch.workers import RemovalReason, RunPhase, TrackedWorker
+from bluebellyoke.dispatch.tracked_run import RunPhase
+from bluebellyoke.dispatch.workers import RemovalReason, TrackedWorker
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.commands import CrashedRun
 from bluebellyoke.workflow.specs import WorkerSpec
--- a/src/bluebellyoke/dispatch/run_ends.py
+++ b/src/bluebellyoke/dispatch/run_ends.py
@@ -6,7 +6,8 @@
 from bluebellyoke.cell.result import Result
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.stops import RunStopper
-from bluebellyoke.dispatch.workers import RunPhase, TrackedWorker
+from bluebellyoke.dispatch.tracked_run import RunPhase
+from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.store import RunKey
 from bluebellyoke.workflow.workflow import Workflow
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -23,8 +23,9 @@
 from bluebellyoke.dispatch.quota_reports import QuotaReporter
 from bluebellyoke.dispatch.run_ends import RunEndRecorder
 from bluebellyoke.dispatch.stops import RunStopper
+from bluebellyoke.dispatch.tracked_run import RunPhase
 from bluebellyoke.dispatch.waits import WaitReporter
-from bluebellyoke.dispatch.workers import RunPhase, TrackedWorker
+from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow import commands as workflow_commands
 
 __all__ = ["RunStarter"]
--- a/src/bluebellyoke/dispatch/stops.py
+++ b/src/bluebellyoke/dispatch/stops.py
@@ -6,7 +6,8 @@
 from bluebellyoke.dispatch.events import StopFinished
 from bluebellyoke.dispatch.ports import StopRequest
 from bluebellyoke.dispatch.probes import WorkerProber
-from bluebellyoke.dispatch.workers import RunPhase, TrackedWorker
+from bluebellyoke.dispatch.tracked_run import RunPhase
+from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.store import RunKey
 from bluebellyoke.workflow.workflow import TaskProgress, Workflow
--- a/src/bluebellyoke/dispatch/stragglers.py
+++ b/src/bluebellyoke/dispatch/stragglers.py
@@ -14,13 +14,9 @@
 from bluebellyoke.dispatch.planning_round import MAX_WORKER_SILENCE_S
 from bluebellyoke.dispatch.run_times import RunTimes
 from bluebellyoke.dispatch.stops import RunStopper
+from bluebellyoke.dispatch.tracked_run import COMPLETE_PERCENT, RunPhase, TrackedRun
 from bluebellyoke.dispatch.worker_speeds import WorkerSpeeds
-from bluebellyoke.dispatch.workers import (
-    COMPLETE_PERCENT,
-    RunPhase,
-    TrackedRun,
-    TrackedWorker,
-)
+from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.commands import TaskName
 from bluebellyoke.workflow.specs import StepSpec
 from bluebellyoke.workflow.store import RunKey
--- a/src/bluebellyoke/dispatch/worker_speeds.py
+++ b/src/bluebellyoke/dispatch/worker_speeds.py
@@ -18,7 +18,8 @@
 )
 from bluebellyoke.dispatch.slowdowns import Slowdown
 from bluebellyoke.dispatch.speed_estimates import SpeedEstimate, update_estimates
-from bluebellyoke.dispatch.workers import COMPLETE_PERCENT, TrackedRun, TrackedWorker
+from bluebellyoke.dispatch.tracked_run import COMPLETE_PERCENT, TrackedRun
+from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.metrics import Metrics
 from bluebellyoke.workflow.commands import RunOutcome
 from bluebellyoke.workflow.specs import StepSpec
--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -8,12 +8,12 @@
 from dataclasses import dataclass, field
 
 from bluebellyoke.cell.resources import Resources
-from bluebellyoke.dispatch.progress_marks import ProgressMark
+from bluebellyoke.dispatch.tracked_run import RunPhase, TrackedRun
 from bluebellyoke.workflow.commands import RunOutcome
 from bluebellyoke.workflow.specs import WorkerSpec
 from bluebellyoke.workflow.store import RunKey
 
-__all__ = ["LeaseTimes", "RemovalReason", "RunPhase", "TrackedRun", "TrackedWorker"]
+__all__ = ["LeaseTimes", "RemovalReason", "TrackedWorker"]
 
 #: Number of different workflows that must fail on a worker, without a run that is done
 #: in between, before the worker is quarantined.
@@ -38,37 +38,10 @@
 #: The same for a suspect, whose worker gets no other task meanwhile, in seconds.
 SUSPECT_PROBE_INTERVAL_S = 0.05
 
-#: A run is stalled once its percentage has not changed for this time, in seconds, and
-#: for the time that it took on average for this many percent so far.
-MIN_STALL_S = 0.7
-STALL_PERCENT_STEPS = 5
-
-COMPLETE_PERCENT = 100
-
 #: Maximum relative lag of a worker's clock.
 MAX_CLOCK_LAG = 0.02
 
 
-class RunPhase(enum.Enum):
-    """State of an assigned run as the leader knows it.
-
-    Attributes:
-        STARTING: The start is planned or in flight.
-        STARTED: The worker has the run.
-        UNKNOWN: The start got no response, or an earlier leader sent it.
-        BLOCKING: A stop is in flight for a run that the worker does not list.
-        BLOCKED: The worker accepted that stop, so the run can no longer begin.
-        STOPPING: A run that the worker has is being stopped.
-    """
-
-    STARTING = "calling"
-    STARTED = "started"
-    UNKNOWN = "unsure"
-    BLOCKING = "barring"
-    BLOCKED = "barred"
-    STOPPING = "stopping"
-
-
 class RemovalReason(enum.Enum):
     """Why the leader removes an incarnation of a worker.
 
@@ -97,76 +70,6 @@
     max_lease_s: float = 6.0
 
 
-@dataclass(slots=True)
-class TrackedRun:
-    """A run that may take up resources of the worker. All times are monotonic.
-
-    Attributes:
-        need: Resources that the run takes up.
-        phase_since: Time of the last change of the phase.
-        sent_at: Time at which this leader sent the start, or None if it has not.
-        probation_s: Time for which it has to run before it is cleared of the crashes
-            that it was in, in seconds; 0 if it is not a suspect.
-        is_cleared: Whether it has outlived them.
-        expected_end_at: Time at which the run is expected to end.
-        baseline_at: Time at which `baseline_percent` of its work was done, if known.
-        progressed_at: Time at which the worker first reported `percent`.
-        percent: Latest reported share of its work that is done, in percent.
-        mark: What the speed of its worker is measured by, if it is.
-    """
-
-    need: Resources
-    phase: RunPhase
-    phase_since: float
-    sent_at: float | None = None
-    probation_s: float = 0.0
-    is_cleared: bool = False
-    expected_end_at: float = math.inf
-    baseline_at: float | None = None
-    baseline_percent: int = 0
-    progressed_at: float = 0.0
-    percent: int = 0
-    mark: ProgressMark | None = None
-
-    def record_progress(self, percent: int, now: float) -> None:
-        """Update the expected end; `percent` is the share of the work that is done."""
-        if percent != self.percent:
-            self.progressed_at, self.percent = now, percent
-        if self.baseline_at is None:
-            self.baseline_at, self.baseline_percent = now, percent
-        elif percent > self.baseline_percent and now > self.baseline_at:
-            rate = (percent - self.baseline_percent) / (now - self.baseline_at)
-            self.expected_end_at = now + (COMPLETE_PERCENT - percent) / rate
-
-    @property
-    def probation_end(self) -> float:
-        """Time from which a report that lists it clears it, or infinity."""
-        if not self.probation_s:
-            return math.inf
-        begun_at = self.phase_since if self.sent_at is None else self.sent_at
-        return begun_at + self.probation_s
-
-    @property
-    def has_progressed(self) -> bool:
-        """Whether it has made progress, so that its rate is known, but is not complete.
-
-        A long-running task stays at 100 percent while it runs.
-        """
-        known = self.baseline_at is not None
-        return known and self.baseline_percent < self.percent < COMPLETE_PERCENT
-
-    def is_stalled(self, now: float) -> bool:
-        """Return whether it has made no progress for long relative to its own rate."""
-        if not self.has_progressed:
-            return False
-        seconds_per_percent = (self.progressed_at - self.baseline_at) / (
-            self.percent - self.baseline_percent
-        )
-        return now - self.progressed_at > max(
-            MIN_STALL_S, STALL_PERCENT_STEPS * seconds_per_percent
-        )
-
-
 @dataclass(slots=True)
 class TrackedWorker:
     """One incarnation of a worker as the leader sees it. All times are monotonic.
--- a/tests/dispatch/fleet.py
+++ b/tests/dispatch/fleet.py
@@ -15,8 +15,9 @@
 from bluebellyoke.dispatch.run_times import RunTimes
 from bluebellyoke.dispatch.stops import RunStopper
 from bluebellyoke.dispatch.stragglers import StragglerMover
+from bluebellyoke.dispatch.tracked_run import RunPhase
 from bluebellyoke.dispatch.worker_speeds import WorkerSpeeds
-from bluebellyoke.dispatch.workers import LeaseTimes, RunPhase, TrackedWorker
+from bluebellyoke.dispatch.workers import LeaseTimes, TrackedWorker
 from bluebellyoke.leader.sessions import ProposalQueue
 from bluebellyoke.metrics import Metrics
 from bluebellyoke.workflow import commands as workflow_commands
--- a/tests/dispatch/neighbours.py
+++ b/tests/dispatch/neighbours.py
@@ -10,7 +10,8 @@
 
 from bluebellyoke.dispatch.interference import InterferenceLearner
 from bluebellyoke.dispatch.pair_table import PairTable
-from bluebellyoke.dispatch.workers import RunPhase, TrackedWorker
+from bluebellyoke.dispatch.tracked_run import RunPhase
+from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.metrics import Metrics
 from bluebellyoke.workflow.commands import RunOutcome, TaskName
 from tests.workflow.factories import create_step, create_worker
--- a/tests/dispatch/test_advice_renewal.py
+++ b/tests/dispatch/test_advice_renewal.py
@@ -10,7 +10,8 @@
 
 from bluebellyoke.dispatch.advice import AdviceManager
 from bluebellyoke.dispatch.planner import Planner
-from bluebellyoke.dispatch.workers import RunPhase, TrackedWorker
+from bluebellyoke.dispatch.tracked_run import RunPhase
+from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.instance import wire
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.specs import AdvisorSpec
--- a/tests/dispatch/test_crash_evidence.py
+++ b/tests/dispatch/test_crash_evidence.py
@@ -5,7 +5,8 @@
 import pytest
 
 from bluebellyoke.dispatch.crashes import has_crashed, list_crashed_runs
-from bluebellyoke.dispatch.workers import RemovalReason, RunPhase, TrackedWorker
+from bluebellyoke.dispatch.tracked_run import RunPhase
+from bluebellyoke.dispatch.workers import RemovalReason, TrackedWorker
 from tests.dispatch.crashing import CrashSimulation
 from tests.workflow.factories import create_spec, create_step, create_worker, name_task
 
--- a/tests/dispatch/test_isolation.py
+++ b/tests/dispatch/test_isolation.py
@@ -11,7 +11,8 @@
     RecentCrashes,
     compute_probation,
 )
-from bluebellyoke.dispatch.workers import RunPhase, TrackedWorker
+from bluebellyoke.dispatch.tracked_run import RunPhase
+from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.crashes import SharedCrash, TaskCrashes
 from tests.workflow.factories import create_worker, name_task
 
--- a/tests/dispatch/test_planner_differential.py
+++ b/tests/dispatch/test_planner_differential.py
@@ -10,7 +10,8 @@
 
 from bluebellyoke.dispatch.advice import AdviceManager
 from bluebellyoke.dispatch.planner import Planner
-from bluebellyoke.dispatch.workers import RunPhase, TrackedWorker
+from bluebellyoke.dispatch.tracked_run import RunPhase
+from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.dispatch import reference_planner
 from tests.workflow.factories import (
--- a/tests/dispatch/test_selection.py
+++ b/tests/dispatch/test_selection.py
@@ -2,7 +2,8 @@
 
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.dispatch.selection import order_by_room
-from bluebellyoke.dispatch.workers import RunPhase, TrackedWorker
+from bluebellyoke.dispatch.tracked_run import RunPhase
+from bluebellyoke.dispatch.workers import TrackedWorker
 from tests.workflow.factories import create_worker
 
 NEED = Resources(1000, 100, 0)
--- a/tests/dispatch/test_waits.py
+++ b/tests/dispatch/test_waits.py
@@ -7,8 +7,8 @@
 from bluebellyoke.dispatch.advice import AdviceManager
 from bluebellyoke.dispatch.planner import Planner
 from bluebellyoke.dispatch.planning_round import WaitReason
+from bluebellyoke.dispatch.tracked_run import RunPhase
 from bluebellyoke.dispatch.waits import WaitReporter
-from bluebellyoke.dispatch.workers import RunPhase
 from bluebellyoke.metrics import Metrics
 from tests.dispatch.test_advice_renewal import SHORT_ADVISOR, AdvisedPool
 
