Give the methods of run observers empty defaults

Cause: an observer that ignores reports or removals of workers had to repeat methods without a body. Change: record_progress, record_end and forget_worker do nothing by default, and RunRatios no longer repeats two of them. clear stays abstract, since state that outlives a term of leadership would be a fault. Conclusion: an observer shows only what it uses.

--- a/src/bluebellyoke/dispatch/observers.py
+++ b/src/bluebellyoke/dispatch/observers.py
@@ -1,4 +1,4 @@
-"""Interface of the parts that learn from what workers report about their runs."""
+"""Base class of the parts that learn from what workers report about their runs."""
 
 import abc
 
@@ -11,10 +11,12 @@
 
 
 class RunObserver(abc.ABC):
-    """Learns from the progress and the ends of runs. All times are monotonic."""
+    """Learns from the progress and the ends of runs. All times are monotonic.
 
-    @abc.abstractmethod
-    def record_progress(
+    Reports, ends and removals are ignored unless an observer overrides their method.
+    """
+
+    def record_progress(  # noqa: B027
         self,
         worker: TrackedWorker,
         key: RunKey,
@@ -30,8 +32,7 @@
                 thousandths of a core; 0 if unknown.
         """
 
-    @abc.abstractmethod
-    def record_end(
+    def record_end(  # noqa: B027
         self,
         worker: TrackedWorker,
         key: RunKey,
@@ -41,8 +42,7 @@
     ) -> None:
         """Take note of the end of a run, before the run is dropped."""
 
-    @abc.abstractmethod
-    def forget_worker(self, worker: TrackedWorker) -> None:
+    def forget_worker(self, worker: TrackedWorker) -> None:  # noqa: B027
         """Drop what is known of an incarnation of a worker that has been removed."""
 
     @abc.abstractmethod
--- a/src/bluebellyoke/dispatch/run_ratios.py
+++ b/src/bluebellyoke/dispatch/run_ratios.py
@@ -43,16 +43,6 @@
         """Return the ratio that most runs of a queue are below, 1 if unknown."""
         return self._high_ratios.get(queue, 1.0)
 
-    def record_progress(
-        self,
-        worker: TrackedWorker,
-        key: RunKey,
-        run: TrackedRun,
-        load: int,
-        now: float,
-    ) -> None:
-        """Ignore the progress; only whole runs count."""
-
     def record_end(
         self,
         worker: TrackedWorker,
@@ -81,9 +71,6 @@
         high = min(max(high + HIGH_STEP * change, MIN_RATIO), MAX_RATIO)
         self._high_ratios[queue] = high
 
-    def forget_worker(self, worker: TrackedWorker) -> None:
-        """Keep the ratios, which are not those of a worker."""
-
     def clear(self) -> None:
         """Forget all ratios."""
         self._ratios.clear()
