Correct the case of unprotected.py on advice for placed steps

Cause: the case named a method of the planner that has moved to StepTickets, so that its text was not found. Change: it names the present call; the check that it removes is the same. Figures: on a scratch copy with the check removed, test_planner.py fails in test_placed_step_asks_about_no_further_workers. Conclusion: the case removes a real check again.

--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -281,8 +281,8 @@
         "a placed step asks about no further workers",
         "dispatch/planner.py",
         "        else:\n"
-        "            self._request_missing_advice(step, pool, planning)\n",
-        "        self._request_missing_advice(step, pool, planning)\n",
+        "            self._tickets.request_missing(step, pool, planning)\n",
+        "        self._tickets.request_missing(step, pool, planning)\n",
         "tests/dispatch/test_planner.py",
     ),
     Case(
