Split the planning loop off the method that sets up a round

Cause: Planner.plan set up the round and planned each step in one long method. Change: the loop is in _plan_steps; a comment says why the maximum of free resources is computed first. No behaviour changes. Conclusion: each method does one thing.

--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -110,6 +110,7 @@
         for order in self._orders:
             waiting = order.arrange(waiting, planning)
         if len(waiting) > RENEWED_STEPS:
+            # Computed before any start, so that it is an upper bound during the round.
             planning.get_max_free()
         self._paused_until = {
             step: until for step, until in self._paused_until.items() if now < until
@@ -117,6 +118,19 @@
         self._suspects.plan(
             store, self._steps.list_suspects(), planning, self._paused_until
         )
+        self._plan_steps(store, waiting, planning)
+        self._prefetch_advice(store, planning)
+        planning.drop_reasons_of_started_steps()
+        self.wait_reasons = planning.wait_reasons
+        return planning.starts
+
+    def _plan_steps(
+        self,
+        store: WorkflowStore,
+        waiting: Iterable[WaitingStep],
+        planning: PlanningRound,
+    ) -> None:
+        """Plan the waiting steps in their order, up to the maximum of starts."""
         head_steps = 0
         for step in waiting:
             if len(planning.starts) >= MAX_STARTS_PER_ROUND:
@@ -133,10 +147,6 @@
             is_head = head_steps < RENEWED_STEPS and _can_ever_fit(step.spec, planning)
             head_steps += is_head
             self._plan_step(store, step, planning, is_head)
-        self._prefetch_advice(store, planning)
-        planning.drop_reasons_of_started_steps()
-        self.wait_reasons = planning.wait_reasons
-        return planning.starts
 
     def _prefetch_advice(self, store: WorkflowStore, planning: PlanningRound) -> None:
         """Request advice on steps that can begin once the placed tasks have ended."""
