Name the thresholds of pacing by what they trigger

Cause: NEAR, CALM, IDLE, WATCHED and engaged had to be explained. Change: they are SLOW_DOWN_RATIO, SPEED_UP_RATIO, SPEED_UP_ALL_RATIO, PROBE_RATIO and needs_checks; some private methods are renamed alike. Values are the same. Conclusion: the decisions can be read without the comment.

--- a/src/bluebellyoke/dispatch/pace_state.py
+++ b/src/bluebellyoke/dispatch/pace_state.py
@@ -6,16 +6,15 @@
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.store import RunKey
 
-__all__ = ["RAISE_INTERVAL_S", "SETTLE_S", "WATCHED", "Tail", "WorkerPacing"]
+__all__ = ["RAISE_INTERVAL_S", "SETTLE_S", "PROBE_RATIO", "Tail", "WorkerPacing"]
 
-#: Share of the target from which the worker is probed more often.
-WATCHED = 0.8
+#: Tail latency as a share of its target from which the worker is probed more often.
+PROBE_RATIO = 0.8
 
 #: Time between two increases on a worker, in seconds. It doubles if an increase is soon
 #: followed by a reduction.
 RAISE_INTERVAL_S = 1.0
 
-
 #: Time after an order from which a report shows its effect, in seconds: the order takes
 #: effect after 0.1 s, and a report covers the last 0.5 s.
 SETTLE_S = 0.65
@@ -75,10 +74,10 @@
     accounted_at: float = 0.0
 
     @property
-    def is_engaged(self) -> bool:
-        """Whether it needs attention between two reports."""
+    def needs_checks(self) -> bool:
+        """Whether it has to be checked between two reports."""
         return any(not x.is_settled or x.is_limited for x in self.runs.values()) or (
-            bool(self.runs) and self.ratio >= WATCHED
+            bool(self.runs) and self.ratio >= PROBE_RATIO
         )
 
     def find_worst(self) -> Tail | None:
--- a/src/bluebellyoke/dispatch/pacing.py
+++ b/src/bluebellyoke/dispatch/pacing.py
@@ -16,9 +16,9 @@
 from bluebellyoke.dispatch.observers import RunObserver
 from bluebellyoke.dispatch.pace_orders import FULL_PACE, PacedRun, PaceOrders
 from bluebellyoke.dispatch.pace_state import (
+    PROBE_RATIO,
     RAISE_INTERVAL_S,
     SETTLE_S,
-    WATCHED,
     Tail,
     WorkerPacing,
 )
@@ -35,16 +35,16 @@
 
 logger = logging.getLogger("bluebellyoke.dispatch")
 
-#: Tail latency as a share of its target: above `NEAR` runs are slowed down, below
-#: `CALM` one of them at a time is sped up, below `IDLE` all of them. Between `CALM`
-#: and `NEAR` runs are sped up at the longest interval, since the tail may be due to the
-#: load of the serving task alone.
-NEAR = 0.9
-CALM = 0.75
-IDLE = 0.5
+#: Tail latency as a share of its target: from `SLOW_DOWN_RATIO` runs are slowed down,
+#: below `SPEED_UP_RATIO` one of them at a time is sped up, below `SPEED_UP_ALL_RATIO`
+#: all of them. Between the first two, runs are sped up at the longest interval, since
+#: the tail may be due to the load of the serving task alone.
+SLOW_DOWN_RATIO = 0.9
+SPEED_UP_RATIO = 0.75
+SPEED_UP_ALL_RATIO = 0.5
 
-#: Time between two reports of a watched worker, in seconds. A probe costs about as much
-#: as a poll; two stages of slowing down and a stop have to fit into 4.5 s.
+#: Time between two reports of a worker that is probed, in seconds. A probe costs about
+#: as much as a poll; two stages of slowing down and a stop have to fit into 4.5 s.
 WATCH_INTERVAL_S = 0.3
 
 #: Increase of a pace per step, and the smallest pace above 0, in percent.
@@ -55,9 +55,9 @@
 MAX_RAISE_INTERVAL_S = 8.0
 
 #: Time after an increase in which a reduction counts as its consequence, in seconds.
-RAISE_BLAME_S = 3.0
+RAISE_EFFECT_S = 3.0
 
-#: Time between two looks at the workers with limited runs, in seconds.
+#: Time between two checks of the workers with limited runs, in seconds.
 TICK_INTERVAL_S = 0.05
 
 
@@ -87,7 +87,7 @@
         self._orders = PaceOrders(context)
         self._states: dict[tuple[str, int], WorkerPacing] = {}
         self._reported: set[tuple[str, int]] = set()
-        self._engaged: set[tuple[str, int]] = set()
+        self._workers_to_check: set[tuple[str, int]] = set()
         self._tick_due = 0.0
 
     def was_limited(self, worker: TrackedWorker, key: RunKey, since: float) -> bool:
@@ -105,9 +105,11 @@
         state = self._states.get(worker.spec.key)
         if state is None or not state.tails:
             return 0.0
-        if state.ratio >= NEAR or any(x.is_limited for x in state.runs.values()):
+        if state.ratio >= SLOW_DOWN_RATIO or any(
+            x.is_limited for x in state.runs.values()
+        ):
             return 1.0
-        return 0.5 if state.ratio >= CALM else 0.0
+        return 0.5 if state.ratio >= SPEED_UP_RATIO else 0.0
 
     # Reports.
 
@@ -176,13 +178,13 @@
         """Drop the tails and limits of an incarnation."""
         self._states.pop(worker.spec.key, None)
         self._reported.discard(worker.spec.key)
-        self._engaged.discard(worker.spec.key)
+        self._workers_to_check.discard(worker.spec.key)
 
     def clear(self) -> None:
         """Drop everything; the next leader sends the limits again."""
         self._states.clear()
         self._reported.clear()
-        self._engaged.clear()
+        self._workers_to_check.clear()
         self._tick_due = 0.0
         self._context.metrics.set_paced_runs(0)
 
@@ -192,12 +194,12 @@
         paced = state.runs.get(event.key) if state is not None else None
         if paced is not None:
             self._orders.receive(worker, paced, event, now)
-            self._engaged.add(worker.spec.key)
+            self._workers_to_check.add(worker.spec.key)
 
     # Decisions.
 
     def tick(self, now: float) -> None:
-        """Decide on the workers with new reports and attend to those with limits."""
+        """Decide on the workers with new reports and check those with limits."""
         reported, self._reported = self._reported, set()
         for worker_key in reported:
             self._decide(self._states[worker_key], now)
@@ -205,15 +207,15 @@
             return
         self._tick_due = now + TICK_INTERVAL_S
         limited = 0
-        for worker_key in tuple(self._engaged):
-            limited += self._attend(self._states[worker_key], now)
+        for worker_key in tuple(self._workers_to_check):
+            limited += self._check_limited_runs(self._states[worker_key], now)
         self._context.metrics.set_paced_runs(limited)
 
     def _decide(self, state: WorkerPacing, now: float) -> None:
         self._count_unused(state, now)
         state.drop_ended_runs()
         if not state.runs and not state.tails:
-            self._engaged.discard(state.worker.spec.key)
+            self._workers_to_check.discard(state.worker.spec.key)
             del self._states[state.worker.spec.key]
             return
         worst = state.find_worst()
@@ -227,9 +229,12 @@
         if worst is None:
             self._change(state, list(state.runs.values()), FULL_PACE, worst, now)
         elif has_report and now - state.changed_at >= SETTLE_S:
-            if state.ratio >= NEAR:
+            if state.ratio >= SLOW_DOWN_RATIO:
                 self._slow_down(state, worst, now)
-            elif state.ratio < CALM or now - state.changed_at >= MAX_RAISE_INTERVAL_S:
+            elif (
+                state.ratio < SPEED_UP_RATIO
+                or now - state.changed_at >= MAX_RAISE_INTERVAL_S
+            ):
                 self._speed_up(state, worst, now)
         self._send(state, now)
 
@@ -245,14 +250,14 @@
             if paced.in_force is not None:
                 paced.percent = min(limits, default=FULL_PACE)
             else:
-                paced.percent = _choose_found_limit(state.ratio)
+                paced.percent = _choose_initial_limit(state.ratio)
             if paced.is_limited:
                 state.changed_at = now
                 _log_pace(state, paced, worst)
 
     def _slow_down(self, state: WorkerPacing, worst: Tail, now: float) -> None:
         running = [x for x in state.runs.values() if x.percent > 0]
-        if now - state.raised_at < RAISE_BLAME_S:
+        if now - state.raised_at < RAISE_EFFECT_S:
             state.raise_interval_s = min(
                 2 * state.raise_interval_s, MAX_RAISE_INTERVAL_S
             )
@@ -277,7 +282,7 @@
         limited = [x for x in state.runs.values() if x.is_limited]
         if not limited or now < state.raise_due:
             return
-        if state.ratio >= IDLE:
+        if state.ratio >= SPEED_UP_ALL_RATIO:
             limited = [min(limited, key=lambda x: self._rank_effect(x, worst.image))]
         for paced in limited:
             percent = min(paced.percent + RAISE_STEP, FULL_PACE)
@@ -309,21 +314,23 @@
     def _send(self, state: WorkerPacing, now: float) -> None:
         for paced in state.runs.values():
             self._orders.send_if_due(state.worker, paced, now)
-        if state.is_engaged:
-            self._engaged.add(state.worker.spec.key)
+        if state.needs_checks:
+            self._workers_to_check.add(state.worker.spec.key)
 
     # Between two reports.
 
-    def _attend(self, state: WorkerPacing, now: float) -> int:
-        """Repeat orders and request a report; return the number of limited runs."""
+    def _check_limited_runs(self, state: WorkerPacing, now: float) -> int:
+        """Send due orders and request a report; return the number of limited runs."""
         self._count_unused(state, now)
         self._send(state, now)
-        if not state.is_engaged:
-            self._engaged.discard(state.worker.spec.key)
+        if not state.needs_checks:
+            self._workers_to_check.discard(state.worker.spec.key)
             return 0
-        is_watched = state.ratio >= WATCHED or now - state.changed_at < 2 * SETTLE_S
+        needs_probes = (
+            state.ratio >= PROBE_RATIO or now - state.changed_at < 2 * SETTLE_S
+        )
         is_due = now - state.worker.last_response_at >= WATCH_INTERVAL_S
-        if state.tails and is_watched and is_due:
+        if state.tails and needs_probes and is_due:
             self._prober.request(state.worker)
         return sum(x.is_limited for x in state.runs.values())
 
@@ -342,7 +349,7 @@
             )
 
 
-def _choose_found_limit(ratio: float) -> int:
+def _choose_initial_limit(ratio: float) -> int:
     """Return the limit of a run that an earlier leader may have limited.
 
     The tail shows the effect of a limit that this leader does not know, so that runs
@@ -350,9 +357,9 @@
     """
     if ratio >= 1:
         return 0
-    if ratio >= NEAR:
+    if ratio >= SLOW_DOWN_RATIO:
         return RAISE_STEP
-    return FULL_PACE // 2 if ratio >= IDLE else FULL_PACE
+    return FULL_PACE // 2 if ratio >= SPEED_UP_ALL_RATIO else FULL_PACE
 
 
 def _log_pace(state: WorkerPacing, paced: PacedRun, worst: Tail | None) -> None:
