Use plainer names and reasons in speeds, stragglers and pairs

Cause: names such as _judge, _change_belief, _tells_speed and 'unsound' were private wording, and some comments justified constants by one load. Change: renamed private functions, reworded the comments; COST_STEP is listed as public, since separation.py uses it. No value changes. Conclusion: the modules need less explanation.

--- a/src/bluebellyoke/dispatch/costs.py
+++ b/src/bluebellyoke/dispatch/costs.py
@@ -10,7 +10,7 @@
 from bluebellyoke.workflow.commands import RunStart
 from bluebellyoke.workflow.specs import StepSpec
 
-__all__ = ["CostTables", "PlacementCost", "sum_costs"]
+__all__ = ["COST_STEP", "CostTables", "PlacementCost", "sum_costs"]
 
 #: Smallest difference of costs that orders two workers, as a share of a run time.
 #: Estimates differ by less than this from one report to the next.
--- a/src/bluebellyoke/dispatch/expected_end.py
+++ b/src/bluebellyoke/dispatch/expected_end.py
@@ -22,7 +22,7 @@
 MIN_SENSITIVITY = -0.25
 MAX_SENSITIVITY = 1.0
 
-#: Sensitivities are rounded to this, so that the planner finds few kinds of steps.
+#: Sensitivities are rounded down to this, so that many steps share a table of costs.
 SENSITIVITY_STEP = 0.25
 
 #: Least sensitivity to a temporary slowdown. It makes tasks several times as long, and
--- a/src/bluebellyoke/dispatch/exposure.py
+++ b/src/bluebellyoke/dispatch/exposure.py
@@ -11,8 +11,8 @@
 
 __all__ = ["Baseline", "EndedRuns", "add_overlap"]
 
-#: Number of ended runs of a worker that are kept for comparisons. Those of the last
-#: seconds are needed, and some 10 short runs a second end on a worker.
+#: Number of ended runs of a worker that are kept for comparisons, which use those of
+#: the last seconds.
 MAX_ENDED_RUNS = 64
 
 #: Smallest exposure that a baseline remembers.
--- a/src/bluebellyoke/dispatch/pair_table.py
+++ b/src/bluebellyoke/dispatch/pair_table.py
@@ -22,12 +22,13 @@
 #: Share of the pairs that is dropped when the table is full.
 DROPPED_SHARE = 0.25
 
-#: Variance of the logarithm of an unknown slowdown: most are below 1.35.
+#: Variance of the logarithm of an unknown slowdown: one standard deviation is a factor
+#: of 1.35.
 PRIOR_VARIANCE = 0.09
 
 #: Largest deviation that one piece of evidence counts for, as a multiple of its
-#: standard deviation and as a logarithm. A few tasks in a hundred run many times as
-#: long as the rest, whatever runs beside them.
+#: standard deviation and as a logarithm. A few tasks run many times as long as usual,
+#: whatever runs beside them.
 MAX_RESIDUAL_SIGMAS = 1.5
 MAX_RESIDUAL = 0.5
 
@@ -181,7 +182,7 @@
             pair.evidence += contrast * contrast
             if len(pair.workers) < MAX_WORKERS:
                 pair.workers.add(worker)
-            self._judge(victim, other, pair)
+            self._update_known(victim, other, pair)
 
     def _get_pair(self, victim: str, other: str, now: float) -> PairEstimate:
         pair = self._pairs.get((victim, other))
@@ -202,14 +203,14 @@
         for names in ranked[: int(MAX_PAIRS * DROPPED_SHARE)]:
             pair = self._pairs.pop(names)
             if pair.is_known:
-                self._change_belief(*names, pair)
+                self._toggle_known(*names, pair)
 
     def forget_worker(self, worker: tuple[str, int]) -> None:
         """Drop an incarnation of a worker as a source of evidence."""
         for (victim, other), pair in self._pairs.items():
             if worker in pair.workers:
                 pair.workers.discard(worker)
-                self._judge(victim, other, pair)
+                self._update_known(victim, other, pair)
 
     def check(self, now: float) -> None:
         """Let all estimates age, at most once an interval."""
@@ -218,15 +219,15 @@
         self._check_due = now + CHECK_INTERVAL_S
         for (victim, other), pair in self._pairs.items():
             pair.age(now)
-            self._judge(victim, other, pair)
+            self._update_known(victim, other, pair)
 
-    def _judge(self, victim: str, other: str, pair: PairEstimate) -> None:
+    def _update_known(self, victim: str, other: str, pair: PairEstimate) -> None:
         if pair.should_be_known() is not pair.is_known:
-            self._change_belief(victim, other, pair)
+            self._toggle_known(victim, other, pair)
         elif pair.is_known:
             self._publish(victim, other)
 
-    def _change_belief(self, victim: str, other: str, pair: PairEstimate) -> None:
+    def _toggle_known(self, victim: str, other: str, pair: PairEstimate) -> None:
         pair.is_known = not pair.is_known
         self._publish(victim, other)
         sigma = math.sqrt(pair.variance)
--- a/src/bluebellyoke/dispatch/slowdowns.py
+++ b/src/bluebellyoke/dispatch/slowdowns.py
@@ -1,7 +1,7 @@
 """Temporary slowdowns of workers, from rates of progress that change during runs.
 
 A run is compared with itself, so that neither the length of tasks nor wrong estimates
-matter: a worker that is slow by build, or a task that is long, has a steady rate.
+matter: on a worker that is always slow, or in a long task, the rate is steady.
 """
 
 import statistics
@@ -25,8 +25,8 @@
 MAX_WINDOWS = 12
 
 #: Time without evidence after which a slowdown counts as over, in seconds, and its
-#: minimum duration unless runs show that it is over. A worker whose runs have been
-#: moved away shows nothing, and slowdowns due to other load last about 6 s.
+#: minimum duration unless runs show that it is over. A worker whose runs have
+#: been moved away gives no evidence.
 EXPIRY_S = 3.0
 MIN_DURATION_S = 7.0
 
--- a/src/bluebellyoke/dispatch/speed_estimates.py
+++ b/src/bluebellyoke/dispatch/speed_estimates.py
@@ -1,4 +1,4 @@
-"""Estimates of the built-in speed of workers from the run times on each of them.
+"""Estimates of the lasting speed of workers from the run times on each of them.
 
 All figures are logarithms of the time that the same work takes relative to the median
 worker: above 0 is slow. How much the workers differ at all is estimated too, so that
--- a/src/bluebellyoke/dispatch/stragglers.py
+++ b/src/bluebellyoke/dispatch/stragglers.py
@@ -34,7 +34,7 @@
 MIN_PERCENT = 5
 
 #: Multiple of its expected run time that a run has to exceed, by its age and the time
-#: that is left. Run times vary by 50%.
+#: that is left. It leaves room for the usual variation of run times.
 LATE_FACTOR = 2.0
 
 #: Share of the objective of its job that it has to exceed as well. The rest is for
@@ -48,13 +48,13 @@
 #: Time that a move has to gain, in seconds.
 MIN_GAIN_S = 1.5
 
-#: Expected duration of a slowdown, and of its rest once it has lasted for longer, in
+#: Assumed duration of a slowdown, and of its rest once it has lasted for longer, in
 #: seconds.
 SLOWDOWN_S = 6.0
 MIN_SLOWDOWN_LEFT_S = 2.0
 
 #: Time without progress after which a run of a stalled worker is moved, in seconds.
-#: Most pauses of a worker are shorter.
+#: A shorter pause takes about as long as a move.
 STALL_S = 3.0
 
 #: Factor of a worker from which its runs are considered.
@@ -64,8 +64,8 @@
 MOVES_PER_S = 4.0
 MAX_MOVES = 8.0
 
-#: Share of the CPU time of sound workers that has to be free. With less, other tasks
-#: would start in the place of the moved one, on the same worker.
+#: Share of the CPU time of the unimpaired workers that has to be free. With less, other
+#: tasks would start in the place of the moved one, on the same worker.
 MIN_FREE_SHARE = 0.25
 
 #: Number of tasks that are remembered as moved.
@@ -112,14 +112,14 @@
         earned = MOVES_PER_S * (now - self._checked_at)
         self._allowance = min(self._allowance + earned, MAX_MOVES)
         self._checked_at = now
-        for worker, reason in self._list_unsound():
+        for worker, reason in self._list_impaired_workers():
             for key, run in list(worker.runs.items()):
                 if self._allowance < 1.0:
                     return
                 if self._should_move(worker, key, run, reason, now):
                     self._move(worker, key, reason)
 
-    def _list_unsound(self) -> list[tuple[TrackedWorker, str]]:
+    def _list_impaired_workers(self) -> list[tuple[TrackedWorker, str]]:
         """Return the workers that may make runs late, with the reason."""
         found = []
         for worker in self._context.workers.values():
--- a/src/bluebellyoke/dispatch/suspects.py
+++ b/src/bluebellyoke/dispatch/suspects.py
@@ -121,7 +121,7 @@
         candidates = planning.collect_candidates(step, ordered)
         chosen = _choose_few_workers(step.spec, len(indexes), candidates)
         if chosen is None:
-            _free_a_worker(step.spec, ordered, isolation)
+            _isolate_full_worker(step.spec, ordered, isolation)
             return WaitReason.NO_ROOM if workers else WaitReason.NO_WORKER
         used = [planning.workers[x] for x in {item.worker: None for item in chosen}]
         if not have_tickets(advice, [x.spec.key for x in used], planning.now):
@@ -136,7 +136,7 @@
         return None
 
 
-def _free_a_worker(
+def _isolate_full_worker(
     spec: StepSpec, ordered: list[TrackedWorker], isolation: Isolation
 ) -> None:
     """Set a worker apart that has room for a suspect once its runs have ended."""
--- a/src/bluebellyoke/dispatch/tracked_run.py
+++ b/src/bluebellyoke/dispatch/tracked_run.py
@@ -52,7 +52,7 @@
         baseline_at: Time at which `baseline_percent` of its work was done, if known.
         progressed_at: Time at which the worker first reported `percent`.
         percent: Latest reported share of its work that is done, in percent.
-        mark: What the speed of its worker is measured by, if it is.
+        mark: Points between which its rate is measured, or None if it is not.
     """
 
     need: Resources
--- a/src/bluebellyoke/dispatch/worker_speeds.py
+++ b/src/bluebellyoke/dispatch/worker_speeds.py
@@ -1,7 +1,8 @@
 """Speed of each worker, from the progress and the ends of its runs.
 
 A worker's factor is the time that it takes for the same work relative to the median
-worker. The part that is due to its build is told from a temporary slowdown.
+worker. A lasting difference, as of hardware, is told apart from a temporary
+slowdown.
 """
 
 import logging
@@ -113,7 +114,7 @@
         self.version += 1
 
     def get_factor(self, worker: TrackedWorker) -> float:
-        """Return the factor that is due to the build of a worker."""
+        """Return the lasting factor of a worker, without a temporary slowdown."""
         known = self._estimates.get(worker.spec.id)
         if known is not None and known.incarnation == worker.spec.incarnation:
             return math.exp(known.level)
@@ -157,7 +158,9 @@
             run.mark = ProgressMark(
                 now, clock_ms, run.percent, now, clock_ms, run.percent
             )
-            run.mark.is_usable = found is not None and _tells_speed(found[1], worker)
+            run.mark.is_usable = found is not None and _shows_worker_speed(
+                found[1], worker
+            )
             return
         elapsed_s = (clock_ms - mark.clock_ms) / 1000
         if (
@@ -245,14 +248,14 @@
         duration_s: float,
         now: float,
     ) -> None:
-        """Learn from a run time, unless something else than the worker explains it."""
+        """Learn from a run time if only the worker's speed can have affected it."""
         found = self._find_run(key)
         if found is None or duration_s < MIN_DURATION_S:
             return
         queue, step, is_fresh = found
         if not is_fresh or self._was_slowed_down(worker, begun_at):
             return
-        if not _tells_speed(step, worker):
+        if not _shows_worker_speed(step, worker):
             if step.gang:
                 self._run_times.record(queue, step, duration_s, now)
             return
@@ -337,7 +340,7 @@
             logger.info(message, extra=fields)
 
 
-def _tells_speed(step: StepSpec, worker: TrackedWorker) -> bool:
+def _shows_worker_speed(step: StepSpec, worker: TrackedWorker) -> bool:
     """Return whether the run time of a task depends on its worker's speed alone.
 
     The tasks of a gang end together. A backfill task gets what others leave to it.
