--- a/review/common/cell.py
+++ b/review/common/cell.py
@@ -32,7 +32,7 @@
 Discovery = "registry"
 Entry = "vip"
 HeartbeatMs = 1500
-Contracts = ["base","drain","config","cost","recover","sched","advice","upkeep","sharing"]
+Contracts = [{contracts}]
 config_mode = "highest"
 ControlMode = "invocation"
 Advisor = "{advisor}"
@@ -95,6 +95,10 @@
 """
 
 
+CONTRACTS = ("base", "drain", "config", "cost", "recover", "sched", "advice", "upkeep",
+             "sharing")
+
+
 class CannotRunError(Exception):
     """The case could not be set up."""
 
@@ -121,7 +125,7 @@
 class Cell:
     """Instances of the deploy file's role; the first ones have a data folder."""
 
-    def __init__(self, record, advisor, *, disks=3, plain=1):
+    def __init__(self, record, advisor, *, disks=3, plain=1, contracts=CONTRACTS):
         self.record, self.advisor = record, advisor
         self.disks, self.count = disks, disks + plain
         self.folder = Path(tempfile.mkdtemp(prefix="bluebellyoke-review-"))
@@ -131,6 +135,7 @@
         self.front, self.ready, self.control, self.peer = base, base + 1, base + 2, base + 4
         self.processes = {}
         self.seeds = (1, 2, 3)
+        self.contracts = contracts
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self.command = shlex.split(deploy["roles"]["instance"]["run"])
         if not (ROOT / "target" / "src").exists():
@@ -160,6 +165,7 @@
             zone=f"z{(number - 1) % 3 + 1}", number=number, ip=self.ips[number],
             peer=self.peer, last=self.peer + 15, seeds=seeds,
             bootstrap=str(bootstrap).lower(), disk_bool=str(has_disk).lower(), data=data,
+            contracts=",".join(f'"{x}"' for x in self.contracts),
             advisor=self.advisor.address, front=self.front, ready=self.ready,
             control=self.control))
         env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG")
@@ -260,7 +266,8 @@
 class Client:
     """A client that sends a request again, elsewhere, when the answer is not clear."""
 
-    def __init__(self, cell, fleet, record, prefix=PREFIX):
+    def __init__(self, cell, fleet, record, prefix=PREFIX, key=""):
+        self.headers = [("Api-Key", key)] if key else []
         self.cell, self.fleet, self.record, self.prefix = cell, fleet, record, prefix
         self.accepted = {}
         self.rejected = {}
@@ -271,7 +278,8 @@
         self.record.add("client", method, job, "at", number)
         status, body = await call(
             self.cell.front_of(number), method, self.prefix + job, value,
-            headers=[("Host", HOST), ("Deadline-Ms", str(int(timeout * 1000)))],
+            headers=[("Host", HOST), ("Deadline-Ms", str(int(timeout * 1000))),
+                     *self.headers],
             timeout=timeout)
         self.record.add("client", method, job, "->", status, json.dumps(body)[:90])
         return status, body
