Log join requests at the replica that sends and at those that receive them

Change: a replica logs the addresses that it asks whenever they change, and each receiver logs a request once in its time to live.

--- a/src/bluebellyoke/instance/membership.py
+++ b/src/bluebellyoke/instance/membership.py
@@ -68,6 +68,7 @@
         self._join_requests: dict[str, tuple[float, messages.Member]] = {}
         self._leave_notices: dict[str, float] = {}
         self._rejected_until: dict[str, float] = {}
+        self._asked_addresses: set[str] = set()
         self._leaving = False
         self._next_send_at = 0.0
         self._observed_at = math.inf
@@ -94,6 +95,16 @@
         The leader replies with the addresses of the members. The sender may only know
         former ones.
         """
+        previous = self._join_requests.get(member.replica)
+        if previous is None or now - previous[0] >= JOIN_REQUEST_TTL_S:
+            logger.info(
+                "replica: received a join request",
+                extra={
+                    "joining": member.replica,
+                    "is_leader": self._raft.is_leader,
+                    "leader": self._raft.leader,
+                },
+            )
         self._join_requests[member.replica] = (now, member)
         if self._raft.is_leader and member.replica not in self._raft.membership.members:
             self._send(
@@ -129,7 +140,14 @@
         request = messages.JoinRequest(0, self._member)
         own_address = f"{self._member.address}:{self._member.port}"
         addresses = {*self._seeds, *self.peers, *self._directory.addresses}
-        for address in addresses - {own_address}:
+        addresses.discard(own_address)
+        if addresses != self._asked_addresses:
+            self._asked_addresses = addresses
+            logger.info(
+                "replica: asks to join the membership",
+                extra={"addresses": sorted(addresses)},
+            )
+        for address in addresses:
             self._send(address, request)
 
     def _send_leave_notice(self) -> None:
