Let a replica find the leader through any seed

Cause: join requests went to the seeds only. A follower stored them without a reply, and an instance without a replica knew no member although its own link did. Seeds and addresses stood in four places that did not ask each other.

The joining replica asked its three seeds, the follower among them received the request and knew the leader, and the leader received none in 8 s.

Change: ReplicaDirectory is the only store of addresses, fed by the seeds, the local log, the link, lists of peers and the senders of messages for a former replica; every search reads it. Each instance answers a join request with the addresses that it knows, and the sender asks there at once. Forwarding by instances without a replica is gone: two of them could pass a request to and fro. Instances of another cell get no addresses.

Why it works: the sender has to reach the leader itself to become a voter, and any instance that it reaches has heard of the members from the leader.

--- a/bench/consensus.py
+++ b/bench/consensus.py
@@ -27,6 +27,7 @@
 from bluebellyoke.consensus.membership_planner import MembershipOptions
 from bluebellyoke.consensus.storage import Storage, create_identity
 from bluebellyoke.instance import wire
+from bluebellyoke.instance.directory import ReplicaDirectory
 from bluebellyoke.instance.replica import Replica, ReplicaOptions, SessionInput
 from bluebellyoke.leader.controller import LeaderController
 from bluebellyoke.leader.sessions import LeaderOptions
@@ -98,7 +99,9 @@
                 port=number + 1,
                 data_centre=f"d{number}",
                 membership=MembershipOptions(target_voters=self.count),
-                seeds=tuple(f"127.0.0.1:{n + 1}" for n in range(self.count)),
+            ),
+            directory=ReplicaDirectory(
+                seeds=(f"127.0.0.1:{n + 1}" for n in range(self.count))
             ),
             controller=LeaderController(options=LeaderOptions(), engine=engine),
             clock=SystemClock(),
--- a/src/bluebellyoke/instance/application.py
+++ b/src/bluebellyoke/instance/application.py
@@ -42,6 +42,7 @@
 from bluebellyoke.instance.api import Api, InstanceStatus
 from bluebellyoke.instance.codec import MessageCodec
 from bluebellyoke.instance.directory import ReplicaDirectory
+from bluebellyoke.instance.directory_service import DirectoryService
 from bluebellyoke.instance.gateway import AsgiApp, Gateway, GatewayContext, Listener
 from bluebellyoke.instance.http import HttpInterface
 from bluebellyoke.instance.link import LeaderLink
@@ -143,8 +144,8 @@
         self._path = path
         self._clock = clock
         self._metrics = Metrics()
-        self._seeds = settings.instance.seeds
         instance = settings.instance
+        self._directory = ReplicaDirectory(seeds=instance.seeds)
         self._status = InstanceStatus(
             name=instance.name, incarnation=uuid.uuid4().hex[:12]
         )
@@ -158,14 +159,13 @@
                 self._status.incarnation,
                 instance.data_centre,
             ),
-            seeds=instance.seeds,
+            directory=self._directory,
             clock=clock,
             on_connected=self._router.reset_last_grant,
             build_poll=lambda: self._proxy.build_poll(),
             on_message=self._handle_leader_message,
             get_poll_interval=self._get_poll_interval,
             silence_timeout_s=settings.limits.leader_silence_s,
-            list_known_addresses=self._list_replica_addresses,
         )
         self._proxy = RequestProxy(
             router=self._router,
@@ -187,7 +187,7 @@
             metrics=self._metrics,
         )
         self._replica: Replica | None = None
-        self._directory: ReplicaDirectory | None = None
+        self._directory_service: DirectoryService | None = None
         self._replica_error: BluebellyokeError | None = None
 
     def request_stop(self) -> None:
@@ -306,13 +306,11 @@
         settings = (
             self._gateway.reload_settings() if self._gateway is not None else None
         )
-        if settings is None or settings.instance.seeds == self._seeds:
+        if settings is None or settings.instance.seeds == self._directory.seeds:
             return
-        self._seeds = settings.instance.seeds
-        self._link.set_seeds(self._seeds)
-        if self._replica is not None:
-            self._replica.set_seeds(self._seeds)
-        logger.info("instance: reloaded the seeds", extra={"seeds": list(self._seeds)})
+        seeds = settings.instance.seeds
+        self._directory.set_seeds(seeds)
+        logger.info("instance: reloaded the seeds", extra={"seeds": list(seeds)})
 
     def _create_http_server(self, listeners: list[Listener]) -> _HttpServer:
         api = Api(
@@ -357,9 +355,14 @@
         """Run the gRPC server, and the replica if there is one, during the body."""
         async with anyio.create_task_group() as tasks:
             sender = PeerSender(tasks)
-            cell = self._settings.cell.name
-            self._directory = ReplicaDirectory(cell=cell, send=sender.send)
-            if self._settings.instance.data_folder is not None:
+            instance = self._settings.instance
+            self._directory_service = DirectoryService(
+                cell=self._settings.cell.name,
+                own_address=f"{instance.address}:{instance.external_peer_port}",
+                directory=self._directory,
+                send=sender.send,
+            )
+            if instance.data_folder is not None:
                 self._create_replica_files()
                 self._replica = self._create_replica(sender)
                 self._status.describe_replica = self._replica.describe
@@ -383,21 +386,16 @@
         """Process an envelope from a peer; return whether it was accepted."""
         if self._replica is not None:
             return self._replica.post(envelope)
-        return self._directory.receive(envelope)
+        return self._directory_service.receive(envelope)
 
     def _post_stream_event(self, item: SessionInput | SessionClosed) -> bool:
         """Process an event of an instance's stream; return whether it was accepted."""
         if self._replica is not None:
             return self._replica.post(item)
         if isinstance(item, SessionInput):
-            self._directory.redirect(item.send)
+            self._directory_service.redirect(item.message, item.send)
         return True
 
-    def _list_replica_addresses(self) -> tuple[str, ...]:
-        members = self._replica.peers if self._replica is not None else ()
-        received = self._directory.addresses if self._directory is not None else ()
-        return (*members, *received)
-
     def _create_replica_files(self) -> None:
         """Create the replica in an empty data folder if there is a gateway.
 
@@ -472,7 +470,6 @@
                     target_voters=cell.voters, replace_after_s=cell.replace_after_s
                 ),
                 snapshot_threshold_bytes=limits.snapshot_mb * 1024 * 1024,
-                seeds=instance.seeds,
             ),
             controller=controller,
             clock=self._clock,
--- a/src/bluebellyoke/instance/directory.py
+++ b/src/bluebellyoke/instance/directory.py
@@ -1,62 +1,73 @@
-"""Addresses of replicas that an instance has received from replicas.
+"""Addresses at which replicas of the cell may be found.
 
-A seed may be an instance that has no replica and thus does not know the membership.
-Replicas send it the addresses of the members, so that an instance that connects to
-the seed finds the cell.
+An instance hears of replicas from several sides: from its settings, the membership in
+its own log, the leader's replies to polls, lists that other instances send, and
+messages of replicas. No side is enough alone. A seed may be an instance without a
+replica, a follower or down, and a replica that has lost its data folder has no log.
+`ReplicaDirectory` is the only place that stores the addresses, and every search for a
+replica reads them there.
 """
 
-from collections.abc import Callable
-
-from bluebellyoke.consensus import messages
-from bluebellyoke.instance import wire
+from collections.abc import Callable, Iterable
 
 __all__ = ["ReplicaDirectory"]
 
-#: Maximum number of addresses kept.
+#: Maximum number of addresses kept from one list.
 MAX_ADDRESSES = 16
 
 
 class ReplicaDirectory:
-    """Stores addresses of replicas and answers peers if there is no local replica.
+    """Stores the addresses of replicas by where they were heard of.
 
     Args:
-        cell: Name of the cell; messages from other cells are dropped.
-        send: Called with the address of a peer and an envelope for it.
+        seeds: Configured addresses of instances, which may have no replica.
     """
 
-    def __init__(
-        self, *, cell: str, send: Callable[[str, messages.Envelope], None]
-    ) -> None:
-        self._cell = cell
-        self._send = send
-        self._addresses: tuple[str, ...] = ()
+    def __init__(self, *, seeds: Iterable[str] = ()) -> None:
+        self._seeds = tuple(seeds)
+        self._from_leader: tuple[str, ...] = ()
+        self._from_peers: tuple[str, ...] = ()
+        self._list_members: Callable[[], Iterable[str]] = tuple
+
+    @property
+    def seeds(self) -> tuple[str, ...]:
+        """Configured addresses of instances."""
+        return self._seeds
+
+    @property
+    def replicas(self) -> tuple[str, ...]:
+        """Addresses of replicas, those that the leader has sent first.
+
+        Some may be out of date. They may include the address of this instance.
+        """
+        return tuple(
+            dict.fromkeys(
+                (*self._from_leader, *self._from_peers, *self._list_members())
+            )
+        )
 
     @property
     def addresses(self) -> tuple[str, ...]:
-        """Addresses of replicas from the latest update."""
-        return self._addresses
+        """All addresses to try in a search for a replica, the seeds last."""
+        return tuple(dict.fromkeys((*self.replicas, *self._seeds)))
 
-    def update(self, addresses: tuple[str, ...]) -> None:
-        """Replace the stored addresses, unless the new list is empty."""
-        if addresses:
-            self._addresses = addresses[:MAX_ADDRESSES]
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Replace the configured addresses."""
+        self._seeds = tuple(seeds)
 
-    def receive(self, envelope: messages.Envelope) -> bool:
-        """Process an envelope; return False if it belongs to another cell.
+    def set_member_source(self, list_members: Callable[[], Iterable[str]]) -> None:
+        """Read the addresses of the members in the log of the local replica, too."""
+        self._list_members = list_members
 
-        A join request is forwarded to all known replicas except its sender.
-        """
-        if envelope.cell != self._cell:
-            return False
-        if isinstance(envelope.message, messages.PeerList):
-            self.update(envelope.message.addresses)
-        elif isinstance(envelope.message, messages.JoinRequest):
-            for address in self._addresses:
-                if address != envelope.origin:
-                    self._send(address, envelope)
-        return True
-
-    def redirect(self, send: Callable[[wire.FromLeader | None], None]) -> None:
-        """Redirect an instance that searches for the leader to the known replicas."""
-        send(wire.Redirect("", self._addresses))
-        send(None)
+    def record_leader_list(self, addresses: tuple[str, ...]) -> None:
+        """Replace the addresses that the leader has sent, unless the list is empty."""
+        self._from_leader = addresses[:MAX_ADDRESSES] or self._from_leader
+
+    def record_peer_list(self, addresses: tuple[str, ...]) -> None:
+        """Replace the addresses that other peers have sent, unless there are none."""
+        self._from_peers = addresses[:MAX_ADDRESSES] or self._from_peers
+
+    def record_sender(self, address: str) -> None:
+        """Store the address of a replica that has sent a message to this instance."""
+        if address not in self.replicas:
+            self._from_peers = (address, *self._from_peers)[:MAX_ADDRESSES]
--- a/src/bluebellyoke/instance/leader_search.py
+++ b/src/bluebellyoke/instance/leader_search.py
@@ -1,6 +1,6 @@
 """Selection of the next address to try in the search for the leader."""
 
-from collections.abc import Callable, Iterable
+from bluebellyoke.instance.directory import ReplicaDirectory
 
 __all__ = ["LeaderSearch"]
 
@@ -15,32 +15,16 @@
     it: a connection to a machine without power is neither accepted nor refused.
 
     Args:
-        seeds: Configured addresses of instances.
-        list_known_addresses: Returns further known addresses of replicas.
+        directory: Known addresses of replicas.
     """
 
-    def __init__(
-        self,
-        *,
-        seeds: Iterable[str],
-        list_known_addresses: Callable[[], Iterable[str]] = tuple,
-    ) -> None:
-        self._seeds = tuple(seeds)
-        self._list_known_addresses = list_known_addresses
-        self._peers: tuple[str, ...] = ()
+    def __init__(self, *, directory: ReplicaDirectory) -> None:
+        self._directory = directory
         self._leader_hint = ""
         self._silent_address = ""
         self._attempts = 0
         self._attempts_without_silent = 0
 
-    def set_seeds(self, seeds: Iterable[str]) -> None:
-        """Replace the seed addresses."""
-        self._seeds = tuple(seeds)
-
-    def set_peers(self, peers: tuple[str, ...]) -> None:
-        """Replace the addresses of the members, unless the new list is empty."""
-        self._peers = peers or self._peers
-
     def set_leader_hint(self, address: str) -> None:
         """Set the leader's address from a redirect; it may be empty."""
         self._leader_hint = address
@@ -61,9 +45,7 @@
         leader_hint, self._leader_hint = self._leader_hint, ""
         if leader_hint and leader_hint != self._silent_address:
             return leader_hint
-        known = list(
-            dict.fromkeys((*self._peers, *self._list_known_addresses(), *self._seeds))
-        )
+        known = self._directory.addresses
         others = [address for address in known if address != self._silent_address]
         if (
             not others
--- a/src/bluebellyoke/instance/link.py
+++ b/src/bluebellyoke/instance/link.py
@@ -14,7 +14,7 @@
 import logging
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import anyio
 
@@ -22,6 +22,7 @@
 from bluebellyoke.errors import BluebellyokeError
 from bluebellyoke.instance import wire
 from bluebellyoke.instance.codec import LINK_METHOD
+from bluebellyoke.instance.directory import ReplicaDirectory
 from bluebellyoke.instance.leader_search import LeaderSearch
 from bluebellyoke.instance.streams import (
     CONNECTION_ERRORS,
@@ -93,7 +94,7 @@
 
     Args:
         hello: First message of each stream.
-        seeds: Configured addresses of instances.
+        directory: Known addresses of replicas. The link stores those that it receives.
         clock: Source of time.
         on_connected: Called when a leader has accepted a new stream.
         build_poll: Returns the next poll.
@@ -101,7 +102,6 @@
         get_poll_interval: Returns the maximum time until the next poll, in seconds.
         silence_timeout_s: Time without a message from the leader, while a reply is
             outstanding, after which the link searches for another one, in seconds.
-        list_known_addresses: Returns further known addresses of replicas.
 
     Attributes:
         connected: Whether there is a stream to the leader.
@@ -112,19 +112,17 @@
         self,
         *,
         hello: wire.Hello,
-        seeds: Iterable[str],
+        directory: ReplicaDirectory,
         clock: Clock,
         on_connected: Callable[[], None],
         build_poll: Callable[[], wire.Poll],
         on_message: Callable[[wire.FromLeader], None],
         get_poll_interval: Callable[[], float],
         silence_timeout_s: float,
-        list_known_addresses: Callable[[], Iterable[str]] = tuple,
     ) -> None:
         self._silence_timeout_s = silence_timeout_s
-        self._search = LeaderSearch(
-            seeds=seeds, list_known_addresses=list_known_addresses
-        )
+        self._directory = directory
+        self._search = LeaderSearch(directory=directory)
         self._hello = hello
         self._clock = clock
         self._on_connected = on_connected
@@ -190,10 +188,6 @@
             await self._connected_event.wait()
         return self.connected
 
-    def set_seeds(self, seeds: Iterable[str]) -> None:
-        """Replace the seed addresses."""
-        self._search.set_seeds(seeds)
-
     def tolerate_silence(self, seconds: float) -> None:
         """Do not take silence for a lost leader for some time.
 
@@ -289,7 +283,7 @@
     def _handle_redirect(self, message: wire.FromLeader | None) -> None:
         if isinstance(message, wire.Redirect):
             self._search.set_leader_hint(message.address)
-            self._search.set_peers(message.peers)
+            self._directory.record_peer_list(message.peers)
 
     async def _send_messages(self, stream) -> None:
         next_poll_at = self._clock.monotonic()
@@ -339,7 +333,7 @@
             return
         if isinstance(message, wire.PollReply):
             self._is_poll_unanswered = False
-            self._search.set_peers(message.peers)
+            self._directory.record_leader_list(message.peers)
         self._on_message(message)
 
     def _finish_call(self, reply: wire.Reply) -> None:
--- a/src/bluebellyoke/instance/membership.py
+++ b/src/bluebellyoke/instance/membership.py
@@ -44,8 +44,7 @@
         raft: Raft node of the replica.
         member: Description of this replica for its join requests.
         options: Target size of the membership and timeout for replacing members.
-        seeds: Addresses for join requests and member lists.
-        directory: Addresses received from other replicas.
+        directory: Known addresses of replicas, for join requests and member lists.
         send: Called with the address of a replica and a message for it.
     """
 
@@ -55,29 +54,24 @@
         raft: RaftNode,
         member: messages.Member,
         options: MembershipOptions,
-        seeds: tuple[str, ...],
         directory: ReplicaDirectory,
         send: Callable[[str, messages.Message], None],
     ) -> None:
         self._raft = raft
         self._member = member
         self._options = options
-        self._seeds = seeds
         self._directory = directory
+        directory.set_member_source(lambda: self.peers)
         self._send = send
         self._join_requests: dict[str, tuple[float, messages.Member]] = {}
         self._leave_notices: dict[str, float] = {}
         self._rejected_until: dict[str, float] = {}
-        self._asked_addresses: set[str] = set()
+        self._asked_addresses: frozenset[str] = frozenset()
         self._leaving = False
         self._next_send_at = 0.0
         self._observed_at = math.inf
         self._observing_since = -math.inf
 
-    def set_seeds(self, seeds: tuple[str, ...]) -> None:
-        """Replace the seed addresses."""
-        self._seeds = seeds
-
     @property
     def peers(self) -> tuple[str, ...]:
         """Addresses of all members."""
@@ -90,10 +84,9 @@
         self._next_send_at = 0.0
 
     def record_join_request(self, member: messages.Member, now: float) -> None:
-        """Store a replica's request to become a member.
+        """Store a replica's request to become a member, and reply with addresses.
 
-        The leader replies with the addresses of the members. The sender may only know
-        former ones.
+        Only the leader can add the sender, which may not know where the leader is.
         """
         previous = self._join_requests.get(member.replica)
         if previous is None or now - previous[0] >= JOIN_REQUEST_TTL_S:
@@ -106,48 +99,55 @@
                 },
             )
         self._join_requests[member.replica] = (now, member)
-        if self._raft.is_leader and member.replica not in self._raft.membership.members:
-            self._send(
-                f"{member.address}:{member.port}", messages.PeerList(0, self.peers)
-            )
+        replicas = self._directory.replicas
+        if replicas:
+            address = f"{member.address}:{member.port}"
+            self._send(address, messages.PeerList(0, replicas))
 
     def record_leave_notice(self, replica: str, now: float) -> None:
         """Store a replica's notice that its instance shuts down."""
         self._leave_notices[replica] = now
 
     def tick(self, now: float) -> None:
-        """Send the notice or request that is due, or else the members to the seeds."""
-        if now < self._next_send_at:
-            return
+        """Send the notice or request that is due, or else the members to the seeds.
+
+        A join request goes at once to each address that has become known.
+        """
+        is_due = now >= self._next_send_at
         if self._leaving:
-            self._next_send_at = now + LEAVE_NOTICE_INTERVAL_S
-            self._send_leave_notice()
+            if is_due:
+                self._next_send_at = now + LEAVE_NOTICE_INTERVAL_S
+                self._send_leave_notice()
             return
-        self._next_send_at = now + SEND_INTERVAL_S
-        if self._member.replica in self._raft.membership.members:
+        if is_due:
+            self._next_send_at = now + SEND_INTERVAL_S
             self._send_members_to_seeds()
-        if not self._is_active_member(now):
-            self._send_join_requests()
+        if self._is_active_member(now):
+            self._asked_addresses = frozenset()
+        else:
+            self._send_join_requests(is_due=is_due)
 
     def _is_active_member(self, now: float) -> bool:
         raft = self._raft
         if raft.is_leader:
             return True
-        is_member = self._member.replica in raft.membership.members
+        membership = raft.membership
+        is_member = raft.is_voter or self._member.replica in membership.learners
         return is_member and now - raft.leader_contact_at <= REJOIN_AFTER_S
 
-    def _send_join_requests(self) -> None:
+    def _send_join_requests(self, *, is_due: bool) -> None:
+        """Send a request to the addresses not asked yet, and if due to all of them."""
         request = messages.JoinRequest(0, self._member)
         own_address = f"{self._member.address}:{self._member.port}"
-        addresses = {*self._seeds, *self.peers, *self._directory.addresses}
-        addresses.discard(own_address)
+        addresses = frozenset(self._directory.addresses) - {own_address}
+        not_asked = addresses - self._asked_addresses
         if addresses != self._asked_addresses:
             self._asked_addresses = addresses
             logger.info(
                 "replica: asks to join the membership",
                 extra={"addresses": sorted(addresses)},
             )
-        for address in addresses:
+        for address in sorted(addresses if is_due else not_asked):
             self._send(address, request)
 
     def _send_leave_notice(self) -> None:
@@ -157,8 +157,10 @@
 
     def _send_members_to_seeds(self) -> None:
         """Send the addresses of the members to the seeds that are not members."""
+        if self._member.replica not in self._raft.membership.members:
+            return
         peers = self.peers
-        for address in set(self._seeds) - set(peers):
+        for address in set(self._directory.seeds) - set(peers):
             self._send(address, messages.PeerList(0, peers))
 
     def propose_change(self, now: float) -> None:
--- a/src/bluebellyoke/instance/replica.py
+++ b/src/bluebellyoke/instance/replica.py
@@ -69,7 +69,6 @@
         timing: Election timing of the Raft node.
         membership: Target size of the membership and timeout for replacing members.
         snapshot_threshold_bytes: Log size at which a snapshot is due.
-        seeds: Configured addresses of instances.
     """
 
     cell: str
@@ -81,7 +80,6 @@
     timing: ElectionTiming = field(default_factory=ElectionTiming)
     membership: MembershipOptions = field(default_factory=MembershipOptions)
     snapshot_threshold_bytes: int = 16 * 1024 * 1024
-    seeds: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -132,7 +130,7 @@
         clock: Source of time.
         metrics: Histograms and counters.
         send: Called with the address of a peer and an envelope for it.
-        directory: Addresses received from other replicas.
+        directory: Known addresses of replicas.
     """
 
     def __init__(
@@ -145,7 +143,7 @@
         send: Callable[[str, messages.Envelope], None],
         directory: ReplicaDirectory | None = None,
     ) -> None:
-        self._directory = directory or ReplicaDirectory(cell=options.cell, send=send)
+        self._directory = directory or ReplicaDirectory()
         self.options = options
         self._controller = controller
         self._clock = clock
@@ -185,7 +183,6 @@
                 options.data_centre,
             ),
             options=options.membership,
-            seeds=options.seeds,
             directory=self._directory,
             send=lambda address, message: send(
                 address, self._create_envelope("", message)
@@ -223,19 +220,6 @@
         member = self.raft.membership.members.get(self.raft.leader)
         return f"{member.address}:{member.port}" if member is not None else ""
 
-    @property
-    def peers(self) -> tuple[str, ...]:
-        """Addresses of all members."""
-        return self._membership_manager.peers
-
-    @property
-    def known_addresses(self) -> tuple[str, ...]:
-        """Addresses of all members, and those that other replicas have sent.
-
-        A replica that was removed while it was down knows only former members itself.
-        """
-        return tuple(dict.fromkeys((*self.peers, *self._directory.addresses)))
-
     def describe(self) -> dict:
         """Return the state of the Raft node for status reports."""
         raft = self.raft
@@ -259,10 +243,6 @@
         )
         return has_enough_voters and self.raft.is_lease_valid(now)
 
-    def set_seeds(self, seeds: tuple[str, ...]) -> None:
-        """Replace the seed addresses."""
-        self._membership_manager.set_seeds(seeds)
-
     # Main loop.
 
     async def run(self) -> None:
@@ -363,7 +343,7 @@
         if envelope.cell != self.options.cell:
             return
         if isinstance(envelope.message, messages.PeerList):
-            self._directory.update(envelope.message.addresses)
+            self._directory.record_peer_list(envelope.message.addresses)
         elif isinstance(envelope.message, messages.JoinRequest):
             self._membership_manager.record_join_request(envelope.message.member, now)
         elif isinstance(envelope.message, messages.LeaveNotice):
@@ -371,10 +351,17 @@
         elif envelope.target == self.raft.replica:
             self._origin_addresses[envelope.source] = envelope.origin
             self.raft.receive(envelope.source, envelope.message, now)
+        else:
+            # The message is for a replica that this instance had before.
+            self._directory.record_sender(envelope.origin)
 
     def _receive_session_input(self, item: SessionInput) -> None:
+        hello = item.message
+        if isinstance(hello, wire.Hello) and hello.cell != self.options.cell:
+            item.send(None)
+            return
         if not self.raft.is_leader:
-            item.send(wire.Redirect(self.leader_address, self.known_addresses))
+            item.send(wire.Redirect(self.leader_address, self._directory.replicas))
             item.send(None)
             return
         self._session_senders[item.session] = item.send
@@ -393,7 +380,7 @@
         if not self.is_serving() or not self._activate_controller(now):
             return
         wall_time = self._clock.now().timestamp()
-        self._controller.set_peers(self.peers)
+        self._controller.set_peers(self._membership_manager.peers)
         inputs, self._session_inputs = self._session_inputs, []
         for item in inputs:
             self._pass_to_controller(item, now, wall_time)
@@ -423,9 +410,6 @@
         self, item: SessionInput, now: float, wall_time: float
     ) -> None:
         if isinstance(item.message, wire.Hello):
-            if item.message.cell != self.options.cell:
-                item.send(None)
-                return
             self._controller.open_session(item.session, item.message, item.send)
             item.send(wire.Welcome(self.options.name, self.raft.term))
         else:
@@ -436,7 +420,7 @@
         self._controller.deactivate()
         self._pending_entries.clear()
         self._session_inputs.clear()
-        redirect = wire.Redirect(self.leader_address, self.known_addresses)
+        redirect = wire.Redirect(self.leader_address, self._directory.replicas)
         for send in self._session_senders.values():
             send(redirect)
             send(None)
--- a/tests/instance/membership.py
+++ b/tests/instance/membership.py
@@ -12,25 +12,29 @@
 
 
 class ManagedCluster(Cluster):
-    """A cluster whose replicas also exchange requests to join and to leave."""
+    """A cluster whose replicas also exchange requests to join and to leave.
+
+    Attributes:
+        has_leading_seeds: Whether the leader may be a seed of the replicas that start.
+    """
 
     def __init__(self):
         self.managers = {}
         self.directories = {}
         self.addresses = {}
+        self.has_leading_seeds = True
         super().__init__(TARGET_VOTERS)
 
     def start(self, name):
         super().start(name)
         member = create_member(name)
         self.addresses[f"{member.address}:{member.port}"] = name
-        directory = ReplicaDirectory(cell="c", send=lambda address, envelope: None)
+        directory = ReplicaDirectory(seeds=self.list_seeds())
         self.directories[name] = directory
         self.managers[name] = MembershipManager(
             raft=self.nodes[name],
             member=member,
             options=OPTIONS,
-            seeds=self.list_seeds(),
             directory=directory,
             send=lambda address, message: self.network.append(
                 (name, self.addresses.get(address, ""), message)
@@ -38,9 +42,13 @@
         )
 
     def list_seeds(self):
-        """Return the addresses of up to three running replicas."""
-        members = [create_member(name) for name in sorted(self.nodes)]
-        return tuple(f"{item.address}:{item.port}" for item in members[:3])
+        """Return the addresses of up to three running replicas, or of one follower."""
+        names = sorted(self.nodes)[:3]
+        if not self.has_leading_seeds:
+            followers = self.list_voters() - {self.find_leader()}
+            names = sorted(followers & set(self.nodes))[:1]
+        members = [create_member(name) for name in names]
+        return tuple(f"{item.address}:{item.port}" for item in members)
 
     def deliver(self, position):
         source, target, message = self.network[position]
@@ -51,7 +59,7 @@
             elif isinstance(message, messages.LeaveNotice):
                 manager.record_leave_notice(source, self.now)
             elif isinstance(message, messages.PeerList):
-                self.directories[target].update(message.addresses)
+                self.directories[target].record_peer_list(message.addresses)
         super().deliver(position)
 
     def advance(self, seconds):
--- a/tests/instance/test_link.py
+++ b/tests/instance/test_link.py
@@ -13,6 +13,7 @@
 from bluebellyoke.clock import Clock, SystemClock
 from bluebellyoke.instance import wire
 from bluebellyoke.instance.codec import MessageCodec
+from bluebellyoke.instance.directory import ReplicaDirectory
 from bluebellyoke.instance.link import LeaderLink, NoLeaderError
 from bluebellyoke.instance.queues import QueueClient
 from bluebellyoke.instance.replica import SessionInput
@@ -52,7 +53,9 @@
         reserved.bind(("127.0.0.1", 0))
         yield LeaderLink(
             hello=wire.Hello("c", "i", "1", "d"),
-            seeds=[f"127.0.0.1:{reserved.getsockname()[1]}"],
+            directory=ReplicaDirectory(
+                seeds=[f"127.0.0.1:{reserved.getsockname()[1]}"]
+            ),
             clock=clock,
             on_connected=lambda: None,
             build_poll=lambda: None,
@@ -180,7 +183,9 @@
             await server.start(sock=listener)
             link = LeaderLink(
                 hello=wire.Hello("c", "i", "1", "d"),
-                seeds=[f"127.0.0.1:{listener.getsockname()[1]}"],
+                directory=ReplicaDirectory(
+                    seeds=[f"127.0.0.1:{listener.getsockname()[1]}"]
+                ),
                 clock=SystemClock(),
                 on_connected=lambda: None,
                 build_poll=lambda: wire.Poll(sent_at=0.0, view_version=0, last_grant=0),
--- a/tests/instance/test_membership.py
+++ b/tests/instance/test_membership.py
@@ -6,6 +6,9 @@
 from tests.consensus.cluster import create_member
 from tests.instance.membership import ManagedCluster
 
+#: Time in which a replica must be a voter, in seconds.
+CATCH_UP_S = 4.0
+
 
 @pytest.fixture
 def cluster():
@@ -58,12 +61,41 @@
     assert "r9" in get_membership(cluster).voters
 
 
-def test_replica_outside_the_membership_is_told_the_members(cluster):
+@pytest.mark.parametrize("is_leader", [True, False])
+def test_replica_outside_the_membership_is_told_the_members(cluster, is_leader):
+    """Every replica tells them, as only the leader can add the sender."""
     leader = cluster.find_leader()
+    receiver = next(x for x in sorted(cluster.nodes) if (x == leader) == is_leader)
     newcomer = create_member("r9")
     cluster.network.clear()
     cluster.addresses[f"{newcomer.address}:{newcomer.port}"] = "r9"
-    cluster.managers[leader].record_join_request(newcomer, cluster.now)
+    cluster.managers[receiver].record_join_request(newcomer, cluster.now)
     members = [create_member(x) for x in ("r0", "r1", "r2")]
     addresses = tuple(f"{item.address}:{item.port}" for item in members)
-    assert (leader, "r9", messages.PeerList(0, addresses)) in cluster.network
+    assert (receiver, "r9", messages.PeerList(0, addresses)) in cluster.network
+
+
+# Guards against a replica that never joins, so that the loss of a second disk loses
+# the cell: its requests reached a follower only, which stored them without a reply.
+def test_replica_joins_through_a_seed_that_does_not_lead(cluster):
+    lost = next(x for x in sorted(cluster.nodes) if x != cluster.find_leader())
+    cluster.wipe(lost)
+    cluster.has_leading_seeds = False
+    cluster.add_replica("r9")
+    cluster.settle(CATCH_UP_S)
+    assert "r9" in get_membership(cluster).voters
+    assert lost not in get_membership(cluster).members
+
+
+def test_address_that_becomes_known_is_asked_at_once(cluster):
+    """The next request to all addresses would be a second later."""
+    leader = create_member(cluster.find_leader())
+    address = f"{leader.address}:{leader.port}"
+    cluster.has_leading_seeds = False
+    cluster.add_replica("r9")
+    cluster.managers["r9"].tick(cluster.now)
+    cluster.network.clear()
+    cluster.directories["r9"].record_peer_list((address,))
+    cluster.managers["r9"].tick(cluster.now)
+    request = messages.JoinRequest(0, create_member("r9"))
+    assert cluster.network == [("r9", leader.replica, request)]
--- a/tests/instance/test_membership_stateful.py
+++ b/tests/instance/test_membership_stateful.py
@@ -35,6 +35,11 @@
         self.start_newcomer()
         self.cluster.settle(CATCH_UP_S)
 
+    @rule(has_leading_seeds=st.booleans())
+    def change_seeds(self, has_leading_seeds):
+        """Without leading seeds, a new machine knows a single follower at first."""
+        self.cluster.has_leading_seeds = has_leading_seeds
+
     def start_newcomer(self):
         name = f"r{self.count}"
         self.count += 1
