Read changed seeds without a signal while the leader is reachable, too

Cause: replicas tell the members' addresses to seeds that have no replica, but read a changed settings file only on SIGHUP or while they had no leader. The platform may change the file without any signal. Change: the file is read every 2 s; it is parsed, and a fault logged, only if its content has changed.

--- a/src/bluebellyoke/instance/application.py
+++ b/src/bluebellyoke/instance/application.py
@@ -78,7 +78,7 @@
 #: Timeout for closing the HTTP connections after the last request, in seconds.
 HTTP_CLOSE_TIMEOUT_S = 3.0
 
-#: Interval of reloading the settings while the leader is unreachable, in seconds.
+#: Interval of reloading the settings, in seconds. They may change without a signal.
 RELOAD_INTERVAL_S = 2.0
 
 #: Maximum number of connections that wait to be accepted by a listener.
@@ -216,7 +216,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._watch_signals)
                 if self._gateway is not None:
-                    tasks.start_soon(self._reload_while_disconnected)
+                    tasks.start_soon(self._reload_at_intervals)
                 async with self._run_peer_server(sockets[1]):
                     server = self._create_http_server(listeners)
                     async with anyio.create_task_group() as services:
@@ -294,12 +294,14 @@
                 else:
                     self.request_stop()
 
-    async def _reload_while_disconnected(self) -> None:
-        """Reload the settings at intervals while the leader is unreachable."""
+    async def _reload_at_intervals(self) -> None:
+        """Reload the settings, also while the leader is reachable.
+
+        Seeds without a replica find the cell only if the members know of them.
+        """
         while True:
             await anyio.sleep(RELOAD_INTERVAL_S)
-            if not self._link.connected:
-                self._reload_seeds()
+            self._reload_seeds()
 
     def _reload_seeds(self) -> None:
         """Apply changed seeds; other changed settings need a restart."""
--- a/src/bluebellyoke/instance/gateway.py
+++ b/src/bluebellyoke/instance/gateway.py
@@ -61,4 +61,7 @@
 
     @abc.abstractmethod
     def reload_settings(self) -> Settings | None:
-        """Reload the settings; log the error and return None if that fails."""
+        """Reload the settings; return None if they are unchanged or cannot be used.
+
+        An error is logged. The method is called every few seconds.
+        """
--- a/src/bluebellyoke/platform/gateway.py
+++ b/src/bluebellyoke/platform/gateway.py
@@ -31,6 +31,7 @@
     def __init__(self, settings: PlatformSettings, path: Path) -> None:
         self._settings = settings
         self._path = path
+        self._last_content: bytes | None = None
 
     def create_listeners(self, context: GatewayContext) -> list[Listener]:
         """Return a listener for each configured address."""
@@ -57,7 +58,14 @@
         return PlatformAdvisor(address) if address is not None else None
 
     def reload_settings(self) -> Settings | None:
-        """Read the settings again; return None if they cannot be read."""
+        """Read the settings again; return None if unchanged or if that fails.
+
+        A file that cannot be read or used is logged once until it changes.
+        """
+        content = self._read_content()
+        if content == self._last_content:
+            return None
+        self._last_content = content
         try:
             return translate_settings(read_settings(self._path))
         except SettingsError as error:
@@ -66,3 +74,11 @@
                 extra={"fault": str(error)},
             )
             return None
+
+    def _read_content(self) -> bytes:
+        """Return the content of the settings file, which is empty if unreadable."""
+        try:
+            return self._path.read_bytes()
+        except OSError:
+            # `read_settings` reports the error.
+            return b""
--- a/tests/integration/deployment.py
+++ b/tests/integration/deployment.py
@@ -84,7 +84,8 @@
     def get_ip(self, number):
         return f"127.0.{os.getpid() % 200 + 1}.{number}"
 
-    def start(self, number, *, has_disk, bootstrap=True, seeds=(1, 2, 3)):
+    def write_settings(self, number, *, has_disk, bootstrap=True, seeds=(1, 2, 3)):
+        """Write an instance's settings file and return its path."""
         disk = f'DataDir = "{self.folder}/data-{number}"' if has_disk else ""
         path = self.folder / f"boot-{number}.toml"
         path.write_text(
@@ -105,6 +106,10 @@
                 control=self.control_port,
             )
         )
+        return path
+
+    def start(self, number, **settings):
+        path = self.write_settings(number, **settings)
         with open(self.folder / f"log-{number}", "ab") as log:
             self.processes[number] = subprocess.Popen(
                 [sys.executable, str(ROOT / "deploy" / "start.py")],
--- a/tests/integration/test_joining.py
+++ b/tests/integration/test_joining.py
@@ -75,3 +75,13 @@
     wait_until(lambda: is_configuration_read(deployment), WAIT_S, "the configuration")
     wait_until(lambda: deployment.find_state(JOB_ID) == "completed", WAIT_S, "the job")
     deployment.check_ledgers()
+
+
+# Guards against an instance that never finds the cell: its only seed is itself, and the
+# replicas would tell it where they are, but had not read that it is a seed now.
+def test_replicas_read_changed_seeds_without_a_signal(deployment):
+    for number in (1, 2, 3):
+        deployment.write_settings(number, has_disk=True, seeds=(DISKLESS,))
+    deployment.kill(DISKLESS)
+    deployment.start(DISKLESS, has_disk=False, bootstrap=False, seeds=(DISKLESS,))
+    wait_until(lambda: deployment.is_ready(DISKLESS), WAIT_S, "the instance")
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -35,3 +35,16 @@
     (record,) = caplog.records
     assert "the old ones stay in effect" in record.message
     assert "boot.toml" in record.fault
+
+
+def test_unchanged_settings_are_neither_returned_nor_reported_again(
+    gateway, tmp_path, caplog
+):
+    assert gateway.reload_settings() is not None
+    assert gateway.reload_settings() is None
+    (tmp_path / "boot.toml").unlink()
+    with caplog.at_level(logging.ERROR, "bluebellyoke.platform"):
+        assert [gateway.reload_settings() for _ in range(3)] == [None] * 3
+    assert len(caplog.records) == 1
+    write(tmp_path, TEXT)
+    assert gateway.reload_settings() is not None
