--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -3,6 +3,8 @@
 import logging
 from collections.abc import Iterable, Mapping
 
+from msgspec.structs import astuple
+
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.cell.result import Result
 from bluebellyoke.dispatch.advice import StepKey
@@ -185,6 +187,8 @@
                 "task": [start.task.repetition, start.task.step, start.task.index],
                 "run": start.run,
                 "worker": start.worker,
+                "takes": astuple(worker.runs[(start.task, start.run)].need),
+                "free": astuple(worker.free),
             },
         )
         request = StartRequest(
