Count the memory of backfill tasks on their workers

The code took it for a task that takes up nothing, with a condition of its own in seven places of the dispatcher. Change: StepSpec.allocation states what a task takes up, and all of these places read it. A planned gang of backfill tasks was subtracted with its processor time; it no longer is. The simulation of the tests and the reference planner held the same belief and now state the rule themselves. Why it works: whatever plans, sends or recovers a run now subtracts the same amount that the checks compare.

--- a/src/bluebellyoke/dispatch/context.py
+++ b/src/bluebellyoke/dispatch/context.py
@@ -63,10 +63,9 @@
         """Histograms and counters."""
         return self.calls.metrics
 
-    def find_need(self, key: RunKey) -> Resources:
-        """Return the resources that a run takes up; a backfill run takes up none."""
-        step = self.find_step(key)
-        return Resources() if step.backfill else step.need
+    def find_allocation(self, key: RunKey) -> Resources:
+        """Return the resources that a run takes up on its worker."""
+        return self.find_step(key).allocation
 
     def find_probation(self, key: RunKey) -> float:
         """Return the time for which a suspect has to run, in seconds, else 0."""
--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -334,7 +334,7 @@
         for index, step in enumerate(spec.steps):
             if not step.depends_on and not spec.repeats:
                 key = (spec.id, 0, index)
-                worker_keys = order_by_room(key, step.need, workers)
+                worker_keys = order_by_room(key, step.allocation, workers)
                 self.advice.evaluate(key, worker_keys, queue.advisor, rank)
 
     def cancel(
--- a/src/bluebellyoke/dispatch/placement.py
+++ b/src/bluebellyoke/dispatch/placement.py
@@ -58,9 +58,7 @@
 
 def count_allowed(step: StepSpec, candidate: Candidate, free: Resources) -> int:
     """Return how many more tasks of a step a worker may take."""
-    fits = (
-        MAX_TASKS_PER_WORKER if step.backfill else count_fitting_tasks(step.need, free)
-    )
+    fits = count_fitting_tasks(step.allocation, free)
     if step.max_per_worker:
         fits = min(fits, step.max_per_worker - candidate.step_runs)
     return max(fits, 0)
@@ -86,12 +84,13 @@
         deferred: Container[str] = (),
     ) -> None:
         self._step = step
+        self._allocation = step.allocation
         self._deferred = deferred
         # The rank ends with the worker's ID, so candidates are never compared.
         ranked = [
             (self._rank(candidate), candidate)
             for candidate in candidates
-            if _has_capacity(step, candidate)
+            if self._has_capacity(candidate)
         ]
         # No more workers are used than there are tasks, and one may be avoided. A
         # sorted list is a heap.
@@ -110,9 +109,8 @@
             best = heapq.heapreplace(self._ranked, best)
         candidate = best[1]
         candidate.step_runs += 1
-        if not self._step.backfill:
-            candidate.free = candidate.free - self._step.need
-        if _has_capacity(self._step, candidate):
+        candidate.free = candidate.free - self._allocation
+        if self._has_capacity(candidate):
             heapq.heappush(self._ranked, (self._rank(candidate), candidate))
         return candidate
 
@@ -120,17 +118,17 @@
         step = self._step
         is_far = bool(step.data_rack) and step.data_rack not in candidate.labels
         is_deferred = candidate.worker in self._deferred
-        free, need, capacity = candidate.free, step.need, candidate.capacity
-        cpu = (free.cpu_millis - need.cpu_millis) / (capacity.cpu_millis or 1)
-        memory = (free.memory_mb - need.memory_mb) / (capacity.memory_mb or 1)
+        free, taken, capacity = candidate.free, self._allocation, candidate.capacity
+        cpu = (free.cpu_millis - taken.cpu_millis) / (capacity.cpu_millis or 1)
+        memory = (free.memory_mb - taken.memory_mb) / (capacity.memory_mb or 1)
         tightness = min(cpu, memory)
         return is_far, is_deferred, candidate.cost, tightness, candidate.worker
 
-
-def _has_capacity(step: StepSpec, candidate: Candidate) -> bool:
-    if step.max_per_worker and candidate.step_runs >= step.max_per_worker:
-        return False
-    return step.backfill or step.need.fits_in(candidate.free)
+    def _has_capacity(self, candidate: Candidate) -> bool:
+        max_runs = self._step.max_per_worker
+        if max_runs and candidate.step_runs >= max_runs:
+            return False
+        return self._allocation.fits_in(candidate.free)
 
 
 def select_gang_workers(
--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -231,13 +231,13 @@
             self._tickets.replace_expired(step, planning.now)
             # Keep the resources free until the new tickets arrive.
             for candidate in chosen:
-                candidate.free = candidate.free - step.spec.need
+                candidate.free = candidate.free - step.spec.allocation
             return False
         run = 1 + max(task.run for task in step.tasks)
         for index, candidate in zip(step.indexes, chosen, strict=True):
             worker_key = worker_keys[candidate.worker]
             planning.add_start(step, index, run, worker_key, advice)
-            candidate.free = candidate.free - step.spec.need
+            candidate.free = candidate.free - step.spec.allocation
         return True
 
     def _choose_gang_workers(
@@ -326,7 +326,7 @@
 
 def _can_ever_fit(spec: StepSpec, planning: PlanningRound) -> bool:
     """Return whether a task of a step may fit on an idle worker."""
-    return spec.backfill or spec.need.fits_in(planning.get_max_capacity())
+    return spec.allocation.fits_in(planning.get_max_capacity())
 
 
 def _might_fit(spec: StepSpec, planning: PlanningRound) -> bool:
@@ -334,7 +334,7 @@
 
     Planning a gang always can, since it reserves workers even while it does not fit.
     """
-    return spec.gang or spec.backfill or spec.need.fits_in(planning.get_max_free())
+    return spec.gang or spec.allocation.fits_in(planning.get_max_free())
 
 
 def _explain_lack(
--- a/src/bluebellyoke/dispatch/preemption.py
+++ b/src/bluebellyoke/dispatch/preemption.py
@@ -160,7 +160,7 @@
         victims: dict[str, list[_Candidate]] | None = None
         needed = 0.0
         for slack_s, step in steps:
-            cores = step.spec.need.cpu_millis / 1000
+            cores = step.spec.allocation.cpu_millis / 1000
             needed += cores * len(step.indexes)
             released = self._admission.predictor.sum_released(pool, slack_s)
             missing = needed - released - stopping
@@ -256,12 +256,12 @@
             worker = self._context.workers[name]
             free, lost, keys = worker.free, 0.0, []
             for item in victims[name]:
-                if step.spec.need.fits_in(free):
+                if step.spec.allocation.fits_in(free):
                     break
                 keys.append(item.key)
                 lost += item.lost_work
                 free = free + item.need
-            if not keys or not step.spec.need.fits_in(free):
+            if not keys or not step.spec.allocation.fits_in(free):
                 continue
             if best is None or lost < best.lost_work:
                 best = _Victims(lost, worker, tuple(keys))
--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -159,7 +159,7 @@
             for key in self._context.store.runs.get(spec.key, ()):
                 worker.add_run(
                     key,
-                    self._context.find_need(key),
+                    self._context.find_allocation(key),
                     RunPhase.UNKNOWN,
                     now,
                     probation_s=self._context.find_probation(key),
--- a/src/bluebellyoke/dispatch/selection.py
+++ b/src/bluebellyoke/dispatch/selection.py
@@ -11,7 +11,7 @@
 
 
 def order_by_room(
-    step: StepKey, need: Resources, workers: Sequence[TrackedWorker]
+    step: StepKey, allocation: Resources, workers: Sequence[TrackedWorker]
 ) -> list[WorkerKey]:
     """Return the keys of workers, those with room for a task first.
 
@@ -19,11 +19,11 @@
     about the same part of a pool.
 
     Args:
-        need: Resources that a task of the step takes up.
+        allocation: Resources that a task of the step takes up.
     """
     if not workers:
         return []
     first = crc32(step[0].encode()) % len(workers)
     rotated = [*workers[first:], *workers[:first]]
-    rotated.sort(key=lambda worker: not need.fits_in(worker.free))
+    rotated.sort(key=lambda worker: not allocation.fits_in(worker.free))
     return [worker.spec.key for worker in rotated]
--- a/src/bluebellyoke/dispatch/separation.py
+++ b/src/bluebellyoke/dispatch/separation.py
@@ -112,7 +112,7 @@
             cost
             for cost in costs.values()
             if cost.worker.spec.pool == worker.spec.pool
-            and (step.backfill or step.need.fits_in(cost.worker.free))
+            and step.allocation.fits_in(cost.worker.free)
         ]
         if not avoided:
             return
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -118,7 +118,7 @@
             worker = self._context.workers[start.worker]
             worker.add_run(
                 key,
-                self._context.find_need(key),
+                self._context.find_allocation(key),
                 RunPhase.STARTING,
                 now,
                 self._context.find_estimate(key),
@@ -151,9 +151,9 @@
         self, worker: TrackedWorker, start: workflow_commands.RunStart
     ) -> bool:
         """Return whether a planned run no longer fits on its worker."""
-        need = self._context.find_need((start.task, start.run))
+        allocation = self._context.find_allocation((start.task, start.run))
         is_overcommitted = not worker.allocated.fits_in(worker.spec.capacity)
-        return is_overcommitted and need != Resources()
+        return is_overcommitted and allocation != Resources()
 
     def _give_back(
         self, worker: TrackedWorker, start: workflow_commands.RunStart, wall_time: float
--- a/src/bluebellyoke/dispatch/step_tickets.py
+++ b/src/bluebellyoke/dispatch/step_tickets.py
@@ -49,7 +49,7 @@
             for worker in planning.list_workers(pool, label)
             if worker.spec.key not in advice.evaluated
         ]
-        worker_keys = order_by_room(step.key, step.spec.need, unknown)
+        worker_keys = order_by_room(step.key, step.spec.allocation, unknown)
         self._advice.evaluate(step.key, worker_keys, step.queue.advisor, step.rank)
 
     def renew(
--- a/src/bluebellyoke/dispatch/stragglers.py
+++ b/src/bluebellyoke/dispatch/stragglers.py
@@ -232,7 +232,7 @@
                 or self._speeds.get_factor(other) >= MIN_FACTOR
             ):
                 continue
-            missing -= count_fitting_tasks(step.need, other.free)
+            missing -= count_fitting_tasks(step.allocation, other.free)
             free += other.free.cpu_millis
             capacity += other.spec.capacity.cpu_millis
         return missing <= 0 and free >= MIN_FREE_SHARE * capacity
--- a/src/bluebellyoke/dispatch/suspects.py
+++ b/src/bluebellyoke/dispatch/suspects.py
@@ -143,8 +143,8 @@
     full = [
         worker
         for worker in ordered
-        if spec.need.fits_in(worker.spec.capacity)
-        and not spec.need.fits_in(worker.free)
+        if spec.allocation.fits_in(worker.spec.capacity)
+        and not spec.allocation.fits_in(worker.free)
     ]
     if full and not spec.gang:
         isolation.take(full[:1])
--- a/src/bluebellyoke/workflow/specs.py
+++ b/src/bluebellyoke/workflow/specs.py
@@ -111,7 +111,7 @@
 
     Attributes:
         count: Number of tasks.
-        need: Resources of each task.
+        need: Declared resources of each task. What a task takes up is `allocation`.
         estimate_ms: Declared run time of a task, or 0 if it is unknown.
         depends_on: Indexes of earlier steps whose tasks must all be done before.
         gang: Whether the tasks run all at once or not at all.
@@ -125,7 +125,7 @@
         long_running: Whether the tasks run until the workflow is cancelled.
         image: Program of the tasks; tasks of one image behave alike.
         tail_target_ms: Target of the tail latency of a long-running task.
-        backfill: Whether the tasks use only spare resources and take up no capacity.
+        backfill: Whether the tasks use only the processor time that others leave.
         max_unavailable: Maximum number of long-running tasks that the cell itself may
             make unavailable; -1 means no limit.
     """
@@ -147,6 +147,17 @@
     backfill: bool = msgspec.field(default=False, name="fills")
     max_unavailable: int = msgspec.field(default=-1, name="may_be_away")
 
+    @property
+    def allocation(self) -> Resources:
+        """Resources that each task takes up on its worker while it runs.
+
+        Backfill tasks use the processor time that others leave, so it is not counted.
+        Their memory and accelerators are held like those of any other task.
+        """
+        if not self.backfill:
+            return self.need
+        return Resources(0, self.need.memory_mb, self.need.accelerators)
+
 
 class WorkflowSpec(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """A workflow as its caller declares it.
--- a/tests/dispatch/fleet.py
+++ b/tests/dispatch/fleet.py
@@ -260,7 +260,7 @@
             worker = self.workers[start.worker]
             worker.add_run(
                 key,
-                self.context.find_need(key),
+                self.context.find_allocation(key),
                 RunPhase.STARTED,
                 self.now,
                 self.context.find_estimate(key),
--- a/tests/dispatch/reference_planner.py
+++ b/tests/dispatch/reference_planner.py
@@ -199,14 +199,14 @@
         if self._lacks_tickets(step, advice, used, planning.now):
             # Keep the resources free until the new tickets arrive.
             for candidate in chosen:
-                candidate.free = candidate.free - step.spec.need
+                candidate.free = candidate.free - step.spec.allocation
             return
         run = 1 + max(task.run for task in _get_tasks(step))
         for index, candidate in zip(step.indexes, chosen, strict=True):
             self._add_start(
                 step, index, run, worker_keys[candidate.worker], planning, advice
             )
-            candidate.free = candidate.free - step.spec.need
+            candidate.free = candidate.free - step.spec.allocation
 
     def _choose_gang_workers(
         self, step: WaitingStep, candidates: list[Candidate]
@@ -333,7 +333,7 @@
 
     Planning a gang always can, since it reserves workers even while it does not fit.
     """
-    return spec.gang or spec.backfill or spec.need.fits_in(planning.max_free)
+    return spec.gang or spec.allocation.fits_in(planning.max_free)
 
 
 def _find_waiting(store: WorkflowStore, wall_time: float) -> Iterator[WaitingStep]:
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -353,8 +353,12 @@
         return self.store.workflows[task.workflow].spec.steps[task.step]
 
     def find_need(self, task):
+        """Return what a task takes up; of a backfill task, no processor time."""
         step = self.find_step(task)
-        return Resources() if step.backfill else step.need
+        need = step.need
+        if step.backfill:
+            return Resources(0, need.memory_mb, need.accelerators)
+        return need
 
     def crash(self, name):
         """Restart a worker as a new incarnation without runs."""
--- a/tests/dispatch/test_dispatcher_random.py
+++ b/tests/dispatch/test_dispatcher_random.py
@@ -183,6 +183,25 @@
         super().deliver_call(sent)
 
 
+class BackfillScenario(RandomScenario):
+    """A scenario with backfill tasks of which few fit into the memory of a worker."""
+
+    steps = (
+        [create_step(4, memory=1500, backfill=True)],
+        [create_step(3, memory=1300, backfill=True, gang=True)],
+        [create_step(2, cpu=2500, memory=1800, backfill=True, checkpoints=True)],
+        [create_step(3, cpu=800, memory=1200)],
+        [create_step(2, cpu=800, memory=2100, gang=True)],
+    )
+
+
+# Guards against a start over a worker's memory, whichever tasks, faults and leaders
+# come together.
+@pytest.mark.parametrize("seed", range(40))
+def test_random_backfill_tasks_keep_within_the_memory(seed):
+    BackfillScenario(seed).run()
+
+
 # Guards against errors in states that no single test covers, and against state that is
 # kept for runs that have ended. A few seeds cancel the serving tasks before any pace.
 @pytest.mark.parametrize("first_seed", range(0, 60, 10))
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -961,6 +961,20 @@
         "        if False:\n            return refuse(",
         "tests/dispatch/test_quotas.py",
     ),
+    Case(
+        "backfill tasks take up memory and accelerators",
+        "workflow/specs.py",
+        "return Resources(0, self.need.memory_mb, self.need.accelerators)",
+        "return Resources()",
+        "tests/dispatch/test_backfill.py",
+    ),
+    Case(
+        "backfill tasks do not wait for processor time",
+        "workflow/specs.py",
+        "        if not self.backfill:\n            return self.need\n",
+        "        return self.need\n",
+        "tests/dispatch/test_backfill.py",
+    ),
     Case(
         "quota: backfill takes up nothing",
         "workflow/usage.py",
--- a/tests/workflow/factories.py
+++ b/tests/workflow/factories.py
@@ -37,8 +37,9 @@
     )
 
 
-def create_step(count=1, cpu=1000, **fields):
-    return StepSpec(count=count, need=Resources(cpu, 100, 0), **fields)
+def create_step(count=1, cpu=1000, memory=100, accelerators=0, **fields):
+    need = Resources(cpu, memory, accelerators)
+    return StepSpec(count=count, need=need, **fields)
 
 
 def create_spec(workflow_id="0000000000000001", steps=None, queue="q", **fields):
