--- a/src/bluebellyoke/dispatch/fair_order.py
+++ b/src/bluebellyoke/dispatch/fair_order.py
@@ -137,13 +137,12 @@
     sizes: list[float] = []
     asked: dict[str, float] = {}
     for step in waiting:
-        need, size = step.spec.need, 0.0
-        if not step.spec.backfill:
-            size = len(step.indexes) * max(
-                need.cpu_millis * per_cpu,
-                need.memory_mb * per_memory,
-                need.accelerators * per_accelerator,
-            )
+        allocation = step.spec.allocation
+        size = len(step.indexes) * max(
+            allocation.cpu_millis * per_cpu,
+            allocation.memory_mb * per_memory,
+            allocation.accelerators * per_accelerator,
+        )
         sizes.append(size)
         name = step.workflow.spec.workspace
         asked[name] = asked.get(name, 0.0) + size
--- a/src/bluebellyoke/dispatch/prediction.py
+++ b/src/bluebellyoke/dispatch/prediction.py
@@ -277,7 +277,7 @@
         for spec, step in zip(workflow.spec.steps, repetition.steps, strict=True):
             if spec.checkpoints and not spec.gang and not step.is_done:
                 placed = min(len(step.tasks) - step.done, workflow.placed)
-                pool.stoppable += placed * spec.need.cpu_millis / 1000
+                pool.stoppable += placed * spec.allocation.cpu_millis / 1000
 
     def _collect_waiting(self, placed: dict[str, float], wall_time: float) -> None:
         """Sum up the work of the accepted jobs that is not placed."""
@@ -370,7 +370,10 @@
 def _compute_quota_seconds(spec: WorkflowSpec, quota: Resources) -> float:
     """Return for how long a job would take up the whole quota, in seconds."""
     return sum(
-        step.count * step.estimate_ms / 1000 * step.need.compute_dominant_share(quota)
+        step.count
+        * step.estimate_ms
+        / 1000
+        * step.allocation.compute_dominant_share(quota)
         for step in spec.steps
     )
 
--- a/src/bluebellyoke/dispatch/preemption.py
+++ b/src/bluebellyoke/dispatch/preemption.py
@@ -193,7 +193,7 @@
                 workflow = workflows.get(name.workflow)
                 if workflow is not None and workflow.spec.workspace == spec.workspace:
                     used = used + run.need
-        return is_within_quota(used, workspace.quota, step.spec.need)
+        return is_within_quota(used, workspace.quota, step.spec.allocation)
 
     # Victims.
 
--- a/src/bluebellyoke/dispatch/quotas.py
+++ b/src/bluebellyoke/dispatch/quotas.py
@@ -42,7 +42,7 @@
         spec = step.spec
         count = spec.count if spec.gang else 1
         used, quota = self.get_used(workspace.name), self._find_quota(workspace, step)
-        return is_within_quota(used, quota, spec.need, count)
+        return is_within_quota(used, quota, spec.allocation, count)
 
     def count_startable(self, step: WaitingStep) -> int:
         """Return how many of a step's waiting tasks may start."""
@@ -51,7 +51,7 @@
         if workspace is None:
             return count
         used, quota = self.get_used(workspace.name), self._find_quota(workspace, step)
-        return count_within_quota(used, quota, step.spec.need, count)
+        return count_within_quota(used, quota, step.spec.allocation, count)
 
     def keep(self, step: WaitingStep) -> None:
         """Reserve quota for a gang that waits for it; steps behind it may not use it.
@@ -65,7 +65,7 @@
         if workspace is None or not step.spec.gang or workspace.name in self._kept:
             return
         if has_quota_for(workspace, Resources(), step.spec):
-            self._kept[workspace.name] = step.spec.need * step.spec.count
+            self._kept[workspace.name] = step.spec.allocation * step.spec.count
 
     def _find_quota(self, workspace: WorkspaceSpec, step: WaitingStep) -> Resources:
         """Return the quota that a step may use."""
@@ -73,15 +73,15 @@
         if kept is None or step.is_short:
             return workspace.quota
         spec = step.spec
-        need = spec.need * spec.count if spec.gang else spec.need
-        return _reduce(workspace.quota, kept, need)
+        needed = spec.allocation * (spec.count if spec.gang else 1)
+        return _reduce(workspace.quota, kept, needed)
 
     def take(self, step: WaitingStep) -> None:
         """Take up the resources of one planned task."""
         workspace = self._find_limits(step)
         if workspace is not None:
             name = workspace.name
-            self._used[name] = self.get_used(name) + step.spec.need
+            self._used[name] = self.get_used(name) + step.spec.allocation
 
     def get_used(self, workspace: str) -> Resources:
         """Return what the runs of a workspace take up, with the planned ones."""
@@ -91,7 +91,7 @@
     def _find_limits(self, step: WaitingStep) -> WorkspaceSpec | None:
         """Return the workspace whose quota limits a step, or None."""
         name = step.workflow.spec.workspace
-        if not name or step.spec.backfill:
+        if not name:
             return None
         workspace = self._store.find_workspace(name)
         if workspace is None or workspace.quota == UNLIMITED:
@@ -99,19 +99,19 @@
         return workspace
 
 
-def _reduce(quota: Resources, kept: Resources, need: Resources) -> Resources:
+def _reduce(quota: Resources, kept: Resources, needed: Resources) -> Resources:
     """Return a quota less the reserved amount, at least half of it and one more start.
 
     0 stays without a limit.
     """
     return Resources(
-        _reduce_amount(quota.cpu_millis, kept.cpu_millis, need.cpu_millis),
-        _reduce_amount(quota.memory_mb, kept.memory_mb, need.memory_mb),
-        _reduce_amount(quota.accelerators, kept.accelerators, need.accelerators),
+        _reduce_amount(quota.cpu_millis, kept.cpu_millis, needed.cpu_millis),
+        _reduce_amount(quota.memory_mb, kept.memory_mb, needed.memory_mb),
+        _reduce_amount(quota.accelerators, kept.accelerators, needed.accelerators),
     )
 
 
-def _reduce_amount(bound: int, kept: int, need: int) -> int:
+def _reduce_amount(bound: int, kept: int, needed: int) -> int:
     if not bound:
         return 0
-    return min(max(bound - kept, (bound - 1) // 2 + need, 1), bound)
+    return min(max(bound - kept, (bound - 1) // 2 + needed, 1), bound)
--- a/src/bluebellyoke/workflow/quotas.py
+++ b/src/bluebellyoke/workflow/quotas.py
@@ -11,10 +11,8 @@
     workspace: WorkspaceSpec, used: Resources, step: StepSpec, count: int = 1
 ) -> bool:
     """Return whether a gang, or some other tasks, fit into what a quota leaves."""
-    if step.backfill:
-        return True
     return is_within_quota(
-        used, workspace.quota, step.need, step.count if step.gang else count
+        used, workspace.quota, step.allocation, step.count if step.gang else count
     )
 
 
@@ -38,9 +36,9 @@
     if has_quota_for(workspace, Resources(), step):
         return ""
     what = f"the gang of step {number}" if step.gang else f"a task of step {number}"
-    need = step.need * (step.count if step.gang else 1)
+    needed = step.allocation * (step.count if step.gang else 1)
     return (
-        f"{what} needs {_format(need)} at once, more than the quota of workspace "
+        f"{what} needs {_format(needed)} at once, more than the quota of workspace "
         f"{workspace.name!r}: {_format(workspace.quota)}"
     )
 
--- a/src/bluebellyoke/workflow/usage.py
+++ b/src/bluebellyoke/workflow/usage.py
@@ -1,7 +1,7 @@
 """Resources that the placed runs of each workspace take up.
 
 A run counts from its assignment until its end is recorded, so runs that are being
-stopped or whose state is unknown count too. Backfill runs take up nothing.
+stopped or whose state is unknown count too.
 """
 
 from collections.abc import Iterable, Iterator
@@ -40,8 +40,7 @@
         if total is None:
             total = self._totals[workspace] = _Total()
         total.runs += 1
-        if not step.backfill:
-            total.used = total.used + step.need
+        total.used = total.used + step.allocation
 
     def release(self, workspace: str, step: StepSpec) -> None:
         """Subtract a run of a step that takes up nothing any longer."""
@@ -49,8 +48,8 @@
         total.runs -= 1
         if not total.runs:
             del self._totals[workspace]
-        elif not step.backfill:
-            total.used = total.used - step.need
+        else:
+            total.used = total.used - step.allocation
 
     def get_used(self, workspace: str) -> Resources:
         """Return the resources that the runs of a workspace take up."""
@@ -58,7 +57,7 @@
         return total.used if total is not None else Resources()
 
     def count_runs(self, workspace: str) -> int:
-        """Return the number of placed runs of a workspace, with backfill runs."""
+        """Return the number of placed runs of a workspace."""
         total = self._totals.get(workspace)
         return total.runs if total is not None else 0
 
--- a/src/bluebellyoke/workflow/workspace_figures.py
+++ b/src/bluebellyoke/workflow/workspace_figures.py
@@ -18,7 +18,7 @@
     """Figures of one workspace.
 
     Attributes:
-        running: Number of placed runs, with backfill runs.
+        running: Number of placed runs.
         waiting: Number of accepted jobs that have not ended and have no placed run.
         used: Resources that the placed runs take up.
         quota, share: Current limits, 0 for a workspace without any.
--- a/tests/dispatch/test_fair_order.py
+++ b/tests/dispatch/test_fair_order.py
@@ -64,6 +64,18 @@
     assert list_jobs(cell.plan_and_start()) == late
 
 
+# Guards against a workspace that fills the memory with backfill tasks before others
+# that asked later.
+def test_memory_of_backfill_tasks_counts_for_the_share():
+    cell = create_cell()
+    for _ in range(20):
+        cell.submit([create_step(1, memory=1000, backfill=True)], workspace="a")
+    late = [cell.submit([create_step(1, memory=1000)], workspace="b") for _ in range(5)]
+    started = list_jobs(cell.plan_and_start())
+    assert len(started) == 12
+    assert set(late) <= set(started)
+
+
 # Guards against an order within a group other than by priority and age.
 def test_rank_applies_within_each_group():
     queues = [create_queue("q", priority=1), create_queue("urgent", priority=0)]
--- a/tests/dispatch/test_planner.py
+++ b/tests/dispatch/test_planner.py
@@ -57,7 +57,7 @@
         for start in starts:
             step = self.store.workflows[start.task.workflow].spec.steps[start.task.step]
             worker = self.workers[start.worker]
-            worker.add_run((start.task, start.run), step.need, None, NOW)
+            worker.add_run((start.task, start.run), step.allocation, None, NOW)
         return starts
 
 
--- a/tests/dispatch/test_quotas.py
+++ b/tests/dispatch/test_quotas.py
@@ -25,7 +25,7 @@
         self.configure(quotas)
 
     def configure(self, quotas, shares=None):
-        """Set the CPU quotas of the workspaces, in millicores."""
+        """Set the quotas of the workspaces; a number is one of CPU in millicores."""
         self.version += 1
         queues = self.store.configuration.queues
         configuration = create_configuration(
@@ -33,9 +33,11 @@
             queues,
             workspaces=tuple(
                 WorkspaceSpec(
-                    name=name, quota=Resources(cpu), share=(shares or {}).get(name, 1.0)
+                    name=name,
+                    quota=Resources(quota) if isinstance(quota, int) else quota,
+                    share=(shares or {}).get(name, 1.0),
                 )
-                for name, cpu in quotas.items()
+                for name, quota in quotas.items()
             ),
         )
         self.store.apply(
@@ -80,8 +82,8 @@
     assert len(cell.plan_and_start()) == 5
 
 
-# Guards against backfill runs that use up a quota or wait for it.
-def test_backfill_takes_up_nothing_of_the_quota():
+# Guards against backfill runs that use up a quota of CPU or wait for it.
+def test_backfill_takes_up_no_processor_time_of_the_quota():
     cell = QuotaCell({"a": 2000})
     cell.submit([create_step(5, backfill=True)], workspace="a")
     job = cell.submit([create_step(3)], workspace="a")
@@ -90,6 +92,41 @@
     assert len(cell.plan_and_start()) == 2
 
 
+# Guards against QUOTA of review/4: backfill runs of one workspace took up twice the
+# memory that its quota allows.
+def test_backfill_keeps_within_the_memory_of_the_quota():
+    cell = QuotaCell({"a": Resources(0, 500, 0), "b": 0})
+    job = cell.submit([create_step(8, backfill=True)], workspace="a")
+    other = cell.submit([create_step(8, backfill=True)], workspace="b")
+    started = list_jobs(cell.plan_and_start())
+    assert (started.count(job), started.count(other)) == (5, 8)
+    assert cell.plan_and_start() == ()
+    assert cell.planner.wait_reasons == {(job, 0, 0): WaitReason.QUOTA}
+    cell.end_runs(2)
+    assert list_jobs(cell.plan_and_start()).count(job) == 2
+
+
+# Guards against the same for other runs beside them.
+def test_other_runs_get_no_memory_of_the_quota_that_backfill_holds():
+    cell = QuotaCell({"a": Resources(0, 500, 0)})
+    cell.submit([create_step(3, backfill=True)], workspace="a")
+    cell.plan_and_start()
+    cell.submit([create_step(8, cpu=100)], workspace="a")
+    assert len(cell.plan_and_start()) == 2
+
+
+# Guards against the same for a gang, which starts as a whole.
+def test_gang_of_backfill_tasks_waits_for_the_memory_of_its_quota():
+    cell = QuotaCell({"a": Resources(0, 500, 0)})
+    cell.submit([create_step(3, backfill=True)], workspace="a")
+    cell.plan_and_start()
+    gang = cell.submit([create_step(3, gang=True, backfill=True)], workspace="a")
+    assert cell.plan_and_start() == ()
+    assert cell.planner.wait_reasons == {(gang, 0, 0): WaitReason.QUOTA}
+    cell.end_runs(1)
+    assert list_jobs(cell.plan_and_start()) == [gang] * 3
+
+
 # Guards against gangs that start in part, or that wait although the quota is free.
 def test_gang_waits_until_its_quota_is_free_as_a_whole():
     cell = QuotaCell({"a": 4000})
@@ -202,6 +239,25 @@
         assert "3000 mCPU" in result.reason
 
 
+# Guards against accepted backfill workflows that could never run.
+@pytest.mark.parametrize(
+    ("step", "code"),
+    [
+        (create_step(1, memory=600, backfill=True), "malformed"),
+        (create_step(6, gang=True, backfill=True), "malformed"),
+        (create_step(6, backfill=True), "ok"),
+    ],
+)
+def test_backfill_step_above_the_memory_quota_is_refused(step, code):
+    cell = QuotaCell({"a": Resources(1, 500, 0)})
+    spec = workflow_commands.SubmitWorkflow(
+        spec=create_spec(steps=[step], workspace="a"), time=NOW
+    )
+    result = cell.store.apply(spec)
+    assert result.accepted == (code == "ok")
+    assert code in ("ok", result.code)
+
+
 # Guards against a gang that waits forever, since smaller tasks behind it take up what
 # each ended run gives back.
 def test_tasks_behind_a_gang_leave_it_quota():
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -976,11 +976,17 @@
         "tests/dispatch/test_backfill.py",
     ),
     Case(
-        "quota: backfill takes up nothing",
+        "quota: backfill takes up no processor time",
         "workflow/usage.py",
-        "        if not step.backfill:\n"
-        "            total.used = total.used + step.need\n",
-        "        total.used = total.used + step.need\n",
+        "total.used = total.used + step.allocation",
+        "total.used = total.used + step.need",
+        "tests/workflow/test_usage_stateful.py",
+    ),
+    Case(
+        "quota: the memory of backfill tasks is limited",
+        "workflow/quotas.py",
+        "used, workspace.quota, step.allocation, step.count",
+        "used, workspace.quota, Resources(), step.count",
         "tests/workflow/test_usage_stateful.py",
     ),
     Case(
--- a/tests/workflow/test_usage_stateful.py
+++ b/tests/workflow/test_usage_stateful.py
@@ -32,8 +32,10 @@
         for repetition in workflow.repetitions.values():
             for spec, step in zip(workflow.spec.steps, repetition.steps, strict=True):
                 placed = sum(task.placed for task in step.tasks)
-                need = Resources() if spec.backfill else spec.need * placed
-                used[name] = used.get(name, Resources()) + need
+                # The processor time of backfill tasks is not counted.
+                cpu = 0 if spec.backfill else spec.need.cpu_millis
+                need = Resources(cpu, spec.need.memory_mb, spec.need.accelerators)
+                used[name] = used.get(name, Resources()) + need * placed
                 runs[name] = runs.get(name, 0) + placed
     return used, runs
 
@@ -124,7 +126,7 @@
         result = self.store.apply(commands.AssignRuns(starts=tuple(starts)))
         workspace = self.store.workflows[name.workflow].spec.workspace
         limits = self.store.find_workspace(workspace)
-        if "1" in result.detail["done"] and limits is not None and not step.backfill:
+        if "1" in result.detail["done"] and limits is not None:
             used = count_plainly(self.store)[0][workspace]
             assert is_within_quota(used, limits.quota, Resources()), (
                 "a start exceeds the quota"
