--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -180,7 +180,7 @@
     Case(
         "a planned run is not sent to a worker that has shrunk",
         "dispatch/starts.py",
-        "        return is_overcommitted and need != Resources()\n",
+        "        return is_overcommitted and allocation != Resources()\n",
         "        return False\n",
         "tests/dispatch/test_capacity.py",
     ),
@@ -914,7 +914,7 @@
         extra_replacements=(
             (
                 "consensus/membership_planner.py",
-                "    if unreachable:\n",
+                "    if candidates:\n",
                 "    if False:\n",
             ),
         ),
@@ -1062,7 +1062,7 @@
     Case(
         "quota: a gang keeps no quota from tasks while half of it is free",
         "dispatch/quotas.py",
-        "max(bound - kept, (bound - 1) // 2 + need, 1)",
+        "max(bound - kept, (bound - 1) // 2 + needed, 1)",
         "max(bound - kept, 1)",
         "tests/dispatch/test_quotas.py",
     ),
