Keep the last definition of a removed queue while its workflows go on

Callers saw a workflow whose queue an operator had removed stand still for good after a failed, lost or later task: its starts carried no ticket, and workers refuse these. The planner asked the current configuration only, and took an unknown queue for one without an advisor and of the highest priority. Change: the replicated state keeps the last definition of each removed queue that has active workflows (workflow/queues.py); planning, prediction and preemption read it. Submissions to a removed queue are refused as before.

--- a/src/bluebellyoke/cell/snapshot.py
+++ b/src/bluebellyoke/cell/snapshot.py
@@ -18,7 +18,8 @@
 from bluebellyoke.cell.upstreams import Upstream
 from bluebellyoke.cell.workers import Worker
 from bluebellyoke.cell.workspaces import Workspace
-from bluebellyoke.workflow.store import WorkflowSnapshot, WorkflowStore
+from bluebellyoke.workflow.snapshot import WorkflowSnapshot
+from bluebellyoke.workflow.store import WorkflowStore
 
 __all__ = ["dump_state", "load_state"]
 
--- a/src/bluebellyoke/dispatch/context.py
+++ b/src/bluebellyoke/dispatch/context.py
@@ -81,8 +81,8 @@
         return 0.0 if task.checkpoint else self.find_step(key).estimate_ms / 1000
 
     def find_queue(self, name: str) -> QueueSpec | None:
-        """Return a queue of the current configuration, or None."""
-        return self.store.get_queue(name)
+        """Return a queue as it is configured, or was before its removal."""
+        return self.store.find_last_queue(name)
 
     def find_run(self, key: RunKey) -> tuple[str, StepSpec, bool] | None:
         """Return the queue and the step of a run, and whether it began afresh.
--- a/src/bluebellyoke/dispatch/costs.py
+++ b/src/bluebellyoke/dispatch/costs.py
@@ -33,7 +33,7 @@
 
         Args:
             step: Step of the task.
-            queue: Name of the step's queue, or an empty text if it has been removed.
+            queue: Name of the step's queue, or an empty text if it is not known.
             worker: Worker that the task fits on.
 
         Returns:
--- a/src/bluebellyoke/dispatch/expected_end.py
+++ b/src/bluebellyoke/dispatch/expected_end.py
@@ -39,7 +39,7 @@
     Args:
         speeds: Speed of the workers.
         run_times: Expected run times.
-        find_queue: Finds a queue of the current configuration by its name.
+        find_queue: Finds a queue by its name, also one that has been removed.
     """
 
     is_lasting = True
--- a/src/bluebellyoke/dispatch/prediction.py
+++ b/src/bluebellyoke/dispatch/prediction.py
@@ -269,7 +269,7 @@
 
     def _count_stoppable(self, workflow: Workflow) -> None:
         """Count the cores of a workflow's runs that may be stopped for short jobs."""
-        queue = self._context.store.get_queue(workflow.spec.queue)
+        queue = self._context.store.find_last_queue(workflow.spec.queue)
         repetition = workflow.repetitions.get(0)
         if queue is None or queue.priority <= PREEMPTING_PRIORITY or not repetition:
             return
@@ -291,7 +291,7 @@
         }
         for workflow_id, workflow in store.active.items():
             spec = workflow.spec
-            queue = store.get_queue(spec.queue)
+            queue = store.find_last_queue(spec.queue)
             if workflow_id in shapes:
                 shape = shapes[workflow_id]
             else:
--- /dev/null
+++ b/src/bluebellyoke/workflow/snapshot.py
@@ -0,0 +1,23 @@
+"""Snapshot of the replicated state of workflows."""
+
+import msgspec
+
+from bluebellyoke.workflow.crashes import TaskCrashes
+from bluebellyoke.workflow.specs import Configuration, QueueSpec, WorkerSpec
+from bluebellyoke.workflow.workflow import Workflow
+
+__all__ = ["WorkflowSnapshot"]
+
+
+class WorkflowSnapshot(msgspec.Struct, frozen=True, array_like=True):
+    """Snapshot of a workflow store.
+
+    Attributes:
+        removed_queues: Last definitions of removed queues that had active workflows.
+    """
+
+    configuration: Configuration
+    workers: list[WorkerSpec]
+    workflows: list[Workflow]
+    crashes: list[TaskCrashes] = []
+    removed_queues: list[QueueSpec] = []
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -5,9 +5,11 @@
 from bluebellyoke.cell.result import Result, refuse
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.access import AccessDecision, authorize_request
-from bluebellyoke.workflow.crashes import CrashHistory, TaskCrashes
+from bluebellyoke.workflow.crashes import CrashHistory
 from bluebellyoke.workflow.gangs import find_start_group, is_complete, is_gang
+from bluebellyoke.workflow.queues import QueueTable
 from bluebellyoke.workflow.quotas import describe_excess, has_quota_for
+from bluebellyoke.workflow.snapshot import WorkflowSnapshot
 from bluebellyoke.workflow.specs import (
     Configuration,
     QueueSpec,
@@ -17,7 +19,7 @@
 from bluebellyoke.workflow.usage import WorkspaceUsage
 from bluebellyoke.workflow.workflow import Workflow
 
-__all__ = ["MAX_OPEN_TASKS", "RunKey", "WorkflowSnapshot", "WorkflowStore"]
+__all__ = ["MAX_OPEN_TASKS", "RunKey", "WorkflowStore"]
 
 #: Maximum number of tasks of workflows that have not ended. A task takes about 500
 #: bytes of an instance's memory.
@@ -33,15 +35,6 @@
 RunKey = tuple[workflow_commands.TaskName, int]
 
 
-class WorkflowSnapshot(msgspec.Struct, frozen=True, array_like=True):
-    """Snapshot of a workflow store."""
-
-    configuration: Configuration
-    workers: list[WorkerSpec]
-    workflows: list[Workflow]
-    crashes: list[TaskCrashes] = []
-
-
 class WorkflowStore:
     """Workflows, called workers and the configuration, changed by commands only.
 
@@ -66,7 +59,7 @@
         self.runs: dict[tuple[str, int], dict[RunKey, None]] = {}
         self.usage = WorkspaceUsage()
         self.crashes = CrashHistory()
-        self._queues: dict[str, QueueSpec] = {}
+        self._queues = QueueTable()
         self._workspaces: dict[str, WorkspaceSpec] = {}
         self._changed: set[str] = set()
 
@@ -84,7 +77,11 @@
 
     def get_queue(self, name: str) -> QueueSpec | None:
         """Return a queue of the current configuration, or None."""
-        return self._queues.get(name)
+        return self._queues.find(name)
+
+    def find_last_queue(self, name: str) -> QueueSpec | None:
+        """Return a queue as it is configured, or was before its removal, or None."""
+        return self._queues.find_last(name)
 
     def find_workspace(self, name: str) -> WorkspaceSpec | None:
         """Return a workspace of the current configuration, or None."""
@@ -93,10 +90,10 @@
     def find_pool(self, workflow: Workflow) -> str:
         """Return the pool that runs a workflow's tasks.
 
-        That is the pool of its queue at present or, if the queue has been removed, at
-        the time of the submission.
+        That is the pool of its queue at present or, if the queue is not known, at the
+        time of the submission.
         """
-        queue = self._queues.get(workflow.spec.queue)
+        queue = self._queues.find_last(workflow.spec.queue)
         return queue.pool if queue is not None else workflow.pool
 
     def find_current_worker(self, worker: str, incarnation: int) -> WorkerSpec | None:
@@ -116,7 +113,8 @@
 
     def _set_configuration(self, configuration: Configuration) -> None:
         self.configuration = configuration
-        self._queues = {queue.name: queue for queue in configuration.queues}
+        used = {workflow.spec.queue for workflow in self.active.values()}
+        self._queues.configure(configuration.queues, used)
         self._workspaces = {item.name: item for item in configuration.workspaces}
 
     # Workflows.
@@ -131,7 +129,7 @@
             if known.spec.queue != spec.queue:
                 return refuse("id-taken", "another queue holds this id; choose another")
             return Result(accepted=True, code="known")
-        queue = self._queues.get(spec.queue)
+        queue = self._queues.find(spec.queue)
         if queue is None:
             return refuse("unknown-queue", "no such queue is in force")
         workspace = self._workspaces.get(spec.workspace)
@@ -156,7 +154,7 @@
     ) -> AccessDecision:
         return authorize_request(
             self.configuration,
-            self._queues.get(queue),
+            self._queues.find(queue),
             command.credential,
             workflow,
             submits=isinstance(command, workflow_commands.SubmitWorkflow),
@@ -363,13 +361,14 @@
             list(self.workers.values()),
             list(self.workflows.values()),
             self.crashes.dump(),
+            self._queues.dump_removed(),
         )
 
     @classmethod
     def load(cls, snapshot: WorkflowSnapshot) -> "WorkflowStore":
         """Return the store of a snapshot."""
         store = cls()
-        store._set_configuration(snapshot.configuration)
+        store._queues = QueueTable(snapshot.removed_queues)
         store.workers = {spec.id: spec for spec in snapshot.workers}
         store.runs = {spec.key: {} for spec in snapshot.workers}
         store.crashes = CrashHistory(snapshot.crashes)
@@ -381,6 +380,7 @@
             for name, task in workflow.iter_placed_tasks():
                 worker_key = (task.worker, task.incarnation)
                 store.runs.setdefault(worker_key, {})[(name, task.run)] = None
+        store._set_configuration(snapshot.configuration)
         return store
 
 
--- a/tests/workflow/test_old_records.py
+++ b/tests/workflow/test_old_records.py
@@ -5,7 +5,8 @@
 
 from bluebellyoke.cell.commands import decode_commands
 from bluebellyoke.instance import wire
-from bluebellyoke.workflow.store import WorkflowSnapshot, WorkflowStore
+from bluebellyoke.workflow.snapshot import WorkflowSnapshot
+from bluebellyoke.workflow.store import WorkflowStore
 from tests.workflow.factories import create_configuration, create_store
 from tests.workflow.test_access import create_workspace
 
--- a/tests/workflow/test_store.py
+++ b/tests/workflow/test_store.py
@@ -2,7 +2,8 @@
 import pytest
 
 from bluebellyoke.workflow import commands as workflow_commands
-from bluebellyoke.workflow.store import WorkflowSnapshot, WorkflowStore
+from bluebellyoke.workflow.snapshot import WorkflowSnapshot
+from bluebellyoke.workflow.store import WorkflowStore
 from tests.workflow.factories import (
     create_configuration,
     create_queue,
@@ -340,3 +341,36 @@
     restarted = create_worker("w1", incarnation=2, cpu=4000, sequence=1)
     store.apply(workflow_commands.EnrolWorker(spec=restarted))
     assert store.workers["w1"].capacity.cpu_millis == 4000
+
+
+def restore(store):
+    """Return the store of a snapshot that was written and read."""
+    data = msgspec.msgpack.encode(store.dump())
+    return WorkflowStore.load(msgspec.msgpack.decode(data, type=WorkflowSnapshot))
+
+
+# Guards against starts without a ticket after the removal of a queue and a restart.
+def test_removed_queue_is_known_as_long_as_it_has_work(store):
+    queue = store.get_queue("q")
+    submit(store)
+    other = create_queue("other")
+    for version in (5, 6):
+        changed = create_configuration(version, [other])
+        command = workflow_commands.ApplyConfiguration(configuration=changed)
+        store.apply(command)
+        store = restore(store)
+        assert store.get_queue("q") is None
+        assert store.find_last_queue("q") == queue
+    cancel(store)
+    changed = create_configuration(7, [other])
+    store.apply(workflow_commands.ApplyConfiguration(configuration=changed))
+    assert store.find_last_queue("q") is None
+
+
+def test_queue_that_returns_has_its_new_definition(store):
+    submit(store)
+    for version, queue in ((5, create_queue("other")), (6, create_queue(priority=7))):
+        changed = create_configuration(version, [queue])
+        store.apply(workflow_commands.ApplyConfiguration(configuration=changed))
+    assert store.find_last_queue("q").priority == 7
+    assert restore(store).dump().removed_queues == []
--- a/tests/workflow/test_usage_stateful.py
+++ b/tests/workflow/test_usage_stateful.py
@@ -8,8 +8,9 @@
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.cell.sharing import is_within_quota
 from bluebellyoke.workflow import commands
+from bluebellyoke.workflow.snapshot import WorkflowSnapshot
 from bluebellyoke.workflow.specs import WorkspaceSpec
-from bluebellyoke.workflow.store import WorkflowSnapshot, WorkflowStore
+from bluebellyoke.workflow.store import WorkflowStore
 from tests.workflow.factories import (
     create_configuration,
     create_spec,
