Take a refused connection as the end of a process only after an orderly close

Callers saw tasks run twice at the same time, and workflows that failed for crashes that had not happened, while a network reset the connections of some workers and refused new ones. Cause: two refusals in a row counted as proof that the worker's process had ended. Change: a host that ends a process closes its connections in order; a network that cuts them off resets them. The HTTP caller remembers how the last connection to an address ended, and only a refusal after an orderly close proves the end. Otherwise the leader waits for another incarnation or the end of the lease.

--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -31,8 +31,8 @@
 POLL_RETRY_S = 0.1
 MAX_POLL_RETRY_S = 0.5
 
-#: Failed polls in a row after which a refused connection counts as the end of the
-#: worker's process.
+#: Failed polls in a row after which a connection that is refused after an orderly close
+#: counts as the end of the worker's process.
 REFUSALS_BEFORE_REMOVAL = 2
 
 #: Time after which a stop without effect is sent again, in seconds. It is shorter than
@@ -203,8 +203,8 @@
         if isinstance(error, OtherLifeError):
             self._registry.remove(worker, RemovalReason.REPLACED, wall_time)
         elif isinstance(error, NotReachedError) and error.refused:
-            has_ended = worker.failures >= REFUSALS_BEFORE_REMOVAL or worker.is_leaving
-            if has_ended:
+            has_failed_often = worker.failures >= REFUSALS_BEFORE_REMOVAL
+            if worker.is_leaving or (error.process_ended and has_failed_often):
                 self._registry.remove(worker, RemovalReason.PROCESS_ENDED, wall_time)
 
     def _check_running(
--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -48,7 +48,7 @@
     Attributes:
         LEASE_EXPIRED: It did not respond until its lease had expired. Its process may
             still run behind a partition.
-        PROCESS_ENDED: Its host refuses connections.
+        PROCESS_ENDED: Its host has closed its connections and refuses new ones.
         REPLACED: Another incarnation, or another worker, responds at its address.
     """
 
--- a/src/bluebellyoke/instance/http_calls.py
+++ b/src/bluebellyoke/instance/http_calls.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import errno
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import httptools
@@ -37,14 +37,20 @@
 class _Connection(asyncio.Protocol):
     """Connection that carries one call at a time.
 
+    Args:
+        on_lost: Called when the peer or the network has closed the connection, with
+            whether that was an orderly close.
+
     Attributes:
         idle_since: Monotonic time of the event loop at which the last call ended.
         is_reusable: Whether the connection can carry another call.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, on_lost: Callable[[bool], None]) -> None:
         self.idle_since = 0.0
         self.is_reusable = True
+        self._on_lost = on_lost
+        self._is_closed_here = False
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._response: asyncio.Future[HttpResponse] | None = None
@@ -67,6 +73,7 @@
     def close(self) -> None:
         """Close the connection at once."""
         self.is_reusable = False
+        self._is_closed_here = True
         if self._transport is not None:
             self._transport.abort()
 
@@ -95,6 +102,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the call in flight."""
+        if not self._is_closed_here:
+            self._on_lost(exc is None)
         self._fail(f"the connection was lost: {exc or 'closed by the peer'}")
 
     # Callbacks of the parser.
@@ -120,10 +129,14 @@
 
 
 class HttpCaller:
-    """Makes calls and keeps idle connections by address."""
+    """Makes calls and keeps idle connections by address.
+
+    It also remembers the addresses whose last connection ended by an orderly close.
+    """
 
     def __init__(self) -> None:
         self._idle: dict[str, list[_Connection]] = {}
+        self._closed: set[str] = set()
 
     async def post(
         self,
@@ -143,7 +156,7 @@
             NotReachedError: No connection could be opened, so nothing was sent.
             NoAnswerError: The connection failed before the response was complete.
         """
-        connection = self._take_idle(address) or await _connect(address)
+        connection = self._take_idle(address) or await self._connect(address)
         try:
             response = await connection.send(
                 _format_request(address, path, body, headers)
@@ -163,6 +176,33 @@
                 connection.close()
         self._idle.clear()
 
+    async def _connect(self, address: str) -> _Connection:
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await loop.create_connection(
+                    lambda: _Connection(lambda x: self._record_loss(address, x)),
+                    host,
+                    int(port),
+                )
+        except TimeoutError as error:
+            raise NotReachedError(address, refused=False) from error
+        except OSError as error:
+            refused = error.errno == errno.ECONNREFUSED
+            process_ended = refused and address in self._closed
+            raise NotReachedError(
+                address, refused=refused, process_ended=process_ended
+            ) from error
+        self._closed.discard(address)
+        return connection
+
+    def _record_loss(self, address: str, was_closed: bool) -> None:
+        if was_closed:
+            self._closed.add(address)
+        else:
+            self._closed.discard(address)
+
     def _take_idle(self, address: str) -> _Connection | None:
         """Return the connection used last, and close those that are idle for long."""
         connections = self._idle.get(address)
@@ -185,20 +225,6 @@
         self._idle.setdefault(address, []).append(connection)
 
 
-async def _connect(address: str) -> _Connection:
-    host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
-    try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, connection = await loop.create_connection(_Connection, host, int(port))
-    except TimeoutError as error:
-        raise NotReachedError(address, refused=False) from error
-    except OSError as error:
-        refused = error.errno == errno.ECONNREFUSED
-        raise NotReachedError(address, refused=refused) from error
-    return connection
-
-
 def _format_request(
     address: str, path: str, body: bytes, headers: Iterable[tuple[str, str]]
 ) -> bytes:
--- a/tests/dispatch/crashing.py
+++ b/tests/dispatch/crashing.py
@@ -69,7 +69,11 @@
             if sent.is_finished:
                 continue
             if sent.spec.id in self.down_until:
-                error = NotReachedError(sent.spec.address, refused=self.has_power)
+                error = NotReachedError(
+                    sent.spec.address,
+                    refused=self.has_power,
+                    process_ended=self.has_power,
+                )
                 self.finish_call(sent, error=error)
             else:
                 self.deliver(sent)
--- a/tests/instance/test_http_calls.py
+++ b/tests/instance/test_http_calls.py
@@ -1,6 +1,9 @@
 """HTTP calls on connections that are kept, against a server with raw responses."""
 
+import asyncio
 import contextlib
+import socket
+import struct
 
 import anyio
 import pytest
@@ -129,3 +132,73 @@
         assert caught.value.refused
 
     run_against([], body)
+
+
+class EndingServer:
+    """Server that ends its connections and stops listening on request.
+
+    Attributes:
+        requests: Number of requests that were received; the first ones are answered.
+        ended: Set once the server listens no more.
+    """
+
+    def __init__(self, answered, *, resets):
+        self.answered = answered
+        self.resets = resets
+        self.requests = 0
+        self.ended = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        while self.requests < self.answered:
+            await reader.readuntil(b"{}")
+            self.requests += 1
+            writer.write(OK)
+        # The request is read, so that the close is an orderly one unless it is forced.
+        await reader.readuntil(b"{}")
+        self.server.close()
+        if self.resets:
+            linger = struct.pack("ii", 1, 0)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+        else:
+            writer.close()
+        self.ended.set()
+
+
+# Guards against a network that resets and refuses connections and is taken for the end
+# of the process there, and against a crash that is found only when the lease ends.
+@pytest.mark.parametrize("resets", [False, True])
+def test_refusal_tells_whether_the_process_has_ended(resets):
+    async def run():
+        server = EndingServer(1, resets=resets)
+        server.server = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+        port = server.server.sockets[0].getsockname()[1]
+        caller, address = HttpCaller(), f"127.0.0.1:{port}"
+        await caller.post(address, "/x", b"{}")
+        with pytest.raises(NoAnswerError):
+            await caller.post(address, "/x", b"{}")
+        await server.ended.wait()
+        with pytest.raises(NotReachedError) as caught:
+            await caller.post(address, "/x", b"{}")
+        assert caught.value.refused
+        assert caught.value.process_ended is not resets
+
+    async def run_with_timeout():
+        async with asyncio.timeout(WAIT_S):
+            await run()
+
+    asyncio.run(run_with_timeout())
+
+
+def test_refusal_without_an_earlier_connection_proves_nothing():
+    async def run():
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{unused.getsockname()[1]}"
+            with pytest.raises(NotReachedError) as caught:
+                await HttpCaller().post(address, "/x", b"{}")
+        assert caught.value.refused
+        assert not caught.value.process_ended
+
+    asyncio.run(run())
