Use no kept connection to a worker after a call without a response

Kept connections may go silent together, without an error. After a poll without a response the next one took the next kept connection, so a worker with several of them was lost to the leader for 1.4 s each, up to the end of its lease, though a new connection would have reached it at once. Change: a poll that follows an unanswered one opens a new connection, and a call that is given up closes the idle connections to its address.

--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -101,6 +101,7 @@
             fence=self._context.fence,
             acknowledged_end=worker.acknowledged_end,
             wait_ms=POLL_WAIT_MS if may_wait else 0,
+            is_retry=worker.failures > 0,
         )
         self._context.calls.poll(worker.spec, request)
 
--- a/src/bluebellyoke/dispatch/ports.py
+++ b/src/bluebellyoke/dispatch/ports.py
@@ -177,6 +177,7 @@
         acknowledged_end: Sequence number of the last end that is committed.
         wait_ms: Time for which the worker may delay its response until a run ends.
         is_probe: Whether it is sent in addition to a poll that may be in flight.
+        is_retry: Whether the last poll got no response.
     """
 
     deadline_ms: int | None
@@ -184,6 +185,7 @@
     acknowledged_end: int
     wait_ms: int = 0
     is_probe: bool = False
+    is_retry: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bluebellyoke/instance/http_calls.py
+++ b/src/bluebellyoke/instance/http_calls.py
@@ -144,18 +144,26 @@
         path: str,
         body: bytes,
         headers: Iterable[tuple[str, str]] = (),
+        *,
+        is_retry: bool = False,
     ) -> HttpResponse:
         """Send a POST request with a JSON body and return the whole response.
 
-        A cancelled call closes its connection, since the response may still arrive.
+        A cancelled call closes its connection, since the response may still arrive, and
+        all idle ones to the address: kept connections may go silent together, without
+        an error.
 
         Args:
             address: IP address and port of the peer, `IP:PORT`.
+            is_retry: Whether the call follows one that got no response, so that it
+                needs a new connection.
 
         Raises:
             NotReachedError: No connection could be opened, so nothing was sent.
             NoAnswerError: The connection failed before the response was complete.
         """
+        if is_retry:
+            self._close_idle(address)
         connection = self._take_idle(address) or await self._connect(address)
         try:
             response = await connection.send(
@@ -165,16 +173,19 @@
             raise NoAnswerError(address, str(error)) from error
         except BaseException:
             connection.close()
+            self._close_idle(address)
             raise
         self._release(address, connection)
         return response
 
     async def close(self) -> None:
         """Close all idle connections."""
-        for connections in self._idle.values():
-            for connection in connections:
-                connection.close()
-        self._idle.clear()
+        for address in list(self._idle):
+            self._close_idle(address)
+
+    def _close_idle(self, address: str) -> None:
+        for connection in self._idle.pop(address, ()):
+            connection.close()
 
     async def _connect(self, address: str) -> _Connection:
         host, _, port = address.rpartition(":")
--- a/src/bluebellyoke/platform/clients.py
+++ b/src/bluebellyoke/platform/clients.py
@@ -109,7 +109,7 @@
             value["DeadlineMs"] = request.deadline_ms
         if request.wait_ms:
             value["WaitMs"] = request.wait_ms
-        response = await self._call(worker, "/-/hold", value)
+        response = await self._call(worker, "/-/hold", value, request.is_retry)
         if response.status == 409:
             return None
         if response.status != 200:
@@ -119,10 +119,13 @@
         except bodies.UnreadableBodyError as error:
             raise NoAnswerError(worker.address, str(error)) from error
 
-    async def _call(self, worker: WorkerSpec, path: str, value: dict) -> HttpResponse:
+    async def _call(
+        self, worker: WorkerSpec, path: str, value: dict, is_retry: bool = False
+    ) -> HttpResponse:
         headers = [("Expected-Instance", worker.id)]
+        body = msgspec.json.encode(value)
         response = await self._caller.post(
-            worker.address, path, msgspec.json.encode(value), headers
+            worker.address, path, body, headers, is_retry=is_retry
         )
         if response.status == 421:
             raise OtherLifeError(worker.address)
--- a/tests/instance/test_http_calls.py
+++ b/tests/instance/test_http_calls.py
@@ -134,6 +134,36 @@
     run_against([], body)
 
 
+async def open_two_connections(caller, address):
+    async with anyio.create_task_group() as tasks:
+        for _ in range(2):
+            tasks.start_soon(caller.post, address, "/x", b"{}")
+
+
+# Guards against a lease that ends while the worker can be reached: all kept connections
+# had gone silent, and each poll waited for another one of them.
+def test_no_kept_connection_is_used_after_a_call_without_response():
+    async def body(server, caller, address):
+        await open_two_connections(caller, address)
+        with anyio.move_on_after(0.05) as scope:
+            await caller.post(address, "/x", b"{}")
+        assert scope.cancelled_caught
+        assert await caller.post(address, "/x", b"{}") == HttpResponse(200, b"{}")
+        assert server.connections == 3
+
+    run_against([OK, OK, b"", OK], body)
+
+
+def test_retry_uses_a_new_connection():
+    async def body(server, caller, address):
+        await open_two_connections(caller, address)
+        await caller.post(address, "/x", b"{}", is_retry=True)
+        await caller.post(address, "/x", b"{}")
+        assert server.connections == 3
+
+    run_against([OK, OK, OK, OK], body)
+
+
 class EndingServer:
     """Server that ends its connections and stops listening on request.
 
