Count a poll or a probe whose event is lost as unanswered

Cause: one poll and one probe at most are in flight to a worker until their event arrives. The replica's queue of inputs drops events while it is full, and nothing else ended that wait. Without a failed poll, the expired lease of the worker was not looked at either. An event was also taken for that of the poll in flight if it belonged to an earlier one, sent before the worker was removed and enrolled again; from then on two polls were in flight, each of which started the next. Fix: the time at which the poll or the probe in flight was sent replaces the flag. An event of an earlier call no longer ends the wait for a later one.

--- a/src/bluebellyoke/dispatch/calls.py
+++ b/src/bluebellyoke/dispatch/calls.py
@@ -28,7 +28,12 @@
 from bluebellyoke.metrics import Metrics
 from bluebellyoke.workflow.specs import WorkerSpec
 
-__all__ = ["WorkerCalls"]
+__all__ = [
+    "CALL_TIMEOUT_S",
+    "MAX_EVENT_DELAY_S",
+    "POLL_TIMEOUT_SLACK_S",
+    "WorkerCalls",
+]
 
 logger = logging.getLogger("bluebellyoke.dispatch")
 
@@ -44,6 +49,13 @@
 LATE_RESPONSE_S = 2.0
 
 
+#: Time after the timeout of a call after which it counts as unanswered even if no event
+#: has arrived, in seconds. The queue of the leader's inputs drops events while it is
+#: full. A poll, its timeout and this time together are shorter than a worker's lease,
+#: so a worker keeps its runs although one event was lost.
+MAX_EVENT_DELAY_S = 2.0
+
+
 class WorkerCalls:
     """Runs each call in a background task.
 
--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from bluebellyoke.dispatch.calls import MAX_EVENT_DELAY_S, POLL_TIMEOUT_SLACK_S
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.events import PollFinished
 from bluebellyoke.dispatch.ports import (
@@ -27,6 +28,9 @@
 #: Time for which a worker may delay its response to a poll, in milliseconds.
 POLL_WAIT_MS = 1000
 
+#: Time after which a poll without an event counts as lost, in seconds.
+LOST_POLL_S = POLL_WAIT_MS / 1000 + POLL_TIMEOUT_SLACK_S + MAX_EVENT_DELAY_S
+
 #: Delay before a poll is retried, in seconds, per failure in a row and at most.
 POLL_RETRY_S = 0.1
 MAX_POLL_RETRY_S = 0.5
@@ -68,7 +72,9 @@
 
     def poll_if_due(self, worker: TrackedWorker, now: float, wall_time: float) -> None:
         """Send a poll or probe that is due; remove a worker whose lease has expired."""
-        if not worker.is_polling and now >= worker.poll_due:
+        if worker.poll_sent_at is not None and now - worker.poll_sent_at > LOST_POLL_S:
+            self._give_up_poll(worker, now, wall_time)
+        elif worker.poll_sent_at is None and now >= worker.poll_due:
             self._send_poll(worker, now)
         elif now >= worker.probe_due:
             if worker.has_overdue_run(now):
@@ -82,13 +88,26 @@
         ):
             self._registry.remove(worker, RemovalReason.LEASE_EXPIRED, wall_time)
 
+    def _give_up_poll(
+        self, worker: TrackedWorker, now: float, wall_time: float
+    ) -> None:
+        """Treat a poll whose event has been lost as unanswered."""
+        lost = PollFinished(
+            term=self._context.fence,
+            worker=worker.spec.id,
+            incarnation=worker.spec.incarnation,
+            error=NoAnswerError(worker.spec.address, "event lost", timed_out=True),
+            sent_at=worker.poll_sent_at,
+        )
+        self.receive(worker, lost, now, wall_time)
+
     def _send_poll(self, worker: TrackedWorker, now: float) -> None:
         """Send a poll, which renews the lease unless the previous poll failed.
 
         If polls went on renewing the lease of a worker that does not respond, the
         leader could never be sure that the lease has expired.
         """
-        worker.is_polling = True
+        worker.poll_sent_at = now
         deadline_ms = None
         if not worker.failures:
             deadline_ms = worker.extend_lease(now, self._context.times)
@@ -110,8 +129,8 @@
         """Process the result of a poll or a probe."""
         report = event.report
         if report is None:
-            self._finish_poll(worker, event)
-            if not event.is_probe:
+            is_awaited = self._finish_poll(worker, event)
+            if is_awaited and not event.is_probe:
                 self._handle_failed_poll(worker, event, now, wall_time)
             return
         if report.incarnation and report.incarnation != worker.spec.incarnation:
@@ -169,16 +188,25 @@
             extra={"worker": worker.spec.id, "runs": len(worker.runs)},
         )
 
-    def _finish_poll(self, worker: TrackedWorker, event: PollFinished) -> None:
-        """Allow the next poll or probe to be sent, unless the timeout has done so."""
-        if event.is_late:
-            return
+    def _finish_poll(self, worker: TrackedWorker, event: PollFinished) -> bool:
+        """Allow the next poll or probe to be sent if the one in flight has ended.
+
+        The event may be one of an earlier call that has counted as unanswered since, or
+        one that was sent before the worker was removed and enrolled again.
+
+        Returns:
+            Whether the event is that of the poll or the probe in flight.
+        """
+        sent_at = worker.probe_sent_at if event.is_probe else worker.poll_sent_at
+        if event.is_late or sent_at is None or event.sent_at < sent_at:
+            return False
         if event.is_probe:
-            worker.is_probing = False
+            worker.probe_sent_at = None
         else:
-            worker.is_polling = False
+            worker.poll_sent_at = None
             worker.poll_due = self._context.now
             self._context.due_workers.add(worker.spec.id)
+        return True
 
     def _handle_failed_poll(
         self, worker: TrackedWorker, event: PollFinished, now: float, wall_time: float
--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -83,7 +83,8 @@
         last_response_at: Time of the latest response to a poll or a probe.
         acknowledged_end: Sequence number of the worker's last end that is committed.
         has_responded: Whether the worker has accepted this leader's fencing token.
-        is_polling, is_probing: Whether a poll or a probe is in flight.
+        poll_sent_at, probe_sent_at: Time at which the poll or the probe in flight was
+            sent, or None.
         probe_due: Time at which a run is so late that the response to the waiting poll
             may have been lost.
         poll_due: Time at which the next poll may be sent.
@@ -117,8 +118,8 @@
     last_response_at: float = 0.0
     acknowledged_end: int = 0
     has_responded: bool = False
-    is_polling: bool = False
-    is_probing: bool = False
+    poll_sent_at: float | None = None
+    probe_sent_at: float | None = None
     probe_due: float = math.inf
     poll_due: float = 0.0
     failures: int = 0
