Count a start whose event is lost as unanswered

Cause: a run is in the phase STARTING until the event of its start arrives, and the replica's queue of inputs drops events while it is full. The comparison with the worker's report and the clean-up after an end leave out that phase. Fix: each report of a worker counts the starts whose events are overdue by LOST_START_S as unanswered. The next report then shows whether the worker has the run, as for any other start without an answer.

--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -204,6 +204,7 @@
             return
         if isinstance(event, events.PollFinished):
             self._poller.receive(worker, event, now, wall_time)
+            self._starter.give_up_lost_starts(worker, now, wall_time)
         elif isinstance(event, events.StartFinished):
             self._starter.receive(worker, event, now, wall_time)
         elif isinstance(event, events.StopFinished):
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -8,6 +8,7 @@
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.cell.result import Result
 from bluebellyoke.dispatch.advice import StepKey
+from bluebellyoke.dispatch.calls import CALL_TIMEOUT_S, MAX_EVENT_DELAY_S
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.events import StartFinished
 from bluebellyoke.dispatch.fair_order import FairOrder
@@ -15,6 +16,7 @@
 from bluebellyoke.dispatch.planner import Planner
 from bluebellyoke.dispatch.planning_round import PlannedStart, WaitReason
 from bluebellyoke.dispatch.ports import (
+    NoAnswerError,
     NotReachedError,
     OtherLifeError,
     StartRequest,
@@ -37,6 +39,9 @@
 #: Time for which a suspect worker gets no new task, in seconds.
 SUSPECT_S = 0.7
 
+#: Time after which a start without an event counts as unanswered, in seconds.
+LOST_START_S = CALL_TIMEOUT_S + MAX_EVENT_DELAY_S
+
 #: Results of a start that make the worker suspect.
 _SUSPECT_RESULTS = {StartResult.UNHEALTHY, StartResult.NO_ROOM, StartResult.LATE}
 
@@ -204,6 +209,27 @@
         worker.runs[(start.task, start.run)].sent_at = self._context.now
         self._context.calls.start(worker.spec, request)
 
+    def give_up_lost_starts(
+        self, worker: TrackedWorker, now: float, wall_time: float
+    ) -> None:
+        """Treat the starts on a worker whose events have been lost as unanswered."""
+        lost = [
+            key
+            for key, run in worker.runs.items()
+            if run.phase is RunPhase.STARTING
+            and run.sent_at is not None
+            and now - run.sent_at > LOST_START_S
+        ]
+        for key in lost:
+            event = StartFinished(
+                term=self._context.fence,
+                worker=worker.spec.id,
+                incarnation=worker.spec.incarnation,
+                error=NoAnswerError(worker.spec.address, "event lost", timed_out=True),
+                key=key,
+            )
+            self.receive(worker, event, now, wall_time)
+
     def receive(
         self, worker: TrackedWorker, event: StartFinished, now: float, wall_time: float
     ) -> None:
