Free the room of a run that ends before its start is answered

Seen: after the end of a short run its worker showed too little room for up to a second, got a stop for a run that no longer existed, and the end was counted twice, the second time as never started. Cause: a worker may list the end before its answer to the start arrives. The run was then kept, as the phase STARTING was taken for a start that is planned but not committed. Fix: a run is planned only while its start has not been sent. Evidence: one test of test_lost_events.py failed before and passes now.

--- a/src/bluebellyoke/dispatch/run_ends.py
+++ b/src/bluebellyoke/dispatch/run_ends.py
@@ -6,7 +6,6 @@
 from bluebellyoke.cell.result import Result
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.stops import RunStopper
-from bluebellyoke.dispatch.tracked_run import RunPhase
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.store import RunKey
@@ -89,7 +88,7 @@
         present = self._context.store.runs.get(worker.spec.key, {})
         for key in [x for x in worker.runs if x not in present]:
             # A start that is planned but not committed keeps its resources.
-            if worker.runs[key].phase is not RunPhase.STARTING:
+            if not worker.runs[key].is_planned:
                 worker.drop_run(key)
         for workflow in workflows.values():
             if workflow.outcome:
--- a/src/bluebellyoke/dispatch/tracked_run.py
+++ b/src/bluebellyoke/dispatch/tracked_run.py
@@ -78,6 +78,11 @@
             rate = (percent - self.baseline_percent) / (now - self.baseline_at)
             self.expected_end_at = now + (COMPLETE_PERCENT - percent) / rate
 
+    @property
+    def is_planned(self) -> bool:
+        """Whether its start has not been sent, since it may not be committed yet."""
+        return self.phase is RunPhase.STARTING and self.sent_at is None
+
     @property
     def probation_end(self) -> float:
         """Time from which a report that lists it clears it, or infinity."""
