Start no run that a later command of its log entry has ended

Cause: all commands of a log entry are applied before their results are passed on. If the entry assigned a run and then removed its worker, or enrolled a new life of it, the run had ended as lost when its start was sent. Fix: the start is sent only if the replicated state still has the run.

--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -143,14 +143,22 @@
             worker = self._context.workers.get(start.worker)
             if worker is None or worker.spec.incarnation != start.incarnation:
                 continue
-            if done == "1" and self._has_shrunk(worker, start):
+            if done != "1" or not self._is_assigned(start):
+                worker.drop_run((start.task, start.run))
+                self._context.needs_planning = True
+            elif self._has_shrunk(worker, start):
                 self._give_back(worker, start, wall_time)
-            elif done == "1":
+            else:
                 self._record_start_wait(start, wall_time)
                 self._send_start(worker, item)
-            else:
-                worker.drop_run((start.task, start.run))
-                self._context.needs_planning = True
+
+    def _is_assigned(self, start: workflow_commands.RunStart) -> bool:
+        """Return whether a run that was assigned has not been ended since.
+
+        A later command of the same log entry may have removed its worker.
+        """
+        worker_key = (start.worker, start.incarnation)
+        return (start.task, start.run) in self._context.store.runs.get(worker_key, {})
 
     def _has_shrunk(
         self, worker: TrackedWorker, start: workflow_commands.RunStart
