Start no run on a worker whose removal is proposed

Cause: from the proposal of a removal to its commit, runs were still planned for the worker, and runs that were committed meanwhile were sent. Such a start extends the lease on whose end the removal rests. If the worker was enrolled again before a run planned meanwhile was committed, the run was valid in the replicated state, but the new record of the worker did not have it. Fix: a worker whose removal is proposed gets no tasks and no starts. The removal ends the runs that are assigned before it.

--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -179,6 +179,7 @@
         if worker_key in self._removing:
             return
         self._removing.add(worker_key)
+        worker.is_being_removed = True
         logger.info(
             "dispatch: removes a worker",
             extra={
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -146,6 +146,9 @@
             if done != "1" or not self._is_assigned(start):
                 worker.drop_run((start.task, start.run))
                 self._context.needs_planning = True
+            elif worker.is_being_removed:
+                # The removal ends the run. A start would extend the worker's lease.
+                continue
             elif self._has_shrunk(worker, start):
                 self._give_back(worker, start, wall_time)
             else:
--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -97,6 +97,7 @@
         is_stalled: Whether all its runs are stalled; it gets no new task meanwhile.
         is_leaving: Whether the worker has announced that it ends.
         leave_announced_at: Time of the last such announcement.
+        is_being_removed: Whether its removal is proposed, which will end its runs.
         failed_workflows: Workflows of which a task has failed here since a run was
             last done.
         quarantines: Number of quarantines since a run was last done; while it is not 0
@@ -129,6 +130,7 @@
     is_stalled: bool = False
     is_leaving: bool = False
     leave_announced_at: float = 0.0
+    is_being_removed: bool = False
     failed_workflows: set[str] = field(default_factory=set)
     quarantines: int = 0
     runs: dict[RunKey, TrackedRun] = field(default_factory=dict)
@@ -311,6 +313,7 @@
             self.has_responded
             and not self.spec.draining
             and not self.is_leaving
+            and not self.is_being_removed
             and not self.unassigned_runs
             and now - self.last_response_at < max_silence_s
             and now >= self.suspect_until
