Track a worker afresh after its removal

Cause: if the removal of a worker and the next enrolment of the same life were in one log entry, the replicated state had the worker again when the result of the removal was handled. The earlier record of the worker was kept, with runs that had ended as lost and with a poll that was never sent again. Fix: the result of a removal drops the record; a new one is made from the replicated state. Evidence: one test of test_command_order.py failed before and passes now.

--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -165,6 +165,14 @@
                     probation_s=self._context.find_probation(key),
                 )
 
+    def _drop_removed(self, worker: TrackedWorker) -> None:
+        """Drop a removed worker, which may have been enrolled again meanwhile.
+
+        What is known of its runs and calls is not true of the new enrolment.
+        """
+        if self._context.workers.get(worker.spec.id) is worker:
+            self._forget(self._context.workers.pop(worker.spec.id))
+
     def _forget(self, worker: TrackedWorker) -> None:
         """Drop what is known of an incarnation that is no longer tracked."""
         self._sequences.pop(worker.spec.key, None)
@@ -199,6 +207,7 @@
             self._removing.discard(worker_key)
             for key in worker.runs:
                 log_run_end(key, worker_key[0], LOST)
+            self._drop_removed(worker)
             self.sync_workers(self._context.now)
             for name in result.detail.get("failed", "").split():
                 self._recorder.finish_workflow(self._context.store.workflows[name])
