Repair tracked runs that differ from the replicated state, and log it

Cause: reports are compared with the tracked runs only, and nothing compares these with the replicated state after the leader has begun. Fix: each report first compares the two. A missing run is tracked as unknown, so that the report resolves it, and a surplus one is dropped. A difference is logged as a warning, since it shows a fault elsewhere.

--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -14,6 +14,7 @@
 )
 from bluebellyoke.dispatch.probes import WorkerProber
 from bluebellyoke.dispatch.registry import WorkerRegistry
+from bluebellyoke.dispatch.run_check import repair_runs
 from bluebellyoke.dispatch.run_ends import RunEndRecorder
 from bluebellyoke.dispatch.stops import RunStopper
 from bluebellyoke.dispatch.tracked_run import RunPhase
@@ -146,6 +147,7 @@
         worker.has_responded = True
         worker.last_response_at = worker.lost_at = now
         worker.record_clock(report.clock_ms, now)
+        repair_runs(self._context, worker, now)
         self._check_running(worker, report, now)
         self._clear_suspects(worker, report, now)
         worker.schedule_probe(now)
--- /dev/null
+++ b/src/bluebellyoke/dispatch/run_check.py
@@ -0,0 +1,64 @@
+"""Comparison of the tracked runs of a worker with the replicated state.
+
+The dispatcher keeps them equal. If a fault made them differ, the end of a run that is
+not tracked would be acknowledged without a commit, and its task would wait for ever.
+"""
+
+import logging
+from collections.abc import Iterable
+
+from bluebellyoke.dispatch.context import DispatchContext
+from bluebellyoke.dispatch.tracked_run import RunPhase
+from bluebellyoke.dispatch.workers import TrackedWorker
+from bluebellyoke.workflow.store import RunKey
+
+__all__ = ["repair_runs"]
+
+logger = logging.getLogger("bluebellyoke.dispatch")
+
+#: Maximum number of runs that a log line lists.
+MAX_LOGGED_RUNS = 20
+
+
+def repair_runs(context: DispatchContext, worker: TrackedWorker, now: float) -> None:
+    """Make the tracked runs of a worker those of the replicated state.
+
+    A run that is added is of unknown state, which the worker's reports resolve.
+    """
+    present = context.store.runs.get(worker.spec.key, {})
+    missing = [key for key in present if key not in worker.runs]
+    surplus = [
+        key
+        for key, run in worker.runs.items()
+        if key not in present and not run.is_planned
+    ]
+    if not missing and not surplus:
+        return
+    logger.warning(
+        "dispatch: repaired the tracked runs of a worker",
+        extra={
+            "worker": worker.spec.id,
+            "born": worker.spec.incarnation,
+            "missing": _format_runs(missing),
+            "surplus": _format_runs(surplus),
+        },
+    )
+    context.needs_planning = True
+    for key in surplus:
+        worker.drop_run(key)
+    for key in missing:
+        worker.add_run(
+            key,
+            context.find_allocation(key),
+            RunPhase.UNKNOWN,
+            now,
+            probation_s=context.find_probation(key),
+        )
+
+
+def _format_runs(keys: Iterable[RunKey]) -> list[list]:
+    """Return workflow, repetition, step, index and run of some runs for the log."""
+    return [
+        [name.workflow, name.repetition, name.step, name.index, run]
+        for name, run in list(keys)[:MAX_LOGGED_RUNS]
+    ]
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -149,6 +149,9 @@
             elif worker.is_being_removed:
                 # The removal ends the run. A start would extend the worker's lease.
                 continue
+            elif (start.task, start.run) not in worker.runs:
+                # The check of the tracked runs adds it at the worker's next report.
+                continue
             elif self._has_shrunk(worker, start):
                 self._give_back(worker, start, wall_time)
             else:
