--- a/tests/dispatch/test_pacing.py
+++ b/tests/dispatch/test_pacing.py
@@ -86,6 +86,25 @@
     assert max(steps) <= 20
 
 
+# Guards against a run that stays paused for ever, since the leader waits for the event
+# of an order that its full queue of inputs has dropped.
+def test_pace_is_raised_after_the_event_of_an_order_was_lost(simulation, monkeypatch):
+    deliver = simulation._deliver_pace
+
+    def lose_event(sent):
+        deliver(sent)
+        simulation.events.pop()
+
+    monkeypatch.setattr(simulation, "_deliver_pace", lose_event)
+    simulation.serving["w1"].effects = {0: 60.0}
+    while not simulation.paced:
+        simulation.run(0.1)
+    monkeypatch.undo()
+    simulation.serving["w1"].effects = {}
+    simulation.run(40.0)
+    assert list_paces(simulation) == [100]
+
+
 # Guards against a harmless run that is paused for ever beside a busy serving task.
 def test_pace_is_raised_beside_a_tail_that_stays_fairly_high(simulation):
     simulation.serving["w1"].base_ms = 95.0
