--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -8,6 +8,7 @@
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.cell.result import Result
 from bluebellyoke.dispatch.advice import StepKey
+from bluebellyoke.dispatch.calls import CALL_TIMEOUT_S, MAX_EVENT_DELAY_S
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.events import StartFinished
 from bluebellyoke.dispatch.fair_order import FairOrder
@@ -15,6 +16,7 @@
 from bluebellyoke.dispatch.planner import Planner
 from bluebellyoke.dispatch.planning_round import PlannedStart, WaitReason
 from bluebellyoke.dispatch.ports import (
+    NoAnswerError,
     NotReachedError,
     OtherLifeError,
     StartRequest,
@@ -37,6 +39,9 @@
 #: Time for which a suspect worker gets no new task, in seconds.
 SUSPECT_S = 0.7
 
+#: Time after which a start without an event counts as unanswered, in seconds.
+LOST_START_S = CALL_TIMEOUT_S + MAX_EVENT_DELAY_S
+
 #: Results of a start that make the worker suspect.
 _SUSPECT_RESULTS = {StartResult.UNHEALTHY, StartResult.NO_ROOM, StartResult.LATE}
 
@@ -138,14 +143,28 @@
             worker = self._context.workers.get(start.worker)
             if worker is None or worker.spec.incarnation != start.incarnation:
                 continue
-            if done == "1" and self._has_shrunk(worker, start):
+            if done != "1" or not self._is_assigned(start):
+                worker.drop_run((start.task, start.run))
+                self._context.needs_planning = True
+            elif worker.is_being_removed:
+                # The removal ends the run. A start would extend the worker's lease.
+                continue
+            elif (start.task, start.run) not in worker.runs:
+                # The check of the tracked runs adds it at the worker's next report.
+                continue
+            elif self._has_shrunk(worker, start):
                 self._give_back(worker, start, wall_time)
-            elif done == "1":
+            else:
                 self._record_start_wait(start, wall_time)
                 self._send_start(worker, item)
-            else:
-                worker.drop_run((start.task, start.run))
-                self._context.needs_planning = True
+
+    def _is_assigned(self, start: workflow_commands.RunStart) -> bool:
+        """Return whether a run that was assigned has not been ended since.
+
+        A later command of the same log entry may have removed its worker.
+        """
+        worker_key = (start.worker, start.incarnation)
+        return (start.task, start.run) in self._context.store.runs.get(worker_key, {})
 
     def _has_shrunk(
         self, worker: TrackedWorker, start: workflow_commands.RunStart
@@ -204,6 +223,27 @@
         worker.runs[(start.task, start.run)].sent_at = self._context.now
         self._context.calls.start(worker.spec, request)
 
+    def give_up_lost_starts(
+        self, worker: TrackedWorker, now: float, wall_time: float
+    ) -> None:
+        """Treat the starts on a worker whose events have been lost as unanswered."""
+        lost = [
+            key
+            for key, run in worker.runs.items()
+            if run.phase is RunPhase.STARTING
+            and run.sent_at is not None
+            and now - run.sent_at > LOST_START_S
+        ]
+        for key in lost:
+            event = StartFinished(
+                term=self._context.fence,
+                worker=worker.spec.id,
+                incarnation=worker.spec.incarnation,
+                error=NoAnswerError(worker.spec.address, "event lost", timed_out=True),
+                key=key,
+            )
+            self.receive(worker, event, now, wall_time)
+
     def receive(
         self, worker: TrackedWorker, event: StartFinished, now: float, wall_time: float
     ) -> None:
--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -83,7 +83,8 @@
         last_response_at: Time of the latest response to a poll or a probe.
         acknowledged_end: Sequence number of the worker's last end that is committed.
         has_responded: Whether the worker has accepted this leader's fencing token.
-        is_polling, is_probing: Whether a poll or a probe is in flight.
+        poll_sent_at, probe_sent_at: Time at which the poll or the probe in flight was
+            sent, or None.
         probe_due: Time at which a run is so late that the response to the waiting poll
             may have been lost.
         poll_due: Time at which the next poll may be sent.
@@ -96,6 +97,7 @@
         is_stalled: Whether all its runs are stalled; it gets no new task meanwhile.
         is_leaving: Whether the worker has announced that it ends.
         leave_announced_at: Time of the last such announcement.
+        is_being_removed: Whether its removal is proposed, which will end its runs.
         failed_workflows: Workflows of which a task has failed here since a run was
             last done.
         quarantines: Number of quarantines since a run was last done; while it is not 0
@@ -117,8 +119,8 @@
     last_response_at: float = 0.0
     acknowledged_end: int = 0
     has_responded: bool = False
-    is_polling: bool = False
-    is_probing: bool = False
+    poll_sent_at: float | None = None
+    probe_sent_at: float | None = None
     probe_due: float = math.inf
     poll_due: float = 0.0
     failures: int = 0
@@ -128,6 +130,7 @@
     is_stalled: bool = False
     is_leaving: bool = False
     leave_announced_at: float = 0.0
+    is_being_removed: bool = False
     failed_workflows: set[str] = field(default_factory=set)
     quarantines: int = 0
     runs: dict[RunKey, TrackedRun] = field(default_factory=dict)
@@ -310,6 +313,7 @@
             self.has_responded
             and not self.spec.draining
             and not self.is_leaving
+            and not self.is_being_removed
             and not self.unassigned_runs
             and now - self.last_response_at < max_silence_s
             and now >= self.suspect_until
