Add tests of what may hold a waiting task back without a bound

Callers saw a task of a step that ended as failed and got no second run for 42 s, although most of the workers' room was free.

--- /dev/null
+++ b/tests/dispatch/test_bounded_waits.py
@@ -0,0 +1,108 @@
+"""Tests of what may keep waiting tasks from idle room, and until when."""
+
+import pytest
+
+from bluebellyoke.cell.resources import Resources
+from bluebellyoke.dispatch import workers as tracked_workers
+from bluebellyoke.dispatch.tracked_run import RunPhase
+from bluebellyoke.workflow import commands as workflow_commands
+from tests.dispatch.test_planner import NOW, Cell, list_jobs
+from tests.dispatch.test_quotas import QuotaCell
+from tests.workflow.factories import create_step
+
+FAILED = workflow_commands.RunOutcome.FAILED
+SILENCE_S = 2.5
+
+
+@pytest.fixture
+def worker():
+    """A worker that accepts tasks."""
+    return Cell(workers=1).workers["w1"]
+
+
+def accepts_tasks(worker, now):
+    worker.last_response_at = now
+    return worker.can_accept_tasks(now, SILENCE_S)
+
+
+def quarantine(worker, now):
+    for number in range(tracked_workers.QUARANTINE_FAILED_WORKFLOWS):
+        worker.record_outcome(f"job {number}", FAILED, now)
+    assert worker.quarantines
+
+
+# Guards against a worker that gets no task any more once it has been quarantined, since
+# a task on it runs until its workflow is cancelled.
+def test_quarantined_worker_with_a_lasting_run_is_tried_again(worker):
+    worker.add_run("service", Resources(100), RunPhase.STARTED, NOW - 60)
+    quarantine(worker, NOW)
+    assert not accepts_tasks(worker, NOW + 0.5)
+    assert accepts_tasks(worker, NOW + 1.5)
+
+
+def test_quarantined_worker_gets_no_task_beside_a_young_run(worker):
+    quarantine(worker, NOW)
+    worker.add_run("probe", Resources(100), RunPhase.STARTED, NOW + 1.5)
+    assert not accepts_tasks(worker, NOW + 2.0)
+    worker.drop_run("probe")
+    assert accepts_tasks(worker, NOW + 2.0)
+
+
+# Guards against a worker that gets no task any more since its only run hangs by itself.
+def test_stalled_worker_is_tried_again(worker):
+    worker.add_run("hung", Resources(100), RunPhase.STARTED, NOW)
+    run = worker.runs["hung"]
+    for second in range(6):
+        run.record_progress(10 * second, NOW + second)
+    worker.update_stall({"hung"}, NOW + 20)
+    assert worker.is_stalled
+    assert not accepts_tasks(worker, NOW + 20)
+    worker.update_stall({"hung"}, NOW + 200)
+    assert accepts_tasks(worker, NOW + 200)
+
+
+def test_stalled_worker_is_tried_with_few_tasks(worker):
+    worker.add_run("hung", Resources(100), RunPhase.STARTED, NOW)
+    run = worker.runs["hung"]
+    for second in range(6):
+        run.record_progress(10 * second, NOW + second)
+    worker.update_stall({"hung"}, NOW + 200)
+    worker.add_run("trial", Resources(100), RunPhase.STARTED, NOW + 200)
+    assert not accepts_tasks(worker, NOW + 201)
+
+
+def start_service(cell, *, count, cpu, **fields):
+    """Start tasks that run until their workflow is cancelled."""
+    steps = [create_step(count, cpu=cpu, long_running=True, max_per_worker=1)]
+    service = cell.submit(steps, **fields)
+    assert list_jobs(cell.plan_and_start()) == [service] * count
+
+
+# Guards against idle room that longer tasks never get: a gang that fits on idle workers
+# only reserved workers on which long-running tasks run.
+def test_gang_that_long_running_tasks_keep_out_reserves_no_workers():
+    cell = Cell(workers=3)
+    start_service(cell, count=3, cpu=2000)
+    cell.submit([create_step(3, cpu=3000, gang=True)])
+    job = cell.submit([create_step(3, cpu=1000, estimate_ms=5000)])
+    assert list_jobs(cell.plan_and_start()) == [job] * 3
+
+
+def test_gang_that_fits_beside_long_running_tasks_reserves_workers():
+    cell = Cell(workers=3)
+    start_service(cell, count=3, cpu=1000)
+    cell.submit([create_step(1, cpu=2000, estimate_ms=5000)])
+    cell.plan_and_start()
+    cell.submit([create_step(3, cpu=3000, gang=True)])
+    cell.submit([create_step(3, cpu=1000, estimate_ms=5000)])
+    assert cell.plan_and_start() == ()
+
+
+# Guards against quota that nobody uses: it was kept for a gang that fits into it only
+# without the long-running tasks of the workspace.
+def test_no_quota_is_kept_for_a_gang_that_long_running_tasks_keep_out():
+    cell = QuotaCell({"a": 6000})
+    start_service(cell, count=3, cpu=1300, workspace="a")
+    cell.submit([create_step(3, cpu=1000, gang=True)], workspace="a")
+    job = cell.submit([create_step(2, estimate_ms=5000)], workspace="a")
+    assert list_jobs(cell.plan_and_start()) == [job] * 2
