Try a quarantined worker again while a long-running task stays on it

What callers saw: a worker that has been quarantined once gets no task any more, and a step that may use only such workers waits without an end. Cause: until a run on it is done the worker accepts tasks only while it has no runs, but a long-running task neither fails nor is done. Change: runs keep others away only for 8 s after the latest start. A task that fails on a faulty worker does so by then, or is one of a few. Evidence: test_quarantined_worker_with_a_lasting_run_is_tried_again, which failed before.

--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -23,6 +23,11 @@
 QUARANTINE_INITIAL_S = 1.0
 QUARANTINE_MAX_S = 8.0
 
+#: Time after its latest start for which a worker that has been quarantined gets no task
+#: beside its runs, in seconds. Without an end, a long-running task would keep all
+#: others away.
+QUARANTINE_TRIAL_S = 8.0
+
 #: Multiple of its estimated duration after which a run is expected to have ended.
 #: Declared estimates are rough; the progress in the worker's next status report
 #: replaces them.
@@ -99,7 +104,7 @@
         failed_workflows: Workflows of which a task has failed here since a run was
             last done.
         quarantines: Number of quarantines since a run was last done; while it is not 0
-            the worker gets tasks only while it has no runs.
+            the worker gets tasks only while it has no young runs.
         runs: Assigned runs that may take up resources.
         suspects: Those of them that may crash the worker; it gets no new task until
             they have been cleared.
@@ -316,5 +321,9 @@
             and not self.has_unanswered_start
             and not self.is_stalled
             and not self.suspects
-            and not (self.quarantines and self.runs)
+            and not (self.quarantines and self._has_trial_run(now))
         )
+
+    def _has_trial_run(self, now: float) -> bool:
+        """Return whether a run has not had the time yet to show whether it fails."""
+        return bool(self.runs) and now - self.started_at < QUARANTINE_TRIAL_S
