Try a stalled worker again after a minute

What callers saw: a worker gets no task any more while the only run on it that has made progress hangs by itself, and a step that may use only such workers waits without an end. Cause: such a worker looks like one whose runs stand still because of the worker, and that had no bound. Change: 60 s after the stall and after the latest start the worker gets tasks again. Their progress shows that it works; without any, the next trial is 60 s later.

--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -28,6 +28,10 @@
 #: others away.
 QUARANTINE_TRIAL_S = 8.0
 
+#: Time for which a worker whose runs are all stalled gets no task, from the stall and
+#: from its latest start, in seconds. A run that hangs by itself looks the same.
+STALL_TRIAL_S = 60.0
+
 #: Multiple of its estimated duration after which a run is expected to have ended.
 #: Declared estimates are rough; the progress in the worker's next status report
 #: replaces them.
@@ -98,7 +102,8 @@
         suspect_until: Time until which the worker gets no new task.
         unanswered_start_at: Time at which a start last failed without a result; the
             worker gets no new task until it has responded to a later poll or probe.
-        is_stalled: Whether all its runs are stalled; it gets no new task meanwhile.
+        is_stalled: Whether all its runs are stalled; it gets hardly any task meanwhile.
+        stalled_at: Time at which this was last noticed.
         is_leaving: Whether the worker has announced that it ends.
         leave_announced_at: Time of the last such announcement.
         failed_workflows: Workflows of which a task has failed here since a run was
@@ -131,6 +136,7 @@
     suspect_until: float = 0.0
     unanswered_start_at: float = 0.0
     is_stalled: bool = False
+    stalled_at: float = 0.0
     is_leaving: bool = False
     leave_announced_at: float = 0.0
     failed_workflows: set[str] = field(default_factory=set)
@@ -220,6 +226,8 @@
         progressing = [run for run in runs if run.has_progressed]
         stalled = bool(progressing) and all(run.is_stalled(now) for run in progressing)
         changed = stalled is not self.is_stalled
+        if changed and stalled:
+            self.stalled_at = now
         self.is_stalled = stalled
         return changed
 
@@ -319,11 +327,16 @@
             and now - self.last_response_at < max_silence_s
             and now >= self.suspect_until
             and not self.has_unanswered_start
-            and not self.is_stalled
+            and not self._is_kept_for_stall(now)
             and not self.suspects
             and not (self.quarantines and self._has_trial_run(now))
         )
 
+    def _is_kept_for_stall(self, now: float) -> bool:
+        """Return whether the worker is stalled and not due for another trial."""
+        since = max(self.stalled_at, self.started_at)
+        return self.is_stalled and now - since < STALL_TRIAL_S
+
     def _has_trial_run(self, now: float) -> bool:
         """Return whether a run has not had the time yet to show whether it fails."""
         return bool(self.runs) and now - self.started_at < QUARANTINE_TRIAL_S
