Reserve no workers for a gang that long-running tasks keep out

What callers saw: workers with much free room start no task that takes longer than 0.9 s. Cause: a gang that fits on idle workers reserves them, but the long-running tasks on them do not end, so that the gang never starts and the reservation has no end. Change: a gang reserves workers only if it fits beside their long-running tasks. All other runs end, and with them the reservation. The reference planner follows, and its jobs now include long-running tasks.

--- a/src/bluebellyoke/dispatch/planning_round.py
+++ b/src/bluebellyoke/dispatch/planning_round.py
@@ -83,6 +83,7 @@
     _candidates: dict[str, Candidate | None] = field(default_factory=dict)
     _pools: dict[tuple[str, str], list[TrackedWorker]] = field(default_factory=dict)
     _keys: dict[tuple[str, str], frozenset[WorkerKey]] = field(default_factory=dict)
+    _lasting: dict[str, Resources] = field(default_factory=dict)
     _max_free: Resources | None = None
     _max_capacity: Resources | None = None
 
@@ -161,6 +162,24 @@
                 candidates.append(candidate)
         return candidates
 
+    def find_usable(self, worker: TrackedWorker) -> Resources:
+        """Return what a worker has free once all its runs but long-running ones end."""
+        name = worker.spec.id
+        if name not in self._lasting:
+            self._lasting[name] = self._sum_lasting(worker)
+        return worker.spec.capacity - self._lasting[name]
+
+    def _sum_lasting(self, worker: TrackedWorker) -> Resources:
+        """Return what the long-running tasks on a worker take up."""
+        store = self.quotas.store
+        total = Resources()
+        for name, _ in store.runs.get(worker.spec.key, ()):
+            workflow = store.workflows[name.workflow]
+            step = workflow.spec.steps[name.step]
+            if step.long_running and not workflow.outcome:
+                total = total + step.allocation
+        return total
+
     def _find_costs(self, step: WaitingStep) -> Mapping[str, float] | None:
         if self.costs is None:
             return None
--- a/tests/dispatch/reference_planner.py
+++ b/tests/dispatch/reference_planner.py
@@ -55,6 +55,7 @@
     Attributes:
         candidates: Workers that may get tasks, by ID.
         pools: These workers by pool.
+        usable: What each of them has free once all its runs but long-running ones end.
         max_free: Maximum of each resource that any worker had free at the start of the
             round.
         reserved: IDs of workers that gangs have reserved.
@@ -64,6 +65,7 @@
     now: float
     candidates: dict[str, Candidate]
     pools: dict[str, list[TrackedWorker]]
+    usable: dict[str, Resources]
     max_free: Resources
     reserved: set[str] = field(default_factory=set)
     reserving: int = 0
@@ -87,7 +89,7 @@
         waiting = sorted(_find_waiting(store, wall_time), key=lambda step: step.rank)
         if not waiting:
             return []
-        planning = _create_round(workers, now)
+        planning = _create_round(store, workers, now)
         for position, step in enumerate(waiting):
             if len(planning.starts) >= MAX_STARTS_PER_ROUND:
                 break
@@ -286,7 +288,9 @@
             return
         places = {
             worker.spec.id: count_allowed(
-                step.spec, planning.candidates[worker.spec.id], worker.spec.capacity
+                step.spec,
+                planning.candidates[worker.spec.id],
+                planning.usable[worker.spec.id],
             )
             for worker in workers
         }
@@ -308,9 +312,12 @@
             planning.reserved.add(name)
 
 
-def _create_round(workers: dict[str, TrackedWorker], now: float) -> PlanningRound:
+def _create_round(
+    store: WorkflowStore, workers: dict[str, TrackedWorker], now: float
+) -> PlanningRound:
     candidates: dict[str, Candidate] = {}
     pools: dict[str, list[TrackedWorker]] = {}
+    usable: dict[str, Resources] = {}
     for worker in workers.values():
         if not worker.can_accept_tasks(now, MAX_WORKER_SILENCE_S):
             continue
@@ -319,13 +326,18 @@
             spec.id, spec.labels, worker.free, spec.capacity
         )
         pools.setdefault(spec.pool, []).append(worker)
+        usable[spec.id] = spec.capacity
+        for (task, _), run in worker.runs.items():
+            workflow = store.workflows[task.workflow]
+            if workflow.spec.steps[task.step].long_running and not workflow.outcome:
+                usable[spec.id] = usable[spec.id] - run.need
     free = [candidate.free for candidate in candidates.values()]
     max_free = Resources(
         max((item.cpu_millis for item in free), default=0),
         max((item.memory_mb for item in free), default=0),
         max((item.accelerators for item in free), default=0),
     )
-    return PlanningRound(now, candidates, pools, max_free)
+    return PlanningRound(now, candidates, pools, usable, max_free)
 
 
 def _might_fit(spec: StepSpec, planning: PlanningRound) -> bool:
--- a/tests/dispatch/test_planner_differential.py
+++ b/tests/dispatch/test_planner_differential.py
@@ -34,6 +34,7 @@
     (create_step(2, cpu=1400, estimate_ms=640.0),),
     (create_step(5, cpu=900), create_step(1, cpu=900, depends_on=(0,))),
     (create_step(3, cpu=2500, gang=True),),
+    (create_step(2, cpu=1500, long_running=True),),
     (create_step(4, cpu=500, max_per_worker=1),),
     (create_step(3, cpu=700, data_rack="r1"),),
     (create_step(2, cpu=3000, required_label="a"),),
