Keep no quota for a gang that long-running tasks keep out

What callers saw: the tasks of a workspace wait for their quota although a part of it is unused, as long as a gang of the workspace waits. Cause: quota is kept for a gang that fits into the quota alone, but long-running tasks of the workspace do not give theirs back, so that the gang never starts. Change: the usage counts what long-running tasks take up, and quota is kept only for a gang that fits beside it. Evidence: test_no_quota_is_kept_for_a_gang_that_long_running_tasks_keep_out, which failed before; the stateful test of the usage checks the new count.

--- a/src/bluebellyoke/workflow/usage.py
+++ b/src/bluebellyoke/workflow/usage.py
@@ -16,10 +16,15 @@
 
 @dataclass(slots=True)
 class _Total:
-    """Totals of the placed runs of a workspace."""
+    """Totals of the placed runs of a workspace.
+
+    Attributes:
+        lasting: What long-running tasks take up.
+    """
 
     runs: int = 0
     used: Resources = field(default_factory=Resources)
+    lasting: Resources = field(default_factory=Resources)
 
 
 class WorkspaceUsage:
@@ -41,6 +46,8 @@
             total = self._totals[workspace] = _Total()
         total.runs += 1
         total.used = total.used + step.allocation
+        if step.long_running:
+            total.lasting = total.lasting + step.allocation
 
     def release(self, workspace: str, step: StepSpec) -> None:
         """Subtract a run of a step that takes up nothing any longer."""
@@ -48,14 +55,21 @@
         total.runs -= 1
         if not total.runs:
             del self._totals[workspace]
-        else:
-            total.used = total.used - step.allocation
+            return
+        total.used = total.used - step.allocation
+        if step.long_running:
+            total.lasting = total.lasting - step.allocation
 
     def get_used(self, workspace: str) -> Resources:
         """Return the resources that the runs of a workspace take up."""
         total = self._totals.get(workspace)
         return total.used if total is not None else Resources()
 
+    def get_lasting(self, workspace: str) -> Resources:
+        """Return the resources that the long-running tasks of a workspace take up."""
+        total = self._totals.get(workspace)
+        return total.lasting if total is not None else Resources()
+
     def count_runs(self, workspace: str) -> int:
         """Return the number of placed runs of a workspace."""
         total = self._totals.get(workspace)
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -1069,7 +1069,7 @@
     Case(
         "quota: a gang that never fits keeps none",
         "dispatch/quotas.py",
-        "        if has_quota_for(workspace, Resources(), step.spec):\n",
+        "        if has_quota_for(workspace, lasting, step.spec):\n",
         "        if True:\n",
         "tests/dispatch/test_quotas.py",
     ),
--- a/tests/workflow/test_usage_stateful.py
+++ b/tests/workflow/test_usage_stateful.py
@@ -25,8 +25,8 @@
 
 
 def count_plainly(store):
-    """Return the used resources and the number of runs by workspace."""
-    used, runs = {}, {}
+    """Return what all runs use, what lasting ones use, and the runs, by workspace."""
+    used, lasting, runs = {}, {}, {}
     for workflow in store.workflows.values():
         name = workflow.spec.workspace
         for repetition in workflow.repetitions.values():
@@ -37,7 +37,9 @@
                 need = Resources(cpu, spec.need.memory_mb, spec.need.accelerators)
                 used[name] = used.get(name, Resources()) + need * placed
                 runs[name] = runs.get(name, 0) + placed
-    return used, runs
+                if spec.long_running:
+                    lasting[name] = lasting.get(name, Resources()) + need * placed
+    return used, lasting, runs
 
 
 class UsageStateMachine(RuleBasedStateMachine):
@@ -53,6 +55,7 @@
         self.configure(Resources(2000), Resources(0, 300))
         for workspace in ("a", "b"):
             self.submit_workflow(workspace, [create_step(4)])
+            self.submit_workflow(workspace, [create_step(2, long_running=True)])
             self.submit_workflow(workspace, [create_step(2, gang=True)])
 
     def list_tasks(self):
@@ -185,9 +188,11 @@
 
     @invariant()
     def usage_equals_the_plain_count(self):
-        used, runs = count_plainly(self.store)
+        used, lasting, runs = count_plainly(self.store)
         for name in WORKSPACES:
             assert self.store.usage.get_used(name) == used.get(name, Resources())
+            held = self.store.usage.get_lasting(name)
+            assert held == lasting.get(name, Resources())
             assert self.store.usage.count_runs(name) == runs.get(name, 0)
         active = {name for name, count in runs.items() if count}
         assert {name for name, _ in self.store.usage.iter_used()} == active
