Let suspects of a full pool hold up none of other pools, and explain each wait

What callers saw: a task that was young at a crash does not start although its pool is idle, and neither a log line nor the command that explains a job tells why. Cause: once the share of any pool was in use, a round looked at no further suspect of any pool, and gave those it had not looked at no reason. Suspects of paused steps had none either. Change: the share is full by pool, and each suspect that got no start has a reason. Evidence: test_suspects_of_a_full_pool_hold_up_no_others, test_each_waiting_suspect_has_a_reason and test_paused_suspect_has_a_reason, which failed before.

--- a/src/bluebellyoke/dispatch/suspects.py
+++ b/src/bluebellyoke/dispatch/suspects.py
@@ -63,13 +63,17 @@
         )
         waiting = seen = 0
         for suspect in suspects:
-            if isolation.is_full or seen >= MAX_SUSPECTS_PER_ROUND:
-                break
-            if not planning.quotas.allows(suspect.step):
-                planning.wait_reasons[suspect.step.key] = WaitReason.QUOTA
+            step = suspect.step
+            is_pool_full = store.find_pool(step.workflow) in isolation.full_pools
+            if is_pool_full or seen >= MAX_SUSPECTS_PER_ROUND:
+                planning.wait_reasons.setdefault(step.key, WaitReason.SUSPECT)
+                continue
+            if not planning.quotas.allows(step):
+                planning.wait_reasons[step.key] = WaitReason.QUOTA
                 continue
             seen += 1
-            if suspect.step.key in paused:
+            if step.key in paused:
+                planning.wait_reasons[step.key] = WaitReason.REFUSED
                 continue
             is_head = waiting < RENEWED_SUSPECTS
             waiting += not self._plan_suspect(
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -943,7 +943,7 @@
     Case(
         "quota: suspects wait for it too",
         "dispatch/suspects.py",
-        "            if not planning.quotas.allows(suspect.step):\n",
+        "            if not planning.quotas.allows(step):\n",
         "            if False:\n",
         "tests/dispatch/test_quotas.py",
     ),
