Look at each waiting suspect within some rounds

What callers saw: a task that was young at a crash never starts, while the pool is idle. Cause: a round looks at 64 suspects in a fixed order. If as many at its head can never start, as their label, their workers or their room is missing, none behind them is ever looked at. Change: half of the places go to the first in the order, the other half in turn to all others. So n suspects are looked at within n / 32 rounds. Evidence: test_each_suspect_is_looked_at_within_some_rounds, which failed before with 320 suspects at the head. Up to 64 suspects nothing changes.

--- a/src/bluebellyoke/dispatch/suspects.py
+++ b/src/bluebellyoke/dispatch/suspects.py
@@ -18,8 +18,11 @@
 
 __all__ = ["SuspectPlanner"]
 
-#: Maximum number of suspects that a round looks at.
+#: Maximum number of suspects that a round looks at, and how many of them are the first
+#: in the order. The others take turns, so that none is kept back by suspects that can
+#: never start.
 MAX_SUSPECTS_PER_ROUND = 64
+FIRST_SUSPECTS = 32
 
 #: Number of waiting suspects that may ask the advisor.
 RENEWED_SUSPECTS = 8
@@ -37,6 +40,7 @@
         self._tickets = tickets
         self._recent_crashes = recent_crashes
         self._isolated: frozenset[str] = frozenset()
+        self._turn = 0
 
     def reset(self) -> None:
         """Forget which workers the last round has set apart."""
@@ -62,7 +66,7 @@
             previous=self._isolated,
         )
         waiting = seen = 0
-        for suspect in suspects:
+        for suspect in self._rotate(suspects):
             step = suspect.step
             is_pool_full = store.find_pool(step.workflow) in isolation.full_pools
             if is_pool_full or seen >= MAX_SUSPECTS_PER_ROUND:
@@ -82,6 +86,15 @@
         self._isolated = frozenset(isolation.chosen)
         planning.isolated = isolation.chosen
 
+    def _rotate(self, suspects: Sequence[Suspect]) -> Sequence[Suspect]:
+        """Return the suspects with those first that this round has to look at."""
+        if len(suspects) <= MAX_SUSPECTS_PER_ROUND:
+            return suspects
+        first, others = suspects[:FIRST_SUSPECTS], suspects[FIRST_SUSPECTS:]
+        turn = self._turn % len(others)
+        self._turn = turn + MAX_SUSPECTS_PER_ROUND - FIRST_SUSPECTS
+        return [*first, *others[turn:], *others[:turn]]
+
     def _plan_suspect(
         self,
         store: WorkflowStore,
