Let each suspect that is looked at ask the advisor about its workers

What callers saw: after a change of leader a task that was young at a crash never starts. Cause: a new leader has no advice. Only the first eight suspects that wait could ask for it, and these may be ones that can never start. Change: each suspect that a round looks at asks about the workers that its step does not know, as other steps do: once for each worker. Only the renewal of tickets, which goes on while a step waits, stays with the first eight; the others renew theirs when they could start.

--- a/src/bluebellyoke/dispatch/suspects.py
+++ b/src/bluebellyoke/dispatch/suspects.py
@@ -24,7 +24,8 @@
 MAX_SUSPECTS_PER_ROUND = 64
 FIRST_SUSPECTS = 32
 
-#: Number of waiting suspects that may ask the advisor.
+#: Number of waiting suspects whose tickets are renewed while they wait. The others ask
+#: once about each worker, and for new tickets only when they could start.
 RENEWED_SUSPECTS = 8
 
 
@@ -106,7 +107,7 @@
         """Start one suspect, or a gang, if possible; return whether it has started.
 
         Args:
-            is_head: Whether it may ask the advisor while it waits.
+            is_head: Whether its tickets are renewed while it waits.
         """
         step = suspect.step
         pool, label = store.find_pool(step.workflow), step.spec.required_label
@@ -120,7 +121,7 @@
         reason = self._start_suspect(suspect, workers, planning, isolation, advice)
         if reason is not None:
             planning.wait_reasons[step.key] = reason
-        if reason is not None and advice is not None and is_head:
+        if reason is not None and advice is not None:
             self._tickets.request_missing(step, pool, planning)
         return reason is None
 
