Set no worker apart for a suspect that long-running tasks keep out

What callers saw: a worker with free room gets no task any more. Cause: a full worker is set apart for a waiting suspect until its runs have ended, but long-running tasks do not end. The suspect also kept to this worker, as the workers that were set apart before come first. Change: a worker is set apart only if the suspect fits beside its long-running tasks. Evidence: test_worker_of_long_running_tasks_is_not_set_apart, which failed before.

--- a/src/bluebellyoke/dispatch/suspects.py
+++ b/src/bluebellyoke/dispatch/suspects.py
@@ -139,7 +139,7 @@
         candidates = planning.collect_candidates(step, ordered)
         chosen = _choose_few_workers(step.spec, len(indexes), candidates)
         if chosen is None:
-            _isolate_full_worker(step.spec, ordered, isolation)
+            _isolate_full_worker(step.spec, ordered, isolation, planning)
             return WaitReason.NO_ROOM if workers else WaitReason.NO_WORKER
         used = [planning.workers[x] for x in {item.worker: None for item in chosen}]
         if not have_tickets(advice, [x.spec.key for x in used], planning.now):
@@ -155,13 +155,19 @@
 
 
 def _isolate_full_worker(
-    spec: StepSpec, ordered: list[TrackedWorker], isolation: Isolation
+    spec: StepSpec,
+    ordered: list[TrackedWorker],
+    isolation: Isolation,
+    planning: PlanningRound,
 ) -> None:
-    """Set a worker apart that has room for a suspect once its runs have ended."""
+    """Set a worker apart that has room for a suspect once its runs have ended.
+
+    Long-running tasks do not end, so the suspect has to fit beside them.
+    """
     full = [
         worker
         for worker in ordered
-        if spec.allocation.fits_in(worker.spec.capacity)
+        if spec.allocation.fits_in(planning.find_usable(worker))
         and not spec.allocation.fits_in(worker.free)
     ]
     if full and not spec.gang:
