--- a/tests/dispatch/test_suspects.py
+++ b/tests/dispatch/test_suspects.py
@@ -4,7 +4,11 @@
 
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.dispatch.planning_round import WaitReason
-from bluebellyoke.dispatch.suspects import MAX_SUSPECTS_PER_ROUND, RENEWED_SUSPECTS
+from bluebellyoke.dispatch.suspects import (
+    MAX_SUSPECTS_PER_ROUND,
+    RENEWED_SUSPECTS,
+    TICKET_WAIT_S,
+)
 from bluebellyoke.dispatch.tracked_run import RunPhase
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.dispatch.test_planner import NOW, Cell, list_jobs
@@ -142,22 +146,46 @@
     assert cell.plan_and_start() == ()
 
 
-# Guards against a suspect that waits for ever in a busy pool: its ticket had expired
-# when its worker was empty at last, and other tasks took the worker meanwhile.
-def test_empty_worker_is_kept_while_the_ticket_of_its_suspect_is_renewed():
+@pytest.fixture
+def emptied_cell():
+    """A cell whose worker was set apart for a suspect and has just become empty.
+
+    The ticket of the suspect has expired, and another task waits.
+    """
     cell = Cell(workers=1, queues=[create_queue(), create_queue("a", advisor=ADVISOR)])
     holder = hold(cell, "w1", cpu=4000)
-    suspect = cell.submit([create_step(1, cpu=4000)], queue="a")
-    cell.submit([create_step(1)])
-    advice = cell.advice.get_step_advice((suspect, 0, 0))
-    advice.evaluated = {("w1", 1)}
-    advice.tickets = {("w1", 1): ("t", 0.0)}
-    blame(cell, suspect)
+    cell.suspect = cell.submit([create_step(1, cpu=4000)], queue="a")
+    cell.other = cell.submit([create_step(1)])
+    give_ticket(cell, until=0.0)
+    blame(cell, cell.suspect)
     assert cell.plan_and_start() == ()
     task = workflow_commands.TaskName(holder, 0, 0, 0)
     done = workflow_commands.RunEnd(task, 1, workflow_commands.RunOutcome.DONE)
     cell.store.apply(workflow_commands.RecordEnds(time=NOW, ends=(done,)))
     cell.workers["w1"].drop_run((task, 1))
-    assert cell.plan_and_start() == ()
-    advice.tickets = {("w1", 1): ("t", NOW + 1.0)}
-    assert list_jobs(cell.plan_and_start()) == [suspect]
+    return cell
+
+
+def give_ticket(cell, until):
+    advice = cell.advice.get_step_advice((cell.suspect, 0, 0))
+    advice.evaluated = {("w1", 1)}
+    advice.tickets = {("w1", 1): ("t", until)}
+
+
+# Guards against a suspect that waits for ever in a busy pool: its ticket had expired
+# when its worker was empty at last, and other tasks took the worker meanwhile.
+def test_empty_worker_is_kept_while_the_ticket_of_its_suspect_is_renewed(emptied_cell):
+    assert emptied_cell.plan_and_start() == ()
+    give_ticket(emptied_cell, until=NOW + 1.0)
+    assert list_jobs(emptied_cell.plan_and_start()) == [emptied_cell.suspect]
+
+
+# Guards against a worker that is kept without an end while the advisor is down.
+def test_empty_worker_is_kept_for_a_while_only(emptied_cell):
+    planned = []
+    for tenth in range(round(10 * TICKET_WAIT_S) + 2):
+        now = NOW + tenth / 10
+        emptied_cell.workers["w1"].last_response_at = now
+        planned.append(emptied_cell.plan(now))
+    assert planned[:-2] == [[]] * (len(planned) - 2)
+    assert [x.start.task.workflow for x in planned[-1]] == [emptied_cell.other]
