--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -14,7 +14,6 @@
 from bluebellyoke.dispatch.placement import (
     Candidate,
     CandidateQueue,
-    count_allowed,
     select_gang_workers,
 )
 from bluebellyoke.dispatch.planning_round import (
@@ -23,6 +22,7 @@
     WaitReason,
 )
 from bluebellyoke.dispatch.quotas import RoundQuotas
+from bluebellyoke.dispatch.reservations import reserve_workers
 from bluebellyoke.dispatch.step_tickets import StepTickets, have_tickets
 from bluebellyoke.dispatch.suspects import SuspectPlanner
 from bluebellyoke.dispatch.waiting import WaitingStep, WaitingSteps
@@ -36,9 +36,6 @@
 #: Steps whose tasks are larger than any worker do not count.
 RENEWED_STEPS = 8
 
-#: Maximum number of gangs that reserve workers at the same time.
-MAX_RESERVING_GANGS = 2
-
 #: Pause between two starts of a step that workers refuse as malformed, in seconds.
 REFUSED_PAUSE_S = 0.7
 
@@ -222,7 +219,7 @@
             chosen = self._choose_gang_workers(step, candidates)
         if chosen is None:
             planning.wait_reasons[step.key] = _explain_lack(workers, candidates)
-            self._reserve(step, workers, planning)
+            reserve_workers(step, workers, planning)
             return False
         worker_keys = {worker.spec.id: worker.spec.key for worker in workers}
         used = {worker_keys[candidate.worker] for candidate in chosen}
@@ -293,36 +290,6 @@
             planning.wait_reasons[step.key] = reason
         return reason is None
 
-    def _reserve(
-        self, step: WaitingStep, workers: list[TrackedWorker], planning: PlanningRound
-    ) -> None:
-        """Reserve the workers with the most free CPU for a waiting gang."""
-        if planning.reserving >= MAX_RESERVING_GANGS:
-            return
-        places = {
-            worker.spec.id: count_allowed(
-                step.spec, planning.find_candidate(worker), planning.find_usable(worker)
-            )
-            for worker in workers
-        }
-        if sum(places.values()) < step.spec.count:
-            # It would not fit even if only long-running tasks were on these workers.
-            return
-        planning.reserving += 1
-        missing = step.spec.count
-        order = sorted(
-            workers,
-            key=lambda x: (-planning.find_candidate(x).free.cpu_millis, x.spec.id),
-        )
-        for worker in order:
-            name = worker.spec.id
-            if missing <= 0:
-                return
-            if name in planning.reserved or not places[name]:
-                continue
-            missing -= places[name]
-            planning.reserved.add(name)
-
 
 def _can_ever_fit(spec: StepSpec, planning: PlanningRound) -> bool:
     """Return whether a task of a step may fit on an idle worker."""
--- a/tests/dispatch/reference_planner.py
+++ b/tests/dispatch/reference_planner.py
@@ -16,11 +16,11 @@
     select_gang_workers,
 )
 from bluebellyoke.dispatch.planner import (
-    MAX_RESERVING_GANGS,
     MAX_STARTS_PER_ROUND,
     RENEWED_STEPS,
 )
 from bluebellyoke.dispatch.planning_round import MAX_WORKER_SILENCE_S, PlannedStart
+from bluebellyoke.dispatch.reservations import MAX_RESERVING_GANGS
 from bluebellyoke.dispatch.waiting import SHORT_TASK_MS
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.commands import RunStart, TaskName
--- a/tests/dispatch/test_planner.py
+++ b/tests/dispatch/test_planner.py
@@ -3,7 +3,8 @@
 import pytest
 
 from bluebellyoke.dispatch.advice import AdviceManager
-from bluebellyoke.dispatch.planner import MAX_RESERVING_GANGS, Planner
+from bluebellyoke.dispatch.planner import Planner
+from bluebellyoke.dispatch.reservations import MAX_RESERVING_GANGS
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.workflow.factories import (
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -258,9 +258,9 @@
     ),
     Case(
         "a gang that can never fit reserves no workers",
-        "dispatch/planner.py",
-        "        if sum(places.values()) < step.spec.count:\n",
-        "        if False:\n",
+        "dispatch/reservations.py",
+        "    if sum(places.values()) < step.spec.count:\n",
+        "    if False:\n",
         "tests/dispatch/test_planner.py",
     ),
     Case(
