Reserve workers for a gang of suspects too

What callers saw: a gang that was young at a crash never starts again in a pool with other tasks. Change: a gang of suspects that does not fit reserves workers as any other gang does.

--- a/src/bluebellyoke/dispatch/suspects.py
+++ b/src/bluebellyoke/dispatch/suspects.py
@@ -10,6 +10,7 @@
     select_gang_workers,
 )
 from bluebellyoke.dispatch.planning_round import PlanningRound, WaitReason
+from bluebellyoke.dispatch.reservations import reserve_workers
 from bluebellyoke.dispatch.step_tickets import StepTickets, have_tickets
 from bluebellyoke.dispatch.waiting import Suspect
 from bluebellyoke.dispatch.workers import TrackedWorker
@@ -150,7 +151,10 @@
         candidates = planning.collect_candidates(step, ordered)
         chosen = _choose_few_workers(step.spec, len(indexes), candidates)
         if chosen is None:
-            _isolate_full_worker(step.spec, ordered, isolation, planning)
+            if step.spec.gang:
+                reserve_workers(step, workers, planning)
+            else:
+                _isolate_full_worker(step.spec, ordered, isolation, planning)
             return WaitReason.NO_ROOM if workers else WaitReason.NO_WORKER
         used = [planning.workers[x] for x in {item.worker: None for item in chosen}]
         if not have_tickets(advice, [x.spec.key for x in used], planning.now):
@@ -193,7 +197,7 @@
         if spec.allocation.fits_in(planning.find_usable(worker))
         and not spec.allocation.fits_in(worker.free)
     ]
-    if full and not spec.gang:
+    if full:
         isolation.take(full[:1])
 
 
