Give each step that waits a reason

What callers saw: neither the log nor the command that explains a job tells why the job stands still, if its gang waits for the end of a run, or if a round planned its maximum of starts before it. Cause: a gang that has some open runs is not among the waiting steps, and a round left the steps behind the maximum of starts without a reason. Change: the reasons `open-runs` and `max-starts`. Evidence: two tests of tests/dispatch/test_waits.py, which failed before; test_each_step_that_gets_no_start_has_a_reason checks all steps of random cells.

--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -118,6 +118,8 @@
         self._plan_steps(store, waiting, planning)
         self._prefetch_advice(store, planning)
         planning.drop_reasons_of_started_steps()
+        for key in self._steps.iter_open_gangs():
+            planning.wait_reasons[key] = WaitReason.OPEN_RUNS
         self.wait_reasons = planning.wait_reasons
         return planning.starts
 
@@ -131,7 +133,8 @@
         head_steps = 0
         for step in waiting:
             if len(planning.starts) >= MAX_STARTS_PER_ROUND:
-                break
+                planning.wait_reasons.setdefault(step.key, WaitReason.MAX_STARTS)
+                continue
             if step.key in self._paused_until:
                 planning.wait_reasons[step.key] = WaitReason.REFUSED
                 continue
--- a/src/bluebellyoke/dispatch/planning_round.py
+++ b/src/bluebellyoke/dispatch/planning_round.py
@@ -32,6 +32,8 @@
         REFUSED: A worker has just refused it as malformed.
         QUOTA: The quota of its workspace leaves no room for one of its tasks or, if it
             is a gang, for all of them.
+        MAX_STARTS: The round had planned its maximum of starts for steps before it.
+        OPEN_RUNS: Some runs of its gang have not ended yet, or their end is unknown.
     """
 
     NO_WORKER = "no-worker"
@@ -41,6 +43,8 @@
     SUSPECT = "suspect"
     REFUSED = "refused"
     QUOTA = "quota"
+    MAX_STARTS = "max-starts"
+    OPEN_RUNS = "open-runs"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bluebellyoke/dispatch/waiting.py
+++ b/src/bluebellyoke/dispatch/waiting.py
@@ -89,6 +89,7 @@
         self._version = -1
         self._waiting: dict[str, list[WaitingStep]] = {}
         self._next: dict[str, list[NextStep]] = {}
+        self._open_gangs: dict[str, list[StepKey]] = {}
         self._repeating: set[str] = set()
         self._ordered: list[WaitingStep] = []
         self._suspects: dict[str, list[Suspect]] = {}
@@ -130,9 +131,15 @@
         for steps in self._next.values():
             yield from steps
 
+    def iter_open_gangs(self) -> Iterator[StepKey]:
+        """Yield the gangs that wait for the end of some of their runs."""
+        for keys in self._open_gangs.values():
+            yield from keys
+
     def _clear(self) -> None:
         self._waiting.clear()
         self._next.clear()
+        self._open_gangs.clear()
         self._repeating.clear()
         self._ordered = []
         self._suspects.clear()
@@ -143,6 +150,7 @@
     ) -> None:
         self._waiting.pop(workflow_id, None)
         self._next.pop(workflow_id, None)
+        self._open_gangs.pop(workflow_id, None)
         self._suspects.pop(workflow_id, None)
         self._repeating.discard(workflow_id)
         workflow = store.active.get(workflow_id)
@@ -158,6 +166,9 @@
             waiting = [step for step in waiting if step.indexes]
         if waiting:
             self._waiting[workflow_id] = waiting
+        open_gangs = list(_find_open_gangs(workflow)) if workflow.placed else []
+        if open_gangs:
+            self._open_gangs[workflow_id] = open_gangs
         following = list(_find_next(workflow, queue))
         if following:
             self._next[workflow_id] = following
@@ -213,6 +224,18 @@
         yield WaitingStep(workflow, queue, key, spec, indexes, rank)
 
 
+def _find_open_gangs(workflow: Workflow) -> Iterator[StepKey]:
+    """Yield the gangs of which some runs have not ended, but others have."""
+    for number, repetition in workflow.repetitions.items():
+        for index, spec in enumerate(workflow.spec.steps):
+            progress = repetition.steps[index]
+            if not spec.gang or progress.is_done:
+                continue
+            placed = sum(task.placed for task in progress.tasks)
+            if 0 < placed < len(progress.tasks):
+                yield workflow.spec.id, number, index
+
+
 def _find_next(workflow: Workflow, queue: QueueSpec | None) -> Iterator[NextStep]:
     if queue is None or queue.advisor is None:
         return
--- a/src/bluebellyoke/dispatch/waits.py
+++ b/src/bluebellyoke/dispatch/waits.py
@@ -29,6 +29,8 @@
     WaitReason.SUSPECT: "it may crash its worker and needs one of its own",
     WaitReason.REFUSED: "a worker has just refused it as malformed",
     WaitReason.QUOTA: "the quota of its workspace is used up or kept for a gang",
+    WaitReason.MAX_STARTS: "a round starts a limited number of tasks",
+    WaitReason.OPEN_RUNS: "other runs of its gang have not ended yet",
 }
 
 
--- a/tests/dispatch/test_waits.py
+++ b/tests/dispatch/test_waits.py
@@ -1,16 +1,21 @@
 """Reports of steps that wait long."""
 
 import logging
+import random
 
 import pytest
 
 from bluebellyoke.dispatch.advice import AdviceManager
-from bluebellyoke.dispatch.planner import Planner
+from bluebellyoke.dispatch.planner import MAX_STARTS_PER_ROUND, Planner
 from bluebellyoke.dispatch.planning_round import WaitReason
 from bluebellyoke.dispatch.tracked_run import RunPhase
-from bluebellyoke.dispatch.waits import WaitReporter
+from bluebellyoke.dispatch.waits import WaitReporter, describe_wait
 from bluebellyoke.metrics import Metrics
+from bluebellyoke.workflow import commands
 from tests.dispatch.test_advice_renewal import SHORT_ADVISOR, AdvisedPool
+from tests.dispatch.test_planner import NOW, Cell, fail_run, list_jobs
+from tests.dispatch.test_suspects import blame
+from tests.workflow.factories import ADVISOR, create_queue, create_step
 
 STEP = ("job", 0, 1)
 
@@ -97,3 +102,59 @@
     planner = Planner(pool.advice)
     assert planner.plan(pool.store, pool.workers, pool.now, pool.now) == []
     assert list(planner.wait_reasons.values()) == [WaitReason.NO_TICKET]
+
+
+# Guards against steps that wait without a reason, which no log line mentions.
+
+
+def test_step_behind_the_maximum_of_starts_has_a_reason():
+    cell = Cell(workers=2, cpu=1_000_000)
+    first = cell.submit([create_step(MAX_STARTS_PER_ROUND, cpu=0, memory=0)])
+    second = cell.submit([create_step(1)])
+    assert set(list_jobs(cell.plan_and_start())) == {first}
+    assert cell.planner.wait_reasons == {(second, 0, 0): WaitReason.MAX_STARTS}
+    assert list_jobs(cell.plan_and_start()) == [second]
+    assert cell.planner.wait_reasons == {}
+
+
+def test_gang_with_a_run_that_has_not_ended_has_a_reason():
+    cell = Cell()
+    gang = cell.submit([create_step(2, gang=True)])
+    first, second = cell.plan_and_start()
+    fail_run(cell, first)
+    assert cell.plan_and_start() == ()
+    assert cell.planner.wait_reasons == {(gang, 0, 0): WaitReason.OPEN_RUNS}
+    fail_run(cell, second)
+    assert list_jobs(cell.plan_and_start()) == [gang, gang]
+    assert cell.planner.wait_reasons == {}
+
+
+def test_each_reason_has_a_description():
+    assert all(describe_wait(reason) for reason in WaitReason)
+
+
+# Guards against a step that waits without a reason in any round of a busy cell.
+@pytest.mark.parametrize("seed", range(20))
+def test_each_step_that_gets_no_start_has_a_reason(seed):
+    rng = random.Random(seed)
+    queues = [create_queue(), create_queue("advised", advisor=ADVISOR)]
+    cell = Cell(workers=4, queues=queues)
+    for _ in range(30):
+        step = create_step(
+            rng.randint(1, 4),
+            cpu=rng.choice([500, 1500, 4000, 9000]),
+            gang=rng.random() < 0.3,
+            required_label=rng.choice(["", "", "none"]),
+        )
+        cell.submit([step], queue=rng.choice(["q", "advised"]))
+    blame(cell, *rng.sample(list(cell.store.active), 10))
+    for _ in range(5):
+        started = {start.task.workflow for start in cell.plan_and_start()}
+        waiting = {name for name, job in cell.store.active.items() if not job.placed}
+        explained = {name for name, _, _ in cell.planner.wait_reasons}
+        assert waiting - started <= explained
+        for worker in cell.workers.values():
+            for task, run in list(worker.runs)[:1]:
+                end = commands.RunEnd(task, run, commands.RunOutcome.DONE)
+                cell.store.apply(commands.RecordEnds(time=NOW, ends=(end,)))
+                worker.drop_run((task, run))
