--- a/src/bluebellyoke/dispatch/planning_round.py
+++ b/src/bluebellyoke/dispatch/planning_round.py
@@ -32,6 +32,8 @@
         REFUSED: A worker has just refused it as malformed.
         QUOTA: The quota of its workspace leaves no room for one of its tasks or, if it
             is a gang, for all of them.
+        MAX_STARTS: The round had planned its maximum of starts for steps before it.
+        OPEN_RUNS: Some runs of its gang have not ended yet, or their end is unknown.
     """
 
     NO_WORKER = "no-worker"
@@ -41,6 +43,8 @@
     SUSPECT = "suspect"
     REFUSED = "refused"
     QUOTA = "quota"
+    MAX_STARTS = "max-starts"
+    OPEN_RUNS = "open-runs"
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +87,7 @@
     _candidates: dict[str, Candidate | None] = field(default_factory=dict)
     _pools: dict[tuple[str, str], list[TrackedWorker]] = field(default_factory=dict)
     _keys: dict[tuple[str, str], frozenset[WorkerKey]] = field(default_factory=dict)
+    _lasting: dict[str, Resources] = field(default_factory=dict)
     _max_free: Resources | None = None
     _max_capacity: Resources | None = None
 
@@ -161,6 +166,24 @@
                 candidates.append(candidate)
         return candidates
 
+    def find_usable(self, worker: TrackedWorker) -> Resources:
+        """Return what a worker has free once all its runs but long-running ones end."""
+        name = worker.spec.id
+        if name not in self._lasting:
+            self._lasting[name] = self._sum_lasting(worker)
+        return worker.spec.capacity - self._lasting[name]
+
+    def _sum_lasting(self, worker: TrackedWorker) -> Resources:
+        """Return what the long-running tasks on a worker take up."""
+        store = self.quotas.store
+        total = Resources()
+        for name, _ in store.runs.get(worker.spec.key, ()):
+            workflow = store.workflows[name.workflow]
+            step = workflow.spec.steps[name.step]
+            if step.long_running and not workflow.outcome:
+                total = total + step.allocation
+        return total
+
     def _find_costs(self, step: WaitingStep) -> Mapping[str, float] | None:
         if self.costs is None:
             return None
--- a/src/bluebellyoke/dispatch/suspects.py
+++ b/src/bluebellyoke/dispatch/suspects.py
@@ -10,6 +10,7 @@
     select_gang_workers,
 )
 from bluebellyoke.dispatch.planning_round import PlanningRound, WaitReason
+from bluebellyoke.dispatch.reservations import reserve_workers
 from bluebellyoke.dispatch.step_tickets import StepTickets, have_tickets
 from bluebellyoke.dispatch.waiting import Suspect
 from bluebellyoke.dispatch.workers import TrackedWorker
@@ -18,12 +19,20 @@
 
 __all__ = ["SuspectPlanner"]
 
-#: Maximum number of suspects that a round looks at.
+#: Maximum number of suspects that a round looks at, and how many of them are the first
+#: in the order. The others take turns, so that none is kept back by suspects that can
+#: never start.
 MAX_SUSPECTS_PER_ROUND = 64
+FIRST_SUSPECTS = 32
 
-#: Number of waiting suspects that may ask the advisor.
+#: Number of waiting suspects whose tickets are renewed while they wait. The others ask
+#: once about each worker, and for new tickets only when they could start.
 RENEWED_SUSPECTS = 8
 
+#: Time for which a worker that is set apart is kept for a suspect whose tickets are
+#: renewed, in seconds. A call to the advisor rarely takes longer, and it may be down.
+TICKET_WAIT_S = 3.0
+
 
 class SuspectPlanner:
     """Plans suspects on workers that other tasks do not get meanwhile.
@@ -37,10 +46,13 @@
         self._tickets = tickets
         self._recent_crashes = recent_crashes
         self._isolated: frozenset[str] = frozenset()
+        self._kept_since: dict[str, float] = {}
+        self._turn = 0
 
     def reset(self) -> None:
         """Forget which workers the last round has set apart."""
         self._isolated = frozenset()
+        self._kept_since.clear()
 
     def plan(
         self,
@@ -62,22 +74,40 @@
             previous=self._isolated,
         )
         waiting = seen = 0
-        for suspect in suspects:
-            if isolation.is_full or seen >= MAX_SUSPECTS_PER_ROUND:
-                break
-            if not planning.quotas.allows(suspect.step):
-                planning.wait_reasons[suspect.step.key] = WaitReason.QUOTA
+        for suspect in self._rotate(suspects):
+            step = suspect.step
+            is_pool_full = store.find_pool(step.workflow) in isolation.full_pools
+            if is_pool_full or seen >= MAX_SUSPECTS_PER_ROUND:
+                planning.wait_reasons.setdefault(step.key, WaitReason.SUSPECT)
+                continue
+            if not planning.quotas.allows(step):
+                planning.wait_reasons[step.key] = WaitReason.QUOTA
                 continue
             seen += 1
-            if suspect.step.key in paused:
+            if step.key in paused:
+                planning.wait_reasons[step.key] = WaitReason.REFUSED
                 continue
             is_head = waiting < RENEWED_SUSPECTS
             waiting += not self._plan_suspect(
                 store, suspect, planning, isolation, is_head
             )
         self._isolated = frozenset(isolation.chosen)
+        self._kept_since = {
+            name: since
+            for name, since in self._kept_since.items()
+            if name in self._isolated
+        }
         planning.isolated = isolation.chosen
 
+    def _rotate(self, suspects: Sequence[Suspect]) -> Sequence[Suspect]:
+        """Return the suspects with those first that this round has to look at."""
+        if len(suspects) <= MAX_SUSPECTS_PER_ROUND:
+            return suspects
+        first, others = suspects[:FIRST_SUSPECTS], suspects[FIRST_SUSPECTS:]
+        turn = self._turn % len(others)
+        self._turn = turn + MAX_SUSPECTS_PER_ROUND - FIRST_SUSPECTS
+        return [*first, *others[turn:], *others[:turn]]
+
     def _plan_suspect(
         self,
         store: WorkflowStore,
@@ -89,7 +119,7 @@
         """Start one suspect, or a gang, if possible; return whether it has started.
 
         Args:
-            is_head: Whether it may ask the advisor while it waits.
+            is_head: Whether its tickets are renewed while it waits.
         """
         step = suspect.step
         pool, label = store.find_pool(step.workflow), step.spec.required_label
@@ -103,7 +133,7 @@
         reason = self._start_suspect(suspect, workers, planning, isolation, advice)
         if reason is not None:
             planning.wait_reasons[step.key] = reason
-        if reason is not None and advice is not None and is_head:
+        if reason is not None and advice is not None:
             self._tickets.request_missing(step, pool, planning)
         return reason is None
 
@@ -121,11 +151,15 @@
         candidates = planning.collect_candidates(step, ordered)
         chosen = _choose_few_workers(step.spec, len(indexes), candidates)
         if chosen is None:
-            _isolate_full_worker(step.spec, ordered, isolation)
+            if step.spec.gang:
+                reserve_workers(step, workers, planning)
+            else:
+                _isolate_full_worker(step.spec, ordered, isolation, planning)
             return WaitReason.NO_ROOM if workers else WaitReason.NO_WORKER
         used = [planning.workers[x] for x in {item.worker: None for item in chosen}]
         if not have_tickets(advice, [x.spec.key for x in used], planning.now):
             self._tickets.replace_expired(step, planning.now)
+            self._keep_for_tickets(used, isolation)
             return WaitReason.NO_TICKET
         if not isolation.take(used) or not all(map(isolation.has_no_young_run, used)):
             return WaitReason.SUSPECT
@@ -135,18 +169,35 @@
             planning.add_start(step, index, run, worker_key, advice)
         return None
 
+    def _keep_for_tickets(
+        self, workers: list[TrackedWorker], isolation: Isolation
+    ) -> None:
+        """Keep workers for a while that were set apart until a suspect fits on them."""
+        names = [worker.spec.id for worker in workers]
+        if not isolation.previous.issuperset(names):
+            return
+        since = [self._kept_since.setdefault(name, isolation.now) for name in names]
+        if isolation.now - min(since) < TICKET_WAIT_S:
+            isolation.take(workers)
+
 
 def _isolate_full_worker(
-    spec: StepSpec, ordered: list[TrackedWorker], isolation: Isolation
+    spec: StepSpec,
+    ordered: list[TrackedWorker],
+    isolation: Isolation,
+    planning: PlanningRound,
 ) -> None:
-    """Set a worker apart that has room for a suspect once its runs have ended."""
+    """Set a worker apart that has room for a suspect once its runs have ended.
+
+    Long-running tasks do not end, so the suspect has to fit beside them.
+    """
     full = [
         worker
         for worker in ordered
-        if spec.allocation.fits_in(worker.spec.capacity)
+        if spec.allocation.fits_in(planning.find_usable(worker))
         and not spec.allocation.fits_in(worker.free)
     ]
-    if full and not spec.gang:
+    if full:
         isolation.take(full[:1])
 
 
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -258,9 +258,9 @@
     ),
     Case(
         "a gang that can never fit reserves no workers",
-        "dispatch/planner.py",
-        "        if sum(places.values()) < step.spec.count:\n",
-        "        if False:\n",
+        "dispatch/reservations.py",
+        "    if sum(places.values()) < step.spec.count:\n",
+        "    if False:\n",
         "tests/dispatch/test_planner.py",
     ),
     Case(
@@ -943,7 +943,7 @@
     Case(
         "quota: suspects wait for it too",
         "dispatch/suspects.py",
-        "            if not planning.quotas.allows(suspect.step):\n",
+        "            if not planning.quotas.allows(step):\n",
         "            if False:\n",
         "tests/dispatch/test_quotas.py",
     ),
@@ -1069,7 +1069,7 @@
     Case(
         "quota: a gang that never fits keeps none",
         "dispatch/quotas.py",
-        "        if has_quota_for(workspace, Resources(), step.spec):\n",
+        "        if has_quota_for(workspace, lasting, step.spec):\n",
         "        if True:\n",
         "tests/dispatch/test_quotas.py",
     ),
