Refuse ticket numbers that int() cannot convert

An operator's GET /v1/tickets/%C2%B2 got no answer, and the leader ended; the instance then sent the pending call to the next leader, which ended too.

str.isdigit() is true for digits such as a superscript two, and for texts of any length, but int() refuses both with a ValueError. Nothing on the leader's loop expects one, so it ended the process.

The new test failed before for the superscript two and for 5000 digits. Only ASCII digits of at most the length of the largest number are converted now; any other subject names no ticket and gets status 404.

--- a/src/bluebellyoke/leader/queries.py
+++ b/src/bluebellyoke/leader/queries.py
@@ -22,6 +22,9 @@
 #: Maximum number of tasks listed in one reply.
 MAX_LISTED_TASKS = 100
 
+#: Maximum number of digits of a ticket's number, which is at most 2**53.
+MAX_NUMBER_DIGITS = 16
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class QueryContext:
@@ -218,7 +221,8 @@
     """Return the outcome of a ticket; without a subject, the configuration in force."""
     state = context.state
     if subject:
-        record = state.tickets.records.get(int(subject)) if subject.isdigit() else None
+        number = _parse_number(subject)
+        record = state.tickets.records.get(number)
         if record is None:
             return None
         waiting = sorted(
@@ -227,7 +231,7 @@
             if session.view_version < record.version
         )
         return {
-            "number": int(subject),
+            "number": number,
             "digest": record.digest,
             "accepted_at": record.accepted_at,
             "version": record.version,
@@ -251,6 +255,12 @@
     }
 
 
+def _parse_number(text: str) -> int | None:
+    """Return the number of a ticket, or None if the text cannot be one."""
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_NUMBER_DIGITS
+    return int(text) if is_number else None
+
+
 _REPORT_BUILDERS = {
     "status": report_status,
     "job": report_job,
--- a/tests/leader/test_queries.py
+++ b/tests/leader/test_queries.py
@@ -77,3 +77,10 @@
     ]
     found, _ = ask(context, "explain", "0000000000000009")
     assert not found
+
+
+# Guards against the end of the leader, and then of each leader after it, because the
+# number of a ticket was a digit that is no ASCII digit or had thousands of digits.
+@pytest.mark.parametrize("subject", ["²", "٣", "9" * 5000, "-1", "1_0", "9" * 30])
+def test_number_of_no_ticket_is_not_found(context, subject):
+    assert ask(context, "ticket", subject)[0] is False
