Leave out addresses of other instances that cannot be dialled

An instance ended when another one named an address with a port out of range, a digit that is no ASCII digit, or a host such as "...", in a redirect, in a list of members or as its own. A replica with such an address could become a member: its address was then in the log, and each instance that read it ended again after every restart.

For such a text the event loop raises ValueError, UnicodeError or OverflowError. The link to the leader and the streams between replicas expect OSError, so the error ended the task group of the whole process.

`addresses.py` now decides what can be dialled. The directory keeps only such addresses of a list, the leader refuses the join request of any other member with a warning, and a stream to an odd address that is already in the log fails like one to an address that refuses connections.

Three tests of the directory used letters as addresses. They now use IP addresses with ports and are as strict as before.

--- a/src/bluebellyoke/instance/directory.py
+++ b/src/bluebellyoke/instance/directory.py
@@ -10,6 +10,8 @@
 
 from collections.abc import Callable, Iterable
 
+from bluebellyoke.addresses import is_address
+
 __all__ = ["ReplicaDirectory"]
 
 #: Maximum number of addresses kept from one list.
@@ -60,14 +62,19 @@
         self._list_members = list_members
 
     def record_leader_list(self, addresses: tuple[str, ...]) -> None:
-        """Replace the addresses that the leader has sent, unless the list is empty."""
-        self._from_leader = addresses[:MAX_ADDRESSES] or self._from_leader
+        """Replace the addresses that the leader has sent, unless none is usable."""
+        self._from_leader = _select_usable(addresses) or self._from_leader
 
     def record_peer_list(self, addresses: tuple[str, ...]) -> None:
-        """Replace the addresses that other peers have sent, unless there are none."""
-        self._from_peers = addresses[:MAX_ADDRESSES] or self._from_peers
+        """Replace the addresses that other peers have sent, unless none is usable."""
+        self._from_peers = _select_usable(addresses) or self._from_peers
 
     def record_sender(self, address: str) -> None:
         """Store the address of a replica that has sent a message to this instance."""
-        if address not in self.replicas:
+        if is_address(address) and address not in self.replicas:
             self._from_peers = (address, *self._from_peers)[:MAX_ADDRESSES]
+
+
+def _select_usable(addresses: Iterable[str]) -> tuple[str, ...]:
+    """Return the first addresses of a list, without those that cannot be dialled."""
+    return tuple(filter(is_address, addresses))[:MAX_ADDRESSES]
--- a/src/bluebellyoke/instance/link.py
+++ b/src/bluebellyoke/instance/link.py
@@ -18,6 +18,7 @@
 
 import anyio
 
+from bluebellyoke.addresses import is_address
 from bluebellyoke.clock import Clock
 from bluebellyoke.errors import BluebellyokeError
 from bluebellyoke.instance import wire
@@ -282,7 +283,8 @@
 
     def _handle_redirect(self, message: wire.FromLeader | None) -> None:
         if isinstance(message, wire.Redirect):
-            self._search.set_leader_hint(message.address)
+            if is_address(message.address):
+                self._search.set_leader_hint(message.address)
             self._directory.record_peer_list(message.peers)
 
     async def _send_messages(self, stream) -> None:
--- a/src/bluebellyoke/instance/membership.py
+++ b/src/bluebellyoke/instance/membership.py
@@ -4,6 +4,7 @@
 import math
 from collections.abc import Callable
 
+from bluebellyoke.addresses import is_address
 from bluebellyoke.consensus import messages
 from bluebellyoke.consensus.membership_planner import MembershipOptions, plan_membership
 from bluebellyoke.consensus.raft import RaftNode
@@ -86,8 +87,17 @@
     def record_join_request(self, member: messages.Member, now: float) -> None:
         """Store a replica's request to become a member, and reply with addresses.
 
-        Only the leader can add the sender, which may not know where the leader is.
+        Only the leader can add the sender, which may not know where the leader is. A
+        member that no instance can dial must not enter the log, which all of them read.
         """
+        address = f"{member.address}:{member.port}"
+        if not is_address(address):
+            logger.warning(
+                "replica: refused a join request; its sender has to send an IP address "
+                "with a port from 1 to 65535",
+                extra={"joining": member.replica, "address": address},
+            )
+            return
         previous = self._join_requests.get(member.replica)
         if previous is None or now - previous[0] >= JOIN_REQUEST_TTL_S:
             logger.info(
@@ -101,7 +111,6 @@
         self._join_requests[member.replica] = (now, member)
         replicas = self._directory.replicas
         if replicas:
-            address = f"{member.address}:{member.port}"
             self._send(address, messages.PeerList(0, replicas))
 
     def record_leave_notice(self, replica: str, now: float) -> None:
--- a/src/bluebellyoke/instance/peers.py
+++ b/src/bluebellyoke/instance/peers.py
@@ -20,6 +20,7 @@
 from grpclib.exceptions import GRPCError
 from grpclib.server import Stream
 
+from bluebellyoke.addresses import is_address
 from bluebellyoke.consensus.messages import Envelope
 from bluebellyoke.instance.codec import (
     COUNTED_PEER_METHOD,
@@ -63,7 +64,13 @@
         self._outboxes: dict[str, anyio.abc.ObjectSendStream] = {}
 
     def send(self, address: str, envelope: Envelope) -> None:
-        """Queue an envelope for a peer; drop it if the queue is full."""
+        """Queue an envelope for a peer.
+
+        It is dropped if the queue is full or if the address cannot be dialled.
+        """
+        if not is_address(address):
+            logger.debug("peers: cannot dial an address", extra={"peer": address})
+            return
         outbox = self._outboxes.get(address)
         if outbox is None:
             outbox, inbox = anyio.create_memory_object_stream(MAX_QUEUED_ENVELOPES)
--- a/src/bluebellyoke/instance/streams.py
+++ b/src/bluebellyoke/instance/streams.py
@@ -9,6 +9,7 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from h2.exceptions import H2Error
 
+from bluebellyoke.addresses import AddressError, split_address
 from bluebellyoke.instance.codec import MessageCodec
 
 __all__ = [
@@ -39,6 +40,7 @@
     OSError,
     StreamClosedError,
     msgspec.MsgspecError,
+    AddressError,
 )
 
 
@@ -68,9 +70,12 @@
         method: gRPC method.
         request_type: Name of the decoder for sent messages.
         reply_type: Name of the decoder for received messages.
+
+    Raises:
+        AddressError: The address cannot be dialled.
     """
-    host, _, port = address.rpartition(":")
-    channel = Channel(host, int(port), codec=MessageCodec())
+    host, port = split_address(address)
+    channel = Channel(host, port, codec=MessageCodec())
     call = StreamStreamMethod(channel, method, request_type, reply_type)
     try:
         async with call.open() as stream:
--- a/tests/instance/test_directory.py
+++ b/tests/instance/test_directory.py
@@ -6,6 +6,7 @@
 from bluebellyoke.instance import wire
 from bluebellyoke.instance.directory import MAX_ADDRESSES, ReplicaDirectory
 from bluebellyoke.instance.directory_service import DirectoryService
+from tests.test_addresses import ODD_ADDRESSES
 
 MEMBER = messages.Member("r9", "i9", "10.0.0.9", 7000, "dc1")
 OWN_ADDRESS = "10.0.0.5:7000"
@@ -89,24 +90,38 @@
 
 
 def test_addresses_of_all_sources_are_known_and_the_seeds_come_last(directory):
-    directory.record_peer_list(("b", "c"))
-    directory.record_leader_list(("a", "b"))
-    directory.set_member_source(lambda: ("c", "d"))
-    directory.record_sender("e")
-    assert directory.replicas == ("a", "b", "e", "c", "d")
-    assert directory.addresses == ("a", "b", "e", "c", "d", "10.0.0.8:7000")
+    a, b, c, d, e = (f"10.0.0.1:{port}" for port in range(1, 6))
+    directory.record_peer_list((b, c))
+    directory.record_leader_list((a, b))
+    directory.set_member_source(lambda: (c, d))
+    directory.record_sender(e)
+    assert directory.replicas == (a, b, e, c, d)
+    assert directory.addresses == (a, b, e, c, d, "10.0.0.8:7000")
 
 
 def test_empty_lists_remove_no_address(directory):
-    directory.record_peer_list(("b",))
-    directory.record_leader_list(("a",))
+    directory.record_peer_list(("10.0.0.2:7000",))
+    directory.record_leader_list(("10.0.0.1:7000",))
     directory.record_peer_list(())
     directory.record_leader_list(())
-    assert directory.replicas == ("a", "b")
+    assert directory.replicas == ("10.0.0.1:7000", "10.0.0.2:7000")
 
 
 def test_number_of_received_addresses_is_limited(directory):
     for number in range(3 * MAX_ADDRESSES):
-        directory.record_sender(f"x{number}")
-    directory.record_leader_list(tuple(f"y{number}" for number in range(99)))
+        directory.record_sender(f"10.0.1.{number}:7000")
+    directory.record_leader_list(tuple(f"10.0.2.{number}:7000" for number in range(99)))
     assert len(directory.replicas) == 2 * MAX_ADDRESSES
+
+
+# Guards against the end of an instance that dials what another has sent, and against
+# a list of which the sound addresses are dropped with an odd one.
+@pytest.mark.parametrize("odd", ODD_ADDRESSES)
+def test_address_that_cannot_be_dialled_is_left_out_of_a_list(directory, odd):
+    directory.record_peer_list((odd, "10.0.0.2:7000"))
+    directory.record_leader_list((odd, "10.0.0.1:7000"))
+    directory.record_sender(odd)
+    assert directory.replicas == ("10.0.0.1:7000", "10.0.0.2:7000")
+    directory.record_peer_list((odd,))
+    directory.record_leader_list((odd,))
+    assert directory.replicas == ("10.0.0.1:7000", "10.0.0.2:7000")
--- a/tests/instance/test_link.py
+++ b/tests/instance/test_link.py
@@ -19,6 +19,7 @@
 from bluebellyoke.instance.replica import SessionInput
 from bluebellyoke.instance.sessions import SessionServer
 from bluebellyoke.metrics import Metrics
+from tests.test_addresses import ODD_ADDRESSES
 
 #: Timeout of a test, in seconds.
 TIMEOUT_S = 60.0
@@ -285,3 +286,28 @@
     with contextlib.suppress(NoLeaderError):
         claim = commands.ClaimRequest(key="k", digest="d", holder="h", expires=1.0)
         await link.call(claim, timeout_s=3600.0)
+
+
+# Guards against the end of the whole process because one seed redirected to addresses
+# that cannot be dialled; the link has to go on to the next seed.
+@pytest.mark.parametrize("odd", ODD_ADDRESSES)
+def test_redirect_to_an_odd_address_does_not_stop_the_search(odd):
+    async def body(leader, link):
+        leader.welcome = wire.Redirect(odd, (odd,))
+        await leader.wait_for(lambda: leader.streams >= 2)
+        leader.welcome = wire.Welcome("l", 1)
+        await leader.wait_for(lambda: leader.polls >= 1)
+
+    run_with_leader(body, poll_interval_s=0.5, silence_timeout_s=1.0)
+
+
+# Guards against the same for an odd address that is known already, such as one in a log
+# of an earlier build.
+@pytest.mark.parametrize("odd", ODD_ADDRESSES)
+def test_odd_address_among_the_known_ones_does_not_stop_the_search(odd):
+    async def body(leader, link):
+        link._directory.set_member_source(lambda: (odd,))
+        leader.welcome = wire.Redirect("")
+        await leader.wait_for(lambda: leader.streams >= 3)
+
+    run_with_leader(body, poll_interval_s=0.5, silence_timeout_s=1.0)
--- a/tests/instance/test_membership.py
+++ b/tests/instance/test_membership.py
@@ -99,3 +99,19 @@
     cluster.managers["r9"].tick(cluster.now)
     request = messages.JoinRequest(0, create_member("r9"))
     assert cluster.network == [("r9", leader.replica, request)]
+
+
+# Guards against a member in the log that no instance can dial: each one that read the
+# membership ended, and ended again after every restart.
+@pytest.mark.parametrize(
+    ("address", "port"),
+    [("10.0.0.9", 99999), ("10.0.0.9", 0), ("10.0.0.9", -1), ("nowhere", 7), ("", 7)],
+)
+def test_replica_at_an_odd_address_does_not_become_a_member(cluster, address, port):
+    leader = cluster.find_leader()
+    cluster.wipe(next(x for x in sorted(cluster.nodes) if x != leader))
+    odd = messages.Member("r8", "i8", address, port, "dc-r8")
+    for _ in range(100):
+        cluster.managers[leader].record_join_request(odd, cluster.now)
+        cluster.settle(0.05)
+        assert "r8" not in get_membership(cluster).members
--- a/tests/instance/test_peers.py
+++ b/tests/instance/test_peers.py
@@ -15,6 +15,7 @@
     MessageCodec,
 )
 from bluebellyoke.instance.peers import PeerReceiver, PeerSender
+from tests.test_addresses import ODD_ADDRESSES
 
 WAIT_S = 60.0
 
@@ -154,3 +155,17 @@
                 await anyio.sleep(0.3)
 
     run_with_receiver((PEER_METHOD, COUNTED_PEER_METHOD), body)
+
+
+# Guards against the end of the whole process because one peer gave an address that
+# cannot be dialled as its own, such as one with a port out of range.
+@pytest.mark.parametrize("odd", ODD_ADDRESSES)
+def test_message_to_an_odd_address_does_not_hinder_the_others(odd):
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            sender = PeerSender(tasks)
+            sender.send(odd, create_envelope(1))
+            await anyio.sleep(0.05)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
