Close only the stream for a frame that cannot be read

A compressed or truncated message on the stream to the leader, or one that is nested too deeply, ended the instance that read it.

msgspec raises RecursionError for the unknown end of an array that is nested deeply, and grpclib raises NotImplementedError and AssertionError for compressed and truncated frames. None of them counted as the failure of a stream.

They now close the stream, and the instance connects again.

--- a/src/bluebellyoke/instance/streams.py
+++ b/src/bluebellyoke/instance/streams.py
@@ -31,7 +31,8 @@
 
 
 #: Exceptions that a stream raises if the connection or the peer fails, or if the peer
-#: sends a message that cannot be decoded.
+#: sends a message that cannot be decoded. A message that is nested too deeply causes a
+#: RecursionError. grpclib raises the last two for a compressed or truncated one.
 CONNECTION_ERRORS = (
     GRPCError,
     StreamTerminatedError,
@@ -41,6 +42,9 @@
     StreamClosedError,
     msgspec.MsgspecError,
     AddressError,
+    RecursionError,
+    NotImplementedError,
+    AssertionError,
 )
 
 
--- a/tests/instance/test_link.py
+++ b/tests/instance/test_link.py
@@ -311,3 +311,37 @@
         await leader.wait_for(lambda: leader.streams >= 3)
 
     run_with_leader(body, poll_interval_s=0.5, silence_timeout_s=1.0)
+
+
+def frame(body):
+    """Return the frame of a gRPC message."""
+    return b"\0" + len(body).to_bytes(4) + body
+
+
+# Guards against the end of the whole process because of one message of a peer: with
+# bytes that cannot be read, compressed, truncated, of another type, or nested deeply.
+@pytest.mark.parametrize(
+    "data",
+    [
+        frame(b""),
+        frame(b"\xc1"),
+        frame(b"\x91\x93\xa8Redirect\xa2\xff\xfe\x90"),
+        frame(b"\x91\x93\xa8Redirect\xcf" + b"\xff" * 8 + b"\x90"),
+        frame(b"\x91" * 100_000),
+        frame(b"\x91\x94\xa8Redirect\xa0\x90" + b"\x91" * 100_000),
+        b"\1" + frame(b"\x90")[1:],
+        frame(b"\x90" * 9)[:-4],
+        b"\0\0",
+    ],
+    ids=range(9),
+)
+def test_unreadable_message_ends_only_the_stream(monkeypatch, data):
+    async def send_badly(stream, codec, message, message_type, *, end=False):
+        await stream.send_data(data, end_stream=True)
+
+    monkeypatch.setattr("grpclib.server.send_message", send_badly)
+
+    async def body(leader, link):
+        await leader.wait_for(lambda: leader.streams >= 2)
+
+    run_with_leader(body, poll_interval_s=0.5, silence_timeout_s=1.0)
