Leave out an odd seed, and keep following the settings file

A settings file with an integer of thousands of digits or with values that are nested deeply ended the running instance that read it again. A seed with a port out of range or a host such as "..." was taken over, and the search for the leader ended the instance when it dialled it. Any other odd seed made the instance ignore the sound ones beside it.

tomllib raises ValueError and RecursionError besides its own error. Seeds were checked by a pattern only, and as a whole.

The new cases in test_gateway and test_settings failed before. All errors of tomllib now count as an unusable file, and an entry of the seeds that is no address is left out with a warning. An instance with such an entry founds no cell, since that cell would have too few voters. Durations must be finite; an infinite hold time was accepted.

--- a/src/bluebellyoke/addresses.py
+++ b/src/bluebellyoke/addresses.py
@@ -26,7 +26,7 @@
     def __init__(self, text: str) -> None:
         super().__init__(
             f"{text[:MAX_SHOWN_CHARACTERS]!r} is no address of a machine",
-            remedy=f"send IP:PORT with a port from 1 to {MAX_PORT}",
+            remedy=f"write IP:PORT with a port from 1 to {MAX_PORT}",
         )
 
 
--- a/src/bluebellyoke/platform/gateway.py
+++ b/src/bluebellyoke/platform/gateway.py
@@ -19,6 +19,9 @@
 
 logger = logging.getLogger("bluebellyoke.platform")
 
+#: Maximum number of characters of an odd seed that the log shows.
+MAX_SHOWN = 80
+
 
 class PlatformGateway(Gateway):
     """Adapter of an instance to the platform.
@@ -32,6 +35,7 @@
         self._settings = settings
         self._path = path
         self._last_content: bytes | None = None
+        _report_odd_seeds(settings)
 
     def create_listeners(self, context: GatewayContext) -> list[Listener]:
         """Return a listener for each configured address."""
@@ -67,13 +71,15 @@
             return None
         self._last_content = content
         try:
-            return translate_settings(read_settings(self._path))
+            platform_settings = read_settings(self._path)
         except SettingsError as error:
             logger.error(
                 "platform: could not reload the settings; the old ones stay in effect",
                 extra={"fault": str(error)},
             )
             return None
+        _report_odd_seeds(platform_settings)
+        return translate_settings(platform_settings)
 
     def _read_content(self) -> bytes:
         """Return the content of the settings file, which is empty if unreadable."""
@@ -82,3 +88,11 @@
         except OSError:
             # `read_settings` reports the error.
             return b""
+
+
+def _report_odd_seeds(settings: PlatformSettings) -> None:
+    if settings.odd_seeds:
+        logger.warning(
+            "platform: left out seeds that are no addresses; write IP:PORT",
+            extra={"seeds": [repr(x)[:MAX_SHOWN] for x in settings.odd_seeds]},
+        )
--- a/src/bluebellyoke/platform/settings.py
+++ b/src/bluebellyoke/platform/settings.py
@@ -3,11 +3,13 @@
 import os
 import tomllib
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import pydantic
 
+from bluebellyoke.addresses import is_address, split_address
 from bluebellyoke.settings import (
+    TOML_ERRORS,
     CellSettings,
     DispatchSettings,
     InstanceSettings,
@@ -52,13 +54,20 @@
 #: Contract of deployments whose long-running tasks share workers with backfill tasks.
 SHARING_CONTRACT = "sharing"
 
-Endpoint = Annotated[str, pydantic.Field(pattern=r"^[0-9.]+:[0-9]+$")]
+
+def _check_endpoint(value: str) -> str:
+    if not is_address(value):
+        raise ValueError("write IP:PORT with a port from 1 to 65535")
+    return value
+
+
+Endpoint = Annotated[str, pydantic.AfterValidator(_check_endpoint)]
 
 
 class _Table(pydantic.BaseModel):
     """A table of the file; unknown keys are ignored, as the platform may add some."""
 
-    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+    model_config = pydantic.ConfigDict(extra="ignore", frozen=True, allow_inf_nan=False)
 
 
 class ListenTable(_Table):
@@ -89,7 +98,8 @@
     Ip: str
     Zone: str
     PortRange: tuple[int, int]
-    Seeds: tuple[Endpoint, ...]
+    # A seed that cannot be dialled is left out; the others are still used.
+    Seeds: tuple[Any, ...]
     # Whether to create the cell; true only if the cell has never run before.
     Bootstrap: bool = False
     DataDir: Path | None = None
@@ -100,6 +110,20 @@
     # Properties of the deployment that it announces to its programs.
     Contracts: tuple[str, ...] = ()
 
+    @property
+    def usable_seeds(self) -> tuple[str, ...]:
+        """Seeds that can be dialled."""
+        return tuple(filter(_is_usable_seed, self.Seeds))
+
+    @property
+    def odd_seeds(self) -> tuple[Any, ...]:
+        """Entries of the list of seeds that are no addresses."""
+        return tuple(x for x in self.Seeds if not _is_usable_seed(x))
+
+
+def _is_usable_seed(seed: object) -> bool:
+    return isinstance(seed, str) and is_address(seed)
+
 
 def find_settings_path() -> Path:
     """Return the path of the settings file."""
@@ -120,11 +144,11 @@
         return settings
     except OSError as error:
         raise SettingsError(path, [f"cannot be read: {error.strerror}"]) from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise SettingsError(path, [f"is not valid TOML: {error}"]) from error
     except pydantic.ValidationError as error:
         errors = [f"{item['loc']}: {item['msg']}" for item in error.errors()]
         raise SettingsError(path, errors) from None
+    except TOML_ERRORS as error:
+        raise SettingsError(path, [f"is not valid TOML: {error}"]) from error
 
 
 def translate_settings(platform_settings: PlatformSettings) -> Settings:
@@ -136,7 +160,8 @@
     """
     peer_port = platform_settings.PortRange[0]
     seeds = tuple(
-        f"{seed.rpartition(':')[0]}:{peer_port}" for seed in platform_settings.Seeds
+        f"{seed.rpartition(':')[0]}:{peer_port}"
+        for seed in platform_settings.usable_seeds
     )
     max_hold_s = platform_settings.Bounds.MaxHoldMs / 1000
     return Settings(
@@ -155,7 +180,8 @@
             peer_port=peer_port,
             seeds=seeds,
             data_folder=platform_settings.DataDir,
-            founder=platform_settings.Bootstrap,
+            # A cell that is founded without one of its seeds has too few voters.
+            founder=platform_settings.Bootstrap and not platform_settings.odd_seeds,
         ),
         limits=LimitSettings(
             longest_deadline_s=platform_settings.Bounds.GraceS / 2,
@@ -176,5 +202,4 @@
 
 def split_endpoint(endpoint: str) -> tuple[str, int]:
     """Return the IP address and port of an endpoint, `IP:PORT`."""
-    host, _, port = endpoint.rpartition(":")
-    return host, int(port)
+    return split_address(endpoint)
--- a/src/bluebellyoke/settings.py
+++ b/src/bluebellyoke/settings.py
@@ -3,13 +3,13 @@
 Each error is reported with the file, the key and the remedy.
 """
 
-import ipaddress
 import tomllib
 from pathlib import Path
 from typing import Annotated
 
 import pydantic
 
+from bluebellyoke.addresses import AddressError, check_ip, split_address
 from bluebellyoke.errors import BluebellyokeError
 
 __all__ = [
@@ -19,9 +19,15 @@
     "LimitSettings",
     "Settings",
     "SettingsError",
+    "TOML_ERRORS",
     "load_settings",
 ]
 
+#: Exceptions that tomllib raises for a file that it cannot decode. A ValueError, of
+#: which the others are kinds, also stands for an integer of thousands of digits; values
+#: that are nested too deeply cause a RecursionError.
+TOML_ERRORS = (ValueError, RecursionError)
+
 
 class SettingsError(BluebellyokeError):
     """The settings file is invalid or cannot be read.
@@ -40,7 +46,7 @@
 
 def _check_ip(value: str) -> str:
     try:
-        ipaddress.ip_address(value)
+        check_ip(value)
     except ValueError:
         raise ValueError(
             f"{value!r} is not an IP address; write one such as 10.0.0.5"
@@ -49,10 +55,10 @@
 
 
 def _check_endpoint(value: str) -> str:
-    host, separator, port = value.rpartition(":")
-    if not separator or not port.isdigit():
-        raise ValueError(f"{value!r} is not an address; write IP:PORT")
-    _check_ip(host.strip("[]"))
+    try:
+        split_address(value)
+    except AddressError as error:
+        raise ValueError(str(error)) from None
     return value
 
 
@@ -65,7 +71,7 @@
 class _Table(pydantic.BaseModel):
     """A table of the file; unknown keys are errors."""
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
 
 
 class CellSettings(_Table):
@@ -161,7 +167,7 @@
         data = tomllib.loads(path.read_text(encoding="utf-8"))
     except OSError as error:
         raise SettingsError(path, [f"cannot be read: {error.strerror}"]) from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except TOML_ERRORS as error:
         raise SettingsError(path, [f"is not valid TOML: {error}"]) from error
     try:
         return Settings.model_validate(data)
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -6,7 +6,7 @@
 
 from bluebellyoke.platform.gateway import PlatformGateway
 from bluebellyoke.platform.settings import read_settings
-from tests.platform.test_settings import TEXT, UNUSABLE_TEXTS, write
+from tests.platform.test_settings import ODD_SEEDS, TEXT, UNUSABLE_TEXTS, write
 
 
 @pytest.fixture
@@ -37,6 +37,19 @@
     assert "boot.toml" in record.fault
 
 
+# Guards against the end of an instance, or an end of the following of the file, because
+# of one odd seed: the sound seeds beside it must be used.
+@pytest.mark.parametrize("odd", ODD_SEEDS)
+def test_reload_leaves_out_only_the_odd_seed(gateway, tmp_path, caplog, odd):
+    write(tmp_path, TEXT.replace('"10.2.0.30:8166"', odd))
+    with caplog.at_level(logging.WARNING, "bluebellyoke.platform"):
+        seeds = gateway.reload_settings().instance.seeds
+    assert seeds == ("10.1.0.13:7720", "10.3.0.36:7720")
+    assert "left out" in caplog.records[0].message
+    write(tmp_path, TEXT)
+    assert len(gateway.reload_settings().instance.seeds) == 3
+
+
 def test_unchanged_settings_are_neither_returned_nor_reported_again(
     gateway, tmp_path, caplog
 ):
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -81,6 +81,32 @@
     TEXT.replace("[7720,7735]", "[0,7735]"),
     TEXT.replace("Machines = 1", "Machines = 9"),
     TEXT.replace("GraceS = 6", "GraceS = 0"),
+    TEXT.replace("GraceS = 6", "GraceS = inf"),
+    TEXT.replace("MaxHoldMs = 6000", "MaxHoldMs = inf"),
+    TEXT.replace("MaxHoldMs = 6000", "MaxHoldMs = nan"),
+    TEXT.replace("Machines = 1", "Machines = " + "9" * 5000),
+    TEXT.replace("NewField = 7", "NewField = " + "[" * 100_000),
+    TEXT.replace("10.2.0.30:8166", "10.2.0.30:²").replace("10.", "x."),
+    TEXT.replace('["10.1.0.13:8166","10.2.0.30:8166","10.3.0.36:8166"]', '["x", 7]'),
+    TEXT.replace('["10.1.0.13:8166","10.2.0.30:8166","10.3.0.36:8166"]', "7"),
+    TEXT.replace('Advisor = "10.200.1.9:8169"', 'Advisor = "10.200.1.9:99999"'),
+    TEXT.replace('Front = "10.1.0.13:8161"', 'Front = "...:8161"'),
+]
+
+#: Entries, in TOML, that name no instance.
+ODD_SEEDS = [
+    '"x"',
+    '"nowhere:8166"',
+    '"...:8166"',
+    '"10.2.0.30"',
+    '"10.2.0.30:²"',
+    '"10.2.0.30:99999"',
+    '"10.2.0.300:8166"',
+    '"10.2.0.30:' + "9" * 5000 + '"',
+    "7",
+    "[" * 50 + "]" * 50,
+    "{ Ip = 7 }",
+    "1979-05-27",
 ]
 
 
@@ -91,6 +117,14 @@
         read_settings(write(tmp_path, text))
 
 
+# Guards against a cell that is founded with fewer voters than the file lists.
+def test_instance_with_an_odd_seed_does_not_found_a_cell(tmp_path):
+    text = TEXT.replace("10.2.0.30:8166", "10.2.0.30:99999")
+    instance = translate_settings(read_settings(write(tmp_path, text))).instance
+    assert instance.seeds == ("10.1.0.13:7720", "10.3.0.36:7720")
+    assert not instance.founder
+
+
 def test_missing_file_is_reported(tmp_path):
     with pytest.raises(SettingsError):
         read_settings(tmp_path / "none.toml")
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -37,7 +37,7 @@
 @pytest.mark.parametrize("text", ODD_ADDRESSES)
 def test_address_that_cannot_be_dialled_is_refused(text):
     assert not is_address(text)
-    with pytest.raises(AddressError, match="send IP:PORT with a port from 1 to 65535"):
+    with pytest.raises(AddressError, match="write IP:PORT with a port from 1 to 65535"):
         split_address(text)
 
 
