Fail a call to an odd address as not reached

A worker whose address has a port out of range made each call to it raise an error that the caller does not expect, with a traceback in the log for every poll. An ID with a line break added headers to the requests to the worker.

The event loop raises ValueError or OverflowError for such an address, and the head of a request was joined without a check of its lines.

Such a call now fails as one to a host that cannot be reached, so nothing is sent and the lease of the entry ends.

--- a/src/bluebellyoke/instance/http_calls.py
+++ b/src/bluebellyoke/instance/http_calls.py
@@ -12,6 +12,7 @@
 
 import httptools
 
+from bluebellyoke.addresses import AddressError, split_address
 from bluebellyoke.dispatch.ports import NoAnswerError, NotReachedError
 
 __all__ = ["HttpCaller", "HttpResponse"]
@@ -140,14 +141,14 @@
             address: IP address and port of the peer, `IP:PORT`.
 
         Raises:
-            NotReachedError: No connection could be opened, so nothing was sent.
+            NotReachedError: No connection could be opened, or a header has a line
+                break, so nothing was sent.
             NoAnswerError: The connection failed before the response was complete.
         """
+        request = _format_request(address, path, body, headers)
         connection = self._take_idle(address) or await _connect(address)
         try:
-            response = await connection.send(
-                _format_request(address, path, body, headers)
-            )
+            response = await connection.send(request)
         except OSError as error:
             raise NoAnswerError(address, str(error)) from error
         except BaseException:
@@ -186,11 +187,14 @@
 
 
 async def _connect(address: str) -> _Connection:
-    host, _, port = address.rpartition(":")
+    try:
+        host, port = split_address(address)
+    except AddressError as error:
+        raise NotReachedError(address, refused=False) from error
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, connection = await loop.create_connection(_Connection, host, int(port))
+            _, connection = await loop.create_connection(_Connection, host, port)
     except TimeoutError as error:
         raise NotReachedError(address, refused=False) from error
     except OSError as error:
@@ -209,4 +213,6 @@
         f"Content-Length: {len(body)}",
         *(f"{name}: {value}" for name, value in headers),
     ]
+    if any("\r" in line or "\n" in line for line in lines):
+        raise NotReachedError(address, refused=False)
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- a/tests/instance/test_http_calls.py
+++ b/tests/instance/test_http_calls.py
@@ -7,6 +7,7 @@
 
 from bluebellyoke.dispatch.ports import NoAnswerError, NotReachedError
 from bluebellyoke.instance.http_calls import HttpCaller, HttpResponse
+from tests.test_addresses import ODD_ADDRESSES
 
 WAIT_S = 30.0
 
@@ -129,3 +130,25 @@
         assert caught.value.refused
 
     run_against([], body)
+
+
+# Guards against an error that the caller does not expect, for an address in a log of an
+# earlier build.
+@pytest.mark.parametrize("odd", ODD_ADDRESSES)
+def test_odd_address_counts_as_not_reached(odd):
+    async def body(server, caller, address):
+        with pytest.raises(NotReachedError):
+            await caller.post(odd, "/x", b"{}")
+
+    run_against([OK], body)
+
+
+# Guards against headers that an ID of another writer adds to the requests to a worker.
+@pytest.mark.parametrize("value", ["a\r\nX: y", "a\nX: y", "a\r"])
+def test_header_with_a_line_break_is_not_sent(value):
+    async def body(server, caller, address):
+        with pytest.raises(NotReachedError):
+            await caller.post(address, "/x", b"{}", [("Expected-Instance", value)])
+        assert server.connections == 0
+
+    run_against([OK], body)
