Refuse heartbeats with values that no worker can have

A heartbeat with an address that cannot be dialled, a negative or huge capacity, a start of the process in the far future, an ID with a line break or a label of megabytes was acknowledged and entered the replicated log. It took the place of the real worker of that ID until its lease ended.

Only the types and the 64 bits of integers were checked. The project's own interface has limits for the same values.

`worker_validation.py` has the limits of a description, and addresses are checked as on the other interface. The instance that takes the heartbeat refuses it with status 400 and a remedy, and the leader refuses one that an instance of an earlier build forwards.

--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -3,7 +3,7 @@
 import logging
 from collections.abc import Callable
 
-from bluebellyoke.cell.result import Result
+from bluebellyoke.cell.result import Result, refuse
 from bluebellyoke.dispatch import crashes
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.run_ends import RunEndRecorder, log_run_end
@@ -13,6 +13,7 @@
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.commands import CrashedRun
 from bluebellyoke.workflow.specs import WorkerSpec
+from bluebellyoke.workflow.worker_validation import validate_worker
 
 __all__ = ["WorkerRegistry"]
 
@@ -65,6 +66,11 @@
         self, spec: WorkerSpec, wall_time: float, reply: Callable[[Result], None]
     ) -> None:
         """Register a worker or its new description; reply once it is committed."""
+        # An instance of an earlier build forwards invalid descriptions, too.
+        errors = validate_worker(spec)
+        if errors:
+            reply(refuse("malformed", "; ".join(errors)))
+            return
         known = self._context.store.workers.get(spec.id)
         if self._is_outdated(spec, known):
             reply(Result(accepted=True, code="overtaken"))
--- a/src/bluebellyoke/instance/queues.py
+++ b/src/bluebellyoke/instance/queues.py
@@ -14,6 +14,10 @@
 from bluebellyoke.workflow.admission import validate_workflow
 from bluebellyoke.workflow.commands import ApplyConfiguration
 from bluebellyoke.workflow.specs import Configuration, WorkflowSpec
+from bluebellyoke.workflow.worker_validation import (
+    validate_worker,
+    validate_worker_id,
+)
 
 __all__ = ["AdviceHandler", "LargeDocumentError", "QueueClient"]
 
@@ -54,6 +58,9 @@
 #: Timeout of a call to the advisor, in seconds.
 ADVICE_TIMEOUT_S = 10.0
 
+#: Maximum number of characters of an invalid ID that the log shows.
+MAX_LOGGED_CHARACTERS = 80
+
 #: Codes of requests without a reply from the leader. An `unavailable` request was not
 #: sent; an `unanswered` one may have been carried out.
 UNAVAILABLE = "unavailable"
@@ -165,7 +172,20 @@
             return wire.QueueReply(UNAVAILABLE, reason=str(error))
 
     async def announce(self, announcement: wire.WorkerAnnouncement) -> Result:
-        """Send a worker's heartbeat to the leader."""
+        """Send a worker's heartbeat to the leader, unless it is not valid."""
+        errors = validate_worker_id(announcement.worker)
+        if announcement.spec is not None:
+            errors = validate_worker(announcement.spec)
+        if errors:
+            reason = "; ".join(errors)
+            logger.info(
+                "queues: refused a heartbeat",
+                extra={
+                    "worker": announcement.worker[:MAX_LOGGED_CHARACTERS],
+                    "reason": reason,
+                },
+            )
+            return refuse("malformed", reason)
         return await self._call(announcement, ANNOUNCE_TIMEOUT_S)
 
     def expect_body(self, size: int) -> None:
--- a/src/bluebellyoke/platform/bodies.py
+++ b/src/bluebellyoke/platform/bodies.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from bluebellyoke.addresses import AddressError, split_address
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.dispatch.ports import EndedRun, RunningRun, StatusReport
 from bluebellyoke.errors import BluebellyokeError
@@ -296,10 +297,11 @@
     """
     announcement = _decode(body, Announcement)
     if announcement.State not in (READY, DRAINING):
-        raise UnreadableBodyError(f"State is {announcement.State!r}")
-    host, _, port = announcement.Address.rpartition(":")
-    if not host or not port.isdigit():
-        raise UnreadableBodyError(f"Address is {announcement.Address!r}")
+        raise UnreadableBodyError(f"State is neither {READY!r} nor {DRAINING!r}")
+    try:
+        split_address(announcement.Address)
+    except AddressError as error:
+        raise UnreadableBodyError(f"Address: {error.problem}") from error
     capacity = announcement.Capacity
     return WorkerSpec(
         id=worker,
--- a/src/bluebellyoke/platform/listeners.py
+++ b/src/bluebellyoke/platform/listeners.py
@@ -3,6 +3,7 @@
 import logging
 from dataclasses import dataclass
 
+from bluebellyoke.cell.result import Result
 from bluebellyoke.instance import wire
 from bluebellyoke.instance.asgi import (
     BodyTooLongError,
@@ -192,10 +193,7 @@
         await self.context.queues.check_size(len(body))
         configuration = bodies.decode_configuration(body)
         result = await self.context.queues.change_configuration(configuration)
-        if result.accepted:
-            return Response(200, {})
-        status = 400 if result.code == "malformed" else 503
-        return Response(status, {"Error": result.reason})
+        return _create_response(result)
 
     async def _get_configuration(self) -> Response:
         document = await self.context.queues.read_configuration()
@@ -208,9 +206,15 @@
     async def _announce(self, worker: str, spec: WorkerSpec | None) -> Response:
         announcement = wire.WorkerAnnouncement(worker, spec, leaving=spec is None)
         result = await self.context.queues.announce(announcement)
-        if result.accepted:
-            return Response(200, {})
-        return Response(503, {"Error": result.reason})
+        return _create_response(result)
+
+
+def _create_response(result: Result) -> Response:
+    """Return the response to a heartbeat or a configuration change."""
+    if result.accepted:
+        return Response(200, {})
+    status = 400 if result.code == "malformed" else 503
+    return Response(status, {"Error": result.reason})
 
 
 def _parse_length(scope: Scope) -> int:
--- a/tests/instance/test_queues.py
+++ b/tests/instance/test_queues.py
@@ -3,6 +3,7 @@
 import logging
 
 import anyio
+import msgspec
 import pytest
 
 from bluebellyoke.cell.result import Result
@@ -17,6 +18,8 @@
     QueueClient,
 )
 from bluebellyoke.metrics import Metrics
+from tests.workflow.factories import create_worker
+from tests.workflow.test_worker_validation import ODD_FIELDS
 
 LEADER = "10.0.0.4:7000"
 OTHER = "10.0.0.9:7000"
@@ -199,3 +202,24 @@
     ]
     faults = [x.fault for x in caplog.records if hasattr(x, "fault")]
     assert faults == ["RecursionError too deep", ""]
+
+
+# Guards against an odd entry that reaches the leader and the replicated log.
+@pytest.mark.parametrize("fields", ODD_FIELDS)
+def test_heartbeat_that_is_not_valid_is_not_forwarded(fields):
+    link = Link(b"")
+    client = QueueClient(link=link, clock=SystemClock(), metrics=Metrics())
+    spec = msgspec.structs.replace(create_worker(), **fields)
+    announcement = wire.WorkerAnnouncement(spec.id, spec)
+    result = anyio.run(client.announce, announcement)
+    assert (result.accepted, result.code) == (False, "malformed")
+    assert link.calls == []
+
+
+@pytest.mark.parametrize("worker_id", ["", "a\r\nb", "x" * 9000])
+def test_leave_of_an_odd_id_is_not_forwarded(worker_id):
+    link = Link(b"")
+    client = QueueClient(link=link, clock=SystemClock(), metrics=Metrics())
+    announcement = wire.WorkerAnnouncement(worker_id, None, leaving=True)
+    assert anyio.run(client.announce, announcement).code == "malformed"
+    assert link.calls == []
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -6,6 +6,7 @@
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.platform import bodies
 from bluebellyoke.workflow.commands import RunOutcome, TaskName
+from tests.test_addresses import ODD_ADDRESSES
 
 CONFIG = {
     "Version": 7,
@@ -164,6 +165,14 @@
         bodies.decode_announcement("i-1", body)
 
 
+# Guards against an entry whose address no instance can dial.
+@pytest.mark.parametrize("odd", ODD_ADDRESSES)
+def test_heartbeat_with_an_odd_address_is_refused(odd):
+    with pytest.raises(bodies.UnreadableBodyError, match="Address: ") as error:
+        bodies.decode_announcement("i-1", encode({**HEARTBEAT, "Address": odd}))
+    assert len(str(error.value)) < 600
+
+
 @pytest.mark.parametrize(
     "body",
     [
--- a/tests/platform/test_listeners.py
+++ b/tests/platform/test_listeners.py
@@ -249,3 +249,14 @@
     anyio.run(ControlApp(context, port=8166), scope, receive, send)
     assert sent[0] == 200
     assert b"queue_requests_total" in sent[1]
+
+
+# Guards against a heartbeat that a worker repeats for ever, since it is told that no
+# leader is there in place of what is wrong.
+@pytest.mark.parametrize("method", ["PUT", "DELETE"])
+def test_heartbeat_that_is_not_valid_gets_a_client_error(context, queues, method):
+    queues.result = refuse("malformed", "the ID is not valid; send another")
+    app = ControlApp(context, port=8166)
+    path = "/-/instances/a\r\nb"
+    status, _, value = call(app, method, path, encode(HEARTBEAT))
+    assert (status, value) == (400, {"Error": "the ID is not valid; send another"})
