Take numbers of too many digits in headers for missing or invalid

A caller with a deadline of 400 digits got status 502 for an unknown outcome, or 500 from a queue, although nothing had been sent anywhere.

int() refuses more than 4300 digits with a ValueError, and a float holds no integer of more than 308 digits. The error reached the code that reports a failure of the instance itself.

A header with an integer above 64 bits now gets status 400 on a service and counts as missing on a queue, like any other header that is no number.

--- a/src/bluebellyoke/instance/asgi.py
+++ b/src/bluebellyoke/instance/asgi.py
@@ -10,9 +10,11 @@
 __all__ = [
     "BodyTooLongError",
     "CallerLeftError",
+    "MAX_INTEGER",
     "Receive",
     "Scope",
     "Send",
+    "parse_digits",
     "read_body",
     "send_response",
 ]
@@ -21,6 +23,12 @@
 Receive = Callable[[], Awaitable[dict]]
 Send = Callable[[dict], Awaitable[None]]
 
+#: Largest integer that the messages to the leader can carry.
+MAX_INTEGER = 2**63 - 1
+
+#: Maximum number of digits of an integer in a header.
+MAX_DIGITS = len(str(MAX_INTEGER))
+
 #: Status codes of responses with a Retry-After header.
 _RETRY_AFTER_STATUSES = frozenset({429, 503})
 
@@ -36,6 +44,14 @@
     """The caller closed the connection before its request was complete."""
 
 
+def parse_digits(text: bytes) -> int | None:
+    """Return the number in a header, or None if it has no or too many digits."""
+    if not text.isdigit() or len(text) > MAX_DIGITS:
+        return None
+    number = int(text)
+    return number if number <= MAX_INTEGER else None
+
+
 async def read_body(receive: Receive, limit: int) -> bytes:
     """Return the body of a request.
 
--- a/src/bluebellyoke/instance/bodies.py
+++ b/src/bluebellyoke/instance/bodies.py
@@ -12,6 +12,7 @@
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.errors import BluebellyokeError
 from bluebellyoke.instance import wire
+from bluebellyoke.instance.asgi import MAX_INTEGER, parse_digits
 
 __all__ = [
     "BadDeadlineError",
@@ -27,8 +28,8 @@
 Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9._:-]{1,128}$")]
 Amount = Annotated[int, pydantic.Field(ge=0, le=10**9)]
 
-#: Largest integer that the messages to the leader can carry.
-MAX_INTEGER = 2**63 - 1
+#: Maximum number of characters of an invalid header that an error message shows.
+MAX_SHOWN = 40
 
 Number = Annotated[int, pydantic.Field(ge=0, le=MAX_INTEGER)]
 
@@ -50,8 +51,8 @@
 
     def __init__(self, text: bytes) -> None:
         super().__init__(
-            f"Bluebellyoke-Deadline-Ms is {text.decode('latin-1')!r}",
-            remedy="send a whole number of milliseconds above zero",
+            f"Bluebellyoke-Deadline-Ms is {text[:MAX_SHOWN].decode('latin-1')!r}",
+            remedy=f"send a whole number of milliseconds from 1 to {MAX_INTEGER}",
         )
 
 
@@ -264,6 +265,7 @@
     """
     if text is None:
         return Success(min(default_s, longest_s))
-    if not text.isdigit() or not int(text):
+    deadline_ms = parse_digits(text)
+    if not deadline_ms:
         return Failure(BadDeadlineError(text))
-    return Success(min(int(text) / 1000, longest_s))
+    return Success(min(deadline_ms / 1000, longest_s))
--- a/src/bluebellyoke/platform/listeners.py
+++ b/src/bluebellyoke/platform/listeners.py
@@ -11,6 +11,7 @@
     Receive,
     Scope,
     Send,
+    parse_digits,
     read_body,
     send_response,
 )
@@ -219,12 +220,11 @@
 
 def _parse_length(scope: Scope) -> int:
     """Return the declared length of a request's body, in bytes, or 0."""
-    text = dict(scope["headers"]).get(b"content-length", b"")
-    return int(text) if text.isdigit() else 0
+    return parse_digits(dict(scope["headers"]).get(b"content-length", b"")) or 0
 
 
 def _parse_timeout(headers: dict[bytes, bytes]) -> float:
-    text = headers.get(b"deadline-ms", b"")
-    if not text.isdigit():
+    deadline_ms = parse_digits(headers.get(b"deadline-ms", b""))
+    if deadline_ms is None:
         return DEFAULT_TIMEOUT_S
-    return max(int(text) / 1000 - RESPONSE_MARGIN_S, 0.1)
+    return max(deadline_ms / 1000 - RESPONSE_MARGIN_S, 0.1)
--- a/tests/instance/test_bodies.py
+++ b/tests/instance/test_bodies.py
@@ -78,3 +78,11 @@
 def test_integer_above_64_bits_is_an_error(model, fields):
     (error,) = parse_errors(model, json.dumps(fields))
     assert "less than or equal" in error
+
+
+# Guards against a status 502 that says that the outcome is unknown, for a header that
+# no instance can convert.
+@pytest.mark.parametrize("digits", [19, 20, 400, 5000])
+def test_deadline_of_too_many_digits_is_an_error(digits):
+    result = bodies.parse_deadline(b"9" * digits, 10.0, 30.0)
+    assert len(str(result.failure())) < 200
--- a/tests/platform/test_listeners.py
+++ b/tests/platform/test_listeners.py
@@ -11,7 +11,12 @@
 from bluebellyoke.instance.gateway import GatewayContext
 from bluebellyoke.instance.queues import LargeDocumentError
 from bluebellyoke.metrics import Metrics
-from bluebellyoke.platform.listeners import ControlApp, QueueApp, ReadinessApp
+from bluebellyoke.platform.listeners import (
+    DEFAULT_TIMEOUT_S,
+    ControlApp,
+    QueueApp,
+    ReadinessApp,
+)
 from tests.platform.test_bodies import CONFIG, HEARTBEAT, encode
 
 JOB = {"TaskSpec": "(text)", "Steps": [{"Count": 1, "Cpu": 500}]}
@@ -260,3 +265,14 @@
     path = "/-/instances/a\r\nb"
     status, _, value = call(app, method, path, encode(HEARTBEAT))
     assert (status, value) == (400, {"Error": "the ID is not valid; send another"})
+
+
+# Guards against a request that gets no clear response because of a header that no
+# instance can convert; a header without a number counts as missing.
+@pytest.mark.parametrize("text", [b"9" * 400, b"9" * 5000, b"\xb2", b"-1", b""])
+def test_odd_numbers_in_headers_count_as_missing(context, queues, text):
+    headers = [(b"deadline-ms", text), (b"content-length", text)]
+    path = "/lohu930/1"
+    assert call(QueueApp(context), "POST", path, encode(JOB), headers)[0] == 200
+    assert queues.calls[0][3] == DEFAULT_TIMEOUT_S
+    assert queues.expected_bytes == 0
