Refuse infinite durations and scoped addresses in bodies

A heartbeat or a job with a duration of Infinity or 1e999 was accepted, and the value entered the replicated log. An upstream could announce an IPv6 address with a scope, which may contain line breaks.

pydantic reads both as a float that is not below zero, and the ipaddress module takes any character after the percent sign.

The new tests failed before. Floats of bodies must be finite now, and an address must not have a scope, which names an interface of one machine only.

--- a/src/bluebellyoke/instance/bodies.py
+++ b/src/bluebellyoke/instance/bodies.py
@@ -1,13 +1,13 @@
 """Models that validate HTTP request bodies and build commands from them."""
 
 import hashlib
-import ipaddress
 from typing import Annotated, Any
 
 import msgspec
 import pydantic
 from returns.result import Failure, Result, Success
 
+from bluebellyoke.addresses import check_ip
 from bluebellyoke.cell import commands
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.errors import BluebellyokeError
@@ -57,7 +57,10 @@
 
 
 class _Body(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid", defer_build=True)
+    # The leader's computations with an infinite duration have no numbers as results.
+    model_config = pydantic.ConfigDict(
+        extra="forbid", defer_build=True, allow_inf_nan=False
+    )
 
 
 class ResourcesBody(_Body):
@@ -166,8 +169,7 @@
     @pydantic.field_validator("address")
     @classmethod
     def _check_address(cls, value: str) -> str:
-        ipaddress.ip_address(value)
-        return value
+        return check_ip(value)
 
     def build(self) -> commands.AnnounceUpstream:
         """Return the command that announces the upstream."""
--- a/tests/instance/test_bodies.py
+++ b/tests/instance/test_bodies.py
@@ -86,3 +86,25 @@
 def test_deadline_of_too_many_digits_is_an_error(digits):
     result = bodies.parse_deadline(b"9" * digits, 10.0, 30.0)
     assert len(str(result.failure())) < 200
+
+
+# Guards against an infinite run time in the replicated log.
+@pytest.mark.parametrize("value", ["Infinity", "1e999", "NaN"])
+def test_duration_that_is_not_finite_is_an_error(value):
+    ended = [{**RUNNING, "outcome": "done", "ran_s": 1}]
+    text = json.dumps({**HEARTBEAT, "ended": ended}).replace(
+        '"ran_s": 1', f'"ran_s": {value}'
+    )
+    assert parse_errors(bodies.HeartbeatBody, text)
+    job = json.dumps({"id": "a", "workspace": "w", "expected_s": 1})
+    job = job.replace(": 1", f": {value}")
+    assert parse_errors(bodies.JobBody, job)
+
+
+# Guards against a scope, which may contain any character, in the head of requests.
+@pytest.mark.parametrize(
+    "address", ["fe80::1%a\r\nX: y", "fe80::1%eth0", "", "nowhere"]
+)
+def test_address_of_an_upstream_is_an_ip_address_without_a_scope(address):
+    text = json.dumps({**UPSTREAM, "address": address})
+    assert parse_errors(bodies.UpstreamBody, text)
