--- a/src/bluebellyoke/platform/listeners.py
+++ b/src/bluebellyoke/platform/listeners.py
@@ -3,6 +3,7 @@
 import logging
 from dataclasses import dataclass
 
+from bluebellyoke.cell.result import Result
 from bluebellyoke.instance import wire
 from bluebellyoke.instance.asgi import (
     BodyTooLongError,
@@ -10,6 +11,7 @@
     Receive,
     Scope,
     Send,
+    parse_digits,
     read_body,
     send_response,
 )
@@ -192,10 +194,7 @@
         await self.context.queues.check_size(len(body))
         configuration = bodies.decode_configuration(body)
         result = await self.context.queues.change_configuration(configuration)
-        if result.accepted:
-            return Response(200, {})
-        status = 400 if result.code == "malformed" else 503
-        return Response(status, {"Error": result.reason})
+        return _create_response(result)
 
     async def _get_configuration(self) -> Response:
         document = await self.context.queues.read_configuration()
@@ -208,19 +207,24 @@
     async def _announce(self, worker: str, spec: WorkerSpec | None) -> Response:
         announcement = wire.WorkerAnnouncement(worker, spec, leaving=spec is None)
         result = await self.context.queues.announce(announcement)
-        if result.accepted:
-            return Response(200, {})
-        return Response(503, {"Error": result.reason})
+        return _create_response(result)
+
+
+def _create_response(result: Result) -> Response:
+    """Return the response to a heartbeat or a configuration change."""
+    if result.accepted:
+        return Response(200, {})
+    status = 400 if result.code == "malformed" else 503
+    return Response(status, {"Error": result.reason})
 
 
 def _parse_length(scope: Scope) -> int:
     """Return the declared length of a request's body, in bytes, or 0."""
-    text = dict(scope["headers"]).get(b"content-length", b"")
-    return int(text) if text.isdigit() else 0
+    return parse_digits(dict(scope["headers"]).get(b"content-length", b"")) or 0
 
 
 def _parse_timeout(headers: dict[bytes, bytes]) -> float:
-    text = headers.get(b"deadline-ms", b"")
-    if not text.isdigit():
+    deadline_ms = parse_digits(headers.get(b"deadline-ms", b""))
+    if deadline_ms is None:
         return DEFAULT_TIMEOUT_S
-    return max(int(text) / 1000 - RESPONSE_MARGIN_S, 0.1)
+    return max(deadline_ms / 1000 - RESPONSE_MARGIN_S, 0.1)
