Let a quarantined worker with a run that lasts take tasks again

Cause: until a run of it is done, a worker that has been quarantined got tasks only while it had no runs. A service is never done, and neither is any other long run for its time, so such a worker was out of use for as long as that run lasted, whether it had begun before the quarantine or after it. A task whose allowed workers all were in this state waited with the reason no-worker. Change: a worker keeps out others only for the runs that were added since its last quarantine, and for 8 s at most after the last of them was added. Why it works: both conditions end by themselves. The next quarantine of a broken worker forgets its former trials, and its length still doubles.

--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -23,6 +23,10 @@
 QUARANTINE_INITIAL_S = 1.0
 QUARANTINE_MAX_S = 8.0
 
+#: Maximum time for which a run that begins after a quarantine keeps other tasks from
+#: its worker, in seconds. A run that lasts may never end.
+TRIAL_S = QUARANTINE_MAX_S
+
 #: Multiple of its estimated duration after which a run is expected to have ended.
 #: Declared estimates are rough; the progress in the worker's next status report
 #: replaces them.
@@ -98,8 +102,9 @@
         leave_announced_at: Time of the last such announcement.
         failed_workflows: Workflows of which a task has failed here since a run was
             last done.
-        quarantines: Number of quarantines since a run was last done; while it is not 0
-            the worker gets tasks only while it has no runs.
+        quarantines: Number of quarantines since a run was last done.
+        trials: Runs that were added since the last of these quarantines began.
+        trial_end: Time until which the worker gets no task beside these runs.
         runs: Assigned runs that may take up resources.
         suspects: Those of them that may crash the worker; it gets no new task until
             they have been cleared.
@@ -130,6 +135,8 @@
     leave_announced_at: float = 0.0
     failed_workflows: set[str] = field(default_factory=set)
     quarantines: int = 0
+    trials: set[RunKey] = field(default_factory=set)
+    trial_end: float = 0.0
     runs: dict[RunKey, TrackedRun] = field(default_factory=dict)
     suspects: set[RunKey] = field(default_factory=set)
     started_at: float = 0.0
@@ -170,6 +177,9 @@
             self.suspects.add(key)
         else:
             self.started_at = now
+        if self.quarantines:
+            self.trials.add(key)
+            self.trial_end = now + TRIAL_S
         if estimate_s:
             run.baseline_at = now
             run.expected_end_at = now + estimate_s * ESTIMATE_FACTOR
@@ -232,6 +242,7 @@
         """Release the resources of a run that has ended."""
         run = self.runs.pop(key, None)
         self.suspects.discard(key)
+        self.trials.discard(key)
         if run is not None:
             self.allocated = self.allocated - run.need
 
@@ -253,6 +264,7 @@
         if outcome is RunOutcome.DONE:
             self.failed_workflows.clear()
             self.quarantines = 0
+            self.trials.clear()
             return False
         if outcome is not RunOutcome.FAILED:
             return False
@@ -265,6 +277,7 @@
         duration_s = min(QUARANTINE_INITIAL_S * 2**self.quarantines, QUARANTINE_MAX_S)
         self.suspect_until = max(self.suspect_until, now + duration_s)
         self.quarantines += 1
+        self.trials.clear()
         return True
 
     # Lease.
@@ -316,5 +329,5 @@
             and not self.has_unanswered_start
             and not self.is_stalled
             and not self.suspects
-            and not (self.quarantines and self.runs)
+            and not (self.trials and now < self.trial_end)
         )
