Plan the suspects of each pool apart and name why they wait

Cause: a round left its loop over all suspects at the first one that found its pool in use, and after 64 suspects of any pool. Those behind it were neither planned nor given a wait reason, so they were missing in the reports of long waits and in explain. Suspects of a refused step had no reason either. Evidence: a planning round with four suspects of a pool of four idle workers starts three of them, and none of a second, idle pool. Change: the bounds count by pool, and each suspect that is not planned gets a reason. test_isolation.py reads the renamed attribute; its checks are the same. Why it works: a pool that is full ends the planning of its own suspects only.

--- a/src/bluebellyoke/dispatch/isolation.py
+++ b/src/bluebellyoke/dispatch/isolation.py
@@ -71,7 +71,7 @@
         recent_crashes: Crashes that suspects have caused.
         previous: IDs of the workers that the last round set apart.
         chosen: IDs of the workers that this round sets apart.
-        is_full: Whether a suspect waits for another one's worker.
+        full_pools: Pools in which a suspect waits for another one's worker.
     """
 
     now: float
@@ -79,7 +79,7 @@
     recent_crashes: RecentCrashes
     previous: frozenset[str] = frozenset()
     chosen: dict[str, None] = field(default_factory=dict)
-    is_full: bool = False
+    full_pools: set[str] = field(default_factory=set)
 
     def order(self, workers: Iterable[TrackedWorker]) -> list[TrackedWorker]:
         """Return the workers that no suspect of this round uses, the best first.
@@ -93,7 +93,7 @@
     def take(self, workers: list[TrackedWorker]) -> bool:
         """Set workers of one pool apart for a suspect, unless too many are in use."""
         if not self._may_use(workers):
-            self.is_full = True
+            self.full_pools.add(workers[0].spec.pool)
             return False
         self.chosen.update(dict.fromkeys(worker.spec.id for worker in workers))
         return True
--- a/src/bluebellyoke/dispatch/suspects.py
+++ b/src/bluebellyoke/dispatch/suspects.py
@@ -1,5 +1,6 @@
 """Planning of tasks that may crash their workers."""
 
+from collections import Counter
 from collections.abc import Container, Sequence
 
 from bluebellyoke.dispatch.advice import StepAdvice, StepKey
@@ -18,10 +19,10 @@
 
 __all__ = ["SuspectPlanner"]
 
-#: Maximum number of suspects that a round looks at.
+#: Maximum number of suspects of a pool that a round looks at.
 MAX_SUSPECTS_PER_ROUND = 64
 
-#: Number of waiting suspects that may ask the advisor.
+#: Number of waiting suspects of a pool that may ask the advisor.
 RENEWED_SUSPECTS = 8
 
 
@@ -61,18 +62,22 @@
             recent_crashes=self._recent_crashes,
             previous=self._isolated,
         )
-        waiting = seen = 0
+        waiting: Counter[str] = Counter()
+        seen: Counter[str] = Counter()
         for suspect in suspects:
-            if isolation.is_full or seen >= MAX_SUSPECTS_PER_ROUND:
-                break
-            if not planning.quotas.allows(suspect.step):
-                planning.wait_reasons[suspect.step.key] = WaitReason.QUOTA
+            step, pool = suspect.step, store.find_pool(suspect.step.workflow)
+            if step.key in paused:
+                planning.wait_reasons[step.key] = WaitReason.REFUSED
                 continue
-            seen += 1
-            if suspect.step.key in paused:
+            if pool in isolation.full_pools or seen[pool] >= MAX_SUSPECTS_PER_ROUND:
+                planning.wait_reasons.setdefault(step.key, WaitReason.SUSPECT)
                 continue
-            is_head = waiting < RENEWED_SUSPECTS
-            waiting += not self._plan_suspect(
+            if not planning.quotas.allows(step):
+                planning.wait_reasons[step.key] = WaitReason.QUOTA
+                continue
+            seen[pool] += 1
+            is_head = waiting[pool] < RENEWED_SUSPECTS
+            waiting[pool] += not self._plan_suspect(
                 store, suspect, planning, isolation, is_head
             )
         self._isolated = frozenset(isolation.chosen)
--- a/tests/dispatch/test_isolation.py
+++ b/tests/dispatch/test_isolation.py
@@ -38,7 +38,7 @@
     isolation = Isolation(
         now=NOW, workers=workers, recent_crashes=recent_crashes or RecentCrashes()
     )
-    while not isolation.is_full:
+    while "p" not in isolation.full_pools:
         isolation.take(isolation.order(workers.values())[:1])
     return len(isolation.chosen)
 
