--- a/src/bluebellyoke/dispatch/suspects.py
+++ b/src/bluebellyoke/dispatch/suspects.py
@@ -76,6 +76,9 @@
         waiting = seen = 0
         for suspect in self._rotate(suspects):
             step = suspect.step
+            if step.key in paused:
+                planning.wait_reasons[step.key] = WaitReason.REFUSED
+                continue
             is_pool_full = store.find_pool(step.workflow) in isolation.full_pools
             if is_pool_full or seen >= MAX_SUSPECTS_PER_ROUND:
                 planning.wait_reasons.setdefault(step.key, WaitReason.SUSPECT)
@@ -84,9 +87,6 @@
                 planning.wait_reasons[step.key] = WaitReason.QUOTA
                 continue
             seen += 1
-            if step.key in paused:
-                planning.wait_reasons[step.key] = WaitReason.REFUSED
-                continue
             is_head = waiting < RENEWED_SUSPECTS
             waiting += not self._plan_suspect(
                 store, suspect, planning, isolation, is_head
