Count an order of a pace whose event is lost as unanswered

Cause: one order at most is in flight for a run until its event arrives, and the replica's queue of inputs drops events while it is full. Fix: after LOST_ORDER_S without an event the order counts as unanswered, so the limit is sent again, and once more when no late order can be under way. Evidence: one test of test_pacing.py failed before and passes now.

--- a/src/bluebellyoke/dispatch/pace_orders.py
+++ b/src/bluebellyoke/dispatch/pace_orders.py
@@ -8,6 +8,7 @@
 import math
 from dataclasses import dataclass
 
+from bluebellyoke.dispatch.calls import CALL_TIMEOUT_S, MAX_EVENT_DELAY_S
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.events import PaceFinished
 from bluebellyoke.dispatch.ports import NotReachedError, PaceRequest, PaceResult
@@ -36,6 +37,9 @@
 #: seconds.
 LATE_ORDER_S = 2.0
 
+#: Time after which an order without an event counts as unanswered, in seconds.
+LOST_ORDER_S = CALL_TIMEOUT_S + MAX_EVENT_DELAY_S
+
 
 @dataclass(slots=True)
 class PacedRun:
@@ -47,7 +51,7 @@
         full_since: Time since which the run has not been limited, if it is not now.
         confirmed_at: Time of the latest confirmation.
         cpu_millis: Most processor time that the run has been seen to use.
-        is_sending: Whether an order is in flight.
+        sent_at: Time at which the order in flight was sent, or None.
         retry_at: Time before which no order is sent.
         failures: Orders in a row that got no answer.
         confirm_at: Time at which the limit is sent again although it is confirmed.
@@ -60,7 +64,7 @@
     full_since: float = -math.inf
     confirmed_at: float = -math.inf
     cpu_millis: int = 0
-    is_sending: bool = False
+    sent_at: float | None = None
     retry_at: float = 0.0
     failures: int = 0
     confirm_at: float = math.inf
@@ -88,7 +92,10 @@
 
     def send_if_due(self, worker: TrackedWorker, paced: PacedRun, now: float) -> None:
         """Send the limit of a run unless it is in force or an order is in flight."""
-        if paced.percent is None or paced.is_sending or now < paced.retry_at:
+        if paced.sent_at is not None and now - paced.sent_at > LOST_ORDER_S:
+            paced.sent_at = paced.in_force = None
+            paced.confirm_at = now + LATE_ORDER_S
+        if paced.percent is None or paced.sent_at is not None or now < paced.retry_at:
             return
         if paced.in_force == paced.percent and now < paced.confirm_at:
             return
@@ -97,7 +104,7 @@
             return
         if now >= paced.confirm_at:
             paced.confirm_at = math.inf
-        paced.is_sending = True
+        paced.sent_at = now
         task, number = paced.key
         request = PaceRequest(
             task=task, run=number, percent=paced.percent, fence=self._context.fence
@@ -108,7 +115,7 @@
         self, worker: TrackedWorker, paced: PacedRun, event: PaceFinished, now: float
     ) -> None:
         """Process the result of an order and send the next one if there is any."""
-        paced.is_sending = False
+        paced.sent_at = None
         if event.result is PaceResult.PACED:
             if paced.in_force != event.percent:
                 paced.full_since = now + EFFECT_S
