--- a/tests/dispatch/test_new_leader.py
+++ b/tests/dispatch/test_new_leader.py
@@ -7,7 +7,7 @@
 
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.dispatch.simulation import DispatcherSimulation
-from tests.workflow.factories import create_spec, create_step
+from tests.workflow.factories import create_spec, create_step, create_worker
 
 ID = "0000000000000001"
 
@@ -211,3 +211,66 @@
     assert not worker.ended
     is_next = lambda: [key[1] for key in worker.runs] == [2]  # noqa: E731
     assert run(simulation, MAX_RESTART_S, is_next)
+
+
+def lead_again(simulation):
+    """Let the same replica lead again; commands that are not committed are lost."""
+    simulation.proposals.pop_all()
+    simulation.dispatcher.deactivate()
+    simulation.proposals.pop_all()
+    simulation.term += 1
+    simulation.dispatcher.activate(simulation.store, simulation.term, simulation.now)
+
+
+def receive_without_commit(simulation, sent):
+    simulation.sent_calls.remove(sent)
+    simulation.deliver(sent)
+    event = simulation.events.pop()
+    simulation.dispatcher.receive(event, simulation.now, simulation.now)
+
+
+# Guards against a replica that plans no run any more when it leads again, since it
+# waits for the commit of an assignment of its earlier term.
+def test_replica_that_leads_again_plans_what_was_not_committed(small_simulation):
+    simulation = small_simulation
+    simulation.submit(create_spec(ID))
+    simulation.advance(TICK_S)
+    simulation.dispatcher.tick(simulation.now, simulation.now)
+    lead_again(simulation)
+    worker = simulation.workers["w1"]
+    assert run(simulation, MAX_RESTART_S, lambda: bool(worker.runs))
+    assert list(simulation.dispatcher.workers["w1"].runs) == list(worker.runs)
+
+
+# Guards against a worker that is never polled again when its leader leads again, since
+# the end that it had listed was not committed in the earlier term.
+def test_replica_that_leads_again_commits_the_end_of_a_run(small_simulation):
+    simulation = small_simulation
+    simulation.submit(create_spec(ID))
+    run(simulation, 4 * TICK_S)
+    worker = simulation.workers["w1"]
+    simulation.tick()
+    worker.end(next(iter(worker.runs)), workflow_commands.RunOutcome.DONE)
+    (poll,) = [x for x in simulation.sent_calls if x.kind == "poll"]
+    receive_without_commit(simulation, poll)
+    lead_again(simulation)
+    run(simulation, MAX_RESTART_S)
+    assert simulation.store.workflows[ID].outcome == "completed"
+    assert not worker.ended
+
+
+# Guards against a worker that is never removed when its leader leads again, since its
+# removal was proposed, but not committed, in the earlier term.
+def test_replica_that_leads_again_removes_a_worker_that_has_ended(small_simulation):
+    simulation = small_simulation
+    simulation.tick()
+    for leads_again in (True, False):
+        worker = simulation.workers["w1"]
+        worker.spec = create_worker("w1", worker.spec.incarnation + 1)
+        (poll,) = [x for x in simulation.sent_calls if x.kind == "poll"]
+        receive_without_commit(simulation, poll)
+        if leads_again:
+            lead_again(simulation)
+            simulation.tick()
+    simulation.commit()
+    assert simulation.store.workers == {}
