Log events of calls that the leader's full queue drops

Fix: the calls log each one, up to the limit of lines per second. Evidence: a new test in test_calls.py. Two other new tests pass: a gang one of whose workers is removed in the entry that assigns it, and random faults with lost events.

--- a/src/bluebellyoke/dispatch/calls.py
+++ b/src/bluebellyoke/dispatch/calls.py
@@ -15,6 +15,7 @@
     StopFinished,
     WorkerEvent,
 )
+from bluebellyoke.dispatch.log_limits import LogLimit
 from bluebellyoke.dispatch.ports import (
     NoAnswerError,
     PaceRequest,
@@ -75,11 +76,16 @@
         self._client = client
         self._clock = clock
         self._tasks: TaskGroup | None = None
-        self._post: Callable[[WorkerEvent], object] = lambda event: None
+        self._post: Callable[[WorkerEvent], bool | None] = lambda event: None
+        self._drop_log_limit = LogLimit()
         self.term = 0
 
-    async def run(self, post: Callable[[WorkerEvent], object]) -> None:
-        """Run the calls until cancelled; `post` receives their events."""
+    async def run(self, post: Callable[[WorkerEvent], bool | None]) -> None:
+        """Run the calls until cancelled.
+
+        Args:
+            post: Receives their events; it returns False if it has dropped one.
+        """
         self._post = post
         async with anyio.create_task_group() as tasks:
             self._tasks = tasks
@@ -110,13 +116,26 @@
         if self._tasks is not None:
             self._tasks.start_soon(function, *args)
 
+    def _post_event(self, event: WorkerEvent) -> None:
+        """Pass on an event; log one that is dropped, which counts as unanswered."""
+        is_dropped = self._post(event) is False
+        if is_dropped and self._drop_log_limit.allow(self._clock.monotonic()):
+            logger.warning(
+                "dispatch: dropped the event of a call",
+                extra={
+                    "worker": event.worker,
+                    "kind": type(event).__name__,
+                    "skipped": self._drop_log_limit.pop_skipped(),
+                },
+            )
+
     async def _start(
         self, worker: WorkerSpec, request: StartRequest, term: int
     ) -> None:
         result, error = await self._make_call(
             "start", self._client.start(worker, request), worker, CALL_TIMEOUT_S
         )
-        self._post(
+        self._post_event(
             StartFinished(
                 term=term,
                 worker=worker.id,
@@ -131,7 +150,7 @@
         accepted, error = await self._make_call(
             "stop", self._client.stop(worker, request), worker, CALL_TIMEOUT_S
         )
-        self._post(
+        self._post_event(
             StopFinished(
                 term=term,
                 worker=worker.id,
@@ -146,7 +165,7 @@
         result, error = await self._make_call(
             "pace", self._client.pace(worker, request), worker, CALL_TIMEOUT_S
         )
-        self._post(
+        self._post_event(
             PaceFinished(
                 term=term,
                 worker=worker.id,
@@ -169,7 +188,7 @@
         has_timed_out = False
 
         def post(report: StatusReport | None, error: BluebellyokeError | None) -> None:
-            self._post(
+            self._post_event(
                 PollFinished(
                     term=term,
                     worker=worker.id,
--- a/tests/dispatch/test_calls.py
+++ b/tests/dispatch/test_calls.py
@@ -117,6 +117,26 @@
     assert isinstance(event.error, NoAnswerError)
 
 
+# Guards against events that the full queue of the leader's inputs drops unnoticed.
+def test_dropped_event_is_logged(caplog):
+    calls = WorkerCalls(client=FakeWorkerClient(), clock=SystemClock())
+
+    async def run():
+        with anyio.fail_after(TIMEOUT_S):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(calls.run, lambda event: False)
+                await anyio.sleep(0)
+                calls.stop(create_worker("w1"), STOP)
+                while not caplog.records:
+                    await anyio.sleep(0.01)
+                tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    (record,) = caplog.records
+    assert record.message == "dispatch: dropped the event of a call"
+    assert (record.worker, record.kind) == ("w1", "StopFinished")
+
+
 POLL = PollRequest(deadline_ms=None, fence=1, acknowledged_end=0)
 
 
--- a/tests/dispatch/test_command_order.py
+++ b/tests/dispatch/test_command_order.py
@@ -55,18 +55,18 @@
     simulation.dispatcher.tick(simulation.now, simulation.now)
 
 
-def finish_poll(simulation, **fields):
-    """Finish the poll in flight without committing anything."""
-    (poll,) = find_calls(simulation, "poll")
+def finish_poll(simulation, name="w1", **fields):
+    """Finish the poll of a worker in flight without committing anything."""
+    (poll,) = [x for x in find_calls(simulation, "poll") if x.spec.id == name]
     simulation.sent_calls.remove(poll)
     simulation.finish_call(poll, **fields)
     event = simulation.events.pop()
     simulation.dispatcher.receive(event, simulation.now, simulation.now)
 
 
-def replace_at_address(simulation):
-    """Let another worker respond at the address of the worker."""
-    finish_poll(simulation, error=OtherLifeError("10.0.0.1:80"))
+def replace_at_address(simulation, name="w1"):
+    """Let another worker respond at the address of a worker."""
+    finish_poll(simulation, name, error=OtherLifeError("10.0.0.1:80"))
 
 
 def find_calls(simulation, kind):
@@ -93,6 +93,28 @@
     assert find_calls(simulation, "start") == []
 
 
+# Guards against a gang that runs without one of its tasks: its other tasks were started
+# after the worker of one had been removed in the same entry.
+def test_gang_is_started_again_if_one_of_its_workers_was_removed_at_once():
+    simulation = DispatcherSimulation(3)
+    simulation.tick()
+    deliver(simulation)
+    simulation.tick()
+    simulation.submit(create_spec(ID, [create_step(3, cpu=2000, gang=True)]))
+    simulation.advance(TICK_S)
+    simulation.dispatcher.tick(simulation.now, simulation.now)
+    replace_at_address(simulation, "w2")
+    commit_one_entry(simulation)
+    assert {x.spec.id for x in find_calls(simulation, "start")} == {"w1", "w3"}
+    simulation.crash("w2")
+    for _ in range(10):
+        simulation.advance(TICK_S)
+        deliver(simulation)
+        simulation.tick()
+    runs = [key[1] for worker in simulation.workers.values() for key in worker.runs]
+    assert runs == [2, 2, 2]
+
+
 # Guards against a start that is carried out by the next life of its worker.
 def test_run_is_not_started_if_a_new_life_was_enrolled_in_the_same_entry(simulation):
     propose_start(simulation)
--- a/tests/dispatch/test_lost_events.py
+++ b/tests/dispatch/test_lost_events.py
@@ -7,6 +7,7 @@
 
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.dispatch.simulation import DispatcherSimulation
+from tests.dispatch.test_dispatcher_random import LateResponseScenario
 from tests.workflow.factories import create_spec, create_step
 
 ID = "0000000000000001"
@@ -203,3 +204,33 @@
     simulation.sent_calls.remove(lost)
     deliver(simulation)
     assert run(simulation, MAX_RECOVERY_S, lambda: find_task(simulation).run == 2)
+
+
+class LostEventScenario(LateResponseScenario):
+    """A scenario in which the events of some calls are lost, besides all other faults.
+
+    Attributes:
+        losses: Number of lost events.
+    """
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.losses = 0
+
+    def deliver_call(self, sent):
+        before = len(self.simulation.events)
+        super().deliver_call(sent)
+        if len(self.simulation.events) > before and self.random.random() < 0.05:
+            self.simulation.events.pop()
+            self.losses += 1
+
+
+# Guards against a lost event after which a task runs twice or a job never ends.
+@pytest.mark.parametrize("first_seed", range(0, 60, 10))
+def test_all_jobs_end_once_although_events_are_lost(first_seed):
+    losses = 0
+    for seed in range(first_seed, first_seed + 10):
+        scenario = LostEventScenario(seed)
+        scenario.run()
+        losses += scenario.losses
+    assert losses > 10
