--- a/tests/dispatch/test_command_order.py
+++ b/tests/dispatch/test_command_order.py
@@ -9,6 +9,7 @@
 from bluebellyoke.dispatch.ports import OtherLifeError, StatusReport
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.dispatch.simulation import DispatcherSimulation
+from tests.dispatch.test_dispatcher_random import LateResponseScenario
 from tests.workflow.factories import create_spec, create_step, create_worker
 
 ID = "0000000000000001"
@@ -39,7 +40,11 @@
 
 
 def commit_one_entry(simulation):
-    """Apply all proposed commands first and report their results only then."""
+    """Apply all proposed commands first and report their results only then.
+
+    Returns:
+        The types of the commands.
+    """
     proposals = simulation.proposals.pop_all()
     results = [simulation.store.apply(x.command) for x in proposals]
     for proposal, result in zip(proposals, results, strict=True):
@@ -205,3 +210,50 @@
     simulation.advance(1.0)
     simulation.tick()
     assert len(find_calls(simulation, "poll")) == 1
+
+
+class SharedEntryScenario(LateResponseScenario):
+    """A scenario in which commands are committed late, several in an entry.
+
+    Attributes:
+        entries: Types of the commands of each entry.
+    """
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.entries = []
+        self.simulation.commit = self.commit_some
+        self.commit_chance = 0.15
+
+    def commit_some(self):
+        if self.random.random() < self.commit_chance:
+            self.entries.append(commit_one_entry(self.simulation))
+
+    def inject_event(self):
+        if self.random.random() < 0.05:
+            name = self.random.choice(sorted(self.simulation.workers))
+            self.simulation.announce(name, labels=(str(self.random.random()),))
+        super().inject_event()
+
+    def run(self):
+        for _ in range(300):
+            self.inject_event()
+            self.step()
+        self.commit_chance = 1.0
+        self.simulation.run_until_finished()
+
+
+# Guards against commands that are sound one by one but not in one entry, whichever come
+# together.
+@pytest.mark.parametrize("first_seed", range(0, 60, 10))
+def test_all_jobs_end_once_although_commands_share_entries(first_seed):
+    shared = 0
+    for seed in range(first_seed, first_seed + 10):
+        scenario = SharedEntryScenario(seed)
+        scenario.run()
+        shared += sum(
+            workflow_commands.RemoveWorker in entry
+            and workflow_commands.EnrolWorker in entry
+            for entry in scenario.entries
+        )
+    assert shared > 10
--- a/tests/dispatch/test_run_check.py
+++ b/tests/dispatch/test_run_check.py
@@ -5,7 +5,9 @@
 from bluebellyoke.dispatch.tracked_run import RunPhase
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.dispatch.simulation import DispatcherSimulation
+from tests.dispatch.test_command_order import SharedEntryScenario
 from tests.dispatch.test_dispatcher_random import LateResponseScenario, RandomScenario
+from tests.dispatch.test_lost_events import LostEventScenario
 from tests.workflow.factories import create_spec, create_step
 
 ID = "0000000000000001"
@@ -95,7 +97,10 @@
 
 # Guards against faults that the check would only hide: no known order of faults may
 # make the tracked runs differ from the replicated state.
-@pytest.mark.parametrize("scenario", [RandomScenario, LateResponseScenario])
+@pytest.mark.parametrize(
+    "scenario",
+    [RandomScenario, LateResponseScenario, LostEventScenario, SharedEntryScenario],
+)
 def test_random_faults_need_no_repair(scenario, caplog):
     for seed in range(100, 110):
         scenario(seed).run()
