--- a/tests/dispatch/test_command_order.py
+++ b/tests/dispatch/test_command_order.py
@@ -9,6 +9,7 @@
 from bluebellyoke.dispatch.ports import OtherLifeError, StatusReport
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.dispatch.simulation import DispatcherSimulation
+from tests.dispatch.test_dispatcher_random import LateResponseScenario
 from tests.workflow.factories import create_spec, create_step, create_worker
 
 ID = "0000000000000001"
@@ -39,7 +40,11 @@
 
 
 def commit_one_entry(simulation):
-    """Apply all proposed commands first and report their results only then."""
+    """Apply all proposed commands first and report their results only then.
+
+    Returns:
+        The types of the commands.
+    """
     proposals = simulation.proposals.pop_all()
     results = [simulation.store.apply(x.command) for x in proposals]
     for proposal, result in zip(proposals, results, strict=True):
@@ -55,18 +60,18 @@
     simulation.dispatcher.tick(simulation.now, simulation.now)
 
 
-def finish_poll(simulation, **fields):
-    """Finish the poll in flight without committing anything."""
-    (poll,) = find_calls(simulation, "poll")
+def finish_poll(simulation, name="w1", **fields):
+    """Finish the poll of a worker in flight without committing anything."""
+    (poll,) = [x for x in find_calls(simulation, "poll") if x.spec.id == name]
     simulation.sent_calls.remove(poll)
     simulation.finish_call(poll, **fields)
     event = simulation.events.pop()
     simulation.dispatcher.receive(event, simulation.now, simulation.now)
 
 
-def replace_at_address(simulation):
-    """Let another worker respond at the address of the worker."""
-    finish_poll(simulation, error=OtherLifeError("10.0.0.1:80"))
+def replace_at_address(simulation, name="w1"):
+    """Let another worker respond at the address of a worker."""
+    finish_poll(simulation, name, error=OtherLifeError("10.0.0.1:80"))
 
 
 def find_calls(simulation, kind):
@@ -93,6 +98,28 @@
     assert find_calls(simulation, "start") == []
 
 
+# Guards against a gang that runs without one of its tasks: its other tasks were started
+# after the worker of one had been removed in the same entry.
+def test_gang_is_started_again_if_one_of_its_workers_was_removed_at_once():
+    simulation = DispatcherSimulation(3)
+    simulation.tick()
+    deliver(simulation)
+    simulation.tick()
+    simulation.submit(create_spec(ID, [create_step(3, cpu=2000, gang=True)]))
+    simulation.advance(TICK_S)
+    simulation.dispatcher.tick(simulation.now, simulation.now)
+    replace_at_address(simulation, "w2")
+    commit_one_entry(simulation)
+    assert {x.spec.id for x in find_calls(simulation, "start")} == {"w1", "w3"}
+    simulation.crash("w2")
+    for _ in range(10):
+        simulation.advance(TICK_S)
+        deliver(simulation)
+        simulation.tick()
+    runs = [key[1] for worker in simulation.workers.values() for key in worker.runs]
+    assert runs == [2, 2, 2]
+
+
 # Guards against a start that is carried out by the next life of its worker.
 def test_run_is_not_started_if_a_new_life_was_enrolled_in_the_same_entry(simulation):
     propose_start(simulation)
@@ -183,3 +210,50 @@
     simulation.advance(1.0)
     simulation.tick()
     assert len(find_calls(simulation, "poll")) == 1
+
+
+class SharedEntryScenario(LateResponseScenario):
+    """A scenario in which commands are committed late, several in an entry.
+
+    Attributes:
+        entries: Types of the commands of each entry.
+    """
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.entries = []
+        self.simulation.commit = self.commit_some
+        self.commit_chance = 0.15
+
+    def commit_some(self):
+        if self.random.random() < self.commit_chance:
+            self.entries.append(commit_one_entry(self.simulation))
+
+    def inject_event(self):
+        if self.random.random() < 0.05:
+            name = self.random.choice(sorted(self.simulation.workers))
+            self.simulation.announce(name, labels=(str(self.random.random()),))
+        super().inject_event()
+
+    def run(self):
+        for _ in range(300):
+            self.inject_event()
+            self.step()
+        self.commit_chance = 1.0
+        self.simulation.run_until_finished()
+
+
+# Guards against commands that are sound one by one but not in one entry, whichever come
+# together.
+@pytest.mark.parametrize("first_seed", range(0, 60, 10))
+def test_all_jobs_end_once_although_commands_share_entries(first_seed):
+    shared = 0
+    for seed in range(first_seed, first_seed + 10):
+        scenario = SharedEntryScenario(seed)
+        scenario.run()
+        shared += sum(
+            workflow_commands.RemoveWorker in entry
+            and workflow_commands.EnrolWorker in entry
+            for entry in scenario.entries
+        )
+    assert shared > 10
