Refuse a report whose number is far above the one before

A heartbeat with a huge Seq under the ID and start time of a real worker was acknowledged. All later reports of that worker then counted as older ones, for as long as its process lived: the leader never learned that its capacity had shrunk or that it was draining.

The highest number of an incarnation is taken for the newest report, whatever it is.

A number may now be at most 10**9 above the one before.

--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -27,6 +27,14 @@
 #: seconds. No worker gets a larger capacity meanwhile.
 REPORT_REORDERING_S = 1.5
 
+#: Maximum difference between the numbers of two reports of an incarnation. A worker
+#: without contact to the leader would take 11 days with one report per millisecond.
+MAX_SEQUENCE_JUMP = 10**9
+
+_FAR_AHEAD_REASON = (
+    "the number of the report is far above that of the one before; count up by 1"
+)
+
 #: Outcome that the log shows for the runs of a removed worker.
 LOST = "lost"
 
@@ -72,6 +80,9 @@
             reply(refuse("malformed", "; ".join(errors)))
             return
         known = self._context.store.workers.get(spec.id)
+        if self._is_far_ahead(spec, known):
+            reply(refuse("malformed", _FAR_AHEAD_REASON))
+            return
         if self._is_outdated(spec, known):
             reply(Result(accepted=True, code="overtaken"))
             return
@@ -107,6 +118,16 @@
             workflow_commands.EnrolWorker(time=wall_time, spec=spec), finish
         )
 
+    def _is_far_ahead(self, spec: WorkerSpec, known: WorkerSpec | None) -> bool:
+        """Return whether no worker can have sent that many reports in between.
+
+        All later reports of the worker would be taken for older ones.
+        """
+        if known is None or known.incarnation != spec.incarnation:
+            return False
+        newest = max(known.sequence, self._sequences.get(spec.key, 0))
+        return spec.sequence - newest > MAX_SEQUENCE_JUMP
+
     def _is_outdated(self, spec: WorkerSpec, known: WorkerSpec | None) -> bool:
         """Return whether a report is, or may be, older than what is known."""
         if known is None or known.incarnation < spec.incarnation:
