Keep room for missing tickets for three seconds only

What callers saw: jobs of one queue wait for free room while the advisor of another queue does not answer. Cause: a step that could start but for its tickets keeps its room in each round until new ones arrive, and that had no bound. Change: the room is kept for 3 s after the tickets were first missing, then others may use it. The emptied workers of suspects follow the same rule. Evidence: test_room_is_kept_for_missing_tickets_for_a_while_only, for tasks and for a gang, which failed before: the other job did not start in 60 s.

--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -96,6 +96,7 @@
         """Return the starts to make now; those of a gang are next to each other."""
         self._steps.update(store, wall_time)
         self._costs.start_round(workers)
+        self._tickets.start_round(now)
         planning = PlanningRound(
             now,
             workers,
@@ -228,10 +229,9 @@
         used = {worker_keys[candidate.worker] for candidate in chosen}
         if not have_tickets(advice, used, planning.now):
             planning.wait_reasons[step.key] = WaitReason.NO_TICKET
-            self._tickets.replace_expired(step, planning.now)
-            # Keep the resources free until the new tickets arrive.
-            for candidate in chosen:
-                candidate.free = candidate.free - step.spec.allocation
+            if self._tickets.replace_expired(step, planning.now):
+                for candidate in chosen:
+                    candidate.free = candidate.free - step.spec.allocation
             return False
         run = 1 + max(task.run for task in step.tasks)
         for index, candidate in zip(step.indexes, chosen, strict=True):
@@ -270,6 +270,7 @@
         ranked = CandidateQueue(step.spec, candidates, deferred=expired)
         reason = None
         has_started = False
+        lacking = []
         allowed = planning.quotas.count_startable(step)
         for position, index in enumerate(step.indexes):
             if position >= allowed:
@@ -283,12 +284,14 @@
             worker_key = worker_keys[candidate.worker]
             if not have_tickets(advice, {worker_key}, planning.now):
                 reason = WaitReason.NO_TICKET
+                lacking.append(candidate)
                 continue
             run = tasks[index].run + 1
             planning.add_start(step, index, run, worker_key, advice)
             has_started = True
-        if reason is WaitReason.NO_TICKET:
-            self._tickets.replace_expired(step, planning.now)
+        if lacking and not self._tickets.replace_expired(step, planning.now):
+            for candidate in lacking:
+                candidate.free = candidate.free + step.spec.allocation
         if reason is not None and not has_started:
             planning.wait_reasons[step.key] = reason
         return reason is None
--- a/src/bluebellyoke/dispatch/step_tickets.py
+++ b/src/bluebellyoke/dispatch/step_tickets.py
@@ -1,6 +1,7 @@
 """Requests for advice on the workers that may run one step."""
 
 from collections.abc import Collection
+from dataclasses import dataclass
 
 from bluebellyoke.dispatch.advice import (
     MAX_WORKERS_PER_CALL,
@@ -13,7 +14,23 @@
 from bluebellyoke.dispatch.selection import order_by_room
 from bluebellyoke.dispatch.waiting import NextStep, WaitingStep
 
-__all__ = ["StepTickets", "have_tickets"]
+__all__ = ["TICKET_WAIT_S", "StepTickets", "have_tickets"]
+
+#: Time for which room is kept for a step whose tickets are renewed, in seconds. A call
+#: to the advisor rarely takes longer, and the advisor may be down.
+TICKET_WAIT_S = 3.0
+
+#: Time after which a step that lacked tickets is taken not to lack them any more, in
+#: seconds. A round looks at each step several times a second.
+TICKET_LACK_GAP_S = 1.0
+
+
+@dataclass(slots=True)
+class _Lack:
+    """Monotonic times at which a step was first and last found to lack tickets."""
+
+    since: float
+    latest: float
 
 
 class StepTickets:
@@ -25,6 +42,15 @@
 
     def __init__(self, advice: AdviceManager) -> None:
         self._advice = advice
+        self._lacks: dict[StepKey, _Lack] = {}
+
+    def start_round(self, now: float) -> None:
+        """Forget the steps that have not lacked tickets for a while."""
+        self._lacks = {
+            step: lack
+            for step, lack in self._lacks.items()
+            if now - lack.latest < TICKET_LACK_GAP_S
+        }
 
     def get_step_advice(self, key: StepKey) -> StepAdvice:
         """Return the advice on a step."""
@@ -67,9 +93,16 @@
             workers=planning.list_worker_keys(pool, step.spec.required_label),
         )
 
-    def replace_expired(self, step: WaitingStep, now: float) -> None:
-        """Request new tickets for a step that could start with them."""
+    def replace_expired(self, step: WaitingStep, now: float) -> bool:
+        """Request new tickets for a step that could start with them.
+
+        Returns:
+            Whether its room may be kept until they arrive.
+        """
         self._advice.renew(step.key, step.queue.advisor, step.rank, until=now)
+        lack = self._lacks.setdefault(step.key, _Lack(now, now))
+        lack.latest = now
+        return now - lack.since < TICKET_WAIT_S
 
 
 def have_tickets(
--- a/src/bluebellyoke/dispatch/suspects.py
+++ b/src/bluebellyoke/dispatch/suspects.py
@@ -29,10 +29,6 @@
 #: once about each worker, and for new tickets only when they could start.
 RENEWED_SUSPECTS = 8
 
-#: Time for which a worker that is set apart is kept for a suspect whose tickets are
-#: renewed, in seconds. A call to the advisor rarely takes longer, and it may be down.
-TICKET_WAIT_S = 3.0
-
 
 class SuspectPlanner:
     """Plans suspects on workers that other tasks do not get meanwhile.
@@ -46,13 +42,11 @@
         self._tickets = tickets
         self._recent_crashes = recent_crashes
         self._isolated: frozenset[str] = frozenset()
-        self._kept_since: dict[str, float] = {}
         self._turn = 0
 
     def reset(self) -> None:
         """Forget which workers the last round has set apart."""
         self._isolated = frozenset()
-        self._kept_since.clear()
 
     def plan(
         self,
@@ -92,11 +86,6 @@
                 store, suspect, planning, isolation, is_head
             )
         self._isolated = frozenset(isolation.chosen)
-        self._kept_since = {
-            name: since
-            for name, since in self._kept_since.items()
-            if name in self._isolated
-        }
         planning.isolated = isolation.chosen
 
     def _rotate(self, suspects: Sequence[Suspect]) -> Sequence[Suspect]:
@@ -158,8 +147,8 @@
             return WaitReason.NO_ROOM if workers else WaitReason.NO_WORKER
         used = [planning.workers[x] for x in {item.worker: None for item in chosen}]
         if not have_tickets(advice, [x.spec.key for x in used], planning.now):
-            self._tickets.replace_expired(step, planning.now)
-            self._keep_for_tickets(used, isolation)
+            if self._tickets.replace_expired(step, planning.now):
+                _keep_worker(used, isolation)
             return WaitReason.NO_TICKET
         if not isolation.take(used) or not all(map(isolation.has_no_young_run, used)):
             return WaitReason.SUSPECT
@@ -169,17 +158,6 @@
             planning.add_start(step, index, run, worker_key, advice)
         return None
 
-    def _keep_for_tickets(
-        self, workers: list[TrackedWorker], isolation: Isolation
-    ) -> None:
-        """Keep workers for a while that were set apart until a suspect fits on them."""
-        names = [worker.spec.id for worker in workers]
-        if not isolation.previous.issuperset(names):
-            return
-        since = [self._kept_since.setdefault(name, isolation.now) for name in names]
-        if isolation.now - min(since) < TICKET_WAIT_S:
-            isolation.take(workers)
-
 
 def _isolate_full_worker(
     spec: StepSpec,
@@ -201,6 +179,12 @@
         isolation.take(full[:1])
 
 
+def _keep_worker(workers: list[TrackedWorker], isolation: Isolation) -> None:
+    """Keep workers set apart that were so until a suspect fits on them."""
+    if isolation.previous.issuperset(worker.spec.id for worker in workers):
+        isolation.take(workers)
+
+
 def _choose_few_workers(
     spec: StepSpec, count: int, candidates: list[Candidate]
 ) -> list[Candidate] | None:
--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -8,7 +8,7 @@
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.dispatch.test_planner import NOW, Cell, list_jobs
 from tests.dispatch.test_quotas import QuotaCell
-from tests.workflow.factories import create_step
+from tests.workflow.factories import ADVISOR, create_queue, create_step
 
 FAILED = workflow_commands.RunOutcome.FAILED
 SILENCE_S = 2.5
@@ -106,3 +106,39 @@
     cell.submit([create_step(3, cpu=1000, gang=True)], workspace="a")
     job = cell.submit([create_step(2, estimate_ms=5000)], workspace="a")
     assert list_jobs(cell.plan_and_start()) == [job] * 2
+
+
+@pytest.fixture
+def advised_cell():
+    """A cell with a queue whose advisor does not answer."""
+    queues = [create_queue(), create_queue("a", advisor=ADVISOR, priority=0)]
+    return Cell(queues=queues)
+
+
+def expire_advice(cell, job):
+    advice = cell.advice.get_step_advice((job, 0, 0))
+    advice.evaluated = {worker.spec.key for worker in cell.workers.values()}
+    advice.tickets = dict.fromkeys(advice.evaluated, ("t", 0.0))
+
+
+def plan_for(cell, seconds):
+    """Plan ten times a second until something can start; return when, and the jobs."""
+    for tenth in range(10 * seconds):
+        now = NOW + tenth / 10
+        for worker in cell.workers.values():
+            worker.last_response_at = now
+        planned = cell.plan(now)
+        if planned:
+            return now - NOW, [item.start.task.workflow for item in planned]
+    return seconds, []
+
+
+# Guards against room that no step may use while the advisor of another one is down.
+@pytest.mark.parametrize("gang", [False, True], ids=["tasks", "gang"])
+def test_room_is_kept_for_missing_tickets_for_a_while_only(advised_cell, gang):
+    first = advised_cell.submit([create_step(3, cpu=4000, gang=gang)], queue="a")
+    second = advised_cell.submit([create_step(3, cpu=4000)])
+    expire_advice(advised_cell, first)
+    waited_s, jobs = plan_for(advised_cell, 60)
+    assert jobs == [second] * 3
+    assert 1.0 < waited_s < 5.0
--- a/tests/dispatch/test_suspects.py
+++ b/tests/dispatch/test_suspects.py
@@ -4,11 +4,8 @@
 
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.dispatch.planning_round import WaitReason
-from bluebellyoke.dispatch.suspects import (
-    MAX_SUSPECTS_PER_ROUND,
-    RENEWED_SUSPECTS,
-    TICKET_WAIT_S,
-)
+from bluebellyoke.dispatch.step_tickets import TICKET_WAIT_S
+from bluebellyoke.dispatch.suspects import MAX_SUSPECTS_PER_ROUND, RENEWED_SUSPECTS
 from bluebellyoke.dispatch.tracked_run import RunPhase
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.dispatch.test_planner import NOW, Cell, list_jobs
