Keep quota for a gang of suspects too

What callers saw: a gang that was young at a crash never starts again while smaller tasks of its workspace wait. Cause: a gang that waits for its quota keeps it from the steps behind it, but a gang of suspects, which is planned apart, did not. Smaller tasks took what each ended run gave back. Change: a gang of suspects keeps quota as any other gang does. Evidence: test_quota_is_kept_for_a_gang_of_suspects, which failed before.

--- a/src/bluebellyoke/dispatch/suspects.py
+++ b/src/bluebellyoke/dispatch/suspects.py
@@ -76,6 +76,7 @@
                 continue
             if not planning.quotas.allows(step):
                 planning.wait_reasons[step.key] = WaitReason.QUOTA
+                planning.quotas.keep(step)
                 continue
             seen += 1
             if step.key in paused:
--- a/tests/dispatch/test_suspects.py
+++ b/tests/dispatch/test_suspects.py
@@ -9,6 +9,7 @@
 from bluebellyoke.dispatch.tracked_run import RunPhase
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.dispatch.test_planner import NOW, Cell, list_jobs
+from tests.dispatch.test_quotas import QuotaCell
 from tests.workflow.factories import (
     ADVISOR,
     create_queue,
@@ -186,3 +187,20 @@
         planned.append(emptied_cell.plan(now))
     assert planned[:-2] == [[]] * (len(planned) - 2)
     assert [x.start.task.workflow for x in planned[-1]] == [emptied_cell.other]
+
+
+# Guards against a gang of suspects that waits for ever for the quota of its workspace,
+# as smaller tasks take what each ended run gives back.
+def test_quota_is_kept_for_a_gang_of_suspects():
+    cell = QuotaCell({"a": 4000})
+    cell.submit([create_step(4)], workspace="a")
+    cell.plan_and_start()
+    gang = cell.submit([create_step(3, gang=True)], workspace="a")
+    cell.submit([create_step(9)], workspace="a")
+    blame(cell, gang)
+    for _ in range(2):
+        cell.end_runs(1)
+        assert cell.plan_and_start() == ()
+    assert cell.planner.wait_reasons[(gang, 0, 0)] is WaitReason.QUOTA
+    cell.end_runs(1)
+    assert [x.start.task.workflow for x in cell.plan(NOW + 1)] == [gang] * 3
