Ask again about a step for which the advisor has allowed no worker

What callers saw: a step waits without an end with the reason `no-worker`, although the pool is idle. Cause: the advisor's reply counts for good. If one reply names none of the workers that may run the step, e.g. as it was cut short, nothing asks again. Change: a step without any ticket asks about all workers again 10 s after its last such call. A step that no worker may run costs the advisor one round of calls in that time. Evidence: test_step_without_any_allowed_worker_asks_again, which failed before.

--- a/src/bluebellyoke/dispatch/advice.py
+++ b/src/bluebellyoke/dispatch/advice.py
@@ -36,6 +36,10 @@
 NEW_WORKERS_DIVISOR = 4
 ASK_INTERVAL_CALLS = 4
 
+#: Time after the last call about new workers from which a step without any ticket asks
+#: about all workers again, in seconds. A faulty reply would stand for ever otherwise.
+REASK_INTERVAL_S = 10.0
+
 #: Time before its expiry from which a ticket is no longer used, in seconds.
 TICKET_EXPIRY_MARGIN_S = 0.12
 
@@ -226,6 +230,13 @@
             advice.asked_at = self._now
             self._queue(step, selected, spec, rank, is_renewal=False)
 
+    def forget_refusals(self, step: StepKey) -> None:
+        """Forget after a while that the advisor has allowed no worker for a step."""
+        advice = self.get_step_advice(step)
+        is_due = self._now >= advice.asked_at + REASK_INTERVAL_S
+        if is_due and not advice.tickets and not advice.pending:
+            advice.evaluated.clear()
+
     def renew(
         self,
         step: StepKey,
--- a/src/bluebellyoke/dispatch/step_tickets.py
+++ b/src/bluebellyoke/dispatch/step_tickets.py
@@ -68,6 +68,7 @@
         label = step.spec.required_label
         if advice.is_evaluating:
             return
+        self._advice.forget_refusals(step.key)
         if planning.list_worker_keys(pool, label) <= advice.evaluated:
             return
         unknown = [
--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -142,3 +142,21 @@
     waited_s, jobs = plan_for(advised_cell, 60)
     assert jobs == [second] * 3
     assert 1.0 < waited_s < 5.0
+
+
+# Guards against a step that waits for ever once a reply of the advisor has allowed none
+# of its workers, as nothing asks again.
+def test_step_without_any_allowed_worker_asks_again(advised_cell):
+    job = advised_cell.submit([create_step(1)], queue="a")
+    advice = advised_cell.advice.get_step_advice((job, 0, 0))
+    advice.evaluated = {worker.spec.key for worker in advised_cell.workers.values()}
+    advice.asked_at = NOW
+    advised_cell.advice.tick(NOW)
+    advised_cell.plan(NOW)
+    assert not advice.pending
+    for second in range(30):
+        for worker in advised_cell.workers.values():
+            worker.last_response_at = NOW + second
+        advised_cell.advice.tick(NOW + second)
+        advised_cell.plan(NOW + second)
+    assert advice.pending == {x.spec.key for x in advised_cell.workers.values()}
