Prefer other workers after one has refused a step as malformed

What callers saw: a step never starts, with the reason `refused`, while one worker refuses all starts as malformed and others are idle. Cause: after a pause of 0.7 s the step was planned on the same worker, which still was the tightest fit. Change: for 10 s after a refusal the tasks of the step avoid the worker of their last run, as failed tasks do, if there is another one. Evidence: test_refused_task_runs_on_another_worker, for tasks and for a gang, which failed before.

--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -29,6 +29,7 @@
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.specs import StepSpec
 from bluebellyoke.workflow.store import WorkflowStore
+from bluebellyoke.workflow.workflow import TaskProgress
 
 __all__ = ["Planner"]
 
@@ -39,6 +40,9 @@
 #: Pause between two starts of a step that workers refuse as malformed, in seconds.
 REFUSED_PAUSE_S = 0.7
 
+#: Time after such a refusal for which other workers are preferred, in seconds.
+REFUSED_AVOID_S = 10.0
+
 #: Number of starts after which a round plans no further step.
 MAX_STARTS_PER_ROUND = 400
 
@@ -73,18 +77,21 @@
         self._orders = tuple(orders)
         self._steps = WaitingSteps()
         self._paused_until: dict[StepKey, float] = {}
+        self._refused_until: dict[StepKey, float] = {}
         self.wait_reasons: dict[StepKey, WaitReason] = {}
 
     def reset(self) -> None:
         """Forget what is known of the store, whose changes may have been missed."""
         self._steps = WaitingSteps()
         self._paused_until.clear()
+        self._refused_until.clear()
         self._suspects.reset()
         self.wait_reasons = {}
 
     def pause(self, step: StepKey, now: float) -> None:
         """Plan a step that a worker has refused as malformed only some time later."""
         self._paused_until[step] = now + REFUSED_PAUSE_S
+        self._refused_until[step] = now + REFUSED_AVOID_S
 
     def plan(
         self,
@@ -110,9 +117,8 @@
         if len(waiting) > RENEWED_STEPS:
             # Computed before any start, so that it is an upper bound during the round.
             planning.get_max_free()
-        self._paused_until = {
-            step: until for step, until in self._paused_until.items() if now < until
-        }
+        self._paused_until = _keep_current(self._paused_until, now)
+        self._refused_until = _keep_current(self._refused_until, now)
         self._suspects.plan(
             store, self._steps.list_suspects(), planning, self._paused_until
         )
@@ -243,14 +249,10 @@
     def _choose_gang_workers(
         self, step: WaitingStep, candidates: list[Candidate]
     ) -> list[Candidate] | None:
-        """Return workers for a gang, if possible without those where a task failed."""
-        failed_on = {task.worker for task in step.tasks if task.failures}
-        if failed_on:
-            others = [
-                candidate
-                for candidate in candidates
-                if candidate.worker not in failed_on
-            ]
+        """Return workers for a gang, if possible without those to avoid."""
+        avoided = {self._find_avoided(step, task) for task in step.tasks} - {""}
+        if avoided:
+            others = [x for x in candidates if x.worker not in avoided]
             chosen = select_gang_workers(step.spec, others)
             if chosen is not None:
                 return chosen
@@ -277,7 +279,7 @@
                 reason = reason or WaitReason.QUOTA
                 break
             task = tasks[index]
-            candidate = ranked.take(avoid=task.worker if task.failures else "")
+            candidate = ranked.take(avoid=self._find_avoided(step, task))
             if candidate is None:
                 reason = reason or _explain_lack(workers, candidates)
                 break
@@ -296,6 +298,16 @@
             planning.wait_reasons[step.key] = reason
         return reason is None
 
+    def _find_avoided(self, step: WaitingStep, task: TaskProgress) -> str:
+        """Return the worker on which a task has failed or was refused, if any."""
+        is_avoided = task.failures or step.key in self._refused_until
+        return task.worker if is_avoided else ""
+
+
+def _keep_current(times: dict[StepKey, float], now: float) -> dict[StepKey, float]:
+    """Return the times that have not been reached."""
+    return {step: until for step, until in times.items() if now < until}
+
 
 def _can_ever_fit(spec: StepSpec, planning: PlanningRound) -> bool:
     """Return whether a task of a step may fit on an idle worker."""
--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -4,6 +4,7 @@
 
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.dispatch import workers as tracked_workers
+from bluebellyoke.dispatch.planner import REFUSED_PAUSE_S
 from bluebellyoke.dispatch.tracked_run import RunPhase
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.dispatch.test_planner import NOW, Cell, list_jobs
@@ -160,3 +161,20 @@
         advised_cell.advice.tick(NOW + second)
         advised_cell.plan(NOW + second)
     assert advice.pending == {x.spec.key for x in advised_cell.workers.values()}
+
+
+# Guards against a step that is planned on the same worker again and again, although
+# only this worker refuses it as malformed.
+@pytest.mark.parametrize("gang", [False, True], ids=["tasks", "gang"])
+def test_refused_task_runs_on_another_worker(gang):
+    cell = Cell()
+    job = cell.submit([create_step(1, gang=gang)])
+    (first,) = cell.plan_and_start()
+    never_started = workflow_commands.RunOutcome.NEVER_STARTED
+    end = workflow_commands.RunEnd(first.task, first.run, never_started)
+    cell.store.apply(workflow_commands.RecordEnds(ends=(end,)))
+    cell.workers[first.worker].drop_run((first.task, first.run))
+    cell.planner.pause((job, 0, 0), NOW)
+    assert cell.plan(NOW + 0.1) == []
+    (second,) = cell.plan(NOW + REFUSED_PAUSE_S)
+    assert second.start.worker != first.worker
