Keep quota for a large task that has waited ten seconds for it

What callers saw: a task never starts, with the reason `quota`, while smaller tasks of its workspace start one after the other. Cause: quota was kept for gangs only. A task that needs more than one ended run gives back finds it taken by smaller tasks behind it each time. Change: a step that has waited 10 s for its quota keeps what one of its tasks needs, as a gang does. Before that smaller tasks use what it cannot use. Evidence: test_large_task_gets_its_quota_in_the_end, which failed before for the large task and passed for one of the usual size.

--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -43,6 +43,10 @@
 #: Time after such a refusal for which other workers are preferred, in seconds.
 REFUSED_AVOID_S = 10.0
 
+#: Time for which a step that is no gang waits for its quota before the steps behind it
+#: leave it quota, in seconds. Smaller ones use what it cannot use meanwhile.
+QUOTA_WAIT_S = 10.0
+
 #: Number of starts after which a round plans no further step.
 MAX_STARTS_PER_ROUND = 400
 
@@ -78,6 +82,7 @@
         self._steps = WaitingSteps()
         self._paused_until: dict[StepKey, float] = {}
         self._refused_until: dict[StepKey, float] = {}
+        self._quota_waits: dict[StepKey, float] = {}
         self.wait_reasons: dict[StepKey, WaitReason] = {}
 
     def reset(self) -> None:
@@ -85,6 +90,7 @@
         self._steps = WaitingSteps()
         self._paused_until.clear()
         self._refused_until.clear()
+        self._quota_waits.clear()
         self._suspects.reset()
         self.wait_reasons = {}
 
@@ -138,6 +144,7 @@
     ) -> None:
         """Plan the waiting steps in their order, up to the maximum of starts."""
         head_steps = 0
+        quota_waits: dict[StepKey, float] = {}
         for step in waiting:
             if len(planning.starts) >= MAX_STARTS_PER_ROUND:
                 planning.wait_reasons.setdefault(step.key, WaitReason.MAX_STARTS)
@@ -149,11 +156,15 @@
             # advisor, and leaves the places at the head to others.
             if not planning.quotas.allows(step):
                 planning.wait_reasons[step.key] = WaitReason.QUOTA
-                planning.quotas.keep(step)
+                since = self._quota_waits.get(step.key, planning.now)
+                quota_waits[step.key] = since
+                is_overdue = planning.now - since >= QUOTA_WAIT_S
+                planning.quotas.keep(step, is_overdue=is_overdue)
                 continue
             is_head = head_steps < RENEWED_STEPS and _can_ever_fit(step.spec, planning)
             head_steps += is_head
             self._plan_step(store, step, planning, is_head)
+        self._quota_waits = quota_waits
 
     def _prefetch_advice(self, store: WorkflowStore, planning: PlanningRound) -> None:
         """Request advice on steps that can begin once the placed tasks have ended."""
--- a/src/bluebellyoke/dispatch/quotas.py
+++ b/src/bluebellyoke/dispatch/quotas.py
@@ -53,20 +53,25 @@
         used, quota = self.get_used(workspace.name), self._find_quota(workspace, step)
         return count_within_quota(used, quota, step.spec.allocation, count)
 
-    def keep(self, step: WaitingStep) -> None:
+    def keep(self, step: WaitingStep, *, is_overdue: bool = False) -> None:
         """Reserve quota for a gang that waits for it; steps behind it may not use it.
 
+        The same holds for one task of another step that is overdue.
+
         Otherwise smaller tasks behind it would take up the quota that each ended run
         releases. They start nevertheless while less than half of the quota is in use,
-        and short tasks may use all of it. Quota is reserved for the first gang of a
+        and short tasks may use all of it. Quota is reserved for the first step of a
         workspace only that fits beside its long-running tasks, which do not end.
         """
         workspace = self._find_limits(step)
-        if workspace is None or not step.spec.gang or workspace.name in self._kept:
+        if workspace is None or not (step.spec.gang or is_overdue):
+            return
+        if workspace.name in self._kept:
             return
         lasting = self._store.usage.get_lasting(workspace.name)
         if has_quota_for(workspace, lasting, step.spec):
-            self._kept[workspace.name] = step.spec.allocation * step.spec.count
+            count = step.spec.count if step.spec.gang else 1
+            self._kept[workspace.name] = step.spec.allocation * count
 
     def _find_quota(self, workspace: WorkspaceSpec, step: WaitingStep) -> Resources:
         """Return the quota that a step may use."""
--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -178,3 +178,23 @@
     assert cell.plan(NOW + 0.1) == []
     (second,) = cell.plan(NOW + REFUSED_PAUSE_S)
     assert second.start.worker != first.worker
+
+
+# Guards against a large task that waits for ever for the quota of its workspace, as
+# smaller tasks behind it take what each ended run gives back.
+@pytest.mark.parametrize("large", [True, False])
+def test_large_task_gets_its_quota_in_the_end(large):
+    cell = QuotaCell({"a": 6000})
+    cell.submit([create_step(6)], workspace="a")
+    cell.plan_and_start()
+    job = cell.submit([create_step(1, cpu=3000 if large else 1000)], workspace="a")
+    cell.submit([create_step(100)], workspace="a")
+    for second in range(60):
+        for worker in cell.workers.values():
+            worker.last_response_at = NOW + second
+        cell.end_runs(1)
+        started = list_jobs(cell.plan_and_start(NOW + second))
+        if job in started:
+            break
+    assert job in started
+    assert second <= 20 if large else second == 0
--- a/tests/dispatch/test_planner.py
+++ b/tests/dispatch/test_planner.py
@@ -50,8 +50,8 @@
     def plan(self, now=NOW):
         return self.planner.plan(self.store, self.workers, now, now)
 
-    def plan_and_start(self):
-        planned = self.plan()
+    def plan_and_start(self, now=NOW):
+        planned = self.plan(now)
         starts = tuple(item.start for item in planned)
         result = self.store.apply(workflow_commands.AssignRuns(starts=starts))
         assert set(result.detail["done"]) <= {"1"}
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -1055,7 +1055,7 @@
     Case(
         "quota: a gang keeps quota from the tasks behind it",
         "dispatch/planner.py",
-        "                planning.quotas.keep(step)\n",
+        "                planning.quotas.keep(step, is_overdue=is_overdue)\n",
         "",
         "tests/dispatch/test_quotas.py",
     ),
