--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -29,6 +29,7 @@
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.specs import StepSpec
 from bluebellyoke.workflow.store import WorkflowStore
+from bluebellyoke.workflow.workflow import TaskProgress
 
 __all__ = ["Planner"]
 
@@ -39,6 +40,13 @@
 #: Pause between two starts of a step that workers refuse as malformed, in seconds.
 REFUSED_PAUSE_S = 0.7
 
+#: Time after such a refusal for which other workers are preferred, in seconds.
+REFUSED_AVOID_S = 10.0
+
+#: Time for which a step that is no gang waits for its quota before the steps behind it
+#: leave it quota, in seconds. Smaller ones use what it cannot use meanwhile.
+QUOTA_WAIT_S = 10.0
+
 #: Number of starts after which a round plans no further step.
 MAX_STARTS_PER_ROUND = 400
 
@@ -73,18 +81,23 @@
         self._orders = tuple(orders)
         self._steps = WaitingSteps()
         self._paused_until: dict[StepKey, float] = {}
+        self._refused_until: dict[StepKey, float] = {}
+        self._quota_waits: dict[StepKey, float] = {}
         self.wait_reasons: dict[StepKey, WaitReason] = {}
 
     def reset(self) -> None:
         """Forget what is known of the store, whose changes may have been missed."""
         self._steps = WaitingSteps()
         self._paused_until.clear()
+        self._refused_until.clear()
+        self._quota_waits.clear()
         self._suspects.reset()
         self.wait_reasons = {}
 
     def pause(self, step: StepKey, now: float) -> None:
         """Plan a step that a worker has refused as malformed only some time later."""
         self._paused_until[step] = now + REFUSED_PAUSE_S
+        self._refused_until[step] = now + REFUSED_AVOID_S
 
     def plan(
         self,
@@ -96,6 +109,7 @@
         """Return the starts to make now; those of a gang are next to each other."""
         self._steps.update(store, wall_time)
         self._costs.start_round(workers)
+        self._tickets.start_round(now)
         planning = PlanningRound(
             now,
             workers,
@@ -109,9 +123,8 @@
         if len(waiting) > RENEWED_STEPS:
             # Computed before any start, so that it is an upper bound during the round.
             planning.get_max_free()
-        self._paused_until = {
-            step: until for step, until in self._paused_until.items() if now < until
-        }
+        self._paused_until = _keep_current(self._paused_until, now)
+        self._refused_until = _keep_current(self._refused_until, now)
         self._suspects.plan(
             store, self._steps.list_suspects(), planning, self._paused_until
         )
@@ -131,6 +144,7 @@
     ) -> None:
         """Plan the waiting steps in their order, up to the maximum of starts."""
         head_steps = 0
+        quota_waits: dict[StepKey, float] = {}
         for step in waiting:
             if len(planning.starts) >= MAX_STARTS_PER_ROUND:
                 planning.wait_reasons.setdefault(step.key, WaitReason.MAX_STARTS)
@@ -142,11 +156,15 @@
             # advisor, and leaves the places at the head to others.
             if not planning.quotas.allows(step):
                 planning.wait_reasons[step.key] = WaitReason.QUOTA
-                planning.quotas.keep(step)
+                since = self._quota_waits.get(step.key, planning.now)
+                quota_waits[step.key] = since
+                is_overdue = planning.now - since >= QUOTA_WAIT_S
+                planning.quotas.keep(step, is_overdue=is_overdue)
                 continue
             is_head = head_steps < RENEWED_STEPS and _can_ever_fit(step.spec, planning)
             head_steps += is_head
             self._plan_step(store, step, planning, is_head)
+        self._quota_waits = quota_waits
 
     def _prefetch_advice(self, store: WorkflowStore, planning: PlanningRound) -> None:
         """Request advice on steps that can begin once the placed tasks have ended."""
@@ -228,10 +246,9 @@
         used = {worker_keys[candidate.worker] for candidate in chosen}
         if not have_tickets(advice, used, planning.now):
             planning.wait_reasons[step.key] = WaitReason.NO_TICKET
-            self._tickets.replace_expired(step, planning.now)
-            # Keep the resources free until the new tickets arrive.
-            for candidate in chosen:
-                candidate.free = candidate.free - step.spec.allocation
+            if self._tickets.replace_expired(step, planning.now):
+                for candidate in chosen:
+                    candidate.free = candidate.free - step.spec.allocation
             return False
         run = 1 + max(task.run for task in step.tasks)
         for index, candidate in zip(step.indexes, chosen, strict=True):
@@ -243,14 +260,10 @@
     def _choose_gang_workers(
         self, step: WaitingStep, candidates: list[Candidate]
     ) -> list[Candidate] | None:
-        """Return workers for a gang, if possible without those where a task failed."""
-        failed_on = {task.worker for task in step.tasks if task.failures}
-        if failed_on:
-            others = [
-                candidate
-                for candidate in candidates
-                if candidate.worker not in failed_on
-            ]
+        """Return workers for a gang, if possible without those to avoid."""
+        avoided = {self._find_avoided(step, task) for task in step.tasks} - {""}
+        if avoided:
+            others = [x for x in candidates if x.worker not in avoided]
             chosen = select_gang_workers(step.spec, others)
             if chosen is not None:
                 return chosen
@@ -270,29 +283,42 @@
         ranked = CandidateQueue(step.spec, candidates, deferred=expired)
         reason = None
         has_started = False
+        lacking = []
         allowed = planning.quotas.count_startable(step)
         for position, index in enumerate(step.indexes):
             if position >= allowed:
                 reason = reason or WaitReason.QUOTA
                 break
             task = tasks[index]
-            candidate = ranked.take(avoid=task.worker if task.failures else "")
+            candidate = ranked.take(avoid=self._find_avoided(step, task))
             if candidate is None:
                 reason = reason or _explain_lack(workers, candidates)
                 break
             worker_key = worker_keys[candidate.worker]
             if not have_tickets(advice, {worker_key}, planning.now):
                 reason = WaitReason.NO_TICKET
+                lacking.append(candidate)
                 continue
             run = tasks[index].run + 1
             planning.add_start(step, index, run, worker_key, advice)
             has_started = True
-        if reason is WaitReason.NO_TICKET:
-            self._tickets.replace_expired(step, planning.now)
+        if lacking and not self._tickets.replace_expired(step, planning.now):
+            for candidate in lacking:
+                candidate.free = candidate.free + step.spec.allocation
         if reason is not None and not has_started:
             planning.wait_reasons[step.key] = reason
         return reason is None
 
+    def _find_avoided(self, step: WaitingStep, task: TaskProgress) -> str:
+        """Return the worker on which a task has failed or was refused, if any."""
+        is_avoided = task.failures or step.key in self._refused_until
+        return task.worker if is_avoided else ""
+
+
+def _keep_current(times: dict[StepKey, float], now: float) -> dict[StepKey, float]:
+    """Return the times that have not been reached."""
+    return {step: until for step, until in times.items() if now < until}
+
 
 def _can_ever_fit(spec: StepSpec, planning: PlanningRound) -> bool:
     """Return whether a task of a step may fit on an idle worker."""
--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -4,11 +4,12 @@
 
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.dispatch import workers as tracked_workers
+from bluebellyoke.dispatch.planner import REFUSED_PAUSE_S
 from bluebellyoke.dispatch.tracked_run import RunPhase
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.dispatch.test_planner import NOW, Cell, list_jobs
 from tests.dispatch.test_quotas import QuotaCell
-from tests.workflow.factories import create_step
+from tests.workflow.factories import ADVISOR, create_queue, create_step
 
 FAILED = workflow_commands.RunOutcome.FAILED
 SILENCE_S = 2.5
@@ -106,3 +107,94 @@
     cell.submit([create_step(3, cpu=1000, gang=True)], workspace="a")
     job = cell.submit([create_step(2, estimate_ms=5000)], workspace="a")
     assert list_jobs(cell.plan_and_start()) == [job] * 2
+
+
+@pytest.fixture
+def advised_cell():
+    """A cell with a queue whose advisor does not answer."""
+    queues = [create_queue(), create_queue("a", advisor=ADVISOR, priority=0)]
+    return Cell(queues=queues)
+
+
+def expire_advice(cell, job):
+    advice = cell.advice.get_step_advice((job, 0, 0))
+    advice.evaluated = {worker.spec.key for worker in cell.workers.values()}
+    advice.tickets = dict.fromkeys(advice.evaluated, ("t", 0.0))
+
+
+def plan_for(cell, seconds):
+    """Plan ten times a second until something can start; return when, and the jobs."""
+    for tenth in range(10 * seconds):
+        now = NOW + tenth / 10
+        for worker in cell.workers.values():
+            worker.last_response_at = now
+        planned = cell.plan(now)
+        if planned:
+            return now - NOW, [item.start.task.workflow for item in planned]
+    return seconds, []
+
+
+# Guards against room that no step may use while the advisor of another one is down.
+@pytest.mark.parametrize("gang", [False, True], ids=["tasks", "gang"])
+def test_room_is_kept_for_missing_tickets_for_a_while_only(advised_cell, gang):
+    first = advised_cell.submit([create_step(3, cpu=4000, gang=gang)], queue="a")
+    second = advised_cell.submit([create_step(3, cpu=4000)])
+    expire_advice(advised_cell, first)
+    waited_s, jobs = plan_for(advised_cell, 60)
+    assert jobs == [second] * 3
+    assert 1.0 < waited_s < 5.0
+
+
+# Guards against a step that waits for ever once a reply of the advisor has allowed none
+# of its workers, as nothing asks again.
+def test_step_without_any_allowed_worker_asks_again(advised_cell):
+    job = advised_cell.submit([create_step(1)], queue="a")
+    advice = advised_cell.advice.get_step_advice((job, 0, 0))
+    advice.evaluated = {worker.spec.key for worker in advised_cell.workers.values()}
+    advice.asked_at = NOW
+    advised_cell.advice.tick(NOW)
+    advised_cell.plan(NOW)
+    assert not advice.pending
+    for second in range(30):
+        for worker in advised_cell.workers.values():
+            worker.last_response_at = NOW + second
+        advised_cell.advice.tick(NOW + second)
+        advised_cell.plan(NOW + second)
+    assert advice.pending == {x.spec.key for x in advised_cell.workers.values()}
+
+
+# Guards against a step that is planned on the same worker again and again, although
+# only this worker refuses it as malformed.
+@pytest.mark.parametrize("gang", [False, True], ids=["tasks", "gang"])
+def test_refused_task_runs_on_another_worker(gang):
+    cell = Cell()
+    job = cell.submit([create_step(1, gang=gang)])
+    (first,) = cell.plan_and_start()
+    never_started = workflow_commands.RunOutcome.NEVER_STARTED
+    end = workflow_commands.RunEnd(first.task, first.run, never_started)
+    cell.store.apply(workflow_commands.RecordEnds(ends=(end,)))
+    cell.workers[first.worker].drop_run((first.task, first.run))
+    cell.planner.pause((job, 0, 0), NOW)
+    assert cell.plan(NOW + 0.1) == []
+    (second,) = cell.plan(NOW + REFUSED_PAUSE_S)
+    assert second.start.worker != first.worker
+
+
+# Guards against a large task that waits for ever for the quota of its workspace, as
+# smaller tasks behind it take what each ended run gives back.
+@pytest.mark.parametrize("large", [True, False])
+def test_large_task_gets_its_quota_in_the_end(large):
+    cell = QuotaCell({"a": 6000})
+    cell.submit([create_step(6)], workspace="a")
+    cell.plan_and_start()
+    job = cell.submit([create_step(1, cpu=3000 if large else 1000)], workspace="a")
+    cell.submit([create_step(100)], workspace="a")
+    for second in range(60):
+        for worker in cell.workers.values():
+            worker.last_response_at = NOW + second
+        cell.end_runs(1)
+        started = list_jobs(cell.plan_and_start(NOW + second))
+        if job in started:
+            break
+    assert job in started
+    assert second <= 20 if large else second == 0
