Reserve no workers for a gang that fits only without services

Cause: a gang that finds no room reserves workers if it would fit on idle ones. A service ends only when its workflow is cancelled, so on workers with services such a gang may never start, and the workers stayed reserved in every round. Two such gangs can reserve a whole pool. Evidence: eight workers with a service of 500 mCPU each and a gang of eight tasks of 3,700 mCPU: a task of 1,000 mCPU does not start in 10 s on workers with 3,500 mCPU free. Change: the places of a gang are counted on what long-running tasks leave of a worker. The reference planner of the differential test states the same rule. Why it works: all other runs end by themselves, so a gang that reserves workers starts once they have. A service that is cancelled is no longer counted.

--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -301,12 +301,12 @@
             return
         places = {
             worker.spec.id: count_allowed(
-                step.spec, planning.find_candidate(worker), worker.spec.capacity
+                step.spec, planning.find_candidate(worker), worker.reservable
             )
             for worker in workers
         }
         if sum(places.values()) < step.spec.count:
-            # It would not fit even if these workers were idle.
+            # It would not fit even if only long-running tasks ran on these workers.
             return
         planning.reserving += 1
         missing = step.spec.count
--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -163,6 +163,7 @@
                     RunPhase.UNKNOWN,
                     now,
                     probation_s=self._context.find_probation(key),
+                    is_long_running=self._context.find_step(key).long_running,
                 )
 
     def _forget(self, worker: TrackedWorker) -> None:
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -123,6 +123,7 @@
                 now,
                 self._context.find_estimate(key),
                 self._context.find_probation(key),
+                is_long_running=self._context.find_step(key).long_running,
             )
         self._context.proposals.add(
             workflow_commands.AssignRuns(time=wall_time, starts=starts),
--- a/src/bluebellyoke/dispatch/tracked_run.py
+++ b/src/bluebellyoke/dispatch/tracked_run.py
@@ -48,6 +48,7 @@
         probation_s: Time for which it has to run before it is cleared of the crashes
             that it was in, in seconds; 0 if it is not a suspect.
         is_cleared: Whether it has outlived them.
+        is_long_running: Whether it ends only with its workflow.
         expected_end_at: Time at which the run is expected to end.
         baseline_at: Time at which `baseline_percent` of its work was done, if known.
         progressed_at: Time at which the worker first reported `percent`.
@@ -61,6 +62,7 @@
     sent_at: float | None = None
     probation_s: float = 0.0
     is_cleared: bool = False
+    is_long_running: bool = False
     expected_end_at: float = math.inf
     baseline_at: float | None = None
     baseline_percent: int = 0
--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -112,6 +112,7 @@
         unassigned_runs: Runs that the worker lists but that are not assigned to it,
             with the time at which a stop was last sent.
         allocated: Resources that the runs take up.
+        allocated_for_long: The part of them that long-running tasks take up.
     """
 
     spec: WorkerSpec
@@ -142,12 +143,18 @@
     started_at: float = 0.0
     unassigned_runs: dict[RunKey, float] = field(default_factory=dict)
     allocated: Resources = field(default_factory=Resources)
+    allocated_for_long: Resources = field(default_factory=Resources)
 
     @property
     def free(self) -> Resources:
         """Resources that no run takes up."""
         return self.spec.capacity - self.allocated
 
+    @property
+    def reservable(self) -> Resources:
+        """Resources that no long-running task takes up, so they become free in time."""
+        return self.spec.capacity - self.allocated_for_long
+
     @property
     def has_unanswered_start(self) -> bool:
         """Whether it has not responded since a start failed without a result."""
@@ -161,6 +168,8 @@
         now: float,
         estimate_s: float = 0.0,
         probation_s: float = 0.0,
+        *,
+        is_long_running: bool = False,
     ) -> None:
         """Allocate resources to a run.
 
@@ -168,11 +177,20 @@
             estimate_s: Expected duration of a run that begins without a checkpoint, in
                 seconds, or 0 if it is unknown.
             probation_s: Time for which a suspect has to run, in seconds, or 0.
+            is_long_running: Whether the run ends only with its workflow.
         """
         if key in self.runs:
             return
-        run = self.runs[key] = TrackedRun(need, phase, now, probation_s=probation_s)
+        run = self.runs[key] = TrackedRun(
+            need,
+            phase,
+            now,
+            probation_s=probation_s,
+            is_long_running=is_long_running,
+        )
         self.allocated = self.allocated + need
+        if is_long_running:
+            self.allocated_for_long = self.allocated_for_long + need
         if probation_s:
             self.suspects.add(key)
         else:
@@ -243,8 +261,11 @@
         run = self.runs.pop(key, None)
         self.suspects.discard(key)
         self.trials.discard(key)
-        if run is not None:
-            self.allocated = self.allocated - run.need
+        if run is None:
+            return
+        self.allocated = self.allocated - run.need
+        if run.is_long_running:
+            self.allocated_for_long = self.allocated_for_long - run.need
 
     def set_phase(self, key: RunKey, phase: RunPhase, now: float) -> None:
         """Change the phase of a run, if it is still assigned."""
--- a/tests/dispatch/reference_planner.py
+++ b/tests/dispatch/reference_planner.py
@@ -286,7 +286,7 @@
             return
         places = {
             worker.spec.id: count_allowed(
-                step.spec, planning.candidates[worker.spec.id], worker.spec.capacity
+                step.spec, planning.candidates[worker.spec.id], worker.reservable
             )
             for worker in workers
         }
