Show that a gang without quota beside services holds other tasks back

Callers' tasks can wait without a bound although the quota of their workspace has room: it is kept for a gang that cannot start while services use the rest.

--- a/tests/dispatch/test_reservations.py
+++ b/tests/dispatch/test_reservations.py
@@ -1,10 +1,10 @@
-"""Tests of workers that are reserved for gangs while services run on them."""
+"""Tests of workers and quota that are kept for gangs while services run."""
 
 import random
 
 import pytest
 
-from tests.dispatch.faulty_cell import FaultyCell
+from tests.dispatch.faulty_cell import QUEUES, FaultyCell
 from tests.workflow.factories import create_spec, create_step
 
 #: Workers of the pool.
@@ -45,3 +45,20 @@
         cell.submit(create_spec(f"{number:016x}", [create_step(4, cpu=1700)]))
         run(cell, 0.5)
     assert cell.store.workflows[f"{3:016x}"].outcome == "completed"
+
+
+QUOTA = 10_000
+
+
+# Guards against tasks that wait without a bound although their quota has room: a gang
+# that fits into the quota only without the services kept the rest of it from others.
+def test_gang_without_quota_beside_services_holds_no_task_back(cell):
+    cell.configure(QUEUES, (QUOTA, 0))
+    service = create_step(POOL_SIZE, cpu=700, max_per_worker=1, long_running=True)
+    for number, step in enumerate(
+        [service, create_step(5, cpu=1000, gang=True), create_step(1, cpu=1000)], 2
+    ):
+        cell.submit(create_spec(f"{number:016x}", [step], workspace="ws0"))
+        run(cell, 1.0)
+    run(cell, 10.0)
+    assert cell.store.workflows[f"{4:016x}"].outcome == "completed"
