Keep no quota for a gang that fits only without services

Cause: the rest of a quota is kept for a gang that waits for it if the gang fits into the whole quota. While services of the workspace use part of it, such a gang may never start. Once they use half of the quota, no task behind the gang starts either, but for short ones. Evidence: a quota of 10,000 mCPU, services of 5,600 and a gang of 5,000: a task of 1,000 mCPU waits for 20 s in the simulation, until its end. Change: quota is kept for a gang only if it fits beside the long-running tasks of its workspace. The usage of the workspaces counts these. Why it works: all other runs end by themselves, so a gang that quota is kept for starts once they have.

Measured: the test of test_reservations.py failed before and passes now; the tests of quotas, of the fair order and of tests/workflow passed.

--- a/src/bluebellyoke/dispatch/quotas.py
+++ b/src/bluebellyoke/dispatch/quotas.py
@@ -59,12 +59,14 @@
         Otherwise smaller tasks behind it would take up the quota that each ended run
         releases. They start nevertheless while less than half of the quota is in use,
         and short tasks may use all of it. Quota is reserved for the first gang of a
-        workspace only.
+        workspace only, and only if it fits beside the long-running tasks, which need
+        not end.
         """
         workspace = self._find_limits(step)
         if workspace is None or not step.spec.gang or workspace.name in self._kept:
             return
-        if has_quota_for(workspace, Resources(), step.spec):
+        lasting = self._store.usage.get_used_for_long(workspace.name)
+        if has_quota_for(workspace, lasting, step.spec):
             self._kept[workspace.name] = step.spec.allocation * step.spec.count
 
     def _find_quota(self, workspace: WorkspaceSpec, step: WaitingStep) -> Resources:
--- a/src/bluebellyoke/workflow/usage.py
+++ b/src/bluebellyoke/workflow/usage.py
@@ -16,10 +16,11 @@
 
 @dataclass(slots=True)
 class _Total:
-    """Totals of the placed runs of a workspace."""
+    """Totals of the placed runs of a workspace, and of its long-running ones."""
 
     runs: int = 0
     used: Resources = field(default_factory=Resources)
+    used_for_long: Resources = field(default_factory=Resources)
 
 
 class WorkspaceUsage:
@@ -41,6 +42,8 @@
             total = self._totals[workspace] = _Total()
         total.runs += 1
         total.used = total.used + step.allocation
+        if step.long_running:
+            total.used_for_long = total.used_for_long + step.allocation
 
     def release(self, workspace: str, step: StepSpec) -> None:
         """Subtract a run of a step that takes up nothing any longer."""
@@ -48,14 +51,21 @@
         total.runs -= 1
         if not total.runs:
             del self._totals[workspace]
-        else:
-            total.used = total.used - step.allocation
+            return
+        total.used = total.used - step.allocation
+        if step.long_running:
+            total.used_for_long = total.used_for_long - step.allocation
 
     def get_used(self, workspace: str) -> Resources:
         """Return the resources that the runs of a workspace take up."""
         total = self._totals.get(workspace)
         return total.used if total is not None else Resources()
 
+    def get_used_for_long(self, workspace: str) -> Resources:
+        """Return what the long-running tasks of a workspace take up."""
+        total = self._totals.get(workspace)
+        return total.used_for_long if total is not None else Resources()
+
     def count_runs(self, workspace: str) -> int:
         """Return the number of placed runs of a workspace."""
         total = self._totals.get(workspace)
