Show that hours of failures overflow the length of a pause

An advisor that is away, or a worker that fails all it runs, for some hours makes the leader raise OverflowError.

--- a/tests/dispatch/test_advice.py
+++ b/tests/dispatch/test_advice.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from bluebellyoke.dispatch.advice import FAILURE_BACKOFF_S, AdviceManager
+from bluebellyoke.dispatch.advice import (
+    FAILURE_BACKOFF_S,
+    MAX_FAILURE_BACKOFF_S,
+    AdviceManager,
+)
 from bluebellyoke.instance import wire
 from tests.workflow.factories import ADVISOR
 
@@ -208,6 +212,22 @@
     )
 
 
+# Guards against a leader that ends: the pause after 1,024 failures in a row, which an
+# advisor that is away for some hours causes, was too large for a number.
+def test_instance_is_used_again_after_hours_without_an_advisor():
+    instances = Instances(1)
+    instances.request()
+    now = 0.0
+    for _ in range(1100):
+        now += 2 * MAX_FAILURE_BACKOFF_S
+        instances.advice.tick(now)
+        instances.reply(None, now)
+    now += MAX_FAILURE_BACKOFF_S
+    instances.advice.tick(now)
+    instances.reply({"w1": "t"}, now)
+    assert instances.advice.get_step_advice(STEP).is_ticket_valid(("w1", 1), now)
+
+
 def test_instance_that_has_failed_is_used_after_sound_ones(instances):
     instances.request()
     ((failed, _),) = instances.list_calls()
--- a/tests/dispatch/test_quarantine.py
+++ b/tests/dispatch/test_quarantine.py
@@ -72,3 +72,14 @@
     assert worker.quarantines == 2
     assert not can_accept_tasks(worker, retried_at + 0.2 + QUARANTINE_INITIAL_S)
     assert can_accept_tasks(worker, retried_at + 0.2 + 2 * QUARANTINE_INITIAL_S)
+
+
+# Guards against a leader that ends: the length of the 1,025th quarantine in a row,
+# which a broken worker reaches within hours, was too large for a number.
+def test_quarantine_of_a_worker_that_fails_for_hours_keeps_its_maximum(worker):
+    now = NOW
+    for _ in range(1100):
+        now += QUARANTINE_MAX_S
+        fail_workflows(worker, now)
+    assert not can_accept_tasks(worker, now + QUARANTINE_MAX_S - 0.1)
+    assert can_accept_tasks(worker, now + QUARANTINE_MAX_S)
