--- a/tests/dispatch/test_bounded_waits.py
+++ b/tests/dispatch/test_bounded_waits.py
@@ -7,7 +7,7 @@
 from bluebellyoke.dispatch.planner import REFUSED_PAUSE_S
 from bluebellyoke.dispatch.tracked_run import RunPhase
 from bluebellyoke.workflow import commands as workflow_commands
-from tests.dispatch.test_planner import NOW, Cell, list_jobs
+from tests.dispatch.test_planner import NOW, Cell, fail_run, list_jobs
 from tests.dispatch.test_quotas import QuotaCell
 from tests.workflow.factories import ADVISOR, create_queue, create_step
 
@@ -198,3 +198,43 @@
             break
     assert job in started
     assert second <= 20 if large else second == 0
+
+
+# Guards against a failed task that waits on for the worker to avoid, or for tickets of
+# the others that nobody asks for.
+def test_failed_task_asks_for_the_tickets_of_other_workers(advised_cell):
+    job = advised_cell.submit([create_step(1)], queue="a")
+    expire_advice(advised_cell, job)
+    advice = advised_cell.advice.get_step_advice((job, 0, 0))
+    advice.tickets[("w1", 1)] = ("t", NOW + 10.0)
+    (first,) = advised_cell.plan_and_start()
+    assert first.worker == "w1"
+    fail_run(advised_cell, first)
+    assert advised_cell.plan() == []
+    assert advice.pending >= {("w2", 1), ("w3", 1)}
+    advice.tickets[("w3", 1)] = ("t", NOW + 10.0)
+    assert [x.start.worker for x in advised_cell.plan()] == ["w3"]
+
+
+# Guards against a gang that waits for ever, as short tasks use the workers that it has
+# reserved, one after the other.
+def test_gang_starts_in_a_stream_of_short_tasks():
+    cell = Cell(workers=1, cpu=2000)
+    cell.submit([create_step(2, estimate_ms=600.0)])
+    running = list(cell.plan_and_start())
+    gang = cell.submit([create_step(2, gang=True)])
+    for tenth in range(600):
+        now = NOW + tenth / 10
+        cell.workers["w1"].last_response_at = now
+        cell.submit([create_step(1, estimate_ms=600.0)])
+        if tenth % 3 == 0:
+            start = running.pop(0)
+            done = workflow_commands.RunOutcome.DONE
+            end = workflow_commands.RunEnd(start.task, start.run, done)
+            cell.store.apply(workflow_commands.RecordEnds(time=now, ends=(end,)))
+            cell.workers["w1"].drop_run((start.task, start.run))
+        started = cell.plan_and_start(now)
+        if gang in list_jobs(started):
+            return
+        running += started
+    raise AssertionError("the gang did not start in 60 s")
--- a/tests/dispatch/test_suspects.py
+++ b/tests/dispatch/test_suspects.py
@@ -204,3 +204,21 @@
     assert cell.planner.wait_reasons[(gang, 0, 0)] is WaitReason.QUOTA
     cell.end_runs(1)
     assert [x.start.task.workflow for x in cell.plan(NOW + 1)] == [gang] * 3
+
+
+# Guards against a gang larger than the share of its pool that may be used for suspects,
+# which waits for ever while smaller suspects behind it are started.
+def test_large_gang_of_suspects_starts_once_no_other_suspect_runs():
+    cell = Cell(workers=4)
+    probation = workflow_commands.TaskName("running", 0, 0, 0)
+    cell.workers["w1"].add_run(
+        (probation, 2), Resources(100), RunPhase.STARTED, NOW, probation_s=1.0
+    )
+    gang = cell.submit([create_step(3, cpu=4000, gang=True)])
+    small = cell.submit([create_step(1)])
+    blame(cell, gang, small)
+    assert cell.plan_and_start() == ()
+    assert set(cell.planner.wait_reasons.values()) == {WaitReason.SUSPECT}
+    cell.workers["w1"].clear_suspects({(probation, 2)}, NOW + 1.0)
+    started = [x.start.task.workflow for x in cell.plan(NOW + 1.0)]
+    assert started[:3] == [gang] * 3
