--- a/tests/dispatch/test_command_order.py
+++ b/tests/dispatch/test_command_order.py
@@ -98,6 +98,16 @@
     assert find_calls(simulation, "start") == []
 
 
+# Guards against the same if the leader's record of the worker does not tell that its
+# removal is proposed.
+def test_start_depends_on_the_replicated_state_alone(simulation):
+    propose_start(simulation)
+    simulation.proposals.add(workflow_commands.RemoveWorker(worker="w1", incarnation=1))
+    commit_one_entry(simulation)
+    assert find_calls(simulation, "start") == []
+    assert simulation.dispatcher.workers["w1"].runs == {}
+
+
 # Guards against a gang that runs without one of its tasks: its other tasks were started
 # after the worker of one had been removed in the same entry.
 def test_gang_is_started_again_if_one_of_its_workers_was_removed_at_once():
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -42,6 +42,56 @@
 
 
 CASES = [
+    Case(
+        "a poll whose event is lost counts as unanswered",
+        "dispatch/polls.py",
+        "worker.poll_sent_at is not None and now - worker.poll_sent_at > LOST_POLL_S",
+        "False",
+        "tests/dispatch/test_lost_events.py",
+    ),
+    Case(
+        "a start whose event is lost counts as unanswered",
+        "dispatch/starts.py",
+        "            and now - run.sent_at > LOST_START_S\n",
+        "            and False\n",
+        "tests/dispatch/test_lost_events.py",
+    ),
+    Case(
+        "an order of a pace whose event is lost counts as unanswered",
+        "dispatch/pace_orders.py",
+        "paced.sent_at is not None and now - paced.sent_at > LOST_ORDER_S",
+        "False",
+        "tests/dispatch/test_pacing.py -k event_of_an_order",
+    ),
+    Case(
+        "a run that its log entry has ended is not started",
+        "dispatch/starts.py",
+        "        return (start.task, start.run) in self._context.store.runs.get("
+        "worker_key, {})\n",
+        "        return True\n",
+        "tests/dispatch/test_command_order.py",
+    ),
+    Case(
+        "no run is started on a worker whose removal is proposed",
+        "dispatch/starts.py",
+        "            elif worker.is_being_removed:\n",
+        "            elif False:\n",
+        "tests/dispatch/test_command_order.py",
+    ),
+    Case(
+        "a worker is tracked afresh after its removal",
+        "dispatch/registry.py",
+        "            self._drop_removed(worker)\n",
+        "",
+        "tests/dispatch/test_command_order.py",
+    ),
+    Case(
+        "the tracked runs are compared with the replicated state",
+        "dispatch/polls.py",
+        "        repair_runs(self._context, worker, now)\n",
+        "",
+        "tests/dispatch/test_run_check.py",
+    ),
     Case(
         "runs that were young at a crash are suspects",
         "dispatch/crashes.py",
@@ -803,7 +853,8 @@
     Case(
         "a late response to a poll starts no second poll",
         "dispatch/polls.py",
-        "        if event.is_late:\n            return\n",
+        "        if event.is_late or sent_at is None or event.sent_at < sent_at:\n"
+        "            return False\n",
         "",
         "tests/dispatch -k late_response_starts_no_second_poll",
     ),
