Leave out only the odd row of the advisor's response

One row of the advisor that was no worker with a ticket made the whole response invalid, so the step got no advice and waited. A row of another type, such as a number in place of a ticket, was taken as text.

The rows were translated in one expression, with str() for each value.

The new tests failed before. Each row is checked by itself now.

--- a/src/bluebellyoke/platform/clients.py
+++ b/src/bluebellyoke/platform/clients.py
@@ -1,7 +1,7 @@
 """HTTP clients of the platform's workers and of its advisor."""
 
 from collections.abc import Mapping
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -133,6 +133,13 @@
         await self._caller.close()
 
 
+class Advice(msgspec.Struct):
+    """Response of the advisor."""
+
+    # Rows of worker and ticket.
+    Allowed: tuple[Any, ...]
+
+
 class PlatformAdvisor(Advisor):
     """Client of the platform's advisor.
 
@@ -158,9 +165,9 @@
         if response.status != 200:
             raise AdvisorBusyError(f"status {response.status}")
         try:
-            rows = msgspec.json.decode(response.content)["Allowed"]
-            return {str(row[0]): str(row[1]) for row in rows}
-        except (*bodies.DECODE_ERRORS, LookupError, TypeError) as error:
+            rows = msgspec.json.decode(response.content, type=Advice).Allowed
+            return dict(row[:2] for row in rows if _is_ticket(row))
+        except bodies.DECODE_ERRORS as error:
             raise AdvisorBusyError(f"invalid response: {error}") from error
 
     async def close(self) -> None:
@@ -168,6 +175,15 @@
         await self._caller.close()
 
 
+def _is_ticket(row: object) -> bool:
+    """Return whether a row of the advisor names a worker and its ticket."""
+    return (
+        isinstance(row, list)
+        and len(row) >= 2
+        and all(isinstance(item, str) for item in row[:2])
+    )
+
+
 def _find_conflict_result(
     worker: WorkerSpec, response: HttpResponse, results: Mapping[str, _Result]
 ) -> _Result:
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -325,7 +325,26 @@
         ask_once((200, body))
 
 
-@pytest.mark.parametrize("response", [(429, {}), (200, {}), (200, [1]), None])
+# Guards against a step that waits although workers may run it, because of one odd row.
+@pytest.mark.parametrize(
+    "row", [7, None, {}, [], "ab", ["i-1"], ["i-1", 7], [7, "x"], [["i-1"], "x"]]
+)
+def test_odd_row_of_the_advisor_leaves_the_others(row):
+    rows = [["i-1", "a"], row, ["i-2", "b"]]
+    assert ask_once((200, {"Allowed": rows})) == {"i-1": "a", "i-2": "b"}
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        (429, {}),
+        (200, {}),
+        (200, [1]),
+        (200, {"Allowed": {"ab": 1}}),
+        (200, {"Allowed": "ab"}),
+        None,
+    ],
+)
 def test_failed_advice_raises_an_error(response):
     with pytest.raises(AdvisorBusyError):
         ask_once(response)
