Refuse jobs with declared durations that no computation can hold

A job with an EstimateMs of 1.7e308 was accepted, and the leader ended at the first end of one of its tasks. The job was in the log, so the next leader ended as well.

The expected run time became infinite, and int() of infinity raises an OverflowError when it is recorded as a metric.

The new tests failed before. The estimate and the target of the tail latency must now be from 0 to 10**12 ms, and metrics take any value, since a log may hold such a job.

--- a/src/bluebellyoke/metrics.py
+++ b/src/bluebellyoke/metrics.py
@@ -161,7 +161,8 @@
         if histogram is None:
             histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
             self._histograms[name] = histogram
-        value = min(max(int(seconds * 1e6), LOWEST_US), HIGHEST_US)
+        # No integer stands for infinity or for NaN, which `min` leaves out as second.
+        value = int(max(LOWEST_US, min(HIGHEST_US, seconds * 1e6)))
         histogram.record_value(value)
 
     def render(self) -> str:
--- a/src/bluebellyoke/workflow/admission.py
+++ b/src/bluebellyoke/workflow/admission.py
@@ -16,6 +16,10 @@
 MAX_REPETITIONS = 10_000
 MAX_REPEATED_TASKS = 100_000
 
+#: Longest declared run time or target, in milliseconds: over 30 years. The sums and
+#: squares of larger ones are infinite.
+MAX_DURATION_MS = 10**12
+
 
 def validate_workflow(spec: WorkflowSpec) -> list[str]:
     """Return the errors of a workflow that are independent of the state of the cell."""
@@ -48,6 +52,13 @@
         errors.append("the resources must not be negative")
     if any(not 0 <= other < number for other in step.depends_on):
         errors.append("it may depend on earlier steps only")
+    if not all(
+        0 <= duration_ms <= MAX_DURATION_MS
+        for duration_ms in (step.estimate_ms, step.tail_target_ms)
+    ):
+        errors.append(
+            f"its estimate and its target must be from 0 to {MAX_DURATION_MS} ms"
+        )
     if step.max_per_worker < 0:
         errors.append("the bound for one worker must not be negative")
     return errors
--- a/tests/workflow/test_configuration.py
+++ b/tests/workflow/test_configuration.py
@@ -1,3 +1,5 @@
+import math
+
 import pytest
 
 from bluebellyoke.cell.resources import Resources
@@ -137,3 +139,20 @@
     spec = create_spec()
     long = type(spec)(id=spec.id, queue="q", payload="\u00e9" * 2001, steps=spec.steps)
     assert "4000 bytes" in validate_workflow(long)[0]
+
+
+# Guards against a job that ended the leader, and then each leader after it, when its
+# declared run time was squared or added up.
+@pytest.mark.parametrize("value", [-1.0, 1e12 + 1, 1e308, math.inf, math.nan])
+@pytest.mark.parametrize("field", ["estimate_ms", "tail_target_ms"])
+def test_job_with_an_impossible_duration_is_refused(field, value):
+    spec = create_spec(steps=[create_step(**{field: value})])
+    (error,) = validate_workflow(spec)
+    assert "must be from 0 to" in error
+
+
+@pytest.mark.parametrize("field", ["estimate_ms", "tail_target_ms"])
+def test_job_with_a_duration_at_the_limits_is_accepted(field):
+    for value in (0.0, 1e12):
+        spec = create_spec(steps=[create_step(**{field: value})])
+        assert validate_workflow(spec) == []
