Bound the number of doublings of a pause

The leader raised OverflowError once calls of an instance to the advisor had failed 1,024 times in a row, or a worker had been quarantined 1,025 times without a run that is done: at 8 s each, some hours of an advisor that is away or of a broken worker.

Cause: a power of two that grows with each failure was multiplied by a float before the maximum was applied, in six places. Change: one function computes the pauses of all six, and a pause doubles 64 times at most. The mutation case of the backoff names the new text. Why it works: 2 ** 64 fits in a float, and every maximum is far below it.

--- a/src/bluebellyoke/cell/jobs.py
+++ b/src/bluebellyoke/cell/jobs.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from bluebellyoke.backoff import compute_pause
 from bluebellyoke.cell.commands import JobKind, JobSpec
 from bluebellyoke.cell.resources import Resources
 
@@ -205,4 +206,4 @@
 
 def compute_backoff(failures: int) -> float:
     """Return the delay before the next start after `failures` failures, in seconds."""
-    return min(BACKOFF_INITIAL_S * 2 ** max(failures - 1, 0), BACKOFF_MAX_S)
+    return compute_pause(BACKOFF_INITIAL_S, max(failures - 1, 0), BACKOFF_MAX_S)
--- a/src/bluebellyoke/cell/workers.py
+++ b/src/bluebellyoke/cell/workers.py
@@ -10,6 +10,7 @@
 
 from dataclasses import dataclass, field
 
+from bluebellyoke.backoff import compute_pause
 from bluebellyoke.cell import crashes
 from bluebellyoke.cell.jobs import Task
 from bluebellyoke.cell.resources import Resources
@@ -123,8 +124,9 @@
         threshold = 1 if self.quarantines else QUARANTINE_FAILED_JOBS
         if len(self.failed_jobs) < threshold:
             return False
-        duration_s = QUARANTINE_INITIAL_S * 2**self.quarantines
-        self.quarantined_until = now + min(duration_s, QUARANTINE_MAX_S)
+        self.quarantined_until = now + compute_pause(
+            QUARANTINE_INITIAL_S, self.quarantines, QUARANTINE_MAX_S
+        )
         self.quarantines += 1
         self.failed_jobs.clear()
         return True
--- a/src/bluebellyoke/dispatch/advice.py
+++ b/src/bluebellyoke/dispatch/advice.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Collection, Iterable, Iterator
 from dataclasses import dataclass, field
 
+from bluebellyoke.backoff import compute_pause
 from bluebellyoke.instance import wire
 from bluebellyoke.workflow.specs import AdvisorSpec
 
@@ -143,8 +144,9 @@
 
     def record_failure(self, now: float) -> None:
         """Pause the instance after a call that failed at a monotonic time."""
-        pause_s = FAILURE_BACKOFF_S * 2**self.failures
-        self.paused_until = now + min(pause_s, MAX_FAILURE_BACKOFF_S)
+        self.paused_until = now + compute_pause(
+            FAILURE_BACKOFF_S, self.failures, MAX_FAILURE_BACKOFF_S
+        )
         self.failures += 1
 
 
--- a/src/bluebellyoke/dispatch/pace_orders.py
+++ b/src/bluebellyoke/dispatch/pace_orders.py
@@ -8,6 +8,7 @@
 import math
 from dataclasses import dataclass
 
+from bluebellyoke.backoff import compute_pause
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.events import PaceFinished
 from bluebellyoke.dispatch.ports import NotReachedError, PaceRequest, PaceResult
@@ -123,7 +124,7 @@
         if event.error is None:
             paced.retry_at = now + REFUSED_RETRY_S
             return
-        delay_s = min(FIRST_RETRY_S * 2**paced.failures, MAX_RETRY_S)
+        delay_s = compute_pause(FIRST_RETRY_S, paced.failures, MAX_RETRY_S)
         paced.failures += 1
         paced.retry_at = now + delay_s
         if not isinstance(event.error, NotReachedError):
--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -7,6 +7,7 @@
 import math
 from dataclasses import dataclass, field
 
+from bluebellyoke.backoff import compute_pause
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.dispatch.tracked_run import RunPhase, TrackedRun
 from bluebellyoke.workflow.commands import RunOutcome
@@ -295,7 +296,9 @@
             or now < self.suspect_until
         ):
             return False
-        duration_s = min(QUARANTINE_INITIAL_S * 2**self.quarantines, QUARANTINE_MAX_S)
+        duration_s = compute_pause(
+            QUARANTINE_INITIAL_S, self.quarantines, QUARANTINE_MAX_S
+        )
         self.suspect_until = max(self.suspect_until, now + duration_s)
         self.quarantines += 1
         self.trials.clear()
--- a/src/bluebellyoke/routing/breaker.py
+++ b/src/bluebellyoke/routing/breaker.py
@@ -10,6 +10,8 @@
 
 from dataclasses import dataclass
 
+from bluebellyoke.backoff import compute_pause
+
 __all__ = ["CircuitBreaker"]
 
 #: Consecutive failures that open the breaker.
@@ -67,7 +69,7 @@
         was_probing, self.probing = self.probing, False
         if self.failures < FAILURES_TO_OPEN and not was_probing:
             return False
-        pause_s = min(MIN_PAUSE_S * 2**self.pauses, MAX_PAUSE_S)
+        pause_s = compute_pause(MIN_PAUSE_S, self.pauses, MAX_PAUSE_S)
         self.open_until = now + pause_s
         self.pauses += 1
         self.failures = 0
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -187,8 +187,8 @@
     Case(
         "an instance that does not answer is paused ever longer",
         "dispatch/advice.py",
-        "        pause_s = FAILURE_BACKOFF_S * 2**self.failures\n",
-        "        pause_s = FAILURE_BACKOFF_S\n",
+        "            FAILURE_BACKOFF_S, self.failures, MAX_FAILURE_BACKOFF_S\n",
+        "            FAILURE_BACKOFF_S, 0, MAX_FAILURE_BACKOFF_S\n",
         "tests/dispatch/test_advice.py",
     ),
     Case(
