Show that a reply to a former leader counts for the present one

Each leader counts its calls to the advisor from 1, and an instance sends the reply to a call of a former leader to the present one.

--- a/tests/dispatch/test_advice.py
+++ b/tests/dispatch/test_advice.py
@@ -8,6 +8,7 @@
     AdviceManager,
 )
 from bluebellyoke.instance import wire
+from tests.dispatch.simulation import DispatcherSimulation
 from tests.workflow.factories import ADVISOR
 
 STEP = ("job", 0, 0)
@@ -270,3 +271,20 @@
         advice.tickets[worker_key] = ("t", 1.0)
         instances.renew(until=2.0 + number / 10)
     assert len(instances.list_calls()) == 2
+
+
+# Guards against a step that waits until the next change of the leader: the reply to a
+# call of a former leader counted as one about the step, and allowed it no worker.
+def test_reply_to_a_call_of_a_former_leader_is_ignored():
+    simulation = DispatcherSimulation()
+    calls = []
+    for step in (("other", 0, 0), STEP):
+        simulation.change_leader()
+        advice = simulation.dispatcher.advice
+        advice.open_session(1, calls.append)
+        advice.evaluate(step, WORKER_KEYS, ADVISOR, RANK)
+        advice.tick(simulation.now)
+    advice.receive(1, wire.AdviceReply(calls[0].id, {}), simulation.now)
+    assert advice.get_step_advice(STEP).evaluated == set()
+    advice.receive(1, wire.AdviceReply(calls[1].id, {"w1": "t"}), simulation.now)
+    assert advice.get_step_advice(STEP).evaluated == set(WORKER_KEYS)
