Number the calls to the advisor by the term of the leader

Cause: each leader numbered its calls to the advisor from 1, and an instance answers the calls of a former leader over its stream to the present one. If the present leader had a call of the same number in flight to that instance, the reply counted for it. The advisor allows other workers for another step, so workers without a ticket in it counted as evaluated and not allowed, and these are never asked about again. Evidence: test_reply_to_a_call_of_a_former_leader_is_ignored; it needs a leader that has made few calls before the next one takes over. Change: the number of a call begins with the term. Why it works: terms are unique, so a reply to another leader's call has a number that no call in flight has.

Measured: the test failed before and passes now; tests/dispatch, tests/workflow and tests/leader passed but for the known failure.

--- a/src/bluebellyoke/dispatch/advice.py
+++ b/src/bluebellyoke/dispatch/advice.py
@@ -31,6 +31,9 @@
 #: the tickets from being renewed by ever more calls about ever fewer workers.
 EXTRA_RENEWAL_CALLS = 1
 
+#: Bits of a call's ID that number the calls of a term.
+CALL_NUMBER_BITS = 32
+
 #: A call takes the advisor's time however few workers it names. So a step that has
 #: tickets asks about new workers only if there is one for each so many evaluated ones,
 #: or if its last such call was so many times the duration of a call ago.
@@ -160,6 +163,13 @@
         self._call_ids = itertools.count(1)
         self._now = 0.0
 
+    def activate(self, term: int) -> None:
+        """Number the calls so that none has the number of one of another term.
+
+        An instance also sends the replies to calls of former leaders.
+        """
+        self._call_ids = itertools.count((term << CALL_NUMBER_BITS) + 1)
+
     def clear(self) -> None:
         """Drop all advice, requests and instances."""
         self._steps.clear()
--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -139,6 +139,7 @@
         self._context.store = store
         self._context.fence = fence
         self._context.calls.term = fence
+        self.advice.activate(fence)
         self._ticked_at = self._context.now = now
         self._poll_round_due = self._plan_due = now
         self._record_cleaner.activate(now)
