--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -237,8 +237,8 @@
     Case(
         "an instance that does not answer is paused ever longer",
         "dispatch/advice.py",
-        "        pause_s = FAILURE_BACKOFF_S * 2**self.failures\n",
-        "        pause_s = FAILURE_BACKOFF_S\n",
+        "            FAILURE_BACKOFF_S, self.failures, MAX_FAILURE_BACKOFF_S\n",
+        "            FAILURE_BACKOFF_S, 0, MAX_FAILURE_BACKOFF_S\n",
         "tests/dispatch/test_advice.py",
     ),
     Case(
@@ -1124,6 +1124,41 @@
         "        if True:\n",
         "tests/dispatch/test_quotas.py",
     ),
+    Case(
+        "quota: a gang without quota beside services keeps none",
+        "dispatch/quotas.py",
+        "        if has_quota_for(workspace, lasting, step.spec):\n",
+        "        if has_quota_for(workspace, Resources(), step.spec):\n",
+        "tests/dispatch/test_reservations.py",
+    ),
+    Case(
+        "a gang without room beside services reserves no workers",
+        "dispatch/planner.py",
+        "planning.find_candidate(worker), worker.reservable\n",
+        "planning.find_candidate(worker), worker.spec.capacity\n",
+        "tests/dispatch/test_reservations.py",
+    ),
+    Case(
+        "a run that lasts prolongs no quarantine",
+        "dispatch/workers.py",
+        "            and not (self.trials and now < self.trial_end)\n",
+        "            and not self.trials\n",
+        "tests/dispatch/test_quarantine.py",
+    ),
+    Case(
+        "a worker gets one trial at a time after a quarantine",
+        "dispatch/workers.py",
+        "            and not (self.trials and now < self.trial_end)\n",
+        "",
+        "tests/dispatch/test_quarantine.py",
+    ),
+    Case(
+        "suspects of a full pool hold back no others",
+        "dispatch/suspects.py",
+        "if pool in isolation.full_pools or",
+        "if isolation.full_pools or",
+        "tests/dispatch/test_suspects.py",
+    ),
     Case(
         "quota: a wide step is divided at the fair share",
         "dispatch/fair_order.py",
