Evaluate a worker again whose ticket a renewal has left out

A step could lose an allowed worker for good: one reply to a renewal that left the worker out removed its ticket, and the worker counted as evaluated and not allowed. Change: such a worker counts as not evaluated, so the step asks about it once more while it waits. A worker that the advisor never allowed is not asked about again.

--- a/src/bluebellyoke/dispatch/advice.py
+++ b/src/bluebellyoke/dispatch/advice.py
@@ -321,8 +321,9 @@
             ticket = reply.tickets.get(worker_key[0])
             if ticket is not None:
                 advice.tickets[worker_key] = (ticket, expires_at)
-            else:
-                advice.tickets.pop(worker_key, None)
+            elif advice.tickets.pop(worker_key, None) is not None:
+                # The allowed workers never change, so the reply may be wrong.
+                advice.evaluated.discard(worker_key)
 
     def tick(self, now: float) -> None:
         """Send queued calls to idle instances."""
--- a/tests/dispatch/test_advice.py
+++ b/tests/dispatch/test_advice.py
@@ -273,6 +273,21 @@
     assert len(instances.list_calls()) == 2
 
 
+# Guards against a worker that is lost to a step for good, since one reply that should
+# have renewed its ticket left it out.
+def test_worker_that_a_renewal_leaves_out_is_evaluated_again(instances):
+    instances.request()
+    instances.reply({"w1": "t", "w2": "u"}, now=1.0)
+    instances.renew(until=5.0)
+    instances.reply({"w1": "v"}, now=5.0)
+    advice = instances.advice.get_step_advice(STEP)
+    assert advice.evaluated == {("w1", 1)}
+    instances.request(worker_keys=[("w2", 1)], now=5.0)
+    instances.reply({}, now=6.0)
+    assert advice.evaluated == set(WORKER_KEYS)
+    assert advice.tickets.keys() == {("w1", 1)}
+
+
 # Guards against a step that waits until the next change of the leader: the reply to a
 # call of a former leader counted as one about the step, and allowed it no worker.
 def test_reply_to_a_call_of_a_former_leader_is_ignored():
