Ask about all workers again if no allowed one is present, ever less often

A step whose only ticket was for a worker that had been removed never asked again, and one that no worker may run asked every 10 s without end. Change: only tickets of present workers count, and the pause doubles up to 160 s. Result: the new test failed before (0 questions in 400 s) and passes.

--- a/src/bluebellyoke/dispatch/advice.py
+++ b/src/bluebellyoke/dispatch/advice.py
@@ -42,7 +42,9 @@
 
 #: Time after the last call about new workers from which a step without any ticket asks
 #: about all workers again, in seconds. A faulty reply would stand for ever otherwise.
+#: It doubles each time, up to the maximum.
 REASK_INTERVAL_S = 10.0
+MAX_REASK_INTERVAL_S = 160.0
 
 #: Time before its expiry from which a ticket is no longer used, in seconds.
 TICKET_EXPIRY_MARGIN_S = 0.12
@@ -74,6 +76,7 @@
         pending: Workers that calls queued or in flight are about.
         renewal_calls: Number of these calls that renew tickets.
         asked_at: Monotonic time at which a call about new workers was last queued.
+        repeated_questions: Number of times that the step has asked about all again.
     """
 
     tickets: dict[WorkerKey, tuple[str, float]] = field(default_factory=dict)
@@ -81,6 +84,7 @@
     pending: set[WorkerKey] = field(default_factory=set)
     renewal_calls: int = 0
     asked_at: float = -math.inf
+    repeated_questions: int = 0
 
     @property
     def is_evaluating(self) -> bool:
@@ -242,12 +246,17 @@
             advice.asked_at = self._now
             self._queue(step, selected, spec, rank, is_renewal=False)
 
-    def forget_refusals(self, step: StepKey) -> None:
-        """Forget after a while that the advisor has allowed no worker for a step."""
+    def forget_refusals(self, step: StepKey, workers: Collection[WorkerKey]) -> None:
+        """Forget after a while that the advisor has allowed none of some workers."""
         advice = self.get_step_advice(step)
-        is_due = self._now >= advice.asked_at + REASK_INTERVAL_S
-        if is_due and not advice.tickets and not advice.pending:
+        pause_s = compute_pause(
+            REASK_INTERVAL_S, advice.repeated_questions, MAX_REASK_INTERVAL_S
+        )
+        if self._now < advice.asked_at + pause_s or advice.pending:
+            return
+        if advice.evaluated and advice.tickets.keys().isdisjoint(workers):
             advice.evaluated.clear()
+            advice.repeated_questions += 1
 
     def renew(
         self,
--- a/src/bluebellyoke/dispatch/step_tickets.py
+++ b/src/bluebellyoke/dispatch/step_tickets.py
@@ -68,8 +68,9 @@
         label = step.spec.required_label
         if advice.is_evaluating:
             return
-        self._advice.forget_refusals(step.key)
-        if planning.list_worker_keys(pool, label) <= advice.evaluated:
+        worker_keys = planning.list_worker_keys(pool, label)
+        self._advice.forget_refusals(step.key, worker_keys)
+        if worker_keys <= advice.evaluated:
             return
         unknown = [
             worker
--- a/tests/dispatch/test_advice.py
+++ b/tests/dispatch/test_advice.py
@@ -288,6 +288,23 @@
     assert advice.tickets.keys() == {("w1", 1)}
 
 
+# Guards against a step that never asks again, since its ticket is for a worker that has
+# been removed, and against ever more calls about a step that no worker may run.
+def test_step_without_a_present_allowed_worker_asks_again_ever_less_often(instances):
+    instances.request()
+    instances.reply({"w1": "t"}, now=0.0)
+    advice = instances.advice.get_step_advice(STEP)
+    asked_at = []
+    for second in range(400):
+        instances.advice.tick(float(second))
+        instances.advice.forget_refusals(STEP, {("w2", 1)})
+        if ("w2", 1) not in advice.evaluated:
+            asked_at.append(second)
+            instances.request(worker_keys=[("w2", 1)], now=float(second))
+            instances.reply({}, now=float(second))
+    assert asked_at == [10, 30, 70, 150, 310]
+
+
 # Guards against a step that waits until the next change of the leader: the reply to a
 # call of a former leader counted as one about the step, and allowed it no worker.
 def test_reply_to_a_call_of_a_former_leader_is_ignored():
