Take only the close of the last connection as the end of a process

An idle connection that a worker closes in order, a close long ago, or one after a reset still counted as proof, and a worker that had announced to leave, perhaps in an earlier life, was removed for one refusal. Then its tasks ran twice. Change: instance/peer_connections.py counts the open connections of an address. A refusal proves the end only within 2 s after the last one was closed in order, if none was reset or given up since the last response, and only to a leader that the worker has answered; a leave announcement alone proves nothing.

--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -248,7 +248,8 @@
             self._registry.remove(worker, RemovalReason.REPLACED, wall_time)
         elif isinstance(error, NotReachedError) and error.refused:
             has_failed_often = worker.failures >= REFUSALS_BEFORE_REMOVAL
-            if worker.is_leaving or (error.process_ended and has_failed_often):
+            is_expected = worker.is_leaving or has_failed_often
+            if error.process_ended and worker.has_responded and is_expected:
                 self._registry.remove(worker, RemovalReason.PROCESS_ENDED, wall_time)
 
     def _check_running(
--- a/src/bluebellyoke/instance/http_calls.py
+++ b/src/bluebellyoke/instance/http_calls.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import errno
+from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -14,6 +15,7 @@
 
 from bluebellyoke.addresses import AddressError, split_address
 from bluebellyoke.dispatch.ports import NoAnswerError, NotReachedError
+from bluebellyoke.instance.peer_connections import ConnectionLoss, PeerConnections
 
 __all__ = ["HttpCaller", "HttpResponse"]
 
@@ -39,15 +41,14 @@
     """Connection that carries one call at a time.
 
     Args:
-        on_lost: Called when the peer or the network has closed the connection, with
-            whether that was an orderly close.
+        on_lost: Called when the connection has ended.
 
     Attributes:
         idle_since: Monotonic time of the event loop at which the last call ended.
         is_reusable: Whether the connection can carry another call.
     """
 
-    def __init__(self, on_lost: Callable[[bool], None]) -> None:
+    def __init__(self, on_lost: Callable[[ConnectionLoss], None]) -> None:
         self.idle_since = 0.0
         self.is_reusable = True
         self._on_lost = on_lost
@@ -103,10 +104,14 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the call in flight."""
-        if not self._is_closed_here:
-            self._on_lost(exc is None)
+        self._on_lost(self._classify_loss(exc))
         self._fail(f"the connection was lost: {exc or 'closed by the peer'}")
 
+    def _classify_loss(self, exc: Exception | None) -> ConnectionLoss:
+        if self._is_closed_here:
+            return ConnectionLoss.CLOSED_HERE
+        return ConnectionLoss.RESET if exc is not None else ConnectionLoss.CLOSED
+
     # Callbacks of the parser.
 
     def on_body(self, chunk: bytes) -> None:
@@ -130,14 +135,11 @@
 
 
 class HttpCaller:
-    """Makes calls and keeps idle connections by address.
-
-    It also remembers the addresses whose last connection ended by an orderly close.
-    """
+    """Makes calls, and keeps idle connections and their history by address."""
 
     def __init__(self) -> None:
         self._idle: dict[str, list[_Connection]] = {}
-        self._closed: set[str] = set()
+        self._peers: dict[str, PeerConnections] = defaultdict(PeerConnections)
 
     async def post(
         self,
@@ -175,7 +177,9 @@
         except BaseException:
             connection.close()
             self._close_idle(address)
+            self._peers[address].record_failure()
             raise
+        self._peers[address].record_response()
         self._release(address, connection)
         return response
 
@@ -194,10 +198,11 @@
         except AddressError as error:
             raise NotReachedError(address, refused=False) from error
         loop = asyncio.get_running_loop()
+        peer = self._peers[address]
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(lambda x: self._record_loss(address, x)),
+                    lambda: _Connection(lambda x: peer.record_loss(x, loop.time())),
                     host,
                     port,
                 )
@@ -205,19 +210,13 @@
             raise NotReachedError(address, refused=False) from error
         except OSError as error:
             refused = error.errno == errno.ECONNREFUSED
-            process_ended = refused and address in self._closed
+            process_ended = refused and peer.has_process_ended(loop.time())
             raise NotReachedError(
                 address, refused=refused, process_ended=process_ended
             ) from error
-        self._closed.discard(address)
+        peer.record_open()
         return connection
 
-    def _record_loss(self, address: str, was_closed: bool) -> None:
-        if was_closed:
-            self._closed.add(address)
-        else:
-            self._closed.discard(address)
-
     def _take_idle(self, address: str) -> _Connection | None:
         """Return the connection used last, and close those that are idle for long."""
         connections = self._idle.get(address)
--- a/tests/dispatch/test_refused_connections.py
+++ b/tests/dispatch/test_refused_connections.py
@@ -88,3 +88,12 @@
     network.run(LeaseTimes().max_lease_s * 1.1 + 1.0)
     assert network.store.workflows[WORKFLOW].find_task(key[0]).run == 2
     assert not network.store.crashes.has_workflow(WORKFLOW)
+
+
+# Guards against the same after a late announcement that an earlier life leaves.
+def test_refusal_after_a_leave_announcement_does_not_end_the_runs(network):
+    worker = find_busy_worker(network)
+    network.dispatcher.mark_leaving(worker.spec.id)
+    network.refuse(worker.spec.id)
+    network.run(LeaseTimes().lease_s / 2)
+    assert worker.spec.id in network.store.workers
