Log the workers that the leader refuses

The instance logs what it refuses itself, but nothing told of the leader's refusals, such as a number of a report that is far ahead. Change: one line with the ID and the faults.

--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -35,6 +35,9 @@
     "the number of the report is far above that of the one before; count up by 1"
 )
 
+#: Maximum number of characters of an ID that the log shows.
+MAX_LOGGED_ID = 80
+
 #: Outcome that the log shows for the runs of a removed worker.
 LOST = "lost"
 
@@ -76,12 +79,15 @@
         """Register a worker or its new description; reply once it is committed."""
         # An instance of an earlier build forwards invalid descriptions, too.
         errors = validate_worker(spec)
-        if errors:
-            reply(refuse("malformed", "; ".join(errors)))
-            return
         known = self._context.store.workers.get(spec.id)
         if self._is_far_ahead(spec, known):
-            reply(refuse("malformed", _FAR_AHEAD_REASON))
+            errors.append(_FAR_AHEAD_REASON)
+        if errors:
+            logger.info(
+                "dispatch: refused a worker",
+                extra={"worker": spec.id[:MAX_LOGGED_ID], "faults": errors},
+            )
+            reply(refuse("malformed", "; ".join(errors)))
             return
         if self._is_outdated(spec, known):
             reply(Result(accepted=True, code="overtaken"))
