Bound the wait for a run in an unreadable row, and skip odd numbers of ends

Since unreadable rows are left out, a run whose end cannot be read kept its task for ever: the report was never complete, and the worker's lease never ended. And an end of another writer with a number far above the others was acknowledged, so the worker forgot its next ends before they were read, and done tasks ran again. Change: after 3 s the poll counts as unanswered, so that the lease ends; ends are acknowledged up to a jump of a million only. The line about unreadable rows is limited.

--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -1,10 +1,12 @@
 """Polls, which renew the workers' leases and compare their runs with the store."""
 
 import logging
+from dataclasses import replace
 
 from bluebellyoke.dispatch.calls import MAX_EVENT_DELAY_S, POLL_TIMEOUT_SLACK_S
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.events import PollFinished
+from bluebellyoke.dispatch.log_limits import LogLimit
 from bluebellyoke.dispatch.ports import (
     NoAnswerError,
     NotReachedError,
@@ -39,6 +41,13 @@
 #: Minimum time between two polls of a worker that lists an unreadable row, in seconds.
 UNREADABLE_POLL_INTERVAL_S = 0.1
 
+#: Time after which a run that is in unreadable rows only counts as lost, in seconds.
+MAX_UNREADABLE_S = 3.0
+
+#: Maximum difference between the numbers of two ends that a worker lists one after the
+#: other. A row with a higher one is not acknowledged.
+MAX_END_NUMBER_JUMP = 10**6
+
 #: Failed polls in a row after which a connection that is refused after an orderly close
 #: counts as the end of the worker's process.
 REFUSALS_BEFORE_REMOVAL = 2
@@ -73,6 +82,7 @@
         self._recorder = recorder
         self._registry = registry
         self._prober = prober
+        self._log_limit = LogLimit()
 
     def poll_if_due(self, worker: TrackedWorker, now: float, wall_time: float) -> None:
         """Send a poll or probe that is due; remove a worker whose lease has expired."""
@@ -147,11 +157,18 @@
                 extra={"worker": worker.spec.id, "failures": worker.failures},
             )
             self._context.needs_planning = True
-        if report.unreadable_rows:
+        if report.unreadable_rows and self._log_limit.allow(now):
             logger.info(
                 "dispatch: left out unreadable rows of a worker's status",
-                extra={"worker": worker.spec.id, "rows": report.unreadable_rows},
+                extra={
+                    "worker": worker.spec.id,
+                    "rows": report.unreadable_rows,
+                    "skipped": self._log_limit.pop_skipped(),
+                },
             )
+        if self._has_lost_run(worker, report, now):
+            self._fail_poll(worker, event, now, wall_time)
+            return
         worker.failures = 0
         worker.has_responded = True
         worker.last_response_at = worker.lost_at = now
@@ -164,13 +181,43 @@
         ends = self._collect_ends(worker, report)
         if report.complete:
             ends += self._resolve_missing_runs(worker, report, event.sent_at, now)
-        last_end = max(
-            (end.number for end in report.ended), default=worker.acknowledged_end
-        )
+        last_end = _find_last_end(worker, report)
         if report.acknowledgeable_end is not None:
             last_end = min(last_end, report.acknowledgeable_end)
         self._record_ends(worker, ends, last_end, event, wall_time)
 
+    def _has_lost_run(
+        self, worker: TrackedWorker, report: StatusReport, now: float
+    ) -> bool:
+        """Return whether a run has been in none but unreadable rows for too long.
+
+        Nothing tells whether it runs. Only the end of the worker's lease does.
+        """
+        is_lost = not report.complete and report.unreadable_rows
+        if is_lost:
+            listed = {(x.task, x.run) for x in (*report.running, *report.ended)}
+            is_lost = any(
+                key not in listed and run.phase is not RunPhase.STARTING
+                for key, run in worker.runs.items()
+            )
+        if not is_lost:
+            worker.unreadable_since = None
+            return False
+        if worker.unreadable_since is None:
+            worker.unreadable_since = now
+        return now - worker.unreadable_since > MAX_UNREADABLE_S
+
+    def _fail_poll(
+        self, worker: TrackedWorker, event: PollFinished, now: float, wall_time: float
+    ) -> None:
+        """Treat a poll as unanswered, so that the lease of the worker ends."""
+        self._finish_poll(worker, event)
+        if not event.is_probe:
+            cause = "a run is in unreadable rows only"
+            error = NoAnswerError(worker.spec.address, cause, timed_out=True)
+            failed = replace(event, report=None, error=error)
+            self._handle_failed_poll(worker, failed, now, wall_time)
+
     def _clear_suspects(
         self, worker: TrackedWorker, report: StatusReport, now: float
     ) -> None:
@@ -350,3 +397,17 @@
             self._recorder.commit(worker, ends, wall_time, acknowledge)
         else:
             acknowledge()
+
+
+def _find_last_end(worker: TrackedWorker, report: StatusReport) -> int:
+    """Return the number of the last end that may be acknowledged once it is committed.
+
+    A number far above the others is no worker's. If it were acknowledged, the worker
+    would forget its next ends before they are read.
+    """
+    last_end = worker.acknowledged_end
+    for number in sorted(end.number for end in report.ended):
+        if last_end and number - last_end > MAX_END_NUMBER_JUMP:
+            break
+        last_end = max(last_end, number)
+    return last_end
--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -99,6 +99,8 @@
             may have been lost.
         poll_due: Time at which the next poll may be sent.
         failures: Polls that have failed since the last response.
+        unreadable_since: Time since which a run has been in unreadable rows only, or
+            None.
         lost_at: Time at which the connection of the first of these failed. Without a
             failure, or if that poll timed out, it is the time of the last response.
         suspect_until: Time until which the worker gets no new task.
@@ -135,6 +137,7 @@
     probe_due: float = math.inf
     poll_due: float = 0.0
     failures: int = 0
+    unreadable_since: float | None = None
     lost_at: float = 0.0
     suspect_until: float = 0.0
     unanswered_start_at: float = 0.0
