--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -42,6 +42,41 @@
 
 
 CASES = [
+    Case(
+        "a refused connection alone is no proof of the end of a process",
+        "dispatch/polls.py",
+        "error.process_ended and worker.has_responded and is_expected",
+        "worker.has_responded and is_expected",
+        "tests/dispatch/test_refused_connections.py",
+    ),
+    Case(
+        "the close of an idle connection is no proof of the end of a process",
+        "instance/peer_connections.py",
+        " and not self.open and not self.is_doubtful:\n",
+        ":\n",
+        "tests/instance/test_peer_connections.py",
+    ),
+    Case(
+        "refusals until the end of the lease count as a crash",
+        "dispatch/polls.py",
+        "                if worker.is_refusing\n",
+        "                if False\n",
+        "tests/dispatch/test_crash_evidence.py",
+    ),
+    Case(
+        "a removed queue keeps its advisor and priority",
+        "workflow/queues.py",
+        "self._configured.get(name) or self._removed.get(name)",
+        "self._configured.get(name)",
+        "tests/dispatch/test_removed_queue.py",
+    ),
+    Case(
+        "a run in unreadable rows only is lost in the end",
+        "dispatch/polls.py",
+        "return now - worker.unreadable_since > MAX_UNREADABLE_S",
+        "return False",
+        "tests/dispatch/test_odd_rows.py",
+    ),
     Case(
         "a poll whose event is lost counts as unanswered",
         "dispatch/polls.py",
@@ -209,8 +244,9 @@
     Case(
         "an older report of a worker is not taken by the leader",
         "dispatch/registry.py",
-        "        newest = max(known.sequence, self._sequences.get(spec.key, 0))\n",
-        "        newest = 0\n",
+        "        newest = max(known.sequence, self._sequences.get(spec.key, 0))\n"
+        "        if known",
+        "        newest = 0\n        if known",
         "tests/dispatch/test_capacity.py",
     ),
     Case(
@@ -1133,31 +1169,31 @@
     ),
     Case(
         "a gang without room beside services reserves no workers",
-        "dispatch/planner.py",
-        "planning.find_candidate(worker), worker.reservable\n",
+        "dispatch/reservations.py",
+        "planning.find_candidate(worker), planning.find_usable(worker)\n",
         "planning.find_candidate(worker), worker.spec.capacity\n",
         "tests/dispatch/test_reservations.py",
     ),
     Case(
         "a run that lasts prolongs no quarantine",
         "dispatch/workers.py",
-        "            and not (self.trials and now < self.trial_end)\n",
-        "            and not self.trials\n",
+        "            and not (self.quarantines and self._has_trial_run(now))\n",
+        "            and not (self.quarantines and self.runs)\n",
         "tests/dispatch/test_quarantine.py",
     ),
     Case(
         "a worker gets one trial at a time after a quarantine",
         "dispatch/workers.py",
-        "            and not (self.trials and now < self.trial_end)\n",
+        "            and not (self.quarantines and self._has_trial_run(now))\n",
         "",
         "tests/dispatch/test_quarantine.py",
     ),
     Case(
         "suspects of a full pool hold back no others",
         "dispatch/suspects.py",
-        "if pool in isolation.full_pools or",
-        "if isolation.full_pools or",
-        "tests/dispatch/test_suspects.py",
+        "store.find_pool(step.workflow) in isolation.full_pools\n",
+        "bool(isolation.full_pools)\n",
+        "tests/dispatch/test_suspects.py tests/dispatch/test_suspects_of_pools.py",
     ),
     Case(
         "quota: a wide step is divided at the fair share",
