--- a/standins/platform.py
+++ b/standins/platform.py
@@ -81,8 +81,10 @@
         run_s: Run time of each task, in seconds.
         cpu_millis: CPU capacity, in millicores; it may be changed.
         deadly_text: Payload of the tasks that end its process as they start.
+        forwarder: Forwarder in front of it, whose address it announces, or None.
 
     Attributes:
+        are_heartbeats_lost: Whether its heartbeats fail; it may be changed.
         acknowledged_cpu_millis: Capacity of the latest heartbeat that was acknowledged.
         most_running: Largest number of tasks running at once since it was last set.
         has_crashed: Whether a task has ended its process.
@@ -96,6 +98,7 @@
         run_s=0.3,
         cpu_millis=4000,
         deadly_text="(deadly)",
+        forwarder=None,
     ):
         self.name = name
         self.control_addresses = itertools.cycle(control_addresses)
@@ -117,7 +120,13 @@
         self.last_blocked_run = {}
         self.ledger = []
         self.is_closed = False
+        self.are_heartbeats_lost = False
         super().__init__()
+        self.announced_address = self.address
+        if forwarder is not None:
+            forwarder.target = self.address
+            forwarder.accept()
+            self.announced_address = forwarder.address
         threading.Thread(target=self._send_heartbeats, daemon=True).start()
         threading.Thread(target=self._run_tasks, daemon=True).start()
 
@@ -244,7 +253,7 @@
         while not self.is_closed:
             heartbeat = {
                 "Service": "huvo11a",
-                "Address": self.address,
+                "Address": self.announced_address,
                 "Zone": "dc1",
                 "State": "ready",
                 "Capacity": {"Cpu": self.cpu_millis, "MemMb": 16000, "Gpu": 0},
@@ -256,6 +265,8 @@
             url = f"http://{next(self.control_addresses)}/-/instances/{self.name}"
             # After a failure the next instance is tried with the next heartbeat.
             with contextlib.suppress(*CALL_ERRORS):
+                if self.are_heartbeats_lost:
+                    raise ConnectionAbortedError("the heartbeat is lost")
                 response = httpcore.request(
                     "PUT", url, content=json.dumps(heartbeat).encode()
                 )
