Take no closed or refused connection for the end of a worker's process

Cause: a refusal after an orderly close counted as proof that the worker's process had ended, and its runs were started elsewhere. A forwarder that is restarted closes and refuses in the same way while the worker runs on.

Change: a worker is removed when its next incarnation responds or announces itself, or when its lease has ended by the slowest clock that it may have. Crashes are proved by the next incarnation alone: a worker whose lease ended is remembered with its runs for 10 s, and the next incarnation proves the crash late. Refusals until the end of the lease still make suspects, which start apart, but fail no job before the limit of five. The age of a run at a silent crash is bounded by the poll that went unanswered. `removes a worker` logs the lease that is left, the failures and whether connections were refused.

Tests: stand-ins follow the published rules where the removal at once had hidden it: the next incarnation of a crashed worker listens at its address, and a gang breaks when a member is lost.

--- a/src/bluebellyoke/dispatch/crashes.py
+++ b/src/bluebellyoke/dispatch/crashes.py
@@ -5,9 +5,15 @@
 
 from bluebellyoke.dispatch.tracked_run import RunPhase, TrackedRun
 from bluebellyoke.dispatch.workers import RemovalReason, TrackedWorker
-from bluebellyoke.workflow.commands import CrashedRun
+from bluebellyoke.workflow.commands import CrashedRun, CrashEvidence
 
-__all__ = ["SUSPECT_AGE_S", "has_crashed", "list_crashed_runs", "log_crash"]
+__all__ = [
+    "SUSPECT_AGE_S",
+    "find_evidence",
+    "is_planned_end",
+    "list_crashed_runs",
+    "log_crash",
+]
 
 logger = logging.getLogger("bluebellyoke.dispatch")
 
@@ -15,6 +21,9 @@
 #: their host down do so as they start.
 SUSPECT_AGE_S = 0.25
 
+#: Longest time from a response to the end of the next poll, in seconds.
+MAX_POLL_S = 1.35
+
 #: Phases of runs that the worker has.
 _CONFIRMED_PHASES = (RunPhase.STARTED, RunPhase.STOPPING)
 
@@ -22,13 +31,19 @@
 MAX_LOGGED_SUSPECTS = 20
 
 
-def has_crashed(worker: TrackedWorker, reason: RemovalReason) -> bool:
-    """Return whether a worker's process has ended without a notice.
+def is_planned_end(worker: TrackedWorker) -> bool:
+    """Return whether a worker has given notice of the end of its process."""
+    return worker.is_leaving or worker.spec.draining
+
+
+def find_evidence(worker: TrackedWorker, reason: RemovalReason) -> CrashEvidence:
+    """Return what tells that the process of a removed worker has ended.
 
-    A lease that has expired proves nothing: the worker may run behind a partition.
+    A lease that has ended proves nothing: the worker may run behind a partition.
     """
-    is_planned = worker.is_leaving or worker.spec.draining
-    return reason is not RemovalReason.LEASE_EXPIRED and not is_planned
+    if reason is RemovalReason.REPLACED:
+        return CrashEvidence.NEXT_INCARNATION
+    return CrashEvidence.REFUSALS if worker.is_refusing else CrashEvidence.NONE
 
 
 def list_crashed_runs(worker: TrackedWorker, now: float) -> tuple[CrashedRun, ...]:
@@ -39,9 +54,9 @@
         now: Monotonic time, in seconds.
     """
     found = []
-    latest_end = worker.lost_at if _has_connection_failed(worker) else now
+    latest_end = _find_latest_end(worker, now)
     for (task, number), run in worker.runs.items():
-        if run.phase is RunPhase.BLOCKED or _was_sent_too_late(worker, run):
+        if run.phase is RunPhase.BLOCKED or _was_sent_too_late(run, latest_end):
             continue
         age_ms = None
         if run.sent_at is not None:
@@ -51,18 +66,24 @@
     return tuple(found)
 
 
-def _was_sent_too_late(worker: TrackedWorker, run: TrackedRun) -> bool:
+def _find_latest_end(worker: TrackedWorker, now: float) -> float:
+    """Return the latest time at which the worker can have ended.
+
+    If a poll failed at once, that is its failure. A worker that runs on would have
+    responded to a poll that timed out.
+    """
+    if worker.lost_at > worker.last_response_at:
+        return worker.lost_at
+    return min(now, worker.last_response_at + MAX_POLL_S)
+
+
+def _was_sent_too_late(run: TrackedRun, latest_end: float) -> bool:
     """Return whether a run cannot have begun before the crash."""
     if run.phase in _CONFIRMED_PHASES:
         return False
     if run.sent_at is None:
         return run.phase is RunPhase.STARTING
-    return _has_connection_failed(worker) and run.sent_at > worker.lost_at
-
-
-def _has_connection_failed(worker: TrackedWorker) -> bool:
-    """Return whether a poll failed at once, so that the time of the crash is known."""
-    return worker.lost_at > worker.last_response_at
+    return run.sent_at > latest_end
 
 
 def _is_suspect(worker: TrackedWorker, run: TrackedRun) -> bool:
@@ -78,16 +99,19 @@
 
 
 def log_crash(
-    worker: TrackedWorker, reason: RemovalReason, runs: Collection[CrashedRun]
+    worker: TrackedWorker, evidence: CrashEvidence, runs: Collection[CrashedRun]
 ) -> None:
-    """Log a crash with the runs that may have caused it."""
+    """Log a crash, proved or not, with the runs that may have caused it."""
+    is_proved = evidence is CrashEvidence.NEXT_INCARNATION
     suspects = [item for item in runs if item.is_suspect]
     logger.info(
-        "dispatch: a worker crashed",
+        "dispatch: a worker crashed"
+        if is_proved
+        else "dispatch: a worker may have crashed",
         extra={
             "worker": worker.spec.id,
             "born": worker.spec.incarnation,
-            "evidence": reason.value,
+            "evidence": evidence.value,
             "runs": len(runs),
             "suspects": [_format_run(x) for x in suspects[:MAX_LOGGED_SUSPECTS]],
         },
--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -9,7 +9,6 @@
 from bluebellyoke.dispatch.log_limits import LogLimit
 from bluebellyoke.dispatch.ports import (
     NoAnswerError,
-    NotReachedError,
     OtherLifeError,
     PollRequest,
     StatusReport,
@@ -48,10 +47,6 @@
 #: other. A row with a higher one is not acknowledged.
 MAX_END_NUMBER_JUMP = 10**6
 
-#: Failed polls in a row after which a connection that is refused after an orderly close
-#: counts as the end of the worker's process.
-REFUSALS_BEFORE_REMOVAL = 2
-
 #: Time after which a stop without effect is sent again, in seconds. It is shorter than
 #: the timeout of the stop, so that the probe after a timeout sends it again.
 STOP_RETRY_S = 0.3
@@ -100,14 +95,7 @@
             and worker.failures
             and worker.has_lease_expired(now, self._context.times)
         ):
-            # A network rarely refuses connections for as long as a lease.
-            self._registry.remove(
-                worker,
-                RemovalReason.PROCESS_ENDED
-                if worker.is_refusing
-                else RemovalReason.LEASE_EXPIRED,
-                wall_time,
-            )
+            self._registry.remove(worker, RemovalReason.LEASE_EXPIRED, wall_time)
 
     def _give_up_poll(
         self, worker: TrackedWorker, now: float, wall_time: float
@@ -174,7 +162,8 @@
                 },
             )
         if self._has_lost_run(worker, report, now):
-            self._fail_poll(worker, event, now, wall_time)
+            cause = "a run is in unreadable rows only"
+            self._fail_poll(worker, event, cause, now, wall_time)
             return
         worker.failures = 0
         worker.is_refusing = False
@@ -216,12 +205,16 @@
         return now - worker.unreadable_since > MAX_UNREADABLE_S
 
     def _fail_poll(
-        self, worker: TrackedWorker, event: PollFinished, now: float, wall_time: float
+        self,
+        worker: TrackedWorker,
+        event: PollFinished,
+        cause: str,
+        now: float,
+        wall_time: float,
     ) -> None:
         """Treat a poll as unanswered, so that the lease of the worker ends."""
         self._finish_poll(worker, event)
         if not event.is_probe:
-            cause = "a run is in unreadable rows only"
             error = NoAnswerError(worker.spec.address, cause, timed_out=True)
             failed = replace(event, report=None, error=error)
             self._handle_failed_poll(worker, failed, now, wall_time)
@@ -299,14 +292,8 @@
             )
         delay_s = min(POLL_RETRY_S * worker.failures, MAX_POLL_RETRY_S)
         worker.poll_due = now + delay_s
-        error = event.error
-        if isinstance(error, OtherLifeError):
+        if isinstance(event.error, OtherLifeError):
             self._registry.remove(worker, RemovalReason.REPLACED, wall_time)
-        elif isinstance(error, NotReachedError) and error.refused:
-            has_failed_often = worker.failures >= REFUSALS_BEFORE_REMOVAL
-            is_expected = worker.is_leaving or has_failed_often
-            if error.process_ended and worker.has_responded and is_expected:
-                self._registry.remove(worker, RemovalReason.PROCESS_ENDED, wall_time)
 
     def _check_running(
         self, worker: TrackedWorker, report: StatusReport, now: float
--- a/src/bluebellyoke/dispatch/ports.py
+++ b/src/bluebellyoke/dispatch/ports.py
@@ -35,21 +35,16 @@
     """No connection could be opened, so the call was not carried out.
 
     Attributes:
-        refused: Whether the connection was refused. A network may do so, too, while the
-            process runs on.
-        process_ended: Whether the host had closed the last connection in order before,
-            as it does when the process ends.
+        refused: Whether the connection was refused. A network, or a proxy on the way,
+            may do so while the process runs on.
     """
 
-    def __init__(
-        self, address: str, *, refused: bool, process_ended: bool = False
-    ) -> None:
+    def __init__(self, address: str, *, refused: bool) -> None:
         super().__init__(
             f"no connection to {address}",
             remedy="call again, or wait until its lease expires",
         )
         self.refused = refused
-        self.process_ended = process_ended
 
 
 class NoAnswerError(BluebellyokeError):
--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -11,7 +11,7 @@
 from bluebellyoke.dispatch.tracked_run import RunPhase
 from bluebellyoke.dispatch.workers import RemovalReason, TrackedWorker
 from bluebellyoke.workflow import commands as workflow_commands
-from bluebellyoke.workflow.commands import CrashedRun
+from bluebellyoke.workflow.commands import CrashedRun, CrashEvidence
 from bluebellyoke.workflow.specs import WorkerSpec
 from bluebellyoke.workflow.worker_validation import validate_worker
 
@@ -117,6 +117,7 @@
                     "code": result.code,
                 },
             )
+            self._handle_late_proof(spec, result)
             self.sync_workers(self._context.now)
             reply(result)
 
@@ -124,6 +125,21 @@
             workflow_commands.EnrolWorker(time=wall_time, spec=spec), finish
         )
 
+    def _handle_late_proof(self, spec: WorkerSpec, result: Result) -> None:
+        """Log the crashes that an incarnation proves, and end the jobs at fault."""
+        for name in result.detail.get("crashed", "").split():
+            evidence = CrashEvidence.NEXT_INCARNATION.value
+            self._context.metrics.record_worker_crash(evidence)
+            logger.info(
+                "dispatch: a worker crashed",
+                extra={"worker": name, "evidence": evidence, "next": spec.id},
+            )
+        self._finish_failed_workflows(result)
+
+    def _finish_failed_workflows(self, result: Result) -> None:
+        for name in result.detail.get("failed", "").split():
+            self._recorder.finish_workflow(self._context.store.workflows[name])
+
     def _is_far_ahead(self, spec: WorkerSpec, known: WorkerSpec | None) -> bool:
         """Return whether no worker can have sent that many reports in between.
 
@@ -221,6 +237,8 @@
             return
         self._removing.add(worker_key)
         worker.is_being_removed = True
+        now = self._context.now
+        lease_left_s = worker.compute_lease_left(now, self._context.times)
         logger.info(
             "dispatch: removes a worker",
             extra={
@@ -228,13 +246,17 @@
                 "born": worker_key[1],
                 "reason": reason.value,
                 "runs": len(worker.runs),
-                "silent_s": round(self._context.now - worker.last_response_at, 3),
+                "silent_s": round(now - worker.last_response_at, 3),
+                "failures": worker.failures,
+                "refused": worker.is_refusing,
+                "lease_left_s": round(lease_left_s, 3),
             },
         )
 
+        evidence = crashes.find_evidence(worker, reason)
         crashed_runs: tuple[CrashedRun, ...] = ()
-        if crashes.has_crashed(worker, reason):
-            crashed_runs = self._describe_crash(worker, reason)
+        if not crashes.is_planned_end(worker):
+            crashed_runs = self._describe_crash(worker, evidence)
 
         def finish(result: Result) -> None:
             self._removing.discard(worker_key)
@@ -242,8 +264,7 @@
                 log_run_end(key, worker_key[0], LOST)
             self._drop_removed(worker)
             self.sync_workers(self._context.now)
-            for name in result.detail.get("failed", "").split():
-                self._recorder.finish_workflow(self._context.store.workflows[name])
+            self._finish_failed_workflows(result)
             self._stopper.stop_incomplete_gangs(name for name, _ in worker.runs)
 
         self._context.proposals.add(
@@ -252,19 +273,21 @@
                 worker=worker_key[0],
                 incarnation=worker_key[1],
                 crashed_runs=crashed_runs,
+                evidence=evidence,
             ),
             finish,
         )
 
     def _describe_crash(
-        self, worker: TrackedWorker, reason: RemovalReason
+        self, worker: TrackedWorker, evidence: CrashEvidence
     ) -> tuple[CrashedRun, ...]:
-        """Log a crash and return the runs that it has ended."""
-        self._context.metrics.record_worker_crash(reason.name.lower())
-        if worker.suspects:
-            self._context.recent_crashes.record_crash(
-                worker.spec.pool, self._context.now
-            )
+        """Log a crash, or a loss that may be one; return the runs that it has ended."""
+        if evidence is not CrashEvidence.NONE:
+            self._context.metrics.record_worker_crash(evidence.value)
+            if worker.suspects:
+                self._context.recent_crashes.record_crash(
+                    worker.spec.pool, self._context.now
+                )
         runs = crashes.list_crashed_runs(worker, self._context.now)
-        crashes.log_crash(worker, reason, runs)
+        crashes.log_crash(worker, evidence, runs)
         return runs
--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -56,15 +56,12 @@
     """Why the leader removes an incarnation of a worker.
 
     Attributes:
-        LEASE_EXPIRED: It did not respond until its lease had expired. Its process may
-            still run behind a partition.
-        PROCESS_ENDED: Its host has closed its connections and refuses new ones, or has
-            refused them until the lease expired.
-        REPLACED: Another incarnation, or another worker, responds at its address.
+        LEASE_EXPIRED: It did not respond until its lease had expired, so it has ended
+            its runs. Its process may still run behind a partition.
+        REPLACED: Its next incarnation has responded or announced itself.
     """
 
     LEASE_EXPIRED = "its lease expired without a response"
-    PROCESS_ENDED = "its process has ended"
     REPLACED = "another incarnation has replaced it"
 
 
@@ -100,7 +97,8 @@
             may have been lost.
         poll_due: Time at which the next poll may be sent.
         failures: Polls that have failed since the last response.
-        is_refusing: Whether the connection for the latest of these was refused.
+        is_refusing: Whether the connection for the latest of these was refused. That
+            does not show whether the process runs.
         unreadable_since: Time since which a run has been in unreadable rows only, or
             None.
         lost_at: Time at which the connection of the first of these failed. Without a
@@ -314,16 +312,21 @@
 
     def has_lease_expired(self, now: float, times: LeaseTimes) -> bool:
         """Return whether the lease has expired, whichever requests the worker got."""
+        return self.compute_lease_left(now, times) < 0
+
+    def compute_lease_left(self, now: float, times: LeaseTimes) -> float:
+        """Return the longest time for which the lease may last, in seconds.
+
+        It is that of the slowest clock that a worker may have. An earlier leader may
+        have requested the longest lease just before this one learned of the worker.
+        """
         known_for_s = (now - self.discovered_at) * (1 - MAX_CLOCK_LAG)
-        if known_for_s <= times.max_lease_s:
-            # An earlier leader may have requested the longest lease just before.
-            return False
+        earlier_lease_s = times.max_lease_s - known_for_s
         if not self.clock_at:
-            return True
-        slowest_clock_ms = self.clock_ms + (now - self.clock_at) * 1000 * (
-            1 - MAX_CLOCK_LAG
-        )
-        return slowest_clock_ms > self.lease_deadline_ms
+            return earlier_lease_s
+        elapsed_s = (now - self.clock_at) * (1 - MAX_CLOCK_LAG)
+        own_lease_s = (self.lease_deadline_ms - self.clock_ms) / 1000 - elapsed_s
+        return max(earlier_lease_s, own_lease_s)
 
     def can_accept_tasks(self, now: float, max_silence_s: float) -> bool:
         """Return whether the worker may get new tasks.
--- a/src/bluebellyoke/instance/http_calls.py
+++ b/src/bluebellyoke/instance/http_calls.py
@@ -7,15 +7,13 @@
 
 import asyncio
 import errno
-from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import httptools
 
 from bluebellyoke.addresses import AddressError, split_address
 from bluebellyoke.dispatch.ports import NoAnswerError, NotReachedError
-from bluebellyoke.instance.peer_connections import ConnectionLoss, PeerConnections
 
 __all__ = ["HttpCaller", "HttpResponse"]
 
@@ -40,19 +38,14 @@
 class _Connection(asyncio.Protocol):
     """Connection that carries one call at a time.
 
-    Args:
-        on_lost: Called when the connection has ended.
-
     Attributes:
         idle_since: Monotonic time of the event loop at which the last call ended.
         is_reusable: Whether the connection can carry another call.
     """
 
-    def __init__(self, on_lost: Callable[[ConnectionLoss], None]) -> None:
+    def __init__(self) -> None:
         self.idle_since = 0.0
         self.is_reusable = True
-        self._on_lost = on_lost
-        self._is_closed_here = False
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._response: asyncio.Future[HttpResponse] | None = None
@@ -75,7 +68,6 @@
     def close(self) -> None:
         """Close the connection at once."""
         self.is_reusable = False
-        self._is_closed_here = True
         if self._transport is not None:
             self._transport.abort()
 
@@ -104,14 +96,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the call in flight."""
-        self._on_lost(self._classify_loss(exc))
         self._fail(f"the connection was lost: {exc or 'closed by the peer'}")
 
-    def _classify_loss(self, exc: Exception | None) -> ConnectionLoss:
-        if self._is_closed_here:
-            return ConnectionLoss.CLOSED_HERE
-        return ConnectionLoss.RESET if exc is not None else ConnectionLoss.CLOSED
-
     # Callbacks of the parser.
 
     def on_body(self, chunk: bytes) -> None:
@@ -135,11 +121,10 @@
 
 
 class HttpCaller:
-    """Makes calls, and keeps idle connections and their history by address."""
+    """Makes calls, and keeps idle connections by address."""
 
     def __init__(self) -> None:
         self._idle: dict[str, list[_Connection]] = {}
-        self._peers: dict[str, PeerConnections] = defaultdict(PeerConnections)
 
     async def post(
         self,
@@ -177,9 +162,7 @@
         except BaseException:
             connection.close()
             self._close_idle(address)
-            self._peers[address].record_failure()
             raise
-        self._peers[address].record_response()
         self._release(address, connection)
         return response
 
@@ -198,23 +181,14 @@
         except AddressError as error:
             raise NotReachedError(address, refused=False) from error
         loop = asyncio.get_running_loop()
-        peer = self._peers[address]
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, connection = await loop.create_connection(
-                    lambda: _Connection(lambda x: peer.record_loss(x, loop.time())),
-                    host,
-                    port,
-                )
+                _, connection = await loop.create_connection(_Connection, host, port)
         except TimeoutError as error:
             raise NotReachedError(address, refused=False) from error
         except OSError as error:
             refused = error.errno == errno.ECONNREFUSED
-            process_ended = refused and peer.has_process_ended(loop.time())
-            raise NotReachedError(
-                address, refused=refused, process_ended=process_ended
-            ) from error
-        peer.record_open()
+            raise NotReachedError(address, refused=refused) from error
         return connection
 
     def _take_idle(self, address: str) -> _Connection | None:
--- a/src/bluebellyoke/workflow/commands.py
+++ b/src/bluebellyoke/workflow/commands.py
@@ -11,6 +11,7 @@
     "ApplyConfiguration",
     "AssignRuns",
     "CancelWorkflow",
+    "CrashEvidence",
     "CrashedRun",
     "EnrolWorker",
     "ForgetWorkflows",
@@ -77,6 +78,21 @@
     checkpoint: str = ""
 
 
+class CrashEvidence(enum.StrEnum):
+    """What tells that the process of a removed worker has ended.
+
+    Attributes:
+        NEXT_INCARNATION: Its next incarnation has responded or announced itself.
+        REFUSALS: Its host refused connections until its lease had ended. The network
+            may have done so, too.
+        NONE: Nothing; its lease has ended.
+    """
+
+    NEXT_INCARNATION = "next-incarnation"
+    REFUSALS = "refusals"
+    NONE = "none"
+
+
 class CrashedRun(msgspec.Struct, frozen=True, array_like=True):
     """A run that the crash of its worker has ended.
 
@@ -133,12 +149,14 @@
     """Remove an incarnation of a worker; its runs end as lost.
 
     Attributes:
-        crashed_runs: Runs that its crash has ended, if it has crashed.
+        crashed_runs: Runs that its crash has ended, if it has or may have crashed.
+        evidence: What tells that it has.
     """
 
     worker: str
     incarnation: int = msgspec.field(name="born")
     crashed_runs: tuple[CrashedRun, ...] = ()
+    evidence: CrashEvidence = CrashEvidence.NEXT_INCARNATION
 
 
 class AssignRuns(Command, frozen=True, kw_only=True, array_like=True, tag=True):
--- a/src/bluebellyoke/workflow/crashes.py
+++ b/src/bluebellyoke/workflow/crashes.py
@@ -3,10 +3,12 @@
 A crash ends all runs on its worker, and most of them have nothing to do with it.
 
 Rules:
+    * The next incarnation of a worker proves a crash. Connections that are refused
+      until the lease has ended make suspects, but prove nothing.
     * A task is a suspect if its run was young at an unexplained crash, or if it shared
       several crashes whose young tasks have all been cleared.
-    * A suspect starts apart from other young runs. If its worker crashes again, it is
-      the cause, and its workflow fails.
+    * A suspect starts apart from other young runs. If its worker crashes again, and
+      both crashes are proved, it is the cause, and its workflow fails.
     * A cause explains all crashes that it was in: other tasks are cleared of them.
     * The tasks of a gang count as one, since they start together.
 """
@@ -40,6 +42,7 @@
         was_young: Whether the run was young enough to be the cause.
         suspects: Number of tasks that were young at that crash.
         is_explained: Whether the task has been cleared of it.
+        is_proved: Whether the worker's process is known to have ended.
     """
 
     worker: str
@@ -50,6 +53,7 @@
     was_young: bool
     suspects: int
     is_explained: bool = False
+    is_proved: bool = True
 
     @property
     def worker_key(self) -> tuple[str, int]:
@@ -100,6 +104,19 @@
             f"{task.repetition}.{task.step}.{task.index}"
         )
 
+    def add(self, crash: SharedCrash) -> None:
+        """Add a crash, in place of what was known of it before it was proved."""
+        known = [x for x in self.crashes if x.worker_key == crash.worker_key]
+        crash.is_explained = any(x.is_explained for x in known)
+        self.crashes = [x for x in self.crashes if x not in known]
+        self.crashes.append(crash)
+
+    def drop_unproved(self, worker_key: tuple[str, int]) -> None:
+        """Drop the crash of a worker that has turned out to run on."""
+        self.crashes = [
+            x for x in self.crashes if x.is_proved or x.worker_key != worker_key
+        ]
+
     def drop_before(self, time: float) -> None:
         """Drop the crashes before a wall-clock time, in seconds."""
         self.crashes = [crash for crash in self.crashes if crash.time >= time]
@@ -146,9 +163,13 @@
         return found if found is not None and self._is_suspect(found) else None
 
     def _is_suspect(self, crashes: TaskCrashes) -> bool:
-        if any(crash.was_young for crash in crashes.unexplained):
+        return self._are_suspicious(crashes.unexplained)
+
+    def _are_suspicious(self, crashes: list[SharedCrash]) -> bool:
+        """Return whether some unexplained crashes of a task make it a suspect."""
+        if any(crash.was_young for crash in crashes):
             return True
-        shared = [x for x in crashes.unexplained if x.worker_key not in self._young]
+        shared = [x for x in crashes if x.worker_key not in self._young]
         return len(shared) >= SHARED_CRASHES
 
     def _update_young(self) -> None:
@@ -169,7 +190,12 @@
         return set(self._workflows)
 
     def record(
-        self, worker_key: tuple[str, int], runs: Iterable[CrashedRun], time: float
+        self,
+        worker_key: tuple[str, int],
+        runs: Iterable[CrashedRun],
+        time: float,
+        *,
+        is_proved: bool = True,
     ) -> list[TaskCrashes]:
         """Record a crash; return the tasks that have to be given up.
 
@@ -177,18 +203,25 @@
             worker_key: ID and incarnation of the worker.
             time: Wall-clock time, in seconds.
             runs: Runs that the crash ended, a gang by its first task.
+            is_proved: Whether the worker's process is known to have ended.
         """
         self._drop_before(time - CRASH_MEMORY_S)
         merged = _merge_gangs(runs)
         young = {item.task for item in merged if item.is_suspect}
-        cause = self._find_cause(young, merged)
+        cause = self._find_cause(young, merged) if is_proved else None
         if len(merged) == 1:
             young = {merged[0].task}
         given_up = []
         for item in merged:
             was_young = item.task in young
             shared = SharedCrash(
-                *worker_key, item.run, time, item.age_ms, was_young, len(young)
+                *worker_key,
+                item.run,
+                time,
+                item.age_ms,
+                was_young,
+                len(young),
+                is_proved=is_proved,
             )
             crashes = self._add(item.task, shared)
             if item.task == cause or len(crashes.runs) >= MAX_CRASHES:
@@ -210,16 +243,25 @@
         if len(young) != 1:
             return None
         (task,) = young
-        crashes = self.find_suspect(task)
-        run = next(item.run for item in runs if item.task == task)
-        return task if crashes is not None and run not in crashes.runs else None
+        found = next(item for item in runs if item.task == task)
+        crashes = self._tasks.get(task)
+        if crashes is None:
+            return None
+        earlier = [x for x in crashes.unexplained if x.is_proved and x.run != found.run]
+        return task if self._are_suspicious(earlier) else None
 
     def _add(self, task: TaskName, shared: SharedCrash) -> TaskCrashes:
         crashes = self._tasks.setdefault(task, TaskCrashes(task))
         self._workflows.add(task.workflow)
-        crashes.crashes.append(shared)
+        crashes.add(shared)
         return crashes
 
+    def drop_unproved(self, worker_key: tuple[str, int]) -> None:
+        """Drop the crash of a worker that has turned out to run on."""
+        for crashes in self._tasks.values():
+            crashes.drop_unproved(worker_key)
+        self._update_young()
+
     def _explain(self, cause: TaskName) -> None:
         """Clear all other tasks of the crashes that a task has caused."""
         explained = {crash.worker_key for crash in self._tasks[cause].unexplained}
--- a/src/bluebellyoke/workflow/snapshot.py
+++ b/src/bluebellyoke/workflow/snapshot.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bluebellyoke.workflow.crashes import TaskCrashes
+from bluebellyoke.workflow.lost_workers import LostWorker
 from bluebellyoke.workflow.specs import Configuration, QueueSpec, WorkerSpec
 from bluebellyoke.workflow.workflow import Workflow
 
@@ -14,6 +15,7 @@
 
     Attributes:
         removed_queues: Last definitions of removed queues that had active workflows.
+        lost_workers: Removed workers that may have crashed.
     """
 
     configuration: Configuration
@@ -21,3 +23,4 @@
     workflows: list[Workflow]
     crashes: list[TaskCrashes] = []
     removed_queues: list[QueueSpec] = []
+    lost_workers: list[LostWorker] = []
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -7,6 +7,7 @@
 from bluebellyoke.workflow.access import AccessDecision, authorize_request
 from bluebellyoke.workflow.crashes import CrashHistory
 from bluebellyoke.workflow.gangs import find_start_group, is_complete, is_gang
+from bluebellyoke.workflow.lost_workers import LostWorker, LostWorkers
 from bluebellyoke.workflow.queues import QueueTable
 from bluebellyoke.workflow.quotas import describe_excess, has_quota_for
 from bluebellyoke.workflow.snapshot import WorkflowSnapshot
@@ -17,7 +18,7 @@
     WorkspaceSpec,
 )
 from bluebellyoke.workflow.usage import WorkspaceUsage
-from bluebellyoke.workflow.workflow import Workflow
+from bluebellyoke.workflow.workflow import TaskState, Workflow
 
 __all__ = ["MAX_OPEN_TASKS", "RunKey", "WorkflowStore"]
 
@@ -59,6 +60,7 @@
         self.runs: dict[tuple[str, int], dict[RunKey, None]] = {}
         self.usage = WorkspaceUsage()
         self.crashes = CrashHistory()
+        self._lost_workers = LostWorkers()
         self._queues = QueueTable()
         self._workspaces: dict[str, WorkspaceSpec] = {}
         self._changed: set[str] = set()
@@ -215,17 +217,47 @@
             spec = msgspec.structs.replace(spec, draining=True)
         self.workers[spec.id] = spec
         self.runs.setdefault(spec.key, {})
+        if known is None or known.incarnation != spec.incarnation:
+            return self._review_lost_workers(spec, command.time)
         return Result(accepted=True)
 
+    def _review_lost_workers(self, spec: WorkerSpec, time: float) -> Result:
+        """Record what a worker that has announced itself tells of those lost before.
+
+        An incarnation that is back has not crashed; the next one proves a crash.
+        """
+        self._lost_workers.drop(spec.key)
+        self.crashes.drop_unproved(spec.key)
+        crashed = self._lost_workers.pop_crashed(spec, time)
+        failed = []
+        for lost in crashed:
+            failed += self._record_crash(lost.key, list(lost.runs), time)
+        if not crashed:
+            return Result(accepted=True)
+        names = " ".join(lost.worker for lost in crashed)
+        return Result(
+            accepted=True, detail={"crashed": names, "failed": " ".join(failed)}
+        )
+
     def _remove(self, command: workflow_commands.RemoveWorker) -> Result:
-        if self.find_current_worker(command.worker, command.incarnation) is None:
+        spec = self.find_current_worker(command.worker, command.incarnation)
+        if spec is None:
             return refuse("unknown-worker", "this life of the worker is over")
         del self.workers[command.worker]
         worker_key = (command.worker, command.incarnation)
         present = self.runs.get(worker_key, {})
         crashed = [x for x in command.crashed_runs if (x.task, x.run) in present]
         self._end_lost_runs(worker_key, command.time)
-        failed = self._record_crash(worker_key, crashed, command.time)
+        is_proved = command.evidence is workflow_commands.CrashEvidence.NEXT_INCARNATION
+        if crashed and not is_proved:
+            self._lost_workers.add(
+                LostWorker(*worker_key, spec.address, command.time, tuple(crashed))
+            )
+        if command.evidence is workflow_commands.CrashEvidence.NONE:
+            crashed = []
+        failed = self._record_crash(
+            worker_key, crashed, command.time, is_proved=is_proved
+        )
         return Result(accepted=True, detail={"failed": " ".join(failed)})
 
     def _record_crash(
@@ -233,8 +265,13 @@
         worker_key: tuple[str, int],
         runs: list[workflow_commands.CrashedRun],
         time: float,
+        *,
+        is_proved: bool = True,
     ) -> list[str]:
-        """Record a crash; return the IDs of the workflows that fail for it."""
+        """Record a crash; return the IDs of the workflows that fail for it.
+
+        If it is proved late, its runs may have been followed by others meanwhile.
+        """
         if not runs:
             return []
         self._changed.update(self.crashes.list_workflows())
@@ -243,17 +280,31 @@
             for item in runs
         ]
         failed = []
-        for crashes in self.crashes.record(worker_key, grouped, time):
+        for crashes in self.crashes.record(
+            worker_key, grouped, time, is_proved=is_proved
+        ):
+            if not self._is_open(crashes.task):
+                continue
             workflow = self.workflows[crashes.task.workflow]
             workflow.fail(crashes.describe(), time)
             self._deactivate_if_finished(workflow)
             failed.append(workflow.spec.id)
-        for item in runs:
+        for item in grouped:
             workflow = self.workflows.get(item.task.workflow)
             if workflow is None or workflow.outcome:
                 self._forget_crashes(item.task.workflow)
+            elif not self._is_open(item.task):
+                self._clear_of_crashes(item.task)
         return failed
 
+    def _is_open(self, name: workflow_commands.TaskName) -> bool:
+        """Return whether a task is not done and its workflow has not ended."""
+        workflow = self.workflows.get(name.workflow)
+        if workflow is None or workflow.outcome:
+            return False
+        task = workflow.find_task(name)
+        return task is not None and task.state is not TaskState.DONE
+
     def _end_lost_runs(self, worker_key: tuple[str, int], time: float) -> None:
         for task, run in list(self.runs.get(worker_key, ())):
             self._record_end(
@@ -362,6 +413,7 @@
             list(self.workflows.values()),
             self.crashes.dump(),
             self._queues.dump_removed(),
+            self._lost_workers.dump(),
         )
 
     @classmethod
@@ -372,6 +424,7 @@
         store.workers = {spec.id: spec for spec in snapshot.workers}
         store.runs = {spec.key: {} for spec in snapshot.workers}
         store.crashes = CrashHistory(snapshot.crashes)
+        store._lost_workers = LostWorkers(snapshot.lost_workers)
         store.usage = WorkspaceUsage(snapshot.workflows)
         for workflow in snapshot.workflows:
             store.workflows[workflow.spec.id] = workflow
--- a/tests/dispatch/test_refused_connections.py
+++ b/tests/dispatch/test_refused_connections.py
@@ -2,7 +2,10 @@
 
 import pytest
 
-from bluebellyoke.dispatch.ports import NoAnswerError, NotReachedError
+from bluebellyoke.dispatch.ports import (
+    NoAnswerError,
+    NotReachedError,
+)
 from bluebellyoke.dispatch.workers import LeaseTimes
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.dispatch.simulation import DispatcherSimulation
@@ -18,10 +21,15 @@
 
     Attributes:
         refused: ID of that worker.
+        responses: Responses of other processes to the next poll of a worker, by ID.
     """
 
     refused = ""
 
+    def __init__(self):
+        self.responses = {}
+        super().__init__()
+
     def run(self, seconds):
         for _ in range(round(seconds / STEP_S)):
             self.advance(STEP_S)
@@ -37,6 +45,8 @@
         if sent.spec.id == self.refused:
             error = NotReachedError(sent.spec.address, refused=True)
             self.finish_call(sent, error=error)
+        elif sent.spec.id in self.responses and sent.kind == "poll":
+            self.finish_call(sent, **self.responses.pop(sent.spec.id))
         else:
             self.deliver(sent)
 
