Remove a worker for its next incarnation only, not for any other process

The response is that of a process which a proxy or a reused address has reached; a delayed one of an earlier incarnation ended the runs of the later one. Change: a 421 counts once a process born later has announced itself at the address; a report counts if its incarnation is later. Otherwise the poll has failed, and the lease ends. Result: test_reply_of_another_process_does_not_end_the_runs_of_a_worker, test_worker_is_not_replaced_by_one_born_earlier_at_its_address and test_only_a_later_incarnation_replaces_a_worker[2-False] fail without the change.

--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -144,7 +144,7 @@
                 self._handle_failed_poll(worker, event, now, wall_time)
             return
         if report.incarnation and report.incarnation != worker.spec.incarnation:
-            self._registry.remove(worker, RemovalReason.REPLACED, wall_time)
+            self._handle_other_incarnation(worker, event, now, wall_time)
             return
         if worker.failures or not worker.has_responded or worker.has_unanswered_start:
             logger.info(
@@ -183,6 +183,19 @@
             last_end = min(last_end, report.acknowledgeable_end)
         self._record_ends(worker, ends, last_end, event, wall_time)
 
+    def _handle_other_incarnation(
+        self, worker: TrackedWorker, event: PollFinished, now: float, wall_time: float
+    ) -> None:
+        """Remove a worker whose next incarnation has responded.
+
+        An earlier one tells nothing of this one, which may run elsewhere.
+        """
+        if event.report.incarnation > worker.spec.incarnation:
+            self._registry.remove(worker, RemovalReason.REPLACED, wall_time)
+        else:
+            cause = "an earlier incarnation responded"
+            self._fail_poll(worker, event, cause, now, wall_time)
+
     def _has_lost_run(
         self, worker: TrackedWorker, report: StatusReport, now: float
     ) -> bool:
@@ -292,9 +305,20 @@
             )
         delay_s = min(POLL_RETRY_S * worker.failures, MAX_POLL_RETRY_S)
         worker.poll_due = now + delay_s
-        if isinstance(event.error, OtherLifeError):
+        if isinstance(event.error, OtherLifeError) and self._has_successor(worker):
             self._registry.remove(worker, RemovalReason.REPLACED, wall_time)
 
+    def _has_successor(self, worker: TrackedWorker) -> bool:
+        """Return whether a process born later has announced itself at the address.
+
+        The reply alone may come from a process that a proxy has chosen.
+        """
+        return any(
+            spec.address == worker.spec.address
+            and spec.incarnation > worker.spec.incarnation
+            for spec in self._context.store.workers.values()
+        )
+
     def _check_running(
         self, worker: TrackedWorker, report: StatusReport, now: float
     ) -> None:
--- a/tests/dispatch/test_refused_connections.py
+++ b/tests/dispatch/test_refused_connections.py
@@ -5,11 +5,13 @@
 from bluebellyoke.dispatch.ports import (
     NoAnswerError,
     NotReachedError,
+    OtherLifeError,
+    StatusReport,
 )
 from bluebellyoke.dispatch.workers import LeaseTimes
 from bluebellyoke.workflow import commands as workflow_commands
-from tests.dispatch.simulation import DispatcherSimulation
-from tests.workflow.factories import create_spec, create_step
+from tests.dispatch.simulation import DispatcherSimulation, SimulatedWorker
+from tests.workflow.factories import create_spec, create_step, create_worker
 
 STEP_S = 0.02
 
@@ -108,3 +110,73 @@
     network.refuse(worker.spec.id)
     network.run(LeaseTimes().lease_s / 2)
     assert worker.spec.id in network.store.workers
+
+
+def respond_from_elsewhere(network, worker, *, incarnation=0):
+    """Let another process respond to the next poll of a worker that works on.
+
+    Args:
+        incarnation: Incarnation that its report names, or 0 if it refuses the call.
+    """
+    fields = {"error": OtherLifeError(worker.spec.address)}
+    if incarnation:
+        report = StatusReport(clock_ms=1, incarnation=incarnation, running=(), ended=())
+        fields = {"report": report}
+    network.responses[worker.spec.id] = fields
+
+
+def announce_at_address(network, worker, *, incarnation):
+    """Let another worker announce itself at the address of a worker."""
+    spec = create_worker(
+        "other", incarnation=incarnation, address=worker.spec.address, pool="p2"
+    )
+    network.workers[spec.id] = SimulatedWorker(spec, 1.0)
+    network.announce(spec.id)
+    network.commit()
+
+
+# Guards against a second run beside the first: a proxy in front of a worker that runs
+# on may send a call to another one, which does not know the worker.
+def test_reply_of_another_process_does_not_end_the_runs_of_a_worker(network):
+    worker = find_busy_worker(network)
+    respond_from_elsewhere(network, worker)
+    network.run(0.5)
+    assert worker.spec.id in network.store.workers
+    assert worker.runs
+
+
+def test_worker_is_replaced_by_one_born_later_at_its_address(network):
+    worker = find_busy_worker(network)
+    worker.runs.clear()
+    announce_at_address(network, worker, incarnation=2)
+    respond_from_elsewhere(network, worker)
+    network.run(0.1)
+    assert worker.spec.id not in network.store.workers
+
+
+# Guards against the same through the announcement of a worker that was there before.
+def test_worker_is_not_replaced_by_one_born_earlier_at_its_address(network):
+    worker = find_busy_worker(network)
+    announce_at_address(network, worker, incarnation=1)
+    respond_from_elsewhere(network, worker)
+    network.run(0.1)
+    assert worker.spec.id in network.store.workers
+
+
+# Guards against the end of runs of a worker for a response of its earlier incarnation.
+@pytest.mark.parametrize(("incarnation", "is_replaced"), [(4, True), (2, False)])
+def test_only_a_later_incarnation_replaces_a_worker(incarnation, is_replaced):
+    network = RefusingNetwork()
+    for name, old in network.workers.items():
+        spec = create_worker(name, incarnation=3, cpu=3000)
+        network.workers[name] = SimulatedWorker(spec, old.clock_rate)
+        network.announce(name)
+    network.run(0.1)
+    network.submit(create_spec(steps=[create_step(1)]))
+    network.run(0.1)
+    worker = find_busy_worker(network)
+    if is_replaced:
+        worker.runs.clear()
+    respond_from_elsewhere(network, worker, incarnation=incarnation)
+    network.run(0.1)
+    assert (worker.spec.id not in network.store.workers) is is_replaced
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -45,10 +45,24 @@
     Case(
         "a refused connection is no proof of the end of a process",
         "dispatch/polls.py",
-        "isinstance(event.error, OtherLifeError)",
+        "isinstance(event.error, OtherLifeError) and self._has_successor(worker)",
         "worker.is_refusing",
         "tests/dispatch/test_refused_connections.py",
     ),
+    Case(
+        "another process at the address is no proof of the end of a process",
+        "dispatch/polls.py",
+        "isinstance(event.error, OtherLifeError) and self._has_successor(worker)",
+        "isinstance(event.error, OtherLifeError)",
+        "tests/dispatch/test_refused_connections.py",
+    ),
+    Case(
+        "an earlier incarnation tells nothing of a later one",
+        "dispatch/polls.py",
+        "event.report.incarnation > worker.spec.incarnation",
+        "True",
+        "tests/dispatch/test_refused_connections.py",
+    ),
     Case(
         "refusals until the end of the lease make suspects",
         "dispatch/crashes.py",
