Count no crash under a start that a silent worker left unanswered

A start that timed out on a worker that had gone silent counted as a run, so that the next incarnation of the worker counted as a crash under it, and a second crash failed the job. Cause: nobody knows whether such a start arrived. Change: it makes its task a suspect, but does not count towards the crashes that fail a job; a start whose connection failed, or that an earlier leader sent, still counts.

--- a/src/bluebellyoke/dispatch/crashes.py
+++ b/src/bluebellyoke/dispatch/crashes.py
@@ -62,7 +62,9 @@
         if run.sent_at is not None:
             age_ms = max(round((latest_end - run.sent_at) * 1000), 0)
         suspected = _is_suspect(worker, run)
-        found.append(CrashedRun(task, number, age_ms, suspected))
+        found.append(
+            CrashedRun(task, number, age_ms, suspected, has_begun=_has_begun(run))
+        )
     return tuple(found)
 
 
@@ -86,6 +88,16 @@
     return run.sent_at > latest_end
 
 
+def _has_begun(run: TrackedRun) -> bool:
+    """Return whether a run counts as begun.
+
+    A worker that closes the connection of a start has received it. One that does not
+    respond may have ended before. A run of an earlier leader counts, since that leader
+    may have known that it had begun.
+    """
+    return run.phase in _CONFIRMED_PHASES or not run.has_start_timed_out
+
+
 def _is_suspect(worker: TrackedWorker, run: TrackedRun) -> bool:
     """Return whether a run was on probation, or may have been young, at the crash."""
     if run.probation_s:
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -272,6 +272,8 @@
             event.error, (NotReachedError, OtherLifeError)
         )
         if event.error is not None:
+            has_timed_out = getattr(event.error, "timed_out", False)
+            worker.runs[key].has_start_timed_out = has_timed_out
             worker.unanswered_start_at = now
             self._prober.request(worker)
         if event.result in _SUSPECT_RESULTS:
--- a/src/bluebellyoke/dispatch/tracked_run.py
+++ b/src/bluebellyoke/dispatch/tracked_run.py
@@ -45,6 +45,8 @@
         need: Resources that the run takes up.
         phase_since: Time of the last change of the phase.
         sent_at: Time at which this leader sent the start, or None if it has not.
+        has_start_timed_out: Whether the start got no response, but its connection did
+            not fail either.
         probation_s: Time for which it has to run before it is cleared of the crashes
             that it was in, in seconds; 0 if it is not a suspect.
         is_cleared: Whether it has outlived them.
@@ -59,6 +61,7 @@
     phase: RunPhase
     phase_since: float
     sent_at: float | None = None
+    has_start_timed_out: bool = False
     probation_s: float = 0.0
     is_cleared: bool = False
     expected_end_at: float = math.inf
--- a/src/bluebellyoke/workflow/commands.py
+++ b/src/bluebellyoke/workflow/commands.py
@@ -101,12 +101,15 @@
             is unknown.
         is_suspect: Whether it may have caused the crash, since it was young or had not
             outlived earlier crashes yet.
+        has_begun: Whether it is known to have begun. A start that was sent to a silent
+            worker may never have arrived.
     """
 
     task: TaskName
     run: int
     age_ms: int | None
     is_suspect: bool
+    has_begun: bool = True
 
 
 class ApplyConfiguration(Command, frozen=True, kw_only=True, array_like=True, tag=True):
--- a/src/bluebellyoke/workflow/crashes.py
+++ b/src/bluebellyoke/workflow/crashes.py
@@ -43,6 +43,7 @@
         suspects: Number of tasks that were young at that crash.
         is_explained: Whether the task has been cleared of it.
         is_proved: Whether the worker's process is known to have ended.
+        has_begun: Whether the run is known to have begun.
     """
 
     worker: str
@@ -54,6 +55,7 @@
     suspects: int
     is_explained: bool = False
     is_proved: bool = True
+    has_begun: bool = True
 
     @property
     def worker_key(self) -> tuple[str, int]:
@@ -78,8 +80,8 @@
 
     @property
     def runs(self) -> set[int]:
-        """Numbers of the runs that ended in a crash."""
-        return {crash.run for crash in self.crashes}
+        """Numbers of the runs that had begun and ended in a crash."""
+        return {crash.run for crash in self.crashes if crash.has_begun}
 
     @property
     def unexplained(self) -> list[SharedCrash]:
@@ -222,6 +224,7 @@
                 was_young,
                 len(young),
                 is_proved=is_proved,
+                has_begun=item.has_begun,
             )
             crashes = self._add(item.task, shared)
             if item.task == cause or len(crashes.runs) >= MAX_CRASHES:
@@ -245,9 +248,13 @@
         (task,) = young
         found = next(item for item in runs if item.task == task)
         crashes = self._tasks.get(task)
-        if crashes is None:
+        if crashes is None or not found.has_begun:
             return None
-        earlier = [x for x in crashes.unexplained if x.is_proved and x.run != found.run]
+        earlier = [
+            x
+            for x in crashes.unexplained
+            if x.is_proved and x.has_begun and x.run != found.run
+        ]
         return task if self._are_suspicious(earlier) else None
 
     def _add(self, task: TaskName, shared: SharedCrash) -> TaskCrashes:
--- a/tests/dispatch/test_crash_evidence.py
+++ b/tests/dispatch/test_crash_evidence.py
@@ -104,6 +104,20 @@
     assert replaced is CrashEvidence.NEXT_INCARNATION
 
 
+# Guards against a job that is given up for a worker that went silent before it was sent
+# there: nobody knows whether its run ever began.
+def test_start_that_a_silent_worker_left_unanswered_is_no_run():
+    worker = create_crashed_worker(
+        confirmed=(RunPhase.STARTED, 0.5),
+        connection_failed=(RunPhase.UNKNOWN, 0.5),
+        timed_out=(RunPhase.UNKNOWN, 0.5),
+        of_earlier_leader=(RunPhase.UNKNOWN, None),
+    )
+    worker.runs[(name_task(index=2), 1)].has_start_timed_out = True
+    runs = list_crashed_runs(worker, NOW + 0.1)
+    assert [item.has_begun for item in runs] == [True, True, False, True]
+
+
 # Guards against runs that are blamed for a crash before they were sent: a worker that
 # runs responds to each poll in time.
 def test_runs_sent_long_after_the_last_response_are_left_out():
--- a/tests/workflow/test_lost_workers.py
+++ b/tests/workflow/test_lost_workers.py
@@ -35,12 +35,12 @@
     return store.apply(workflow_commands.EnrolWorker(time=time, spec=spec))
 
 
-def lose(store, name, run, *, evidence, incarnation=1, time=NOW):
+def lose(store, name, run, *, evidence, incarnation=1, time=NOW, has_begun=True):
     """Remove a worker under a young run of the task; return the jobs given up."""
     if name not in store.workers:
         announce(store, name, incarnation, time=time, address=f"{name}:80")
     assert start(store, run=run, worker=name, incarnation=incarnation)
-    item = workflow_commands.CrashedRun(name_task(), run, 10, True)
+    item = workflow_commands.CrashedRun(name_task(), run, 10, True, has_begun)
     command = workflow_commands.RemoveWorker(
         time=time,
         worker=name,
@@ -96,6 +96,16 @@
     assert is_suspect(store)
 
 
+# Guards against a job that is given up for crashes of workers that its starts may never
+# have reached.
+def test_starts_that_may_not_have_begun_give_no_job_up(store):
+    for run in range(1, MAX_CRASHES + 2):
+        name = f"w{run}"
+        lose(store, name, run, evidence=Evidence.NEXT_INCARNATION, has_begun=False)
+    assert is_suspect(store)
+    assert find_state(store) == "pending"
+
+
 # Guards against suspicion of a task whose worker ran on behind refused connections.
 def test_worker_that_is_back_clears_its_runs(store):
     lose(store, "w1", 1, evidence=Evidence.REFUSALS)
