Ask for a shorter lease from workers that announce their end

Cause: since no refusal ends a worker's runs, those on a worker that drained and ended wait for a whole lease, 5 s, before they start again. Change: a poll of a worker that drains or leaves asks for half of it. The announcement is the worker's own report, and the lease's end proves the end of the runs, so nothing is guessed; a poll, its timeout and its repetition fit into 2.5 s.

--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -71,10 +71,13 @@
 
     Attributes:
         lease_s: Lease that each poll and start requests.
+        leaving_lease_s: The same for a worker that is about to end its process, which
+            ends its runs without a report. It outlasts a poll and its repetition.
         max_lease_s: Longest lease that a worker grants to any leader.
     """
 
     lease_s: float = 5.0
+    leaving_lease_s: float = 2.5
     max_lease_s: float = 6.0
 
 
@@ -305,8 +308,10 @@
         if not self.clock_at:
             return None
         now_ms = self.clock_ms + (now - self.clock_at) * 1000
+        is_ending = self.is_leaving or self.spec.draining
+        lease_s = times.leaving_lease_s if is_ending else times.lease_s
         self.lease_deadline_ms = max(
-            self.lease_deadline_ms, int(now_ms + times.lease_s * 1000)
+            self.lease_deadline_ms, int(now_ms + lease_s * 1000)
         )
         return self.lease_deadline_ms
 
--- a/src/bluebellyoke/instance/application.py
+++ b/src/bluebellyoke/instance/application.py
@@ -455,6 +455,7 @@
             calls=self._create_worker_calls(),
             lease_times=LeaseTimes(
                 lease_s=limits.called_worker_lease_s,
+                leaving_lease_s=limits.called_worker_lease_s / 2,
                 max_lease_s=limits.longest_called_worker_lease_s,
             ),
             features=DispatchFeatures(**settings.dispatch.model_dump()),
