--- a/src/bluebellyoke/explanation.py
+++ b/src/bluebellyoke/explanation.py
@@ -36,7 +36,10 @@
 _WORKFLOW_CANCELLED = "dispatch: cancels a workflow"
 _WORKFLOW_ENDED = "dispatch: a workflow ended"
 _WORKER_PAUSED = "dispatch: sets a worker aside"
-_WORKER_CRASHED = "dispatch: a worker crashed"
+_WORKER_CRASHED = {
+    "dispatch: a worker crashed",
+    "dispatch: a worker may have crashed",
+}
 _WORKER_UNRESPONSIVE = "dispatch: lost a worker's answer"
 _LEADER_CHANGED = "replica: leads"
 
@@ -138,7 +141,7 @@
 def _is_suspect(line: LogLine, request_id: str) -> bool:
     """Return whether a line reports a crash that a request may have caused."""
     suspects = line.fields.get("suspects")
-    is_crash = line.message == _WORKER_CRASHED and isinstance(suspects, list)
+    is_crash = line.message in _WORKER_CRASHED and isinstance(suspects, list)
     return is_crash and any(item[:1] == [request_id] for item in suspects)
 
 
@@ -358,7 +361,7 @@
     crashed = [
         line.fields.get("worker")
         for line in request_lines
-        if line.message == _WORKER_CRASHED
+        if line.message in _WORKER_CRASHED
     ]
     if crashed and not workers:
         return f"{reason} ({', '.join(map(str, crashed))}): the job is at fault"
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -158,10 +158,24 @@
     Case(
         "an expired lease is no crash",
         "dispatch/crashes.py",
-        "    return reason is not RemovalReason.LEASE_EXPIRED and not is_planned\n",
-        "    return not is_planned\n",
+        "    if reason is RemovalReason.REPLACED:\n",
+        "    if True:\n",
         "tests/dispatch/test_crash_evidence.py",
     ),
+    Case(
+        "a start that a silent worker left unanswered is no run",
+        "dispatch/crashes.py",
+        "run.phase in _CONFIRMED_PHASES or not run.has_start_timed_out",
+        "True",
+        "tests/dispatch/test_crash_evidence.py",
+    ),
+    Case(
+        "runs of a worker that ends are started again soon",
+        "dispatch/workers.py",
+        "times.leaving_lease_s if is_ending else times.lease_s",
+        "times.lease_s",
+        "tests/dispatch/test_leaving_workers.py",
+    ),
     Case(
         "access: a caller needs a credential",
         "workflow/access.py",
