Refuse numbers of runs and ends that are not whole in a worker's status

Cause: decode_status rounded the numbers of a row, so run 1.5 counted as run 1 and "1" or true as 1. A row that names no run could end one. Change: such a row is unreadable, which keeps the status incomplete and its end unacknowledged. Percentages and loads are still rounded.

--- a/src/bluebellyoke/platform/status.py
+++ b/src/bluebellyoke/platform/status.py
@@ -98,7 +98,7 @@
 def _translate_running(row: list) -> RunningRun:
     return RunningRun(
         parse_task(row[0]),
-        _parse_integer(row[1]),
+        _parse_number(row[1]),
         _parse_checkpoint(row[2]),
         _parse_integer(row[3]),
         _parse_integer(row[4] or 0) if len(row) > 4 else 0,
@@ -106,13 +106,13 @@
 
 
 def _translate_ended(row: list) -> EndedRun:
-    number = _parse_integer(row[0])
+    number = _parse_number(row[0])
     if not 0 <= number <= MAX_END_NUMBER:
         raise ValueError("the number of an end is out of range")
     return EndedRun(
         number,
         parse_task(row[1]),
-        _parse_integer(row[2]),
+        _parse_number(row[2]),
         RunOutcome(row[3]),
         _parse_checkpoint(row[4]),
     )
@@ -154,6 +154,19 @@
     return value
 
 
+def _parse_number(value: object) -> int:
+    """Return the number of a run or of an end.
+
+    Raises:
+        ValueError: The value is no whole number. A rounded one could name another run.
+    """
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise ValueError(f"{value!r} is no number")
+    if value != int(value):
+        raise ValueError(f"{value!r} is no whole number")
+    return _parse_integer(value)
+
+
 def _parse_integer(value: object) -> int:
     """Return an integer of at most 64 bits.
 
