Keep a claim when an earlier claim of its key expires

Cause: a key that is released leaves its expiry in the heap. If the key was claimed again with an earlier expiry, the leftover entry dropped the new claim instead of being ignored, seconds after the request, and a resend ran a second time although the first may still have been at work. Change: an entry counts only at the expiry of the present claim, or from the end of its retention on. Replicas of both versions differ in this during a rolling upgrade.

--- a/src/bluebellyoke/cell/claims.py
+++ b/src/bluebellyoke/cell/claims.py
@@ -118,12 +118,13 @@
         while self.expiries and self.expiries[0][0] <= now:
             due, key = heapq.heappop(self.expiries)
             claim = self.claims.get(key)
-            if claim is None or claim.expires > due:
+            if claim is None:
                 continue
-            if due < claim.expires + OUTCOME_RETENTION_S and due == claim.expires:
+            if due == claim.expires:
                 if claim.outcome.status is ClaimStatus.CLAIMED:
                     claim.outcome = Outcome(ClaimStatus.UNKNOWN)
                 heapq.heappush(self.expiries, (due + OUTCOME_RETENTION_S, key))
-                continue
-            self.recorded_bytes -= len(claim.outcome.body)
-            del self.claims[key]
+            elif due >= claim.expires + OUTCOME_RETENTION_S:
+                self.recorded_bytes -= len(claim.outcome.body)
+                del self.claims[key]
+            # Any other time is that of an earlier claim of the key, which was released.
