Renew no lease of a worker session whose end is proposed

Cause: between the proposal of LoseWorker and its commit, a heartbeat of the session still renewed its lease and got its orders. With that lease the worker could start a task that it had been assigned but never received, while the commit gave the task to another worker. Change: such a heartbeat waits for the commit and is told then that its session has ended.

--- a/src/bluebellyoke/leader/workers.py
+++ b/src/bluebellyoke/leader/workers.py
@@ -7,6 +7,7 @@
     * A reply may be deferred until the orders of the worker change.
     * Tasks are placed elsewhere only after the session's lease has expired and the
       worker's grace period for stopping them has passed.
+    * From the proposal of its end on, a session's lease is not renewed.
 """
 
 from dataclasses import dataclass
@@ -14,6 +15,7 @@
 from bluebellyoke.cell import commands
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.cell.state import CellState
+from bluebellyoke.cell.workers import Worker
 from bluebellyoke.instance import wire
 from bluebellyoke.leader.leases import LeaseTable
 from bluebellyoke.leader.orders import build_orders, needs_immediate_reply
@@ -58,6 +60,8 @@
         self._sequences: dict[str, tuple[str, int]] = {}
         self._deferred: dict[str, DeferredHeartbeat] = {}
         self._need_updates: set[str] = set()
+        # Heartbeats that arrived while the end of their session is not committed yet.
+        self._ending: dict[str, list[DeferredHeartbeat]] = {}
 
     def reset(self, state: CellState, now: float) -> None:
         """Start with a state; the lease of every live session is renewed at `now`."""
@@ -66,6 +70,7 @@
         self._sequences.clear()
         self._deferred.clear()
         self._need_updates.clear()
+        self._ending.clear()
         state.scheduling.workers_with_changed_orders.clear()
         for worker in state.scheduling.workers.values():
             if worker.alive:
@@ -78,6 +83,10 @@
             for worker, deferred in self._deferred.items()
             if deferred.instance_session is not instance_session
         }
+        for worker, items in self._ending.items():
+            self._ending[worker] = [
+                item for item in items if item.instance_session is not instance_session
+            ]
 
     # Heartbeats.
 
@@ -97,6 +106,12 @@
         if not worker.alive:
             self._reject_session(instance_session, call_id, heartbeat, wall_time)
             return
+        if worker.name in self._ending:
+            # A renewal would let the worker go on after the session has ended.
+            self._ending[worker.name].append(
+                DeferredHeartbeat(instance_session, call_id, heartbeat, now)
+            )
+            return
         if self._is_stale(heartbeat):
             instance_session.send(wire.Reply(call_id, wire.WorkerOrders("ok", 0.0)))
             return
@@ -211,12 +226,23 @@
         for name in self._leases.pop_expired(now):
             worker = self._state.scheduling.workers.get(name)
             if worker is not None and worker.alive:
-                self._proposals.add(
-                    commands.LoseWorker(
-                        time=wall_time, worker=name, session=worker.session
-                    )
+                self._end_session(worker, wall_time)
+
+    def _end_session(self, worker: Worker, wall_time: float) -> None:
+        """End a worker's session, and reject the heartbeats that arrive meanwhile."""
+        self._ending[worker.name] = []
+
+        def finish(_: commands.Result) -> None:
+            for item in self._ending.pop(worker.name, ()):
+                self._reject_session(
+                    item.instance_session, item.call_id, item.heartbeat, wall_time
                 )
 
+        command = commands.LoseWorker(
+            time=wall_time, worker=worker.name, session=worker.session
+        )
+        self._proposals.add(command, finish)
+
     def send_changed_orders(self) -> None:
         """Reply to the deferred heartbeats of workers whose orders changed."""
         names = self._state.scheduling.workers_with_changed_orders
