Never shorten a lease by a message that is handled late

Cause: the admission of a worker's session renews its lease when it is committed, with the time of the heartbeat. A later heartbeat that was answered before got a longer lease, which was set back, so the session could end while the worker counted on its lease. Change: a renewal keeps the later of both ends. Measured: test_late_admission_does_not_shorten_a_lease failed before (ended 1.6 s before the worker's lease); tests/leader passes now.

--- a/src/bluebellyoke/leader/leases.py
+++ b/src/bluebellyoke/leader/leases.py
@@ -36,8 +36,12 @@
         self._expiries.clear()
 
     def renew(self, holder: str, now: float) -> None:
-        """Restart a lease at `now`, the time at which a message was received."""
-        self._expiries[holder] = now + self._timeout_s
+        """Restart a lease at `now`, the time at which a message was received.
+
+        A message that is handled late does not shorten the lease.
+        """
+        expiry = self._expiries.get(holder, float("-inf"))
+        self._expiries[holder] = max(expiry, now + self._timeout_s)
 
     def remove(self, holder: str) -> None:
         """Remove a lease, if there is one."""
--- a/tests/leader/test_run_evidence.py
+++ b/tests/leader/test_run_evidence.py
@@ -128,3 +128,29 @@
         simulation.advance(0.05)
     simulation.advance(9.0)
     assert sum(simulation.start_counts.values()) >= 2
+
+
+# Guards against a session that is ended early: a proposal of its admission that was
+# committed late set the lease back to the time of an earlier heartbeat.
+def test_late_admission_does_not_shorten_a_lease(simulation):
+    simulation.workers.clear()
+    replies = CapturedReplies(simulation)
+    replies.heartbeat("m9", "s1", sequence=1)
+    first = simulation.controller.pop_proposals()
+    replies.heartbeat("m9", "s1", sequence=2)
+    second = simulation.controller.pop_proposals()
+    apply(simulation, first)
+    simulation.now += 4.0
+    replies.heartbeat("m9", "s1", sequence=3)
+    confirmed_until = simulation.now + 6.0
+    apply(simulation, second)
+    while simulation.now < confirmed_until:
+        simulation.now += 0.05
+        simulation.controller.tick(simulation.now, simulation.now)
+        commit(simulation)
+        assert simulation.state.scheduling.workers["m9"].alive
+
+
+def apply(simulation, proposals):
+    for proposal in proposals:
+        proposal.on_result(simulation.state.apply(proposal.command))
