Let only a second heartbeat of a session end a live one

Cause: sessions of a worker have no order, so the delayed first heartbeat of a session that was never admitted ended the later session that was live. Its tasks were started elsewhere while their worker worked on. Change: while a worker has a live session, the first heartbeat of another is answered without a lease. The next one, with a higher number and with none of the live session in between, begins the session. A worker that is restarted needs one more round trip. A call that an instance sends again does not count as the next heartbeat. Measured: test_delayed_first_heartbeat_of_an_earlier_session_ends_no_later_one failed before (a task ran in two places); tests/leader and tests/cell pass now.

--- a/src/bluebellyoke/leader/workers.py
+++ b/src/bluebellyoke/leader/workers.py
@@ -7,6 +7,7 @@
     * A reply may be deferred until the orders of the worker change.
     * Tasks are placed elsewhere only after the session's lease has expired and the
       worker's grace period for stopping them has passed.
+    * A session ends a live one of the same worker with its second heartbeat only.
     * From the proposal of its end on, a session's lease is not renewed.
 """
 
@@ -60,6 +61,7 @@
         self._sequences: dict[str, tuple[str, int]] = {}
         self._deferred: dict[str, DeferredHeartbeat] = {}
         self._need_updates: set[str] = set()
+        self._candidates: dict[str, tuple[str, int]] = {}
         # Heartbeats that arrived while the end of their session is not committed yet.
         self._ending: dict[str, list[DeferredHeartbeat]] = {}
 
@@ -71,6 +73,7 @@
         self._deferred.clear()
         self._need_updates.clear()
         self._ending.clear()
+        self._candidates.clear()
         state.scheduling.workers_with_changed_orders.clear()
         for worker in state.scheduling.workers.values():
             if worker.alive:
@@ -101,8 +104,12 @@
         """Renew the lease of a worker and reply with its orders."""
         worker = self._state.scheduling.workers.get(heartbeat.worker)
         if worker is None or worker.session != heartbeat.session:
+            if self._may_be_delayed(worker, heartbeat):
+                instance_session.send(wire.Reply(call_id, wire.WorkerOrders("ok", 0.0)))
+                return
             self._admit_worker(instance_session, call_id, heartbeat, now, wall_time)
             return
+        self._candidates.pop(worker.name, None)
         if not worker.alive:
             self._reject_session(instance_session, call_id, heartbeat, wall_time)
             return
@@ -134,6 +141,26 @@
         else:
             self._deferred[worker.name] = deferred
 
+    def _may_be_delayed(
+        self, worker: Worker | None, heartbeat: wire.WorkerHeartbeat
+    ) -> bool:
+        """Return whether a heartbeat may be of a session before the live one.
+
+        A session that was never admitted may be an earlier one whose heartbeat was
+        delayed, since sessions have no order. Only the latest session of a worker sends
+        a later heartbeat with none of the live session in between.
+        """
+        if worker is None or not worker.alive:
+            return False
+        if heartbeat.session in worker.past_sessions:
+            # The admission refuses it.
+            return False
+        session, sequence = self._candidates.get(worker.name, ("", 0))
+        if session == heartbeat.session and heartbeat.sequence > sequence:
+            return False
+        self._candidates[worker.name] = (heartbeat.session, heartbeat.sequence)
+        return True
+
     def _is_stale(self, heartbeat: wire.WorkerHeartbeat) -> bool:
         session, sequence = self._sequences.get(heartbeat.worker, ("", -1))
         if session == heartbeat.session and heartbeat.sequence < sequence:
--- a/tests/leader/test_run_evidence.py
+++ b/tests/leader/test_run_evidence.py
@@ -104,6 +104,18 @@
     assert not replies.replies[call].run
 
 
+# Guards against a second run beside the first: a delayed heartbeat of a session that
+# was never admitted ended the later session of the worker, which works on.
+def test_delayed_first_heartbeat_of_an_earlier_session_ends_no_later_one(simulation):
+    holder = start_long_task(simulation)
+    replies = CapturedReplies(simulation)
+    # The instance sends the call again on its next stream.
+    for _ in range(2):
+        replies.heartbeat(holder.name, "an-earlier-session", sequence=1)
+    simulation.advance(3.0)
+    assert holder.running
+
+
 # A worker that begins a session guarantees that no task of an earlier one still runs.
 def test_next_session_of_a_worker_moves_its_tasks(simulation):
     holder = start_long_task(simulation)
