Take no reply on the way as proof that a run has not begun

Cause: 400, 421, 429 and 503 to a start, and 409 `old`, counted as a run that never started. A proxy may send the first four after it has passed the start on, and `old` also means that the run has ended, perhaps as done, after the first of two equal starts. The task was started again beside its run, or after it was done. Change: only `late`, `room` and `ticket`, which the worker says itself, and a connection that was never opened count.

--- a/src/bluebellyoke/dispatch/ports.py
+++ b/src/bluebellyoke/dispatch/ports.py
@@ -85,17 +85,19 @@
 
 
 class StartResult(enum.Enum):
-    """A worker's response to a start. All but `STARTED` mean that nothing ran.
+    """A response to a start.
+
+    Only `LATE`, `NO_ROOM` and `BAD_TICKET` prove that the run has not begun.
 
     Attributes:
         FENCED: The worker knows a higher fencing token.
         OUTDATED: The worker knows this run or a later one of the task as ended or
-            blocked.
+            blocked. It may have ended as done, after the first of two equal starts.
         LATE: The requested lease deadline has passed.
         NO_ROOM: The worker has too few free resources.
         BAD_TICKET: The worker does not accept the advisor's ticket.
-        UNHEALTHY: The worker cannot start runs at present.
-        INVALID: The worker refused the request as malformed.
+        UNHEALTHY: The worker cannot start runs at present, or a proxy has responded.
+        INVALID: The worker or a proxy refused the request as malformed.
     """
 
     STARTED = "started"
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -18,7 +18,6 @@
 from bluebellyoke.dispatch.ports import (
     NoAnswerError,
     NotReachedError,
-    OtherLifeError,
     StartRequest,
     StartResult,
 )
@@ -45,6 +44,15 @@
 #: Results of a start that make the worker suspect.
 _SUSPECT_RESULTS = {StartResult.UNHEALTHY, StartResult.NO_ROOM, StartResult.LATE}
 
+#: Results by which the worker itself says that the run has not begun. The others are no
+#: proof: a proxy may send 400, 421, 429 or 503 after the worker has begun the run, and
+#: a worker refuses the repetition of a start as outdated once the run has ended.
+_NEVER_STARTED_RESULTS = {
+    StartResult.LATE,
+    StartResult.NO_ROOM,
+    StartResult.BAD_TICKET,
+}
+
 
 class RunStarter:
     """Commits planned runs, then calls the workers.
@@ -268,11 +276,12 @@
                 "fault": str(event.error) if event.error else None,
             },
         )
-        never_ran = event.result not in (None, StartResult.FENCED) or isinstance(
-            event.error, (NotReachedError, OtherLifeError)
+        never_ran = event.result in _NEVER_STARTED_RESULTS or isinstance(
+            event.error, NotReachedError
         )
         if event.error is not None:
             worker.unanswered_start_at = now
+        if event.error is not None or not never_ran:
             self._prober.request(worker)
         if event.result in _SUSPECT_RESULTS:
             worker.suspect_until = max(worker.suspect_until, now + SUSPECT_S)
