Reckon the lease of a start from the time of its plan

Cause: a start is sent when its commit is applied, with a lease from the time of the last event. A leader that has lost the other replicas sends no polls, but gets responses of workers and may apply a commit seconds later; its start would extend a lease whose end the next leader has already reckoned. Change: the lease counts from the plan, at which the leader's own lease was valid, so the worker refuses such a start as late. Measured: test_start_that_is_committed_long_after_its_plan_comes_too_late failed before and passes now.

--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -139,11 +139,15 @@
             )
         self._context.proposals.add(
             workflow_commands.AssignRuns(time=wall_time, starts=starts),
-            lambda result: self._handle_assignment(planned, result, wall_time),
+            lambda result: self._handle_assignment(planned, result, now, wall_time),
         )
 
     def _handle_assignment(
-        self, planned: list[PlannedStart], result: Result, wall_time: float
+        self,
+        planned: list[PlannedStart],
+        result: Result,
+        planned_at: float,
+        wall_time: float,
     ) -> None:
         self.is_pending = False
         for item, done in zip(planned, result.detail["done"], strict=True):
@@ -164,7 +168,7 @@
                 self._give_back(worker, start, wall_time)
             else:
                 self._record_start_wait(start, wall_time)
-                self._send_start(worker, item)
+                self._send_start(worker, item, planned_at)
 
     def _is_assigned(self, start: workflow_commands.RunStart) -> bool:
         """Return whether a run that was assigned has not been ended since.
@@ -203,7 +207,14 @@
                 wall_time - workflow.submitted_at
             )
 
-    def _send_start(self, worker: TrackedWorker, item: PlannedStart) -> None:
+    def _send_start(
+        self, worker: TrackedWorker, item: PlannedStart, planned_at: float
+    ) -> None:
+        """Send a start, with a lease from the time of its plan on.
+
+        This leader certainly led then. Since, it may have been replaced, and the next
+        leader waits for no lease that begins later.
+        """
         start = item.start
         workflow = self._context.store.workflows[start.task.workflow]
         task = workflow.find_task(start.task)
@@ -222,8 +233,7 @@
             task=start.task,
             run=start.run,
             payload=workflow.spec.payload,
-            deadline_ms=worker.extend_lease(self._context.now, self._context.times)
-            or 0,
+            deadline_ms=worker.extend_lease(planned_at, self._context.times) or 0,
             fence=self._context.fence,
             checkpoint=task.checkpoint,
             ticket=item.ticket,
--- a/tests/dispatch/test_run_evidence.py
+++ b/tests/dispatch/test_run_evidence.py
@@ -174,3 +174,24 @@
     network.run(12.0)
     assert network.find_task().run == 2
     assert network.find_busy_worker().spec.id != late.spec.id
+
+
+# Guards against a start with a new lease from a leader that has lost the replicas: its
+# successor may have waited for the end of the lease and started the task elsewhere.
+def test_start_that_is_committed_long_after_its_plan_comes_too_late(network):
+    network.submit_task()
+    network.advance(0.1)
+    network.dispatcher.tick(network.now, network.now)
+    # Without the replicas the leader sends no polls, but their responses still arrive.
+    network.advance(3.0)
+    for sent in [x for x in network.sent_calls if x.kind == "poll"]:
+        network.deliver(sent)
+    posted, network.events = network.events, []
+    for event in posted:
+        network.dispatcher.receive(event, network.now, network.now)
+    network.advance(4.0)
+    network.commit()
+    (start,) = [x for x in network.sent_calls if x.kind == "start"]
+    network.deliver(start)
+    assert network.events[-1].result is StartResult.LATE
+    assert not any(worker.runs for worker in network.workers.values())
