Keep a claim of an instance whose clock is behind the leader's

Cause: a claim expires at a time by the clock of its instance, and the leader compares it with its own. With a difference above the retention of an hour, the claim was dropped at the next check, while its request was at work, and a resend ran a second time. Change: a claim expires at the earliest at the leader's time of the claim. Its outcome is unknown from then on, but its key stays taken.

--- a/src/bluebellyoke/cell/claims.py
+++ b/src/bluebellyoke/cell/claims.py
@@ -76,13 +76,12 @@
             return refuse(
                 "too-many-claims", "too many idempotency keys are kept; retry later"
             )
+        # The instance tells `expires` by its own clock, which may be far behind.
+        expires = max(command.expires, command.time)
         self.claims[command.key] = Claim(
-            command.digest,
-            command.holder,
-            command.expires,
-            Outcome(ClaimStatus.CLAIMED),
+            command.digest, command.holder, expires, Outcome(ClaimStatus.CLAIMED)
         )
-        heapq.heappush(self.expiries, (command.expires, command.key))
+        heapq.heappush(self.expiries, (expires, command.key))
         return Result(accepted=True, code="claimed")
 
     def _handle_existing_claim(self, existing: Claim, command: ClaimRequest) -> Result:
--- a/tests/cell/test_claim_expiry.py
+++ b/tests/cell/test_claim_expiry.py
@@ -44,3 +44,16 @@
     state.apply(commands.AdvanceTime(time=12.0 + OUTCOME_RETENTION_S))
     assert not state.claims.claims
     assert not state.claims.expiries
+
+
+# Guards against a request that runs twice at the same time: the wall clock of its
+# instance was hours behind the leader's, so that its claim was dropped at once.
+def test_claim_of_an_instance_with_a_slow_clock_is_kept():
+    state = create_state()
+    time = 1.0 + 2 * OUTCOME_RETENTION_S
+    assert claim(state, "i1/a/1", time=time, expires=30.0).accepted
+    state.apply(commands.AdvanceTime(time=time + 1.0))
+    again = claim(state, "i2/b/1", time=time + 2.0, expires=time + 10.0)
+    assert not again.accepted
+    state.apply(commands.AdvanceTime(time=time + OUTCOME_RETENTION_S))
+    assert not state.claims.claims
