Add removal cases of the evidence of runs

Change: eleven cases in tests/unprotected.py. The one of the probe was missed at first, since the simulated workers did not delay their polls; the test lets them wait now.

--- a/tests/dispatch/test_run_evidence.py
+++ b/tests/dispatch/test_run_evidence.py
@@ -71,13 +71,30 @@
     assert (network.find_task().run, network.state) == (1, "completed")
 
 
-# Guards against a task that waits for ever, or for the end of a lease, although its
-# start was really refused.
+def let_polls_wait(network):
+    """Let the workers delay their responses for as long as a poll allows."""
+    forward = network.forward
+
+    def hold(sent):
+        if sent.kind == "poll" and network.now - sent.sent_at < (
+            sent.request.wait_ms / 1000
+        ):
+            network.sent_calls.append(sent)
+            return True
+        return forward(sent)
+
+    network.forward = hold
+
+
+# Guards against a task that waits for the next response to a poll, or for ever, though
+# its start was really refused. A step whose start is malformed waits for 0.7 s.
 @pytest.mark.parametrize("reply", REPLIES_ON_THE_WAY)
 def test_task_whose_start_was_refused_on_the_way_starts_soon(network, reply):
     answer_first_start(network, lambda sent: None, **REPLIES_ON_THE_WAY[reply])
+    let_polls_wait(network)
+    network.step()
     network.submit_task()
-    network.run(1.0)
+    network.run(0.9)
     assert network.find_task().run == 2
     assert network.find_busy_worker()
 
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -42,6 +42,84 @@
 
 
 CASES = [
+    Case(
+        "a reply of a proxy is no proof that a run has not begun",
+        "dispatch/starts.py",
+        "    StartResult.BAD_TICKET,\n}\n",
+        "    StartResult.BAD_TICKET,\n    StartResult.UNHEALTHY,\n"
+        "    StartResult.INVALID,\n}\n",
+        "tests/dispatch/test_run_evidence.py -k begun",
+    ),
+    Case(
+        "a refusal as outdated is no proof that a run has not begun",
+        "dispatch/starts.py",
+        "    StartResult.BAD_TICKET,\n}\n",
+        "    StartResult.BAD_TICKET,\n    StartResult.OUTDATED,\n}\n",
+        "tests/dispatch/test_run_evidence.py -k outdated",
+    ),
+    Case(
+        "the state of a start without proof is looked up at once",
+        "dispatch/starts.py",
+        "        if event.error is not None or not never_ran:\n",
+        "        if event.error is not None:\n",
+        "tests/dispatch/test_run_evidence.py -k soon",
+    ),
+    Case(
+        "the lease of a start counts from its plan",
+        "dispatch/starts.py",
+        "worker.extend_lease(planned_at, ",
+        "worker.extend_lease(self._context.now, ",
+        "tests/dispatch/test_run_evidence.py -k long_after",
+    ),
+    Case(
+        "no lease is renewed while the end of its session is proposed",
+        "leader/workers.py",
+        "        if worker.name in self._ending:\n",
+        "        if False:\n",
+        "tests/leader/test_run_evidence.py -k proposed_end",
+    ),
+    Case(
+        "a first heartbeat ends no live session",
+        "leader/workers.py",
+        "            if self._may_be_delayed(worker, heartbeat):\n",
+        "            if False:\n",
+        "tests/leader/test_run_evidence.py -k delayed",
+    ),
+    Case(
+        "a repeated heartbeat is no second one",
+        "leader/workers.py",
+        " and heartbeat.sequence > sequence:\n",
+        ":\n",
+        "tests/leader/test_run_evidence.py -k delayed",
+    ),
+    Case(
+        "a late message does not shorten a lease",
+        "leader/leases.py",
+        "max(expiry, now + self._timeout_s)",
+        "now + self._timeout_s",
+        "tests/leader/test_run_evidence.py -k late_admission",
+    ),
+    Case(
+        "the expiry of a released claim leaves the next one",
+        "cell/claims.py",
+        "            elif due >= claim.expires + OUTCOME_RETENTION_S:\n",
+        "            elif due >= claim.expires:\n",
+        "tests/cell/test_claim_expiry.py -k released",
+    ),
+    Case(
+        "a claim expires at the earliest when it is made",
+        "cell/claims.py",
+        "max(command.expires, command.time)",
+        "command.expires",
+        "tests/cell/test_claim_expiry.py -k slow_clock",
+    ),
+    Case(
+        "a number that is not whole names no run",
+        "platform/status.py",
+        "    if value != int(value):\n",
+        "    if False:\n",
+        "tests/platform/test_status.py -k odd_row",
+    ),
     Case(
         "a refused connection alone is no proof of the end of a process",
         "dispatch/polls.py",
