Show a status that lists a run as running and as ended

Cause: WorkerPoller._collect_ends takes each listed end of a tracked run, also of one that the same status lists as running. A fix would leave out, and not acknowledge, the ends of runs in report.running. Two further cases show that a run that is being stopped has no successor before its reported end.

--- a/tests/dispatch/test_worker_evidence.py
+++ b/tests/dispatch/test_worker_evidence.py
@@ -352,3 +352,48 @@
     network.run(WATCHED_S)
     assert worker.runs
     assert (network.find_task().run, network.find_task().placed) == (1, True)
+
+
+# Guards against a second run of a task that is to make room, to move to another worker
+# or to leave a serving task alone, while no stop gets through to its worker.
+@pytest.mark.parametrize("is_accepted", [False, True])
+def test_run_that_is_to_stop_has_no_successor_before_its_end(network, is_accepted):
+    worker = network.find_busy_worker()
+    (key,) = worker.runs
+
+    def forward(sent):
+        if sent.kind != "stop":
+            return False
+        if is_accepted:
+            network.finish_call(sent, accepted=True)
+        else:
+            network.time_out(sent)
+        return True
+
+    network.forward = forward
+    tracked = network.dispatcher.workers[worker.spec.id]
+    network.dispatcher._stopper.stop_run(tracked, key)
+    network.run(WATCHED_S)
+    assert list(worker.runs) == [key]
+    assert (network.find_task().run, network.find_task().placed) == (1, True)
+    worker.end(key, workflow_commands.RunOutcome.STOPPED)
+    network.run(1.0)
+    assert network.find_task().run == 2
+
+
+# Guards against a second run beside one that its worker lists as running and as ended
+# in the same status: a status that contradicts itself proves no end.
+@pytest.mark.parametrize("outcome", ["failed", "stopped", "alone"])
+def test_end_of_a_run_that_is_listed_as_running_does_not_count(network, outcome):
+    worker = network.find_busy_worker()
+    (key,) = worker.runs
+    end = EndedRun(1, *key, workflow_commands.RunOutcome(outcome), "")
+
+    def add_end(reporting, report):
+        if reporting is not worker:
+            return report
+        return dataclasses.replace(report, ended=(*report.ended, end))
+
+    alter_reports(network, add_end)
+    network.run(WATCHED_S)
+    assert network.find_task().run == 1
