--- a/src/bluebellyoke/cell/claims.py
+++ b/src/bluebellyoke/cell/claims.py
@@ -76,13 +76,12 @@
             return refuse(
                 "too-many-claims", "too many idempotency keys are kept; retry later"
             )
+        # The instance tells `expires` by its own clock, which may be far behind.
+        expires = max(command.expires, command.time)
         self.claims[command.key] = Claim(
-            command.digest,
-            command.holder,
-            command.expires,
-            Outcome(ClaimStatus.CLAIMED),
+            command.digest, command.holder, expires, Outcome(ClaimStatus.CLAIMED)
         )
-        heapq.heappush(self.expiries, (command.expires, command.key))
+        heapq.heappush(self.expiries, (expires, command.key))
         return Result(accepted=True, code="claimed")
 
     def _handle_existing_claim(self, existing: Claim, command: ClaimRequest) -> Result:
@@ -118,12 +117,13 @@
         while self.expiries and self.expiries[0][0] <= now:
             due, key = heapq.heappop(self.expiries)
             claim = self.claims.get(key)
-            if claim is None or claim.expires > due:
+            if claim is None:
                 continue
-            if due < claim.expires + OUTCOME_RETENTION_S and due == claim.expires:
+            if due == claim.expires:
                 if claim.outcome.status is ClaimStatus.CLAIMED:
                     claim.outcome = Outcome(ClaimStatus.UNKNOWN)
                 heapq.heappush(self.expiries, (due + OUTCOME_RETENTION_S, key))
-                continue
-            self.recorded_bytes -= len(claim.outcome.body)
-            del self.claims[key]
+            elif due >= claim.expires + OUTCOME_RETENTION_S:
+                self.recorded_bytes -= len(claim.outcome.body)
+                del self.claims[key]
+            # Any other time is that of an earlier claim of the key, which was released.
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -18,7 +18,6 @@
 from bluebellyoke.dispatch.ports import (
     NoAnswerError,
     NotReachedError,
-    OtherLifeError,
     StartRequest,
     StartResult,
 )
@@ -45,6 +44,15 @@
 #: Results of a start that make the worker suspect.
 _SUSPECT_RESULTS = {StartResult.UNHEALTHY, StartResult.NO_ROOM, StartResult.LATE}
 
+#: Results by which the worker itself says that the run has not begun. The others are no
+#: proof: a proxy may send 400, 421, 429 or 503 after the worker has begun the run, and
+#: a worker refuses the repetition of a start as outdated once the run has ended.
+_NEVER_STARTED_RESULTS = {
+    StartResult.LATE,
+    StartResult.NO_ROOM,
+    StartResult.BAD_TICKET,
+}
+
 
 class RunStarter:
     """Commits planned runs, then calls the workers.
@@ -131,11 +139,15 @@
             )
         self._context.proposals.add(
             workflow_commands.AssignRuns(time=wall_time, starts=starts),
-            lambda result: self._handle_assignment(planned, result, wall_time),
+            lambda result: self._handle_assignment(planned, result, now, wall_time),
         )
 
     def _handle_assignment(
-        self, planned: list[PlannedStart], result: Result, wall_time: float
+        self,
+        planned: list[PlannedStart],
+        result: Result,
+        planned_at: float,
+        wall_time: float,
     ) -> None:
         self.is_pending = False
         for item, done in zip(planned, result.detail["done"], strict=True):
@@ -156,7 +168,7 @@
                 self._give_back(worker, start, wall_time)
             else:
                 self._record_start_wait(start, wall_time)
-                self._send_start(worker, item)
+                self._send_start(worker, item, planned_at)
 
     def _is_assigned(self, start: workflow_commands.RunStart) -> bool:
         """Return whether a run that was assigned has not been ended since.
@@ -195,7 +207,14 @@
                 wall_time - workflow.submitted_at
             )
 
-    def _send_start(self, worker: TrackedWorker, item: PlannedStart) -> None:
+    def _send_start(
+        self, worker: TrackedWorker, item: PlannedStart, planned_at: float
+    ) -> None:
+        """Send a start, with a lease from the time of its plan on.
+
+        This leader certainly led then. Since, it may have been replaced, and the next
+        leader waits for no lease that begins later.
+        """
         start = item.start
         workflow = self._context.store.workflows[start.task.workflow]
         task = workflow.find_task(start.task)
@@ -214,8 +233,7 @@
             task=start.task,
             run=start.run,
             payload=workflow.spec.payload,
-            deadline_ms=worker.extend_lease(self._context.now, self._context.times)
-            or 0,
+            deadline_ms=worker.extend_lease(planned_at, self._context.times) or 0,
             fence=self._context.fence,
             checkpoint=task.checkpoint,
             ticket=item.ticket,
@@ -268,13 +286,14 @@
                 "fault": str(event.error) if event.error else None,
             },
         )
-        never_ran = event.result not in (None, StartResult.FENCED) or isinstance(
-            event.error, (NotReachedError, OtherLifeError)
+        never_ran = event.result in _NEVER_STARTED_RESULTS or isinstance(
+            event.error, NotReachedError
         )
         if event.error is not None:
             has_timed_out = getattr(event.error, "timed_out", False)
             worker.runs[key].has_start_timed_out = has_timed_out
             worker.unanswered_start_at = now
+        if event.error is not None or not never_ran:
             self._prober.request(worker)
         if event.result in _SUSPECT_RESULTS:
             worker.suspect_until = max(worker.suspect_until, now + SUSPECT_S)
