--- a/standins/platform.py
+++ b/standins/platform.py
@@ -51,6 +51,9 @@
     """HTTP server on loopback in its own thread."""
 
     daemon_threads = True
+    # With the default of 5, connections that are opened at once while the process is
+    # busy are dropped by the kernel, and go silent for seconds.
+    request_queue_size = 128
 
     def __init__(self):
         super().__init__(("127.0.0.1", 0), _Handler)
@@ -81,6 +84,8 @@
         run_s: Run time of each task, in seconds.
         cpu_millis: CPU capacity, in millicores; it may be changed.
         deadly_text: Payload of the tasks that end its process as they start.
+        labels: Its labels.
+        clock_rate: Rate of its clock; the published rules allow 0.98 and more.
         forwarder: Forwarder in front of it, whose address it announces, or None.
 
     Attributes:
@@ -98,6 +103,8 @@
         run_s=0.3,
         cpu_millis=4000,
         deadly_text="(deadly)",
+        labels=("a", "r1"),
+        clock_rate=1.0,
         forwarder=None,
     ):
         self.name = name
@@ -105,6 +112,8 @@
         self.run_s = run_s
         self.cpu_millis = cpu_millis
         self.deadly_text = deadly_text
+        self.labels = labels
+        self.clock_rate = clock_rate
         self.acknowledged_cpu_millis = 0
         self.most_running = 0
         self.has_crashed = False
@@ -136,9 +145,27 @@
         self.shutdown()
         self.server_close()
 
+    def crash(self):
+        """End the process of the worker without a notice."""
+        with self.lock:
+            self._crash()
+
+    def finish_runs(self, next_run_s):
+        """Let all runs end as done, and later ones after a time in seconds."""
+        with self.lock:
+            self.run_s = next_run_s
+            self.running = dict.fromkeys(self.running, 0.0)
+
+    def announce_leave(self):
+        """Announce that the worker leaves; it sends no heartbeat after that."""
+        self.are_heartbeats_lost = True
+        url = f"http://{next(self.control_addresses)}/-/instances/{self.name}"
+        assert httpcore.request("DELETE", url).status == 200
+
     def read_clock_ms(self):
         """Return the worker's monotonic clock, in milliseconds."""
-        return int((time.monotonic() - self.started_at) * 1000)
+        elapsed_s = time.monotonic() - self.started_at
+        return int(elapsed_s * self.clock_rate * 1000)
 
     def answer(self, path, body, expected):
         """Handle a call and return its status and answer."""
@@ -222,14 +249,14 @@
             "born": self.incarnation,
         }
 
-    def _end(self, key, outcome):
+    def _end(self, key, outcome, ended_at=None):
         del self.running[key]
         self.paces.pop(key, None)
         self.last_blocked_run[key[0]] = max(
             self.last_blocked_run.get(key[0], 0), key[1]
         )
         self.ended.append([next(self.end_numbers), key[0], key[1], outcome, ""])
-        self.ledger.append((time.time(), outcome, *key))
+        self.ledger.append((ended_at or time.time(), outcome, *key))
         self.lock.notify_all()
 
     def _run_tasks(self):
@@ -241,10 +268,13 @@
                 ticked_at += elapsed_s
                 for key, percent in self.paces.items():
                     self.running[key] += elapsed_s * (1 - percent / 100)
-                has_lapsed = self.read_clock_ms() > self.lease_deadline_ms
+                overdue_ms = self.read_clock_ms() - self.lease_deadline_ms
                 for key, end_at in list(self.running.items()):
-                    if has_lapsed:
-                        self._end(key, "lapsed")
+                    if overdue_ms > 0:
+                        # The ledger has the end of the lease, not of this pause, which
+                        # is longer on a busy machine.
+                        overdue_s = overdue_ms / 1000 / self.clock_rate
+                        self._end(key, "lapsed", time.time() - overdue_s)
                     elif time.monotonic() >= end_at:
                         self._end(key, "done")
 
@@ -257,7 +287,7 @@
                 "Zone": "dc1",
                 "State": "ready",
                 "Capacity": {"Cpu": self.cpu_millis, "MemMb": 16000, "Gpu": 0},
-                "Labels": ["a", "r1"],
+                "Labels": self.labels,
                 "CurrentTimeMs": self.read_clock_ms(),
                 "Seq": next(sequence),
                 "born": self.incarnation,
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -8,7 +8,7 @@
 
 from standins.cell import Cell, request_json, wait_until
 from tests.integration import callers
-from tests.integration.deployment import CONFIG, WAIT_S, Deployment
+from tests.integration.deployment import run_deployment
 
 TICKET = {
     "number": 1,
@@ -128,16 +128,5 @@
 @pytest.fixture
 def deployment(tmp_path):
     """Three instances with a disk and one without, two workers and a queue."""
-    deployment = Deployment(tmp_path)
-    for number in (1, 2, 3):
-        deployment.start(number, has_disk=True)
-    deployment.start(4, has_disk=False)
-    wait_until(
-        lambda: all(map(deployment.is_ready, deployment.processes)), WAIT_S, "instances"
-    )
-    deployment.replace_crashed_workers()
-    wait_until(
-        lambda: deployment.put_configuration(CONFIG) == 200, WAIT_S, "the configuration"
-    )
-    yield deployment
-    deployment.close()
+    with run_deployment(tmp_path) as deployment:
+        yield deployment
--- a/tests/integration/deployment.py
+++ b/tests/integration/deployment.py
@@ -1,5 +1,6 @@
 """A deployment of the platform: instances as real processes, stand-ins around them."""
 
+import contextlib
 import json
 import os
 import subprocess
@@ -218,6 +219,30 @@
         self.advisor.server_close()
 
 
+@contextlib.contextmanager
+def run_deployment(folder):
+    """Run three instances with a disk and one without, two workers and a queue."""
+    deployment = Deployment(folder)
+    try:
+        for number in (1, 2, 3):
+            deployment.start(number, has_disk=True)
+        deployment.start(4, has_disk=False)
+        wait_until(
+            lambda: all(map(deployment.is_ready, deployment.processes)),
+            WAIT_S,
+            "instances",
+        )
+        deployment.replace_crashed_workers()
+        wait_until(
+            lambda: deployment.put_configuration(CONFIG) == 200,
+            WAIT_S,
+            "the configuration",
+        )
+        yield deployment
+    finally:
+        deployment.close()
+
+
 def create_job(steps):
     return {"TaskSpec": "(text)", "Steps": steps}
 
