Wait for late calls to an earlier incarnation before a lease counts as ended

Its deadline is far ahead of the new clock, so it renews the lease by the longest one, and the leader took the lease for ended before. Change: a worker whose ID an earlier incarnation had keeps its lease for the longest lease after the last such call may arrive. Result: test_runs_of_a_life_outlast_no_lease_by_a_poll_for_an_earlier_one failed before and passes.

--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -9,7 +9,11 @@
 from bluebellyoke.dispatch.run_ends import RunEndRecorder, log_run_end
 from bluebellyoke.dispatch.stops import RunStopper
 from bluebellyoke.dispatch.tracked_run import RunPhase
-from bluebellyoke.dispatch.workers import RemovalReason, TrackedWorker
+from bluebellyoke.dispatch.workers import (
+    MAX_CALL_DELAY_S,
+    RemovalReason,
+    TrackedWorker,
+)
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.commands import CrashedRun, CrashEvidence
 from bluebellyoke.workflow.specs import WorkerSpec
@@ -59,6 +63,7 @@
         self._recorder = recorder
         self._removing: set[tuple[str, int]] = set()
         self._sequences: dict[tuple[str, int], int] = {}
+        self._ended: dict[str, tuple[int, float]] = {}
         self._activated_at = 0.0
 
     def clear(self) -> None:
@@ -67,6 +72,7 @@
         self._context.recent_crashes.clear()
         self._removing.clear()
         self._sequences.clear()
+        self._ended.clear()
 
     def activate(self, now: float) -> None:
         """Track the workers of the store of a new leader."""
@@ -203,7 +209,11 @@
             if worker is not None:
                 self._forget(worker)
             worker = self._context.workers[name] = TrackedWorker(
-                spec, now, last_response_at=now, lost_at=now
+                spec,
+                now,
+                late_calls_until=self._find_latest_call(spec),
+                last_response_at=now,
+                lost_at=now,
             )
             for key in self._context.store.runs.get(spec.key, ()):
                 worker.add_run(
@@ -214,6 +224,11 @@
                     probation_s=self._context.find_probation(key),
                 )
 
+    def _find_latest_call(self, spec: WorkerSpec) -> float:
+        """Return when the last call for an earlier incarnation may be carried out."""
+        incarnation, ended_at = self._ended.get(spec.id, (spec.incarnation, 0.0))
+        return 0.0 if incarnation == spec.incarnation else ended_at + MAX_CALL_DELAY_S
+
     def _drop_removed(self, worker: TrackedWorker) -> None:
         """Drop a removed worker, which may have been enrolled again meanwhile.
 
@@ -225,6 +240,13 @@
     def _forget(self, worker: TrackedWorker) -> None:
         """Drop what is known of an incarnation that is no longer tracked."""
         self._sequences.pop(worker.spec.key, None)
+        now = self._context.now
+        self._ended = {
+            name: (incarnation, ended_at)
+            for name, (incarnation, ended_at) in self._ended.items()
+            if now - ended_at <= MAX_CALL_DELAY_S
+        }
+        self._ended[worker.spec.id] = worker.spec.incarnation, now
         for observer in self._context.observers:
             observer.forget_worker(worker)
 
--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -51,6 +51,9 @@
 #: Maximum relative lag of a worker's clock.
 MAX_CLOCK_LAG = 0.02
 
+#: Longest time after which a worker carries out a call without a response, in seconds.
+MAX_CALL_DELAY_S = 12.0
+
 
 class RemovalReason(enum.Enum):
     """Why the leader removes an incarnation of a worker.
@@ -87,6 +90,9 @@
 
     Attributes:
         discovered_at: Time at which this leader learned of the worker.
+        late_calls_until: Time until which it may carry out calls that were meant for an
+            earlier incarnation with its ID, or 0. Their deadlines are far ahead of its
+            clock, so each of them renews its lease by the longest one.
         clock_ms, clock_at: Latest reading of the worker's clock, in milliseconds, and
             the time at which it arrived; 0 before the first.
         lease_deadline_ms: Latest end of the lease that this leader requested, on the
@@ -129,6 +135,7 @@
 
     spec: WorkerSpec
     discovered_at: float
+    late_calls_until: float = 0.0
     clock_ms: int = 0
     clock_at: float = 0.0
     lease_deadline_ms: int = 0
@@ -323,10 +330,12 @@
         """Return the longest time for which the lease may last, in seconds.
 
         It is that of the slowest clock that a worker may have. An earlier leader may
-        have requested the longest lease just before this one learned of the worker.
+        have requested the longest lease just before this one learned of the worker, and
+        a call for an earlier incarnation may have arrived late.
         """
-        known_for_s = (now - self.discovered_at) * (1 - MAX_CLOCK_LAG)
-        earlier_lease_s = times.max_lease_s - known_for_s
+        renewed_at = max(self.discovered_at, min(self.late_calls_until, now))
+        elapsed_s = (now - renewed_at) * (1 - MAX_CLOCK_LAG)
+        earlier_lease_s = times.max_lease_s - elapsed_s
         if not self.clock_at:
             return earlier_lease_s
         elapsed_s = (now - self.clock_at) * (1 - MAX_CLOCK_LAG)
