Bound the waits of suspects

Suspects without room took places too, and tickets expired behind the first of a full pool.

Change: the order follows the first unexplained crash, and the suspicion puts a task behind by the recovery time of a worker at most. Workers are drained for large suspects beside the places and stay so between rounds. The next eight suspects renew their tickets while all places are in use.

--- a/src/bluebellyoke/dispatch/isolation.py
+++ b/src/bluebellyoke/dispatch/isolation.py
@@ -13,13 +13,21 @@
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.crashes import TaskCrashes
 
-__all__ = ["RecentCrashes", "Isolation", "compute_probation"]
+__all__ = [
+    "RecentCrashes",
+    "Isolation",
+    "compute_probation",
+    "compute_turn",
+    "is_overdue",
+]
 
 #: Shares of a pool that may be used for suspects: always the first, and up to the
-#: second if the rest has so many times the CPU time that is allocated.
+#: second if the rest has so many times the CPU time that is allocated. Overdue suspects
+#: leave it less.
 MIN_SHARE = 0.25
 MAX_SHARE = 0.75
 SPARE_FACTOR = 2
+OVERDUE_SPARE_FACTOR = 1.5
 
 #: Time for which a worker that a suspect has crashed counts as down, in seconds.
 CRASH_RECOVERY_S = 3.5
@@ -29,6 +37,10 @@
 PROBATION_MARGIN_S = 0.25
 MAX_PROBATION_S = 30.0
 
+#: Time after its turn from which a suspect may also use the room that is spare, in
+#: seconds: two others that crash at their start have used a place before it.
+OVERDUE_S = 2 * (SUSPECT_AGE_S + PROBATION_MARGIN_S + CRASH_RECOVERY_S)
+
 
 def compute_probation(crashes: TaskCrashes | None) -> float:
     """Return the time for which a suspect has to run to be cleared, in seconds.
@@ -40,6 +52,21 @@
     return min(crashes.max_age_ms / 1000 + PROBATION_MARGIN_S, MAX_PROBATION_S)
 
 
+def compute_turn(crashes: TaskCrashes) -> float:
+    """Return the wall-clock time by which suspects are ordered, in seconds.
+
+    The suspects of the first crash come first, so that each gets its turn. One that is
+    the cause uses its place for longer, so it is put behind by the expected time.
+    """
+    first = min((crash.time for crash in crashes.unexplained), default=0.0)
+    return first + crashes.suspicion * CRASH_RECOVERY_S
+
+
+def is_overdue(turn: float, wall_time: float) -> bool:
+    """Return whether a suspect has waited for long; both are wall-clock times."""
+    return wall_time - turn >= OVERDUE_S
+
+
 class RecentCrashes:
     """Times of the crashes that suspects have caused, by pool."""
 
@@ -70,6 +97,7 @@
         workers: All workers, by ID.
         recent_crashes: Crashes that suspects have caused.
         previous: IDs of the workers that the last round set apart.
+        drained: IDs of the workers that are drained for suspects.
         chosen: IDs of the workers that this round sets apart.
         full_pools: Pools in which a suspect waits for another one's worker.
     """
@@ -78,21 +106,28 @@
     workers: dict[str, TrackedWorker]
     recent_crashes: RecentCrashes
     previous: frozenset[str] = frozenset()
+    drained: set[str] = field(default_factory=set)
     chosen: dict[str, None] = field(default_factory=dict)
     full_pools: set[str] = field(default_factory=set)
 
-    def order(self, workers: Iterable[TrackedWorker]) -> list[TrackedWorker]:
-        """Return the workers that no suspect of this round uses, the best first.
+    def order(
+        self, workers: Iterable[TrackedWorker], own: str = ""
+    ) -> list[TrackedWorker]:
+        """Return the workers that no other suspect uses, the best first.
+
+        The one that is drained for the suspect comes first, then those of the last
+        round, then those that can be used at once, then those with the fewest runs.
 
-        Those of the last round come first, then those that can be used at once, then
-        those with the fewest runs.
+        Args:
+            own: ID of the worker that is drained for the suspect, if any.
         """
-        free = [item for item in workers if item.spec.id not in self.chosen]
-        return sorted(free, key=self._rank)
+        used = {*self.chosen, *self.drained} - {own}
+        free = [item for item in workers if item.spec.id not in used]
+        return sorted(free, key=lambda item: (item.spec.id != own, *self._rank(item)))
 
-    def take(self, workers: list[TrackedWorker]) -> bool:
+    def take(self, workers: list[TrackedWorker], *, is_overdue: bool = False) -> bool:
         """Set workers of one pool apart for a suspect, unless too many are in use."""
-        if not self._may_use(workers):
+        if not self._may_use(workers, is_overdue):
             self.full_pools.add(workers[0].spec.pool)
             return False
         self.chosen.update(dict.fromkeys(worker.spec.id for worker in workers))
@@ -107,29 +142,39 @@
         must_wait = not self.has_no_young_run(worker)
         return name not in self.previous, must_wait, len(worker.runs), name
 
-    def _may_use(self, workers: list[TrackedWorker]) -> bool:
+    def _may_use(self, workers: list[TrackedWorker], is_overdue: bool) -> bool:
         """Return whether so many workers more may be used for suspects.
 
         A suspect that needs more of them than that has to be the only one.
         """
         pool = workers[0].spec.pool
-        members = [x for x in self.workers.values() if x.spec.pool == pool]
-        crashed = self.recent_crashes.count(pool, self.now)
-        used = crashed + sum(
-            bool(x.suspects) or x.spec.id in self.chosen for x in members
+        used = self.recent_crashes.count(pool, self.now) + sum(
+            bool(x.suspects) or x.spec.id in self.chosen
+            for x in self._list_members(pool)
         )
-        limit = _compute_limit(members, len(members) + crashed)
-        return not used or used + len(workers) <= limit
+        places = self.count_places(pool, is_overdue=is_overdue)
+        return not used or used + len(workers) <= places
+
+    def count_places(self, pool: str, *, is_overdue: bool = False) -> int:
+        """Return how many workers of a pool may be used for suspects."""
+        members = self._list_members(pool)
+        crashed = self.recent_crashes.count(pool, self.now)
+        spare_factor = OVERDUE_SPARE_FACTOR if is_overdue else SPARE_FACTOR
+        return _compute_limit(members, len(members) + crashed, spare_factor)
+
+    def _list_members(self, pool: str) -> list[TrackedWorker]:
+        return [x for x in self.workers.values() if x.spec.pool == pool]
 
 
-def _compute_limit(members: list[TrackedWorker], size: int) -> int:
+def _compute_limit(members: list[TrackedWorker], size: int, spare_factor: float) -> int:
     """Return how many workers of a pool may be used for suspects.
 
     Args:
         members: Workers of the pool that are up.
         size: Number of workers, with those that suspects have crashed.
+        spare_factor: How many times the allocated CPU time the rest has to have.
     """
     allocated = sum(x.allocated.cpu_millis for x in members)
     capacity = sum(x.spec.capacity.cpu_millis for x in members) or 1
-    needed = SPARE_FACTOR * allocated / capacity * len(members)
+    needed = spare_factor * allocated / capacity * len(members)
     return int(max(min(size - needed, size * MAX_SHARE), size * MIN_SHARE))
--- a/src/bluebellyoke/dispatch/suspects.py
+++ b/src/bluebellyoke/dispatch/suspects.py
@@ -3,7 +3,8 @@
 from collections.abc import Container, Sequence
 
 from bluebellyoke.dispatch.advice import StepAdvice, StepKey
-from bluebellyoke.dispatch.isolation import Isolation, RecentCrashes
+from bluebellyoke.dispatch.drains import Drains
+from bluebellyoke.dispatch.isolation import Isolation, RecentCrashes, is_overdue
 from bluebellyoke.dispatch.placement import (
     Candidate,
     count_allowed,
@@ -12,7 +13,7 @@
 from bluebellyoke.dispatch.planning_round import PlanningRound, WaitReason
 from bluebellyoke.dispatch.reservations import reserve_workers
 from bluebellyoke.dispatch.step_tickets import StepTickets, have_tickets
-from bluebellyoke.dispatch.waiting import Suspect
+from bluebellyoke.dispatch.waiting import Suspect, WaitingStep
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.specs import StepSpec
 from bluebellyoke.workflow.store import WorkflowStore
@@ -25,8 +26,9 @@
 MAX_SUSPECTS_PER_ROUND = 64
 FIRST_SUSPECTS = 32
 
-#: Number of waiting suspects whose tickets are renewed while they wait. The others ask
-#: once about each worker, and for new tickets only when they could start.
+#: Number of waiting suspects whose tickets are renewed while they wait, also while all
+#: places of their pool are in use. The others ask once about each worker, and for new
+#: tickets only when they could start.
 RENEWED_SUSPECTS = 8
 
 
@@ -42,11 +44,13 @@
         self._tickets = tickets
         self._recent_crashes = recent_crashes
         self._isolated: frozenset[str] = frozenset()
+        self._drains = Drains()
         self._turn = 0
 
     def reset(self) -> None:
         """Forget which workers the last round has set apart."""
         self._isolated = frozenset()
+        self._drains.reset()
 
     def plan(
         self,
@@ -61,33 +65,41 @@
             suspects: Waiting suspects, in the order in which they are planned.
             paused: Steps that are not planned now.
         """
+        self._drains.start_round(suspects, planning)
         isolation = Isolation(
             now=planning.now,
             workers=planning.workers,
             recent_crashes=self._recent_crashes,
             previous=self._isolated,
+            drained=self._drains.list_workers(),
         )
         waiting = seen = 0
         for suspect in self._rotate(suspects):
             step = suspect.step
             if step.key in paused:
                 planning.wait_reasons[step.key] = WaitReason.REFUSED
+                self._drains.end(suspect)
                 continue
-            is_pool_full = store.find_pool(step.workflow) in isolation.full_pools
-            if is_pool_full or seen >= MAX_SUSPECTS_PER_ROUND:
+            pool = store.find_pool(step.workflow)
+            is_head = waiting < RENEWED_SUSPECTS
+            if pool in isolation.full_pools or seen >= MAX_SUSPECTS_PER_ROUND:
                 planning.wait_reasons.setdefault(step.key, WaitReason.SUSPECT)
+                if is_head and _needs_tickets(step):
+                    advice = self._tickets.get_step_advice(step.key)
+                    self._tickets.renew(step, advice, pool, planning)
+                waiting += 1
                 continue
             if not planning.quotas.allows(step):
                 planning.wait_reasons[step.key] = WaitReason.QUOTA
                 planning.quotas.keep(step)
+                self._drains.end(suspect)
                 continue
             seen += 1
-            is_head = waiting < RENEWED_SUSPECTS
             waiting += not self._plan_suspect(
                 store, suspect, planning, isolation, is_head
             )
-        self._isolated = frozenset(isolation.chosen)
-        planning.isolated = isolation.chosen
+        self._isolated = frozenset({*isolation.chosen, *self._drains.list_workers()})
+        planning.isolated = self._isolated
 
     def _rotate(self, suspects: Sequence[Suspect]) -> Sequence[Suspect]:
         """Return the suspects with those first that this round has to look at."""
@@ -115,7 +127,7 @@
         pool, label = store.find_pool(step.workflow), step.spec.required_label
         advice = None
         workers = planning.list_workers(pool, label)
-        if step.queue is not None and step.queue.advisor is not None:
+        if _needs_tickets(step):
             advice = self._tickets.get_step_advice(step.key)
             if is_head:
                 self._tickets.renew(step, advice, pool, planning)
@@ -137,53 +149,47 @@
     ) -> WaitReason | None:
         """Start one suspect, or a gang; return why it waits, or None."""
         step, indexes = suspect.step, suspect.indexes
-        ordered = isolation.order(workers)
+        overdue = is_overdue(suspect.turn, planning.wall_time)
+        own = self._drains.find(suspect)
+        ordered = isolation.order(workers, own)
         candidates = planning.collect_candidates(step, ordered)
         chosen = _choose_few_workers(step.spec, len(indexes), candidates)
         if chosen is None:
             if step.spec.gang:
                 reserve_workers(step, workers, planning)
-            else:
-                _isolate_full_worker(step.spec, ordered, isolation, planning)
+            elif ordered:
+                places = isolation.count_places(ordered[0].spec.pool)
+                self._drains.drain(suspect, ordered, planning, places)
             return WaitReason.NO_ROOM if workers else WaitReason.NO_WORKER
         used = [planning.workers[x] for x in {item.worker: None for item in chosen}]
         if not have_tickets(advice, [x.spec.key for x in used], planning.now):
-            if self._tickets.replace_expired(step, planning.now):
-                _keep_worker(used, isolation)
+            if not self._tickets.replace_expired(step, planning.now):
+                self._drains.end(suspect)
+            elif not own:
+                _keep_worker(used, isolation, overdue)
             return WaitReason.NO_TICKET
-        if not isolation.take(used) or not all(map(isolation.has_no_young_run, used)):
+        if not isolation.take(used, is_overdue=overdue):
+            return WaitReason.SUSPECT
+        if not all(map(isolation.has_no_young_run, used)):
             return WaitReason.SUSPECT
         run = 1 + max(step.tasks[index].run for index in indexes)
         for index, candidate in zip(indexes, chosen, strict=True):
             worker_key = planning.workers[candidate.worker].spec.key
             planning.add_start(step, index, run, worker_key, advice)
+        self._drains.end(suspect)
         return None
 
 
-def _isolate_full_worker(
-    spec: StepSpec,
-    ordered: list[TrackedWorker],
-    isolation: Isolation,
-    planning: PlanningRound,
-) -> None:
-    """Set a worker apart that has room for a suspect once its runs have ended.
-
-    Long-running tasks do not end, so the suspect has to fit beside them.
-    """
-    full = [
-        worker
-        for worker in ordered
-        if spec.allocation.fits_in(planning.find_usable(worker))
-        and not spec.allocation.fits_in(worker.free)
-    ]
-    if full:
-        isolation.take(full[:1])
+def _needs_tickets(step: WaitingStep) -> bool:
+    return step.queue is not None and step.queue.advisor is not None
 
 
-def _keep_worker(workers: list[TrackedWorker], isolation: Isolation) -> None:
+def _keep_worker(
+    workers: list[TrackedWorker], isolation: Isolation, overdue: bool
+) -> None:
     """Keep workers set apart that were so until a suspect fits on them."""
     if isolation.previous.issuperset(worker.spec.id for worker in workers):
-        isolation.take(workers)
+        isolation.take(workers, is_overdue=overdue)
 
 
 def _choose_few_workers(
--- a/src/bluebellyoke/dispatch/waiting.py
+++ b/src/bluebellyoke/dispatch/waiting.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from bluebellyoke.dispatch.advice import StepKey
+from bluebellyoke.dispatch.isolation import compute_turn
 from bluebellyoke.workflow.commands import TaskName
 from bluebellyoke.workflow.specs import QueueSpec, StepSpec
 from bluebellyoke.workflow.store import WorkflowStore
@@ -18,7 +19,17 @@
     Workflow,
 )
 
-__all__ = ["SHORT_TASK_MS", "NextStep", "Suspect", "WaitingStep", "WaitingSteps"]
+__all__ = [
+    "SHORT_TASK_MS",
+    "NextStep",
+    "Suspect",
+    "SuspectKey",
+    "WaitingStep",
+    "WaitingSteps",
+]
+
+#: Step of a suspect and the index of its first task.
+SuspectKey = tuple[StepKey, int]
 
 #: Estimated duration below which a task may use a reserved worker, or quota that is
 #: kept for a gang, in milliseconds.
@@ -62,12 +73,17 @@
 
     Attributes:
         indexes: Indexes of the task, or of all tasks of the gang.
-        suspicion: Estimated probability that it does.
+        turn: Wall-clock time by which suspects are ordered, in seconds.
     """
 
     step: WaitingStep
     indexes: list[int]
-    suspicion: float
+    turn: float
+
+    @property
+    def key(self) -> SuspectKey:
+        """Key that no other waiting suspect has."""
+        return self.step.key, self.indexes[0]
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,10 +136,7 @@
         return self._ordered
 
     def list_suspects(self) -> list[Suspect]:
-        """Return the waiting suspects, the least suspicious first.
-
-        These are done soonest and take no worker down.
-        """
+        """Return the waiting suspects, in the order of their turns."""
         return self._ordered_suspects
 
     def iter_next(self) -> Iterator[NextStep]:
@@ -190,7 +203,7 @@
         crashes = store.crashes.find_suspect(name)
         if crashes is not None:
             step.indexes = [x for x in step.indexes if x not in indexes]
-            yield Suspect(step, indexes, crashes.suspicion)
+            yield Suspect(step, indexes, compute_turn(crashes))
 
 
 def _find_due_repetitions(workflow: Workflow, wall_time: float) -> Iterator[int]:
@@ -254,7 +267,7 @@
 
 
 def _rank_suspect(suspect: Suspect) -> tuple:
-    return suspect.suspicion, suspect.step.rank, suspect.step.key, suspect.indexes
+    return suspect.turn, suspect.step.rank, suspect.step.key, suspect.indexes
 
 
 def _is_next(repetition: Repetition, spec: StepSpec) -> bool:
