Limit the stops that block a run on a worker that refuses them

Cause: since a refused start is no proof any more, a worker that answers 503 to starts and to stops, but answers polls, was polled and sent a stop in each round: 198 stops in 3 s of simulation with steps of 0.02 s. Change: at most one such stop in 0.3 s for a run.

--- a/src/bluebellyoke/dispatch/stops.py
+++ b/src/bluebellyoke/dispatch/stops.py
@@ -14,6 +14,10 @@
 
 __all__ = ["RunStopper"]
 
+#: Minimum time between two stops that block the same run, in seconds. A worker that
+#: refuses starts may refuse stops, too, and is polled at once while a run is unknown.
+BLOCK_INTERVAL_S = 0.3
+
 
 class RunStopper:
     """Stops runs of finished workflows and of incomplete gangs.
@@ -86,6 +90,12 @@
 
     def send_stop(self, worker: TrackedWorker, key: RunKey) -> None:
         """Send a stop, which also blocks a run that the worker does not have."""
+        now, run = self._context.now, worker.runs.get(key)
+        if run is not None:
+            is_repeated = now - run.stop_sent_at < BLOCK_INTERVAL_S
+            if run.phase is RunPhase.BLOCKING and is_repeated:
+                return
+            run.stop_sent_at = now
         request = StopRequest(task=key[0], run=key[1], fence=self._context.fence)
         self._context.calls.stop(worker.spec, request)
 
--- a/src/bluebellyoke/dispatch/tracked_run.py
+++ b/src/bluebellyoke/dispatch/tracked_run.py
@@ -47,6 +47,7 @@
         sent_at: Time at which this leader sent the start, or None if it has not.
         has_start_timed_out: Whether the start got no response, but its connection did
             not fail either.
+        stop_sent_at: Time at which a stop was last sent.
         probation_s: Time for which it has to run before it is cleared of the crashes
             that it was in, in seconds; 0 if it is not a suspect.
         is_cleared: Whether it has outlived them.
@@ -62,6 +63,7 @@
     phase_since: float
     sent_at: float | None = None
     has_start_timed_out: bool = False
+    stop_sent_at: float = -math.inf
     probation_s: float = 0.0
     is_cleared: bool = False
     expected_end_at: float = math.inf
--- a/tests/dispatch/test_run_evidence.py
+++ b/tests/dispatch/test_run_evidence.py
@@ -5,6 +5,8 @@
 lease or a call that was never sent does.
 """
 
+from collections import Counter
+
 import pytest
 
 from bluebellyoke.dispatch.ports import (
@@ -13,6 +15,7 @@
     OtherLifeError,
     StartResult,
 )
+from bluebellyoke.dispatch.stops import BLOCK_INTERVAL_S
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.dispatch.forwarding import ForwardingNetwork
 
@@ -212,3 +215,26 @@
     network.deliver(start)
     assert network.events[-1].result is StartResult.LATE
     assert not any(worker.runs for worker in network.workers.values())
+
+
+# Guards against a leader that is busy with one worker, which refuses each start and
+# each stop but answers polls: its state was looked up in a loop.
+def test_worker_that_refuses_starts_and_stops_gets_few_calls():
+    network = ForwardingNetwork(1)
+    network.run(0.1)
+    calls = Counter()
+
+    def forward(sent):
+        calls[sent.kind] += 1
+        if sent.kind == "start":
+            network.finish_call(sent, result=StartResult.UNHEALTHY)
+        elif sent.kind == "stop":
+            network.finish_call(sent, accepted=False)
+        return sent.kind != "poll"
+
+    network.forward = forward
+    let_polls_wait(network)
+    network.submit_task()
+    network.run(3.0)
+    assert calls["start"] == 1
+    assert calls["stop"] <= 3.0 / BLOCK_INTERVAL_S
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -64,6 +64,13 @@
         "        if event.error is not None:\n",
         "tests/dispatch/test_run_evidence.py -k soon",
     ),
+    Case(
+        "stops that block a run are limited",
+        "dispatch/stops.py",
+        "            if run.phase is RunPhase.BLOCKING and is_repeated:\n",
+        "            if False:\n",
+        "tests/dispatch/test_run_evidence.py -k few_calls",
+    ),
     Case(
         "the lease of a start counts from its plan",
         "dispatch/starts.py",
