Take a status after a refused start as proof that the run has not begun

Cause: since a start that got 400, 421, 429, 503 or `old` counts as unknown, and its task waits until a stop has blocked the run. Change: a call that got a response is not carried out after it, so a complete status that was requested after the response and does not list the run is the worker's own word that it has not begun. Starts without a response are blocked as before. The test of few calls leaves the start without a response now, since a refused one is repeated.

--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -363,7 +363,7 @@
         for key, run in worker.runs.items():
             if key in listed or run.phase_since >= sent_at:
                 continue
-            if run.phase is RunPhase.BLOCKED:
+            if not run.can_begin_later:
                 ends.append(
                     workflow_commands.RunEnd(
                         *key, workflow_commands.RunOutcome.NEVER_STARTED
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -18,6 +18,7 @@
 from bluebellyoke.dispatch.ports import (
     NoAnswerError,
     NotReachedError,
+    OtherLifeError,
     StartRequest,
     StartResult,
 )
@@ -46,7 +47,8 @@
 
 #: Results by which the worker itself says that the run has not begun. The others are no
 #: proof: a proxy may send 400, 421, 429 or 503 after the worker has begun the run, and
-#: a worker refuses the repetition of a start as outdated once the run has ended.
+#: a worker refuses the repetition of a start as outdated once the run has ended. After
+#: these, a status that does not list the run is the proof.
 _NEVER_STARTED_RESULTS = {
     StartResult.LATE,
     StartResult.NO_ROOM,
@@ -295,6 +297,9 @@
             worker.unanswered_start_at = now
         if event.error is not None or not never_ran:
             self._prober.request(worker)
+        worker.runs[key].was_refused = event.result is not None or isinstance(
+            event.error, OtherLifeError
+        )
         if event.result in _SUSPECT_RESULTS:
             worker.suspect_until = max(worker.suspect_until, now + SUSPECT_S)
         step = (key[0].workflow, key[0].repetition, key[0].step)
--- a/src/bluebellyoke/dispatch/tracked_run.py
+++ b/src/bluebellyoke/dispatch/tracked_run.py
@@ -47,6 +47,8 @@
         sent_at: Time at which this leader sent the start, or None if it has not.
         has_start_timed_out: Whether the start got no response, but its connection did
             not fail either.
+        was_refused: Whether the start got a response that does not say that it was
+            carried out. It is not carried out after that response.
         stop_sent_at: Time at which a stop was last sent.
         probation_s: Time for which it has to run before it is cleared of the crashes
             that it was in, in seconds; 0 if it is not a suspect.
@@ -63,6 +65,7 @@
     phase_since: float
     sent_at: float | None = None
     has_start_timed_out: bool = False
+    was_refused: bool = False
     stop_sent_at: float = -math.inf
     probation_s: float = 0.0
     is_cleared: bool = False
@@ -88,6 +91,12 @@
         """Whether its start has not been sent, since it may not be committed yet."""
         return self.phase is RunPhase.STARTING and self.sent_at is None
 
+    @property
+    def can_begin_later(self) -> bool:
+        """Whether it may still begin although the worker does not list it."""
+        is_refused = self.phase is RunPhase.UNKNOWN and self.was_refused
+        return not (is_refused or self.phase is RunPhase.BLOCKED)
+
     @property
     def probation_end(self) -> float:
         """Time from which a report that lists it clears it, or infinity."""
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -283,6 +283,8 @@
         self.events.append(event)
 
     def receive(self, event):
+        # A response arrives after the calls of the same turn have been sent.
+        self.now += 2 * CALL_DELAY_S
         self.dispatcher.receive(event, self.now, self.now)
         self.commit()
 
--- a/tests/dispatch/test_run_evidence.py
+++ b/tests/dispatch/test_run_evidence.py
@@ -217,9 +217,9 @@
     assert not any(worker.runs for worker in network.workers.values())
 
 
-# Guards against a leader that is busy with one worker, which refuses each start and
-# each stop but answers polls: its state was looked up in a loop.
-def test_worker_that_refuses_starts_and_stops_gets_few_calls():
+# Guards against a leader that is busy with one worker, which gives no usable response
+# to starts and refuses stops, but answers polls: its state was looked up in a loop.
+def test_worker_that_refuses_stops_gets_few_calls():
     network = ForwardingNetwork(1)
     network.run(0.1)
     calls = Counter()
@@ -227,7 +227,8 @@
     def forward(sent):
         calls[sent.kind] += 1
         if sent.kind == "start":
-            network.finish_call(sent, result=StartResult.UNHEALTHY)
+            error = NoAnswerError(sent.spec.address, "status 502")
+            network.finish_call(sent, error=error)
         elif sent.kind == "stop":
             network.finish_call(sent, accepted=False)
         return sent.kind != "poll"
@@ -237,4 +238,37 @@
     network.submit_task()
     network.run(3.0)
     assert calls["start"] == 1
-    assert calls["stop"] <= 3.0 / BLOCK_INTERVAL_S
+    assert 1 <= calls["stop"] <= 3.0 / BLOCK_INTERVAL_S
+
+
+# Guards against a task that waits for as long as its worker is unhealthy, since that
+# refuses stops, too: a status after the refusal shows that the run has not begun.
+@pytest.mark.parametrize(
+    "response",
+    [
+        {"result": StartResult.UNHEALTHY},
+        {"error": OtherLifeError("10.0.0.1:80")},
+    ],
+)
+def test_task_that_a_worker_refuses_is_started_again_soon(response):
+    network = ForwardingNetwork(2)
+    network.run(0.1)
+    refused = []
+
+    def forward(sent):
+        if sent.kind == "poll" or (sent.kind == "start" and refused):
+            return False
+        if sent.kind == "start":
+            refused.append(sent.spec.id)
+            network.finish_call(sent, **response)
+        else:
+            network.finish_call(sent, accepted=False)
+        return True
+
+    network.forward = forward
+    let_polls_wait(network)
+    network.submit_task()
+    network.run(0.3)
+    assert refused
+    started = [x for worker in network.workers.values() for x in worker.runs]
+    assert [run for _, run in started] == [2]
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -974,7 +974,7 @@
     Case(
         "a run of unknown outcome is blocked before it counts as never started",
         "dispatch/polls.py",
-        "if run.phase is RunPhase.BLOCKED:",
+        "if not run.can_begin_later:",
         "if run.phase is not RunPhase.STARTING:",
         "tests/dispatch -k random",
     ),
