Let workers be known for longer before the faults of the run evidence test

Cause: a leader waits for the longest lease after it has learned of a worker, which hid how early it ends the lease of a silent one: the next run began 0.9 to 1.2 s after the lapse, and 0.13 s after it where the set-up had taken longer. Change: the faults begin 1.5 s after the last worker is known. Silent workers are removed 5.10 to 5.14 s after their last response; the lease of a clock that is 2% slow ends after 5.102 s.

--- a/tests/integration/test_run_evidence.py
+++ b/tests/integration/test_run_evidence.py
@@ -26,6 +26,10 @@
 #: Duration of a fault that is longer than a lease, which workers grant for up to 6 s.
 LONG_FAULT_S = 8.0
 
+#: Time for which workers are known before a fault, in seconds. A leader that has just
+#: learned of a worker waits for the longest lease, which would hide an early end.
+KNOWN_S = 1.5
+
 #: Slowest rate of a worker's clock.
 SLOW_CLOCK_RATE = 0.98
 
@@ -346,6 +350,7 @@
         for name, (_, options, _) in CASES.items():
             forwarded.add(name, **options)
         forwarded.start_tasks()
+        time.sleep(KNOWN_S)
         play(
             row
             for name, item in forwarded.forwarded.items()
