End the lease of a worker that leaves the state of a run open for good

Since an end of a run that is listed as running is neither taken nor acknowledged, a worker that lists both for good keeps the run and all later ends, of which it lists 500, and responds to each poll at once (100 polls in 2 s). Change: a run whose stops are not accepted for 10 s, and a run in both lists for 3 s, as one in unreadable rows only, count as lost: the lease of the worker is left to end, which ends the run by its own clock. Refused stops are repeated after 0.3 s, and polls of such workers are 0.1 s apart. Result: the 4 cases of test_review_findings.py failed before and pass. test_worker_evidence, test_run_evidence, test_run_evidence_random, test_odd_rows, test_new_leader, test_command_order, test_run_check and test_dispatcher pass; no other file was run.

--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -15,7 +15,11 @@
 )
 from bluebellyoke.dispatch.probes import WorkerProber
 from bluebellyoke.dispatch.registry import WorkerRegistry
-from bluebellyoke.dispatch.reported_ends import collect_ends, find_last_end
+from bluebellyoke.dispatch.reported_ends import (
+    collect_ends,
+    find_contradictory_runs,
+    find_last_end,
+)
 from bluebellyoke.dispatch.run_check import repair_runs
 from bluebellyoke.dispatch.run_ends import RunEndRecorder
 from bluebellyoke.dispatch.stops import RunStopper
@@ -38,12 +42,22 @@
 POLL_RETRY_S = 0.1
 MAX_POLL_RETRY_S = 0.5
 
-#: Minimum time between two polls of a worker that lists an unreadable row, in seconds.
+#: Minimum time between two polls of a worker that lists an unreadable row, or a run as
+#: running and as ended, in seconds.
 UNREADABLE_POLL_INTERVAL_S = 0.1
 
-#: Time after which a run that is in unreadable rows only counts as lost, in seconds.
+#: Time after which a run that is in unreadable or contradictory rows only counts as
+#: lost, in seconds.
 MAX_UNREADABLE_S = 3.0
 
+#: Minimum time between two polls of a worker that has accepted no stop of a run that it
+#: does not list, in seconds.
+UNBLOCKED_POLL_INTERVAL_S = 0.1
+
+#: Time after which a run counts as lost that the worker neither lists nor lets be
+#: blocked, in seconds. An unhealthy worker may refuse all calls for some seconds.
+MAX_UNBLOCKED_S = 10.0
+
 #: Time after which a stop without effect is sent again, in seconds. It is shorter than
 #: the timeout of the stop, so that the probe after a timeout sends it again.
 STOP_RETRY_S = 0.3
@@ -159,7 +173,11 @@
                 },
             )
         if self._has_lost_run(worker, report, now):
-            cause = "a run is in unreadable rows only"
+            cause = "a run is in unreadable or contradictory rows only"
+            self._fail_poll(worker, event, cause, now, wall_time)
+            return
+        if _has_unblocked_run(worker, report, now):
+            cause = "no stop of a run that is not listed is accepted"
             self._fail_poll(worker, event, cause, now, wall_time)
             return
         worker.failures = 0
@@ -194,17 +212,20 @@
     def _has_lost_run(
         self, worker: TrackedWorker, report: StatusReport, now: float
     ) -> bool:
-        """Return whether a run has been in none but unreadable rows for too long.
+        """Return whether nothing has told for too long whether a run runs.
 
-        Nothing tells whether it runs. Only the end of the worker's lease does.
+        It is in unreadable rows only, or listed as running and as ended. The end of
+        such a run is not acknowledged, nor are those after it, of which the worker
+        lists a limited number. Only the end of its lease tells that the run has ended.
         """
-        is_lost = not report.complete and report.unreadable_rows
+        is_lost = not report.complete and bool(report.unreadable_rows)
         if is_lost:
             listed = {(x.task, x.run) for x in (*report.running, *report.ended)}
             is_lost = any(
                 key not in listed and run.phase is not RunPhase.STARTING
                 for key, run in worker.runs.items()
             )
+        is_lost = is_lost or not find_contradictory_runs(report).isdisjoint(worker.runs)
         if not is_lost:
             worker.unreadable_since = None
             return False
@@ -274,9 +295,15 @@
         else:
             worker.poll_sent_at = None
             worker.poll_due = self._context.now
-            if event.report is not None and event.report.unreadable_rows:
+            report = event.report
+            if report is not None and (
+                report.unreadable_rows or find_contradictory_runs(report)
+            ):
                 # The worker responds at once while an end is not acknowledged.
                 worker.poll_due += UNREADABLE_POLL_INTERVAL_S
+            elif any(x.unblocked_since is not None for x in worker.runs.values()):
+                # Polls do not wait while the state of a run is unknown.
+                worker.poll_due += UNBLOCKED_POLL_INTERVAL_S
             self._context.due_workers.add(worker.spec.id)
         return True
 
@@ -315,6 +342,7 @@
             if run is None:
                 unassigned_runs[key] = worker.unassigned_runs.get(key, 0.0)
                 continue
+            run.unblocked_since = None
             run.record_progress(running.percent, now)
             for observer in self._context.observers:
                 observer.record_progress(worker, key, run, running.load, now)
@@ -363,6 +391,11 @@
         for key, run in worker.runs.items():
             if key in listed or run.phase_since >= sent_at:
                 continue
+            if (
+                run.unblocked_since is not None
+                and now - run.block_sent_at < STOP_RETRY_S
+            ):
+                continue
             if run.phase is RunPhase.BLOCKED:
                 ends.append(
                     workflow_commands.RunEnd(
@@ -371,7 +404,7 @@
                 )
             elif run.phase is not RunPhase.STARTING:
                 run.phase = RunPhase.BLOCKING
-                run.phase_since = now
+                run.phase_since = run.block_sent_at = now
                 self._stopper.send_stop(worker, key)
         return ends
 
@@ -393,3 +426,18 @@
             self._recorder.commit(worker, ends, wall_time, acknowledge)
         else:
             acknowledge()
+
+
+def _has_unblocked_run(worker: TrackedWorker, report: StatusReport, now: float) -> bool:
+    """Return whether the worker has accepted no stop of a missing run for too long.
+
+    The start may still be on its way. Only the end of the worker's lease, after which
+    the start comes too late, tells that the run cannot begin.
+    """
+    listed = {(x.task, x.run) for x in (*report.running, *report.ended)}
+    return any(
+        run.unblocked_since is not None
+        and now - run.unblocked_since > MAX_UNBLOCKED_S
+        and key not in listed
+        for key, run in worker.runs.items()
+    )
--- a/src/bluebellyoke/dispatch/reported_ends.py
+++ b/src/bluebellyoke/dispatch/reported_ends.py
@@ -3,8 +3,9 @@
 from bluebellyoke.dispatch.ports import EndedRun, StatusReport
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow import commands as workflow_commands
+from bluebellyoke.workflow.store import RunKey
 
-__all__ = ["collect_ends", "find_last_end"]
+__all__ = ["collect_ends", "find_contradictory_runs", "find_last_end"]
 
 #: Maximum difference between the numbers of two ends that a worker lists one after the
 #: other. A row with a higher one is not acknowledged.
@@ -24,8 +25,14 @@
 
 def _list_credible_ends(report: StatusReport) -> list[EndedRun]:
     """Return the ends of the runs that the same status does not list as running."""
+    contradictory = find_contradictory_runs(report)
+    return [end for end in report.ended if (end.task, end.run) not in contradictory]
+
+
+def find_contradictory_runs(report: StatusReport) -> set[RunKey]:
+    """Return the runs that a status lists as running and as ended."""
     running = {(item.task, item.run) for item in report.running}
-    return [end for end in report.ended if (end.task, end.run) not in running]
+    return running & {(end.task, end.run) for end in report.ended}
 
 
 def find_last_end(worker: TrackedWorker, report: StatusReport) -> int:
--- a/src/bluebellyoke/dispatch/stops.py
+++ b/src/bluebellyoke/dispatch/stops.py
@@ -102,6 +102,11 @@
             self._prober.request(worker)
         if run.phase is not RunPhase.BLOCKING:
             return
-        phase = RunPhase.BLOCKED if event.accepted else RunPhase.UNKNOWN
-        worker.set_phase(event.key, phase, now)
+        if event.accepted:
+            run.unblocked_since = None
+            worker.set_phase(event.key, RunPhase.BLOCKED, now)
+        else:
+            if run.unblocked_since is None:
+                run.unblocked_since = now
+            worker.set_phase(event.key, RunPhase.UNKNOWN, now)
         self._prober.request(worker)
--- a/src/bluebellyoke/dispatch/tracked_run.py
+++ b/src/bluebellyoke/dispatch/tracked_run.py
@@ -44,6 +44,10 @@
     Attributes:
         need: Resources that the run takes up.
         phase_since: Time of the last change of the phase.
+        unblocked_since: Time since which the worker, which does not list the run, has
+            accepted no stop of it, or None.
+        block_sent_at: Time at which the latest stop of a run that the worker does not
+            list was sent.
         sent_at: Time at which this leader sent the start, or None if it has not.
         has_start_timed_out: Whether the start got no response, but its connection did
             not fail either.
@@ -60,6 +64,8 @@
     need: Resources
     phase: RunPhase
     phase_since: float
+    unblocked_since: float | None = None
+    block_sent_at: float = -math.inf
     sent_at: float | None = None
     has_start_timed_out: bool = False
     probation_s: float = 0.0
--- /dev/null
+++ b/tests/dispatch/test_review_findings.py
@@ -0,0 +1,111 @@
+"""Cases that an independent review of the evidence about runs has found."""
+
+import dataclasses
+
+import pytest
+
+from bluebellyoke.dispatch.ports import EndedRun, StartResult
+from bluebellyoke.workflow import commands as workflow_commands
+from tests.dispatch.forwarding import ForwardingNetwork
+
+#: Time for which a worker is watched, in seconds.
+WATCHED_S = 30.0
+
+#: Maximum number of calls of a kind per second to a worker that never changes.
+MAX_CALLS_PER_S = 10
+
+
+@pytest.fixture
+def network():
+    """Three workers behind a forwarder."""
+    network = ForwardingNetwork()
+    network.run(0.1)
+    return network
+
+
+def refuse_runs(network, counts):
+    """Let the worker of the first start refuse all starts and stops with 503."""
+    refusing = set()
+
+    def forward(sent):
+        if sent.kind == "start" and not refusing:
+            refusing.add(sent.spec.id)
+        if sent.spec.id not in refusing:
+            return False
+        counts[sent.kind] = counts.get(sent.kind, 0) + 1
+        if sent.kind == "start":
+            network.finish_call(sent, result=StartResult.UNHEALTHY)
+        elif sent.kind == "stop":
+            network.finish_call(sent, accepted=False)
+        else:
+            return False
+        return True
+
+    network.forward = forward
+
+
+# Guards against a task that waits for good: its worker refuses each start and stop, but
+# responds to polls, so that its lease does not end.
+def test_task_of_a_worker_that_refuses_starts_and_stops_runs_elsewhere(network):
+    refuse_runs(network, {})
+    network.submit_task()
+    network.run(WATCHED_S)
+    assert network.find_busy_worker().runs
+
+
+# Guards against a loop of probes and stops to a worker that refuses each stop.
+def test_refused_stops_are_not_sent_in_a_loop(network):
+    counts = {}
+    refuse_runs(network, counts)
+    network.submit_task()
+    network.run(WATCHED_S)
+    assert counts["stop"] <= MAX_CALLS_PER_S * WATCHED_S
+    assert counts["poll"] <= 2 * MAX_CALLS_PER_S * WATCHED_S
+
+
+def list_in_both_lists(network, worker):
+    """Let a worker list its run also as ended, for good; count its polls."""
+    (key,) = worker.runs
+    worker.last_end += 1
+    number = worker.last_end
+    end = EndedRun(number, *key, workflow_commands.RunOutcome.DONE, "")
+    handle_poll = network.handle_poll
+    counts = {"polls": 0}
+
+    def handle(polled, request):
+        result = handle_poll(polled, request)
+        report = result["report"]
+        if polled is not worker or report is None:
+            return result
+        counts["polls"] += 1
+        ended = tuple(sorted((*report.ended, end), key=lambda item: item.number))
+        complete = len(ended) < 500
+        report = dataclasses.replace(report, ended=ended[:500], complete=complete)
+        return {"report": report}
+
+    network.handle_poll = handle
+    return counts
+
+
+# Guards against a worker whose later ends are never acknowledged, since it lists a run
+# as running and as ended for good.
+def test_contradictory_row_does_not_keep_ends_for_good(network):
+    network.submit_task(cpu=1000)
+    network.run(0.1)
+    worker = network.find_busy_worker()
+    list_in_both_lists(network, worker)
+    network.run(WATCHED_S)
+    listed = worker.spec.id in network.store.workers
+    tracked = network.dispatcher.workers[worker.spec.id].runs if listed else {}
+    assert not tracked
+    assert network.find_task().run == 2
+
+
+# Guards against polls in a loop to a worker that lists a run as running and as ended,
+# and so responds at once.
+def test_worker_with_a_contradictory_row_is_not_polled_in_a_loop(network):
+    network.submit_task(cpu=1000)
+    network.run(0.1)
+    counts = list_in_both_lists(network, network.find_busy_worker())
+    network.run(2.0)
+    assert counts["polls"] <= MAX_CALLS_PER_S * 2.0 + 1
