--- a/tests/dispatch/test_lease_ends.py
+++ b/tests/dispatch/test_lease_ends.py
@@ -7,6 +7,7 @@
 import pytest
 
 from bluebellyoke.workflow import commands as workflow_commands
+from bluebellyoke.workflow.store import WorkflowStore
 from tests.dispatch.simulation import DispatcherSimulation
 from tests.dispatch.test_new_leader import MAX_REMOVAL_S, TICK_S, run
 from tests.workflow.factories import create_spec, create_step
@@ -111,3 +112,25 @@
     simulation.sent_calls = [x for x in simulation.sent_calls if x not in late_starts]
     run(simulation, 2 * MAX_REMOVAL_S, silent=(name,))
     assert not worker.runs
+
+
+# Guards against a second run beside the first: a poll of the former leader for an
+# earlier life of a worker renews the lease of the next life, which the new leader, who
+# may have read its state from a snapshot, does not reach.
+@pytest.mark.parametrize("from_snapshot", [False, True])
+def test_new_leader_waits_for_late_polls_for_an_earlier_life(simulation, from_snapshot):
+    late_polls = take_polls(simulation)
+    for name in late_polls:
+        simulation.crash(name)
+    run(simulation, 0.2)
+    submit(simulation, FIRST, 2000)
+    run(simulation, 0.2)
+    worker = find_busy_worker(simulation)
+    name = worker.spec.id
+    if from_snapshot:
+        simulation.store = WorkflowStore.load(simulation.store.dump())
+    simulation.change_leader()
+    run(simulation, LATE_S, silent=(name,))
+    simulation.handle_poll(worker, late_polls[name].request)
+    run(simulation, 3 * MAX_REMOVAL_S, silent=(name,))
+    assert find_busy_worker(simulation) is not worker
