Tell the planner which tasks are no suspects once a worker is back

Cause: drops the unproved crash of a worker that announces itself again, but names no changed workflow, and the planner looks at these only. The task was planned as a suspect until its workflow changed for another reason. Change: a dropped crash names the workflows that have shared crashes, as a recorded one does. Result: test_return_of_a_worker_tells_which_tasks_are_no_suspects failed before and passes; tests/workflow/test_lost_workers, test_crashes and tests/dispatch/test_suspects pass.

--- a/src/bluebellyoke/workflow/crashes.py
+++ b/src/bluebellyoke/workflow/crashes.py
@@ -113,11 +113,12 @@
         self.crashes = [x for x in self.crashes if x not in known]
         self.crashes.append(crash)
 
-    def drop_unproved(self, worker_key: tuple[str, int]) -> None:
-        """Drop the crash of a worker that has turned out to run on."""
-        self.crashes = [
-            x for x in self.crashes if x.is_proved or x.worker_key != worker_key
-        ]
+    def drop_unproved(self, worker_key: tuple[str, int]) -> bool:
+        """Drop the crash of a worker that runs on; return whether there was one."""
+        kept = [x for x in self.crashes if x.is_proved or x.worker_key != worker_key]
+        is_dropped = len(kept) < len(self.crashes)
+        self.crashes = kept
+        return is_dropped
 
     def drop_before(self, time: float) -> None:
         """Drop the crashes before a wall-clock time, in seconds."""
@@ -263,11 +264,15 @@
         crashes.add(shared)
         return crashes
 
-    def drop_unproved(self, worker_key: tuple[str, int]) -> None:
-        """Drop the crash of a worker that has turned out to run on."""
-        for crashes in self._tasks.values():
-            crashes.drop_unproved(worker_key)
+    def drop_unproved(self, worker_key: tuple[str, int]) -> bool:
+        """Drop the crash of a worker that has turned out to run on.
+
+        Returns:
+            Whether a task was in it, so that some may be no suspects now.
+        """
+        dropped = [x.drop_unproved(worker_key) for x in self._tasks.values()]
         self._update_young()
+        return any(dropped)
 
     def _explain(self, cause: TaskName) -> None:
         """Clear all other tasks of the crashes that a task has caused."""
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -232,7 +232,8 @@
         An incarnation that is back has not crashed; the next one proves a crash.
         """
         self._lost_workers.drop(spec.key)
-        self.crashes.drop_unproved(spec.key)
+        if self.crashes.drop_unproved(spec.key):
+            self._changed.update(self.crashes.list_workflows())
         crashed = self._lost_workers.pop_crashed(spec, time)
         failed = []
         for lost in crashed:
--- a/tests/workflow/test_lost_workers.py
+++ b/tests/workflow/test_lost_workers.py
@@ -139,3 +139,12 @@
         assert find_state(store) == "pending"
         lose(store, f"w{run}", run, evidence=Evidence.REFUSALS)
     assert find_state(store) == "failed"
+
+
+# Guards against a task that waits for a worker apart, as a suspect, although its worker
+# is back: the planner looks at the changed workflows only.
+def test_return_of_a_worker_tells_which_tasks_are_no_suspects(store):
+    lose(store, "w1", 1, evidence=Evidence.REFUSALS)
+    store.pop_changed()
+    announce(store, "w1", 1, time=NOW + 1)
+    assert store.pop_changed() == {WORKFLOW}
