Show a task that is started without a bound since its starts time out

Cause (rule BUDGET): since, a crash under a start that timed out counts for nothing but suspicion, also if the next incarnation proves it. A task that ends its worker before the worker has responded, on a host that closes no connection, leaves each start unanswered.

--- a/tests/dispatch/test_review_findings.py
+++ b/tests/dispatch/test_review_findings.py
@@ -4,9 +4,11 @@
 
 import pytest
 
-from bluebellyoke.dispatch.ports import EndedRun, StartResult
+from bluebellyoke.dispatch.ports import EndedRun, NoAnswerError, StartResult
 from bluebellyoke.workflow import commands as workflow_commands
-from tests.dispatch.forwarding import ForwardingNetwork
+from tests.dispatch.crashing import CrashSimulation
+from tests.dispatch.forwarding import WORKFLOW, ForwardingNetwork
+from tests.workflow.factories import create_spec, create_step
 
 #: Time for which a worker is watched, in seconds.
 WATCHED_S = 30.0
@@ -14,6 +16,10 @@
 #: Maximum number of calls of a kind per second to a worker that never changes.
 MAX_CALLS_PER_S = 10
 
+#: Maximum number of starts of a task that crashes its workers (rule BUDGET): it is not
+#: started three times more after three workers have crashed under it.
+MAX_DEADLY_STARTS = 5
+
 
 @pytest.fixture
 def network():
@@ -109,3 +115,34 @@
     counts = list_in_both_lists(network, network.find_busy_worker())
     network.run(2.0)
     assert counts["polls"] <= MAX_CALLS_PER_S * 2.0 + 1
+
+
+class CrashAtStart(CrashSimulation):
+    """Workers that end at the start of a deadly task, which gets no response."""
+
+    def deliver_calls(self):
+        for sent in list(self.sent_calls):
+            if (
+                sent.kind == "start"
+                and self.deadly(sent.request.task)
+                and not sent.is_finished
+                and sent.spec.id not in self.down_until
+                and self.workers[sent.spec.id].spec.incarnation == sent.spec.incarnation
+            ):
+                self.handle_start(self.workers[sent.spec.id], sent.request)
+                cause = "no response"
+                error = NoAnswerError(sent.spec.address, cause, timed_out=True)
+                self.finish_call(sent, error=error)
+                self.crash(sent.spec.id)
+        super().deliver_calls()
+
+
+# Guards against a task that is started without a bound: each of its workers ends before
+# it has responded to the start, and is back as its next incarnation.
+@pytest.mark.parametrize("down_s", [1.0, 8.0])
+def test_task_that_ends_its_workers_before_they_respond_is_given_up(down_s):
+    simulation = CrashAtStart(deadly=lambda task: True, down_s=down_s)
+    simulation.run(0.2)
+    simulation.submit(create_spec(WORKFLOW, steps=[create_step(cpu=1000)]))
+    simulation.run(180.0)
+    assert sum(simulation.starts.values()) <= MAX_DEADLY_STARTS
