Let a repeated poll not wait, so that it renews a shorter lease in time

If the response to a poll was lost, the repetition began 1.45 s later, waited 1 s and carried no deadline, so the next renewal came 2.5 s after the last one: with a latency of 0.1 s, the lease ended and with it all runs on the worker. Change: a poll after a failed one asks for a response at once.

--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -125,15 +125,20 @@
         """Send a poll, which renews the lease unless the previous poll failed.
 
         If polls went on renewing the lease of a worker that does not respond, the
-        leader could never be sure that the lease has expired.
+        leader could never be sure that the lease has expired. A repeated poll does not
+        wait, since the lease may end before the next one.
         """
         worker.poll_sent_at = now
         deadline_ms = None
         if not worker.failures:
             deadline_ms = worker.extend_lease(now, self._context.times)
-        may_wait = worker.has_responded and not any(
-            run.phase in (RunPhase.UNKNOWN, RunPhase.BLOCKED)
-            for run in worker.runs.values()
+        may_wait = (
+            worker.has_responded
+            and not worker.failures
+            and not any(
+                run.phase in (RunPhase.UNKNOWN, RunPhase.BLOCKED)
+                for run in worker.runs.values()
+            )
         )
         request = PollRequest(
             deadline_ms=deadline_ms,
--- a/tests/dispatch/test_review_findings.py
+++ b/tests/dispatch/test_review_findings.py
@@ -20,6 +20,12 @@
 #: started three times more after three workers have crashed under it.
 MAX_DEADLY_STARTS = 5
 
+#: Time for which a worker holds a poll, that until a poll times out, and the latency of
+#: a response, in seconds.
+HELD_S = 1.0
+POLL_TIMEOUT_S = 1.35
+LATENCY_S = 0.1
+
 
 @pytest.fixture
 def network():
@@ -146,3 +152,60 @@
     simulation.submit(create_spec(WORKFLOW, steps=[create_step(cpu=1000)]))
     simulation.run(180.0)
     assert sum(simulation.starts.values()) <= MAX_DEADLY_STARTS
+
+
+class HeldPolls(ForwardingNetwork):
+    """Workers that hold polls as long as they may, on a network with a latency.
+
+    Attributes:
+        lost: ID of a worker whose response to its next poll that is held is lost.
+        lost_polls: Polls whose response was lost.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.lost = ""
+        self.lost_polls = []
+        self.held = []
+        self.forward = self.hold
+
+    def hold(self, sent):
+        if sent.kind != "poll" or not sent.request.wait_ms:
+            return False
+        # The worker extends its lease as the poll arrives.
+        self.handle_poll(self.workers[sent.spec.id], sent.request)
+        if sent.spec.id == self.lost:
+            self.lost = ""
+            self.lost_polls.append(sent)
+        self.held.append(sent)
+        return True
+
+    def step(self):
+        super().step()
+        held, self.held = self.held, []
+        for sent in held:
+            age_s = self.now - sent.sent_at
+            if sent in self.lost_polls and age_s >= POLL_TIMEOUT_S:
+                self.time_out(sent)
+            elif sent not in self.lost_polls and age_s >= HELD_S + LATENCY_S:
+                self.deliver(sent)
+            else:
+                self.held.append(sent)
+        self.receive_events()
+
+
+# Guards against runs that end on a worker that drains, since the response to one poll
+# was lost: its shorter lease has to outlast the poll and its repetition.
+def test_lost_response_ends_no_run_of_a_draining_worker():
+    network = HeldPolls()
+    network.run(0.1)
+    network.submit_task(cpu=1000)
+    network.run(0.3)
+    worker = network.find_busy_worker()
+    network.announce(worker.spec.id, draining=True, sequence=2)
+    network.run(8.0)
+    assert worker.runs
+    network.lost = worker.spec.id
+    network.run(8.0)
+    assert network.lost_polls
+    assert worker.runs
