Bound the use of reserved workers by short tasks

Cause: short tasks could use a reserved worker at any time, so overlapping short tasks kept a gang from starting for as long as they arrived.

Change: a short task uses a reserved worker only if it is expected to end before the gang needs the room: 2.7 s after its first reservation, or at the expected end of the runs that were there before. Reservations keep since when each gang has reserved. Also, the drain of a suspect ends if it may use no worker any more (test red without the line).

--- a/src/bluebellyoke/dispatch/isolation.py
+++ b/src/bluebellyoke/dispatch/isolation.py
@@ -38,8 +38,8 @@
 MAX_PROBATION_S = 30.0
 
 #: Time by which the suspicion puts a suspect behind those of later crashes at most, in
-#: seconds. The least suspicious are done soonest and take no worker down; with a quarter
-#: of this time, two days with many crashes gave 0.04 and 0.02 less worth.
+#: seconds. The least suspicious are done soonest and take no worker down; with a
+#: quarter of this time, two days with many crashes gave 0.04 and 0.02 less worth.
 MAX_DELAY_S = 4 * CRASH_RECOVERY_S
 
 #: Time after its turn from which a suspect may also use the room that is spare, in
--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -22,7 +22,7 @@
     WaitReason,
 )
 from bluebellyoke.dispatch.quotas import RoundQuotas
-from bluebellyoke.dispatch.reservations import reserve_workers
+from bluebellyoke.dispatch.reservations import Reservations
 from bluebellyoke.dispatch.step_tickets import StepTickets, have_tickets
 from bluebellyoke.dispatch.suspects import SuspectPlanner
 from bluebellyoke.dispatch.waiting import WaitingStep, WaitingSteps
@@ -74,8 +74,9 @@
         orders: Iterable[StepOrder] = (),
     ) -> None:
         self._tickets = StepTickets(advice)
+        self._reservations = Reservations()
         self._suspects = SuspectPlanner(
-            self._tickets, recent_crashes or RecentCrashes()
+            self._tickets, self._reservations, recent_crashes or RecentCrashes()
         )
         self._costs = CostTables(tuple(costs))
         self._orders = tuple(orders)
@@ -92,6 +93,7 @@
         self._refused_until.clear()
         self._quota_waits.clear()
         self._suspects.reset()
+        self._reservations.reset()
         self.wait_reasons = {}
 
     def pause(self, step: StepKey, now: float) -> None:
@@ -110,6 +112,7 @@
         self._steps.update(store, wall_time)
         self._costs.start_round(workers)
         self._tickets.start_round(now)
+        self._reservations.start_round(now)
         planning = PlanningRound(
             now,
             workers,
@@ -240,7 +243,7 @@
             chosen = self._choose_gang_workers(step, candidates)
         if chosen is None:
             planning.wait_reasons[step.key] = _explain_lack(workers, candidates)
-            reserve_workers(step, workers, planning)
+            self._reservations.reserve_workers(step, workers, planning)
             return False
         worker_keys = {worker.spec.id: worker.spec.key for worker in workers}
         used = {worker_keys[candidate.worker] for candidate in chosen}
--- a/src/bluebellyoke/dispatch/planning_round.py
+++ b/src/bluebellyoke/dispatch/planning_round.py
@@ -10,7 +10,7 @@
 from bluebellyoke.dispatch.placement import Candidate
 from bluebellyoke.dispatch.quotas import RoundQuotas
 from bluebellyoke.dispatch.waiting import WaitingStep
-from bluebellyoke.dispatch.workers import TrackedWorker
+from bluebellyoke.dispatch.workers import ESTIMATE_FACTOR, TrackedWorker
 from bluebellyoke.workflow.commands import RunStart, TaskName
 
 __all__ = ["PlannedStart", "PlanningRound", "WaitReason"]
@@ -67,7 +67,8 @@
         quotas: What the workspaces may still start.
         wall_time: Wall-clock time, in seconds.
         costs: Costs by which a task prefers some workers to others, if there are any.
-        reserved: IDs of workers that gangs have reserved.
+        reserved: Workers that gangs have reserved, by ID, with the time until which
+            short tasks on them have to end.
         isolated: IDs of workers that are set apart for suspects.
         reserving: Number of gangs that have reserved workers.
         starts: Starts that are planned so far.
@@ -79,7 +80,7 @@
     quotas: RoundQuotas
     wall_time: float = 0.0
     costs: CostTables | None = None
-    reserved: set[str] = field(default_factory=set)
+    reserved: dict[str, float] = field(default_factory=dict)
     isolated: Collection[str] = ()
     reserving: int = 0
     starts: list[PlannedStart] = field(default_factory=list)
@@ -150,7 +151,7 @@
         self, step: WaitingStep, workers: Sequence[TrackedWorker]
     ) -> list[Candidate]:
         """Return what some workers have free for a step and what they would cost it."""
-        excluded = () if step.is_short else self.reserved
+        excluded = self._list_excluded(step)
         isolated, known = self.isolated, self._candidates
         costs = self._find_costs(step)
         candidates = []
@@ -166,6 +167,13 @@
                 candidates.append(candidate)
         return candidates
 
+    def _list_excluded(self, step: WaitingStep) -> Collection[str]:
+        """Return the IDs of the reserved workers that a step may not use."""
+        if not step.is_short:
+            return self.reserved
+        end = self.now + step.spec.estimate_ms / 1000 * ESTIMATE_FACTOR
+        return [name for name, until in self.reserved.items() if end > until]
+
     def find_usable(self, worker: TrackedWorker) -> Resources:
         """Return what a worker has free once all its runs but long-running ones end."""
         name = worker.spec.id
--- a/src/bluebellyoke/dispatch/suspects.py
+++ b/src/bluebellyoke/dispatch/suspects.py
@@ -11,7 +11,7 @@
     select_gang_workers,
 )
 from bluebellyoke.dispatch.planning_round import PlanningRound, WaitReason
-from bluebellyoke.dispatch.reservations import reserve_workers
+from bluebellyoke.dispatch.reservations import Reservations
 from bluebellyoke.dispatch.step_tickets import StepTickets, have_tickets
 from bluebellyoke.dispatch.waiting import Suspect, WaitingStep
 from bluebellyoke.dispatch.workers import TrackedWorker
@@ -37,11 +37,18 @@
 
     Args:
         tickets: Requests the tickets that steps need.
+        reservations: Reserves workers for gangs.
         recent_crashes: Crashes that suspects have caused.
     """
 
-    def __init__(self, tickets: StepTickets, recent_crashes: RecentCrashes) -> None:
+    def __init__(
+        self,
+        tickets: StepTickets,
+        reservations: Reservations,
+        recent_crashes: RecentCrashes,
+    ) -> None:
         self._tickets = tickets
+        self._reservations = reservations
         self._recent_crashes = recent_crashes
         self._isolated: frozenset[str] = frozenset()
         self._drains = Drains()
@@ -156,10 +163,12 @@
         chosen = _choose_few_workers(step.spec, len(indexes), candidates)
         if chosen is None:
             if step.spec.gang:
-                reserve_workers(step, workers, planning)
+                self._reservations.reserve_workers(step, workers, planning)
             elif ordered:
                 places = isolation.count_places(ordered[0].spec.pool)
                 self._drains.drain(suspect, ordered, planning, places)
+            else:
+                self._drains.end(suspect)
             return WaitReason.NO_ROOM if workers else WaitReason.NO_WORKER
         used = [planning.workers[x] for x in {item.worker: None for item in chosen}]
         if not have_tickets(advice, [x.spec.key for x in used], planning.now):
--- a/src/bluebellyoke/dispatch/tracked_run.py
+++ b/src/bluebellyoke/dispatch/tracked_run.py
@@ -83,13 +83,17 @@
         """Whether its start has not been sent, since it may not be committed yet."""
         return self.phase is RunPhase.STARTING and self.sent_at is None
 
+    @property
+    def begun_at(self) -> float:
+        """Time at which its start was sent, or from which its phase is known."""
+        return self.phase_since if self.sent_at is None else self.sent_at
+
     @property
     def probation_end(self) -> float:
         """Time from which a report that lists it clears it, or infinity."""
         if not self.probation_s:
             return math.inf
-        begun_at = self.phase_since if self.sent_at is None else self.sent_at
-        return begun_at + self.probation_s
+        return self.begun_at + self.probation_s
 
     @property
     def has_progressed(self) -> bool:
--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -14,7 +14,7 @@
 from bluebellyoke.workflow.specs import WorkerSpec
 from bluebellyoke.workflow.store import RunKey
 
-__all__ = ["LeaseTimes", "RemovalReason", "TrackedWorker"]
+__all__ = ["ESTIMATE_FACTOR", "LeaseTimes", "RemovalReason", "TrackedWorker"]
 
 #: Number of different workflows that must fail on a worker, without a run that is done
 #: in between, before the worker is quarantined.
--- a/tests/dispatch/test_reservations.py
+++ b/tests/dispatch/test_reservations.py
@@ -1,10 +1,13 @@
-"""Tests of workers and quota that are kept for gangs while services run."""
+"""Tests of workers and quota that are kept for gangs."""
 
+import math
 import random
 
 import pytest
 
+from bluebellyoke.dispatch.reservations import SHORT_TASKS_S
 from tests.dispatch.faulty_cell import QUEUES, FaultyCell
+from tests.dispatch.test_planner import NOW, Cell
 from tests.workflow.factories import create_spec, create_step
 
 #: Workers of the pool.
@@ -62,3 +65,31 @@
         run(cell, 1.0)
     run(cell, 10.0)
     assert cell.store.workflows[f"{4:016x}"].outcome == "completed"
+
+
+def plan_in_stream(cell, seconds):
+    """Plan twice a second while short tasks arrive; return how many have started."""
+    started = 0
+    for half in range(round(2 * seconds)):
+        now = NOW + half / 2
+        cell.workers["w1"].last_response_at = now
+        cell.submit([create_step(1, cpu=100, estimate_ms=600.0)])
+        started += len(cell.plan_and_start(now))
+    return started
+
+
+# Guards against room that short tasks do not use although the gang that has reserved it
+# waits for a longer run, and against short tasks that the gang waits for in turn.
+@pytest.mark.parametrize("expected_s", [0.0, 8.0])
+def test_short_tasks_use_a_reserved_worker_until_the_gang_needs_it(expected_s):
+    cell = Cell(workers=1)
+    job = cell.submit([create_step(1, cpu=1000)])
+    (start,) = cell.plan_and_start()
+    run = cell.workers["w1"].runs[(start.task, start.run)]
+    run.phase_since = NOW - 1.0
+    run.expected_end_at = NOW + expected_s
+    gang = cell.submit([create_step(1, cpu=4000, gang=True)])
+    # A task of 0.6 s is expected to end within 0.9 s.
+    last_s = max(expected_s, SHORT_TASKS_S) - 0.9
+    assert plan_in_stream(cell, 20.0) == math.floor(2 * last_s) + 1
+    assert {job, gang} <= cell.store.active.keys()
--- a/tests/dispatch/test_suspect_waits.py
+++ b/tests/dispatch/test_suspect_waits.py
@@ -205,6 +205,22 @@
     assert others in cell.store.active
 
 
+# Guards against a worker that no task gets any more: it was drained for a suspect that
+# may no longer run on any worker.
+def test_drain_ends_once_its_suspect_may_use_no_worker():
+    cell = Cell(workers=1, queues=[create_queue(), create_queue("a", advisor=ADVISOR)])
+    hold(cell, "w1", cpu=3000)
+    suspect = cell.submit([create_step(1, cpu=4000)], queue="a")
+    advice = cell.advice.get_step_advice((suspect, 0, 0))
+    advice.evaluated = {("w1", 1)}
+    advice.tickets = {("w1", 1): ("t", NOW + 1.0)}
+    blame(cell, suspect)
+    other = cell.submit([create_step(1)])
+    assert cell.plan_and_start() == ()
+    advice.tickets.clear()
+    assert list_jobs(cell.plan_and_start()) == [other]
+
+
 # Guards against suspects that wait beside idle room for as long as crashes use up the
 # places. Of 16 workers, 6.4 are allocated: twice as much for the rest leaves less than
 # a quarter, one and a half times as much leaves 6 places.
