--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -7,6 +7,7 @@
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.events import PollFinished
 from bluebellyoke.dispatch.log_limits import LogLimit
+from bluebellyoke.dispatch.open_states import find_open_state
 from bluebellyoke.dispatch.ports import (
     NoAnswerError,
     OtherLifeError,
@@ -46,18 +47,10 @@
 #: running and as ended, in seconds.
 UNREADABLE_POLL_INTERVAL_S = 0.1
 
-#: Time after which a run that is in unreadable or contradictory rows only counts as
-#: lost, in seconds.
-MAX_UNREADABLE_S = 3.0
-
 #: Minimum time between two polls of a worker that has accepted no stop of a run that it
 #: does not list, in seconds.
 UNBLOCKED_POLL_INTERVAL_S = 0.1
 
-#: Time after which a run counts as lost that the worker neither lists nor lets be
-#: blocked, in seconds. An unhealthy worker may refuse all calls for some seconds.
-MAX_UNBLOCKED_S = 10.0
-
 #: Time after which a stop without effect is sent again, in seconds. It is shorter than
 #: the timeout of the stop, so that the probe after a timeout sends it again.
 STOP_RETRY_S = 0.3
@@ -177,12 +170,8 @@
                     "skipped": self._log_limit.pop_skipped(),
                 },
             )
-        if self._has_lost_run(worker, report, now):
-            cause = "a run is in unreadable or contradictory rows only"
-            self._fail_poll(worker, event, cause, now, wall_time)
-            return
-        if _has_unblocked_run(worker, report, now):
-            cause = "no stop of a run that is not listed is accepted"
+        cause = find_open_state(worker, report, now)
+        if cause:
             self._fail_poll(worker, event, cause, now, wall_time)
             return
         worker.failures = 0
@@ -214,30 +203,6 @@
             cause = "an earlier incarnation responded"
             self._fail_poll(worker, event, cause, now, wall_time)
 
-    def _has_lost_run(
-        self, worker: TrackedWorker, report: StatusReport, now: float
-    ) -> bool:
-        """Return whether nothing has told for too long whether a run runs.
-
-        It is in unreadable rows only, or listed as running and as ended. The end of
-        such a run is not acknowledged, nor are those after it, of which the worker
-        lists a limited number. Only the end of its lease tells that the run has ended.
-        """
-        is_lost = not report.complete and bool(report.unreadable_rows)
-        if is_lost:
-            listed = {(x.task, x.run) for x in (*report.running, *report.ended)}
-            is_lost = any(
-                key not in listed and run.phase is not RunPhase.STARTING
-                for key, run in worker.runs.items()
-            )
-        is_lost = is_lost or not find_contradictory_runs(report).isdisjoint(worker.runs)
-        if not is_lost:
-            worker.unreadable_since = None
-            return False
-        if worker.unreadable_since is None:
-            worker.unreadable_since = now
-        return now - worker.unreadable_since > MAX_UNREADABLE_S
-
     def _fail_poll(
         self,
         worker: TrackedWorker,
@@ -426,18 +391,3 @@
             self._recorder.commit(worker, ends, wall_time, acknowledge)
         else:
             acknowledge()
-
-
-def _has_unblocked_run(worker: TrackedWorker, report: StatusReport, now: float) -> bool:
-    """Return whether the worker has accepted no stop of a missing run for too long.
-
-    The start may still be on its way. Only the end of the worker's lease, after which
-    the start comes too late, tells that the run cannot begin.
-    """
-    listed = {(x.task, x.run) for x in (*report.running, *report.ended)}
-    return any(
-        run.unblocked_since is not None
-        and now - run.unblocked_since > MAX_UNBLOCKED_S
-        and key not in listed
-        for key, run in worker.runs.items()
-    )
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -178,7 +178,7 @@
     ),
     Case(
         "a run in unreadable rows only is lost in the end",
-        "dispatch/polls.py",
+        "dispatch/open_states.py",
         "return now - worker.unreadable_since > MAX_UNREADABLE_S",
         "return False",
         "tests/dispatch/test_odd_rows.py",
@@ -357,7 +357,7 @@
     Case(
         "the number of workers used for suspects is bounded",
         "dispatch/isolation.py",
-        "        return not used or used + len(workers) <= limit\n",
+        "        return not used or used + len(workers) <= places\n",
         "        return True\n",
         "tests/dispatch/test_crashes.py tests/dispatch/test_isolation.py",
     ),
@@ -994,16 +994,16 @@
     ),
     Case(
         "a run that can never be blocked ends with the lease",
-        "dispatch/polls.py",
-        "        if _has_unblocked_run(worker, report, now):\n",
-        "        if False:\n",
+        "dispatch/open_states.py",
+        "    if _has_unblocked_run(worker, report, now):\n",
+        "    if False:\n",
         "tests/dispatch/test_review_findings.py",
     ),
     Case(
         "a run that is listed as running and as ended ends with the lease",
-        "dispatch/polls.py",
-        "is_lost or not find_contradictory_runs(report).isdisjoint(worker.runs)\n",
-        "bool(is_lost)\n",
+        "dispatch/open_states.py",
+        "not find_contradictory_runs(report).isdisjoint(worker.runs)\n",
+        "False\n",
         "tests/dispatch/test_review_findings.py",
     ),
     Case(
@@ -1339,8 +1339,8 @@
     Case(
         "suspects of a full pool hold back no others",
         "dispatch/suspects.py",
-        "store.find_pool(step.workflow) in isolation.full_pools\n",
-        "bool(isolation.full_pools)\n",
+        "if pool in isolation.full_pools or seen",
+        "if isolation.full_pools or seen",
         "tests/dispatch/test_suspects.py tests/dispatch/test_suspects_of_pools.py",
     ),
     Case(
