Name no crashed runs to earlier versions without a proof of the crash

Cause: since a removal after the end of a lease carries the runs in `crashed_runs` with its evidence beside them. A replica of the version before ignores the evidence and records a proved crash. Change: such runs are in a field of their own, which earlier versions ignore. Result: test_removal_without_proof_names_no_crashed_runs_to_earlier_versions failed before and passes.

--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -290,9 +290,10 @@
         )
 
         evidence = crashes.find_evidence(worker, reason)
-        crashed_runs: tuple[CrashedRun, ...] = ()
+        runs: tuple[CrashedRun, ...] = ()
         if not crashes.is_planned_end(worker):
-            crashed_runs = self._describe_crash(worker, evidence)
+            runs = self._describe_crash(worker, evidence)
+        is_proved = evidence is CrashEvidence.NEXT_INCARNATION
 
         def finish(result: Result) -> None:
             self._removing.discard(worker_key)
@@ -308,8 +309,9 @@
                 time=wall_time,
                 worker=worker_key[0],
                 incarnation=worker_key[1],
-                crashed_runs=crashed_runs,
+                crashed_runs=runs if is_proved else (),
                 evidence=evidence,
+                lost_runs=() if is_proved else runs,
             ),
             finish,
         )
--- a/src/bluebellyoke/workflow/commands.py
+++ b/src/bluebellyoke/workflow/commands.py
@@ -152,14 +152,17 @@
     """Remove an incarnation of a worker; its runs end as lost.
 
     Attributes:
-        crashed_runs: Runs that its crash has ended, if it has or may have crashed.
+        crashed_runs: Runs that its crash has ended, if it has crashed.
         evidence: What tells that it has.
+        lost_runs: The same if it may have crashed. Replicas of an earlier version,
+            which take each of `crashed_runs` for a run of a proved crash, ignore these.
     """
 
     worker: str
     incarnation: int = msgspec.field(name="born")
     crashed_runs: tuple[CrashedRun, ...] = ()
     evidence: CrashEvidence = CrashEvidence.NEXT_INCARNATION
+    lost_runs: tuple[CrashedRun, ...] = ()
 
 
 class AssignRuns(Command, frozen=True, kw_only=True, array_like=True, tag=True):
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -252,7 +252,8 @@
         del self.workers[command.worker]
         worker_key = (command.worker, command.incarnation)
         present = self.runs.get(worker_key, {})
-        crashed = [x for x in command.crashed_runs if (x.task, x.run) in present]
+        runs = (*command.crashed_runs, *command.lost_runs)
+        crashed = [x for x in runs if (x.task, x.run) in present]
         self._end_lost_runs(worker_key, command.time)
         self.ended_lives.add(worker_key, command.time)
         is_proved = command.evidence is workflow_commands.CrashEvidence.NEXT_INCARNATION
--- a/tests/dispatch/test_review_findings.py
+++ b/tests/dispatch/test_review_findings.py
@@ -209,3 +209,25 @@
     network.run(8.0)
     assert network.lost_polls
     assert worker.runs
+
+
+# Guards against replicas that differ during a rolling upgrade: those of the version
+# before take each run in `crashed_runs` for one of a proved crash, and fail its job.
+def test_removal_without_proof_names_no_crashed_runs_to_earlier_versions(network):
+    network.submit_task(cpu=1000)
+    network.run(0.1)
+    worker = network.find_busy_worker()
+    applied = []
+    apply = network.store.apply
+
+    def record(command):
+        applied.append(command)
+        return apply(command)
+
+    network.store.apply = record
+    network.silent.add(worker.spec.id)
+    network.run(10.0)
+    (removal,) = [x for x in applied if isinstance(x, workflow_commands.RemoveWorker)]
+    assert removal.evidence is workflow_commands.CrashEvidence.NONE
+    assert not removal.crashed_runs
+    assert network.store.dump().lost_workers[0].runs
