Take no clock reading from a status without an incarnation

If the clock is that of another process and far ahead, the deadline of the next poll is, too, so that the worker takes the longest lease (6 s), while the leader counts the one that it meant (5 s). If the response to that poll is lost, the runs are started a second time. Change: only a status that names the tracked incarnation gives a clock reading.

--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -189,7 +189,9 @@
         worker.is_refusing = False
         worker.has_responded = True
         worker.last_response_at = worker.lost_at = now
-        worker.record_clock(report.clock_ms, now)
+        if report.incarnation == worker.spec.incarnation:
+            # Without an incarnation, the clock may be that of another process.
+            worker.record_clock(report.clock_ms, now)
         repair_runs(self._context, worker, now)
         self._check_running(worker, report, now)
         self._clear_suspects(worker, report, now)
--- a/tests/dispatch/test_review_findings.py
+++ b/tests/dispatch/test_review_findings.py
@@ -231,3 +231,35 @@
     assert removal.evidence is workflow_commands.CrashEvidence.NONE
     assert not removal.crashed_runs
     assert network.store.dump().lost_workers[0].runs
+
+
+# Guards against a second run beside the first: a status without an incarnation, of
+# another writer, has a clock far ahead. The deadline of the next poll is as far ahead,
+# so that the worker, whose response is lost, takes the longest lease.
+def test_clock_of_a_status_without_incarnation_ends_no_lease(network):
+    network.submit_task(cpu=2000)
+    network.run(7.0)
+    worker = network.find_busy_worker()
+    handle_poll = network.handle_poll
+
+    def handle(polled, request):
+        result = handle_poll(polled, request)
+        if polled is worker:
+            network.silent.add(worker.spec.id)
+            clock_ms = result["report"].clock_ms + 100_000
+            report = dataclasses.replace(
+                result["report"], incarnation=0, clock_ms=clock_ms
+            )
+            result = {"report": report}
+        return result
+
+    def carry_out(sent):
+        if sent.kind == "poll" and sent.spec.id in network.silent:
+            handle_poll(worker, sent.request)
+        return False
+
+    network.handle_poll = handle
+    network.forward = carry_out
+    network.run(10.0)
+    network.forward = lambda sent: False
+    assert network.find_task().run == 2
