--- a/tests/dispatch/test_review_findings.py
+++ b/tests/dispatch/test_review_findings.py
@@ -210,3 +210,57 @@
     network.run(8.0)
     assert network.lost_polls
     assert worker.runs
+
+
+# Guards against replicas that differ during a rolling upgrade: those of the version
+# before take each run in `crashed_runs` for one of a proved crash, and fail its job.
+def test_removal_without_proof_names_no_crashed_runs_to_earlier_versions(network):
+    network.submit_task(cpu=1000)
+    network.run(0.1)
+    worker = network.find_busy_worker()
+    applied = []
+    apply = network.store.apply
+
+    def record(command):
+        applied.append(command)
+        return apply(command)
+
+    network.store.apply = record
+    network.silent.add(worker.spec.id)
+    network.run(10.0)
+    (removal,) = [x for x in applied if isinstance(x, workflow_commands.RemoveWorker)]
+    assert removal.evidence is workflow_commands.CrashEvidence.NONE
+    assert not removal.crashed_runs
+    assert network.store.dump().lost_workers[0].runs
+
+
+# Guards against a second run beside the first: a status without an incarnation, of
+# another writer, has a clock far ahead. The deadline of the next poll is as far ahead,
+# so that the worker, whose response is lost, takes the longest lease.
+def test_clock_of_a_status_without_incarnation_ends_no_lease(network):
+    network.submit_task(cpu=2000)
+    network.run(7.0)
+    worker = network.find_busy_worker()
+    handle_poll = network.handle_poll
+
+    def handle(polled, request):
+        result = handle_poll(polled, request)
+        if polled is worker:
+            network.silent.add(worker.spec.id)
+            clock_ms = result["report"].clock_ms + 100_000
+            report = dataclasses.replace(
+                result["report"], incarnation=0, clock_ms=clock_ms
+            )
+            result = {"report": report}
+        return result
+
+    def carry_out(sent):
+        if sent.kind == "poll" and sent.spec.id in network.silent:
+            handle_poll(worker, sent.request)
+        return False
+
+    network.handle_poll = handle
+    network.forward = carry_out
+    network.run(10.0)
+    network.forward = lambda sent: False
+    assert network.find_task().run == 2
