Name ended incarnations by the project's word, and the time of a poll once

Change: workflow/ended_incarnations.py; the longest time of a poll in dispatch/crashes.py is worked out from its parts, which are in calls.py. No change of behaviour. Result: tests of leases, crashes, calls, lost events, layers and workflows pass.

--- a/src/bluebellyoke/dispatch/calls.py
+++ b/src/bluebellyoke/dispatch/calls.py
@@ -33,6 +33,7 @@
     "CALL_TIMEOUT_S",
     "MAX_EVENT_DELAY_S",
     "POLL_TIMEOUT_SLACK_S",
+    "POLL_WAIT_MS",
     "WorkerCalls",
 ]
 
@@ -42,6 +43,9 @@
 #: within milliseconds; after a timeout, another call finds out the outcome.
 CALL_TIMEOUT_S = 0.35
 
+#: Time for which a worker may delay its response to a poll, in milliseconds.
+POLL_WAIT_MS = 1000
+
 #: Timeout of a poll in addition to the wait that it allows the worker, in seconds.
 POLL_TIMEOUT_SLACK_S = 0.35
 
--- a/src/bluebellyoke/dispatch/crashes.py
+++ b/src/bluebellyoke/dispatch/crashes.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Collection
 
+from bluebellyoke.dispatch.calls import POLL_TIMEOUT_SLACK_S, POLL_WAIT_MS
 from bluebellyoke.dispatch.tracked_run import RunPhase, TrackedRun
 from bluebellyoke.dispatch.workers import RemovalReason, TrackedWorker
 from bluebellyoke.workflow.commands import CrashedRun, CrashEvidence
@@ -22,7 +23,7 @@
 SUSPECT_AGE_S = 0.25
 
 #: Longest time from a response to the end of the next poll, in seconds.
-MAX_POLL_S = 1.35
+MAX_POLL_S = POLL_WAIT_MS / 1000 + POLL_TIMEOUT_SLACK_S
 
 #: Phases of runs that the worker has.
 _CONFIRMED_PHASES = (RunPhase.STARTED, RunPhase.STOPPING)
--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -3,7 +3,11 @@
 import logging
 from dataclasses import replace
 
-from bluebellyoke.dispatch.calls import MAX_EVENT_DELAY_S, POLL_TIMEOUT_SLACK_S
+from bluebellyoke.dispatch.calls import (
+    MAX_EVENT_DELAY_S,
+    POLL_TIMEOUT_SLACK_S,
+    POLL_WAIT_MS,
+)
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.events import PollFinished
 from bluebellyoke.dispatch.log_limits import LogLimit
@@ -33,9 +37,6 @@
 
 logger = logging.getLogger("bluebellyoke.dispatch")
 
-#: Time for which a worker may delay its response to a poll, in milliseconds.
-POLL_WAIT_MS = 1000
-
 #: Time after which a poll without an event counts as lost, in seconds.
 LOST_POLL_S = POLL_WAIT_MS / 1000 + POLL_TIMEOUT_SLACK_S + MAX_EVENT_DELAY_S
 
--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -77,9 +77,9 @@
     def activate(self, now: float) -> None:
         """Track the workers of the store of a new leader."""
         self._activated_at = now
-        for life in self._context.store.ended_lives:
+        for ended in self._context.store.ended_incarnations:
             # An earlier leader may have called it until now.
-            self._ended.setdefault(life.worker, (life.incarnation, now))
+            self._ended.setdefault(ended.worker, (ended.incarnation, now))
         self.sync_workers(now)
 
     def register(
--- a/src/bluebellyoke/workflow/snapshot.py
+++ b/src/bluebellyoke/workflow/snapshot.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from bluebellyoke.workflow.crashes import TaskCrashes
-from bluebellyoke.workflow.ended_lives import EndedLife
+from bluebellyoke.workflow.ended_incarnations import EndedIncarnation
 from bluebellyoke.workflow.lost_workers import LostWorker
 from bluebellyoke.workflow.specs import Configuration, QueueSpec, WorkerSpec
 from bluebellyoke.workflow.workflow import Workflow
@@ -17,7 +17,7 @@
     Attributes:
         removed_queues: Last definitions of removed queues that had active workflows.
         lost_workers: Removed workers that may have crashed.
-        ended_lives: Incarnations of workers that ended a short time ago.
+        ended_incarnations: Incarnations of workers that ended a short time ago.
     """
 
     configuration: Configuration
@@ -26,4 +26,4 @@
     crashes: list[TaskCrashes] = []
     removed_queues: list[QueueSpec] = []
     lost_workers: list[LostWorker] = []
-    ended_lives: list[EndedLife] = []
+    ended_incarnations: list[EndedIncarnation] = []
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -6,7 +6,7 @@
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.access import AccessDecision, authorize_request
 from bluebellyoke.workflow.crashes import CrashHistory
-from bluebellyoke.workflow.ended_lives import EndedLives
+from bluebellyoke.workflow.ended_incarnations import EndedIncarnations
 from bluebellyoke.workflow.gangs import find_start_group, is_complete, is_gang
 from bluebellyoke.workflow.lost_workers import LostWorker, LostWorkers
 from bluebellyoke.workflow.queues import QueueTable
@@ -50,7 +50,7 @@
             worker.
         usage: Resources that the runs of each workspace take up.
         crashes: Crashes of workers by the tasks that they may be due to.
-        ended_lives: Incarnations of workers that ended a short time ago.
+        ended_incarnations: Incarnations of workers that ended a short time ago.
     """
 
     def __init__(self) -> None:
@@ -62,7 +62,7 @@
         self.runs: dict[tuple[str, int], dict[RunKey, None]] = {}
         self.usage = WorkspaceUsage()
         self.crashes = CrashHistory()
-        self.ended_lives = EndedLives()
+        self.ended_incarnations = EndedIncarnations()
         self._lost_workers = LostWorkers()
         self._queues = QueueTable()
         self._workspaces: dict[str, WorkspaceSpec] = {}
@@ -78,7 +78,7 @@
 
     def apply(self, command: workflow_commands.WorkflowCommand) -> Result:
         """Apply one command and return its result."""
-        self.ended_lives.drop_old(command.time)
+        self.ended_incarnations.drop_old(command.time)
         return _HANDLERS[type(command)](self, command)
 
     def get_queue(self, name: str) -> QueueSpec | None:
@@ -212,7 +212,7 @@
             return Result(accepted=True, code="overtaken")
         if known is not None and known.incarnation < spec.incarnation:
             self._end_lost_runs(known.key, command.time)
-            self.ended_lives.add(known.key, command.time)
+            self.ended_incarnations.add(known.key, command.time)
         if (
             known is not None
             and known.incarnation == spec.incarnation
@@ -255,7 +255,7 @@
         runs = (*command.crashed_runs, *command.lost_runs)
         crashed = [x for x in runs if (x.task, x.run) in present]
         self._end_lost_runs(worker_key, command.time)
-        self.ended_lives.add(worker_key, command.time)
+        self.ended_incarnations.add(worker_key, command.time)
         is_proved = command.evidence is workflow_commands.CrashEvidence.NEXT_INCARNATION
         if crashed and not is_proved:
             self._lost_workers.add(
@@ -422,7 +422,7 @@
             self.crashes.dump(),
             self._queues.dump_removed(),
             self._lost_workers.dump(),
-            self.ended_lives.dump(),
+            self.ended_incarnations.dump(),
         )
 
     @classmethod
@@ -434,7 +434,7 @@
         store.runs = {spec.key: {} for spec in snapshot.workers}
         store.crashes = CrashHistory(snapshot.crashes)
         store._lost_workers = LostWorkers(snapshot.lost_workers)
-        store.ended_lives = EndedLives(snapshot.ended_lives)
+        store.ended_incarnations = EndedIncarnations(snapshot.ended_incarnations)
         store.usage = WorkspaceUsage(snapshot.workflows)
         for workflow in snapshot.workflows:
             store.workflows[workflow.spec.id] = workflow
