--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -988,7 +988,7 @@
     Case(
         "a new leader waits for late calls to an earlier incarnation",
         "dispatch/registry.py",
-        "            self._ended.setdefault(life.worker, (life.incarnation, now))\n",
+        "            self._ended.setdefault(ended.worker, (ended.incarnation, now))\n",
         "            pass\n",
         "tests/dispatch/test_lease_ends.py",
     ),
