--- a/src/bluebellyoke/workflow/lost_workers.py
+++ b/src/bluebellyoke/workflow/lost_workers.py
@@ -1,4 +1,4 @@
-"""Workers whose lease ended while they were silent, and what their next life proves.
+"""Workers whose lease ended while they were silent, and what proves their crash.
 
 A lease that has ended shows that the worker ended its runs, not that its process did.
 Only the next incarnation shows that: it announces itself under the same ID, or at the
