--- /dev/null
+++ b/review/small/__init__.py
@@ -0,0 +1,1 @@
+"""A small deployment on loopback, shared by the scripts of the second review."""
