Review case 6: two runs of a task after a runner is back under its ID

Cause: a start can be the first call that reaches a runner's next incarnation, and the runs of the former one count as lost without asking the next one. Change: claim and script, with a small deployment of stand-ins that the scripts share.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A runner crashes and is back under its ID within about a second.
+"""A runner crashes and is back under its ID about a second later.
 
 Each round, the runner that gets the next job is killed and started again. A node that
 serves control is frozen meanwhile, and the runner sends its first heartbeat there, so
@@ -6,49 +6,23 @@
 The check is that no task has two runs at the same time on runners that are up.
 """
 
-import os
 import signal
 import socket
 import time
 from pathlib import Path
 
+from review.small.configuration import (
+    HOST,
+    PREFIX,
+    create_configuration,
+    create_route,
+)
 from review.small.deployment import run_case
 
-HOST, PREFIX = "nony24.example", "/lohu930/"
-
-CONFIG = {
-    "Version": 3,
-    "Routes": [
-        {
-            "Name": "r-1",
-            "Host": HOST,
-            "PathPrefix": PREFIX,
-            "RouteType": "non_idempotent",
-            "TimeoutMs": 3000,
-            "TargetDurationMs": 1000,
-            "Priority": 1,
-            "Service": "huvo11a",
-            "Attempts": 3,
-            "SlackFactor": 2.2,
-        }
-    ],
-    "Services": [
-        {
-            "Name": "huvo11a",
-            "HealthPath": "/health",
-            "MaxConns": 64,
-            "Protocol": "h1",
-            "TlsEnabled": False,
-            "EnforceCapacity": False,
-            "Standby": False,
-        }
-    ],
-    "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144},
-}
-
 ROUNDS = 8
 DOWN_S = 1.0
-FROZEN = 5
+FROZEN = 9
+RUNNERS = "abcdefgh"
 ROUND_S = 8.0
 
 
@@ -86,16 +60,14 @@
 def play(deployment, trouble):
     """Play the rounds; return what was broken."""
     deployment.start_all()
-    deployment.put_configuration(CONFIG)
-    for name in ("i-a", "i-b"):
-        deployment.start_runner(name, nodes=(FROZEN, 4, 1))
+    deployment.put_configuration(create_configuration(3, [create_route("r-1")]))
+    for letter in RUNNERS:
+        deployment.start_runner(f"i-{letter}", nodes=(FROZEN, 4, 1))
     time.sleep(3)
-    freezes = trouble and os.environ.get("FREEZE", "1") != "0"
     for number in range(ROUNDS):
         began = time.monotonic()
-        if freezes:
-            deployment.signal(FROZEN, signal.SIGSTOP)
         if trouble:
+            deployment.signal(FROZEN, signal.SIGSTOP)
             deployment.crash_runner("i-a")
             time.sleep(DOWN_S)
             deployment.start_runner("i-a", nodes=())
@@ -104,7 +76,7 @@
         body = {"TaskSpec": "3000 ms", "Steps": [{"Count": 1, "Cpu": 1000}]}
         deployment.ask("POST", PREFIX + job, body, host=HOST, number=4)
         time.sleep(2.0)
-        if freezes:
+        if trouble:
             deployment.signal(FROZEN, signal.SIGCONT)
         time.sleep(max(ROUND_S - (time.monotonic() - began), 0))
         deployment.ask("GET", PREFIX + job, host=HOST, number=4)
@@ -115,4 +87,4 @@
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).parent, play)
+    run_case(Path(__file__).parent, play, others=6)
--- a/review/small/deployment.py
+++ b/review/small/deployment.py
@@ -60,7 +60,7 @@
 DrainMs = 2000
 GraceS = 6
 ConfigApplyMs = 2000
-MaxHoldMs = 6000
+MaxHoldMs = {max_hold_ms}
 StopGraceMs = 900
 GangTimeoutMs = 3000
 cancel_ms = 3000
@@ -79,13 +79,15 @@
         record: File to which everything that was sent, answered and run is written.
         disks: Number of instances with a disk.
         others: Number of instances without one.
+        max_hold_ms: Longest lease of a runner, in milliseconds.
     """
 
-    def __init__(self, record, *, disks=3, others=2):
-        self.record_file = open(record, "w", buffering=1)
+    def __init__(self, record, *, disks=3, others=2, max_hold_ms=6000):
+        self.record_file = open(record, "w", buffering=1)  # noqa: SIM115
         self.began_at = time.time()
         self.folder = Path(tempfile.mkdtemp(prefix="small-"))
         self.disks, self.others = disks, others
+        self.max_hold_ms = max_hold_ms
         self.numbers = range(1, disks + others + 1)
         block = os.getpid() % 250
         self.net = f"127.{block + 1}.{int(time.time()) % 250}"
@@ -155,6 +157,7 @@
                 front=self.front,
                 ready=self.ready,
                 control=self.control,
+                max_hold_ms=self.max_hold_ms,
             )
         )
         with open(ROOT / "deploy" / "system.toml", "rb") as file:
@@ -213,6 +216,7 @@
             *("--id", name, "--address", address, "--service", "huvo11a"),
             *("--zone", "th-central-a", "--rack", rack, "--cpu", str(cpu)),
             *("--events", str(self.events)),
+            *("--max-hold-ms", str(self.max_hold_ms)),
             *("--nodes", ",".join(f"{self.ip(x)}:{self.control}" for x in nodes)),
         ]
         with open(self.folder / f"log-{name}", "ab") as log:
@@ -221,6 +225,11 @@
         self.runners[name] = {"process": process, "options": options}
         self.note(f"runner {name} starts at {address}")
 
+    def silence_runner(self, name):
+        """Stop a runner's process, so that it is silent for good."""
+        self.runners[name]["process"].send_signal(signal.SIGSTOP)
+        self.note(f"runner {name} is silent from now on")
+
     def crash_runner(self, name):
         """Kill a runner; whatever runs on it ends."""
         process = self.runners[name]["process"]
@@ -310,16 +319,17 @@
             print(self.folder)
 
 
-def run_case(folder, play):
+def run_case(folder, play, **options):
     """Run a case and exit with its result.
 
     Args:
         folder: Folder of the case.
         play: Called with a deployment and whether to cause the disruption; returns
             what was broken, or an empty text.
+        options: Options of the deployment.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    deployment = Deployment(Path(folder) / "record.txt")
+    deployment = Deployment(Path(folder) / "record.txt", **options)
     result = CANNOT_RUN
     try:
         broken = play(deployment, trouble)
--- a/review/small/runner.py
+++ b/review/small/runner.py
@@ -1,8 +1,8 @@
 """A stand-in runner, one process, that follows the users' page "Running tasks".
 
-It keeps its state in memory only, so a process that is killed and started again with the
-same ID is a new incarnation that knows nothing of the one before. The first word of a
-task's text is the time that the task works, in milliseconds. Every start and end is
+It keeps its state in memory only, so a process that is killed and started again with
+the same ID is a new incarnation that knows nothing of the one before. The first word of
+a task's text is the time that the task works, in milliseconds. Every start and end is
 appended to the file of events before it is answered.
 """
 
@@ -15,7 +15,6 @@
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
-MAX_HOLD_MS = 6000
 MAX_ENDS = 500
 TICK_S = 0.01
 ACK_TIMEOUT_S = 1.0
@@ -75,7 +74,7 @@
         self.highest = {}
         self.ended = []
         self.numbers = itertools.count(1)
-        self.events = open(options.events, "a", buffering=1)
+        self.events = open(options.events, "a", buffering=1)  # noqa: SIM115
 
     def clock_ms(self):
         """Return the runner's own steady clock, which begins with the process."""
@@ -108,7 +107,7 @@
 
     def extend(self, deadline_ms):
         """Extend the lease, which never shortens."""
-        granted = min(deadline_ms, self.clock_ms() + MAX_HOLD_MS)
+        granted = min(deadline_ms, self.clock_ms() + self.options.max_hold_ms)
         self.lease_ms = max(self.lease_ms, granted)
 
     def start(self, body):
@@ -218,6 +217,7 @@
     for name in ("id", "address", "nodes", "service", "zone", "rack", "events"):
         parser.add_argument(f"--{name}", required=True)
     parser.add_argument("--cpu", type=int, default=16000)
+    parser.add_argument("--max-hold-ms", type=int, default=6000)
     parser.add_argument("--beat-ms", type=int, default=1500)
     options = parser.parse_args()
     runner = Runner(options)
