Review case 7: a job runs though its only attempt was rejected

Cause: a submission that is repeated to the next leader is refused with 404 if its route has been removed meanwhile.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,77 +1,115 @@
-"""A configuration replaces a route by one of another name at the same host and prefix.
+"""The leader is killed while clients hand in jobs, and their route is removed.
 
-A job is accepted; then a version removes its route and adds one that has another name
-and else the same fields. Without the disruption, the version changes a time-out. The
-check is that no GET of the job, from 3 s after its acknowledgement on, is answered 410.
+Each round has a route of its own. Clients hand in jobs at one instance, each once. Then
+the operator sends a version without the route, and the leading process is killed. The
+next round comes 4 s and more after that process is back. The check is that no job runs
+whose only attempt was rejected.
 """
 
+import itertools
+import signal
+import threading
 import time
 from pathlib import Path
 
-from review.small.deployment import run_case
-
-HOST, PREFIX = "nony24.example", "/lohu930/"
-VISIBLE_S = 3.0
-CONFIG_APPLY_S = 2.0
-
-
-def create_configuration(version, name, timeout_ms):
-    """Return a configuration with one route."""
-    route = {
-        "Name": name,
-        "Host": HOST,
-        "PathPrefix": PREFIX,
-        "RouteType": "non_idempotent",
-        "TimeoutMs": timeout_ms,
-        "TargetDurationMs": 1000,
-        "Priority": 1,
-        "Service": "huvo11a",
-        "Attempts": 3,
-        "SlackFactor": 2.2,
-    }
-    service = {
-        "Name": "huvo11a",
-        "HealthPath": "/health",
-        "MaxConns": 64,
-        "Protocol": "h1",
-        "TlsEnabled": False,
-        "EnforceCapacity": False,
-        "Standby": False,
-    }
-    limits = {"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144}
-    return {
-        "Version": version,
-        "Routes": [route],
-        "Services": [service],
-        "Limits": limits,
-    }
+from review.small.configuration import (
+    HOST,
+    create_configuration,
+    create_route,
+)
+from review.small.deployment import Blocked, run_case
+
+ENTRY, OPERATED = 4, 5
+ROUNDS = 18
+CLIENTS = 40
+LOAD_S = 0.6
+SETTLE_S = 4.5
+REJECTED = {400, 401, 403, 404, 429, 503}
+
+
+def create_routes(prefixes):
+    """Return a route that stays, and one for each prefix."""
+    return [create_route(f"r-{x}", prefix=f"/{x}/") for x in ("keep", *prefixes)]
+
+
+class Clients:
+    """Clients that hand in jobs, each job once.
+
+    Attributes:
+        answers: Status of the only attempt by job; 0 without a response.
+    """
+
+    def __init__(self, deployment, prefix, first):
+        self.deployment = deployment
+        self.prefix = prefix
+        self.numbers = itertools.count(first)
+        self.answers = {}
+        self.is_over = threading.Event()
+        self.threads = [threading.Thread(target=self.send) for _ in range(CLIENTS)]
+
+    def send(self):
+        """Hand in jobs until the load is over."""
+        body = {"TaskSpec": "200 ms", "Steps": [{"Count": 1, "Cpu": 10}]}
+        while not self.is_over.is_set():
+            job = f"{next(self.numbers):016x}"
+            path = f"/{self.prefix}/{job}"
+            status, _ = self.deployment.ask("POST", path, body, host=HOST, number=ENTRY)
+            self.answers[job] = status
+
+
+def find_refused(deployment, answers):
+    """Return a job that runs though its only attempt was rejected, or ''."""
+    begun = {x[4].split(".")[0] for x in deployment.read_events() if x[3] == "start"}
+    refused = [x for x, status in answers.items() if status in REJECTED and x in begun]
+    if not refused:
+        return ""
+    return (
+        f"REFUSED: {len(refused)} jobs run whose only attempt was rejected, such as "
+        f"{refused[0]}, answered {answers[refused[0]]}"
+    )
 
 
 def play(deployment, trouble):
-    """Submit jobs, change the configuration and ask for the jobs."""
+    """Play the rounds; return what was broken."""
     deployment.start_all()
-    deployment.put_configuration(create_configuration(3, "r-3hwrr6x", 3000))
+    prefixes = [f"x{number}" for number in range(ROUNDS)]
+    version = 3
+    deployment.put_configuration(create_configuration(version, create_routes(prefixes)))
     for name in ("i-a", "i-b"):
-        deployment.start_runner(name, nodes=(4, 5, 1))
+        deployment.start_runner(name, nodes=(5, 1, 2, 3), cpu=64000)
     time.sleep(3)
-    waiting = {"TaskSpec": "25000 ms", "Steps": [{"Count": 2, "Cpu": 1000}]}
-    short = {"TaskSpec": "300 ms", "Steps": [{"Count": 2, "Cpu": 1000}]}
-    jobs = {"00000000000000a1": waiting, "00000000000000a2": short}
-    for job, body in jobs.items():
-        status, _ = deployment.ask("POST", PREFIX + job, body, host=HOST, number=4)
-        if status != 200:
-            return ""
-    time.sleep(2)
-    if trouble:
-        deployment.put_configuration(create_configuration(7, "r-73d3zji", 3000))
-    else:
-        deployment.put_configuration(create_configuration(7, "r-3hwrr6x", 2500))
-    time.sleep(VISIBLE_S + CONFIG_APPLY_S)
-    for number in (1, 2, 3, 4, 5):
-        for job in jobs:
-            status, _ = deployment.ask("GET", PREFIX + job, host=HOST, number=number)
-            if status == 410:
-                return f"LOST: GET of the accepted job {job} is answered 410"
+    answers = {}
+    for number, prefix in enumerate(prefixes):
+        leader = deployment.find_leader()
+        if leader is None:
+            raise Blocked("no instance leads")
+        clients = Clients(deployment, prefix, number << 32)
+        for thread in clients.threads:
+            thread.start()
+        time.sleep(LOAD_S)
+        clients.is_over.set()
+        if not trouble:
+            for thread in clients.threads:
+                thread.join()
+        version += 2
+        routes = create_routes(prefixes[number + 1 :])
+        operator = threading.Thread(
+            target=deployment.put_configuration,
+            args=(create_configuration(version, routes), OPERATED),
+        )
+        operator.start()
+        if trouble:
+            deployment.signal(leader, signal.SIGKILL)
+            deployment.processes[leader].wait()
+        for thread in (*clients.threads, operator):
+            thread.join()
+        answers |= clients.answers
+        if trouble:
+            deployment.start(leader)
+        time.sleep(SETTLE_S)
+        broken = find_refused(deployment, answers)
+        if broken:
+            return broken
     return ""
 
 
