--- a/standins/forwarder.py
+++ b/standins/forwarder.py
@@ -37,6 +37,9 @@
         self._clients: set[asyncio.StreamWriter] = set()
         self._is_forwarding = asyncio.Event()
         self._is_forwarding.set()
+        self._is_delivering = asyncio.Event()
+        self._is_delivering.set()
+        self._cut_off: set[asyncio.StreamWriter] = set()
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
@@ -64,6 +67,18 @@
         """Forward again, beginning with what has arrived meanwhile."""
         self._loop.call_soon_threadsafe(self._is_forwarding.set)
 
+    def cut_off(self) -> None:
+        """Lose what the open connections send from now on, and accept new ones.
+
+        Nothing that is sent meanwhile arrives later, in either direction, and nobody
+        is told that a connection has ended.
+        """
+        self._run(self._cut_off_clients())
+
+    def reconnect(self) -> None:
+        """Close the connections that were cut off, and forward new ones."""
+        self._run(self._close_cut_off())
+
     def redirect(self, target: str) -> None:
         """Close all connections in order and forward new ones to another address."""
         self.target = target
@@ -105,6 +120,16 @@
                 writer.close()
         return len(clients)
 
+    async def _cut_off_clients(self) -> None:
+        self._is_delivering.clear()
+        self._cut_off |= self._clients
+        self._clients = set()
+
+    async def _close_cut_off(self) -> None:
+        for writer in self._cut_off:
+            writer.close()
+        self._is_delivering.set()
+
     async def _cancel_tasks(self) -> None:
         tasks = asyncio.all_tasks() - {asyncio.current_task()}
         for task in tasks:
@@ -112,6 +137,11 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _serve(self, reader, writer) -> None:
+        if not self._is_delivering.is_set():
+            self._cut_off.add(writer)
+            await self._is_delivering.wait()
+            self._cut_off.discard(writer)
+            return
         self._clients.add(writer)
         host, _, port = self.target.rpartition(":")
         try:
@@ -121,16 +151,23 @@
             writer.close()
             return
         await asyncio.gather(
-            self._forward(reader, target_writer), self._forward(target_reader, writer)
+            self._forward(reader, target_writer, writer),
+            self._forward(target_reader, writer, writer),
         )
         self._clients.discard(writer)
+        self._cut_off.discard(writer)
 
-    async def _forward(self, reader, writer) -> None:
+    async def _forward(self, reader, writer, client) -> None:
+        """Forward one direction of the connection with a client."""
         with contextlib.suppress(OSError):
             while chunk := await reader.read(CHUNK_BYTES):
                 await self._is_forwarding.wait()
+                if client in self._cut_off:
+                    continue
                 writer.write(chunk)
                 await writer.drain()
-        # A connection that ends during a stall is kept open on the other side.
+        # A connection that ends during a stall or while it is cut off is kept open on
+        # the other side.
         await self._is_forwarding.wait()
+        await self._is_delivering.wait()
         writer.close()
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -22,6 +22,10 @@
 HEARTBEAT_INTERVAL_S = 0.3
 TICK_S = 0.02
 
+#: Time from an accepted start to the call of its hook, in seconds. The response to the
+#: start has left the worker by then.
+START_HOOK_DELAY_S = 0.005
+
 CALL_ERRORS = (httpcore.NetworkError, httpcore.ProtocolError, OSError)
 
 
@@ -89,9 +93,12 @@
         clock_rate: Rate of its clock; the published rules allow 0.98 and more.
         forwarder: Forwarder in front of it, whose address it announces, or None.
         port: Port at which it listens: that of a crashed worker, or 0 for any.
+        are_heartbeats_lost: Whether its heartbeats fail; it may be changed.
 
     Attributes:
-        are_heartbeats_lost: Whether its heartbeats fail; it may be changed.
+        calls: Paths of the calls that have reached it, in their order.
+        on_next_start: Called, from another thread, `START_HOOK_DELAY_S` after it has
+            accepted its next start, and then reset; None for no call.
         acknowledged_cpu_millis: Capacity of the latest heartbeat that was acknowledged.
         most_running: Largest number of tasks running at once since it was last set.
         has_crashed: Whether a task has ended its process.
@@ -109,6 +116,7 @@
         clock_rate=1.0,
         forwarder=None,
         port=0,
+        are_heartbeats_lost=False,
     ):
         self.name = name
         self.control_addresses = itertools.cycle(control_addresses)
@@ -132,7 +140,9 @@
         self.last_blocked_run = {}
         self.ledger = []
         self.is_closed = False
-        self.are_heartbeats_lost = False
+        self.are_heartbeats_lost = are_heartbeats_lost
+        self.calls = []
+        self.on_next_start = None
         super().__init__(port)
         self.announced_address = self.address
         if forwarder is not None:
@@ -183,6 +193,7 @@
             "/-/hold": self._hold,
         }[path]
         with self.lock:
+            self.calls.append(path)
             if body["FencingToken"] < self.fencing_token:
                 return 409, {"CurrentTimeMs": self.read_clock_ms(), "Reason": "fence"}
             self.fencing_token = body["FencingToken"]
@@ -211,6 +222,9 @@
         self.most_running = max(self.most_running, len(self.running))
         if body["TaskSpec"] == self.deadly_text:
             self._crash()
+        if self.on_next_start is not None:
+            threading.Timer(START_HOOK_DELAY_S, self.on_next_start).start()
+            self.on_next_start = None
         return 200, {}
 
     def _crash(self):
--- a/tests/integration/deployment.py
+++ b/tests/integration/deployment.py
@@ -127,9 +127,9 @@
         control_addresses = [
             f"{self.get_ip(x)}:{self.control_port}" for x in self.processes
         ]
-        self.workers.append(
-            CalledWorker(name, control_addresses=control_addresses, **options)
-        )
+        worker = CalledWorker(name, control_addresses=control_addresses, **options)
+        self.workers.append(worker)
+        return worker
 
     def is_ready(self, number):
         return (
