Fence off the calls for an earlier incarnation of a worker

A call for one incarnation that arrives seconds later renewed the lease of the next one, started a run there, or made it forget ends of the same numbers, so that a done task could run again. The leader therefore waited 18 s for a returned worker that went silent.

Cause: all calls of a leader have one fencing token, so an incarnation cannot refuse the calls that were meant for the one before.

Change: each incarnation that a leader tracks has a token of its own, the term times 2^20 plus a count. Once an incarnation has answered, it refuses earlier calls, and the time for which these count in its lease ends. All replicas have to be of one build: workers refuse the lower tokens of an earlier build that leads after this one.

--- a/src/bluebellyoke/dispatch/pace_orders.py
+++ b/src/bluebellyoke/dispatch/pace_orders.py
@@ -108,7 +108,7 @@
         paced.sent_at = now
         task, number = paced.key
         request = PaceRequest(
-            task=task, run=number, percent=paced.percent, fence=self._context.fence
+            task=task, run=number, percent=paced.percent, fence=worker.fence
         )
         self._context.calls.pace(worker.spec, request)
 
--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -137,7 +137,7 @@
         )
         request = PollRequest(
             deadline_ms=deadline_ms,
-            fence=self._context.fence,
+            fence=worker.fence,
             acknowledged_end=worker.acknowledged_end,
             wait_ms=POLL_WAIT_MS if may_wait else 0,
             is_retry=worker.failures > 0,
@@ -183,6 +183,8 @@
         if report.incarnation == worker.spec.incarnation:
             # Without an incarnation, the clock may be that of another process.
             worker.record_clock(report.clock_ms, event.sent_at, now)
+            # It refuses the calls for earlier incarnations from now on.
+            worker.late_calls_until = min(worker.late_calls_until, now)
         repair_runs(self._context, worker, now)
         self._check_running(worker, report, now)
         self._clear_suspects(worker, report, now)
--- a/src/bluebellyoke/dispatch/probes.py
+++ b/src/bluebellyoke/dispatch/probes.py
@@ -30,7 +30,7 @@
         worker.probe_sent_at = now
         request = PollRequest(
             deadline_ms=None,
-            fence=self._context.fence,
+            fence=worker.fence,
             acknowledged_end=worker.acknowledged_end,
             is_probe=True,
         )
--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -42,6 +42,9 @@
     "the number of the report is far above that of the one before; count up by 1"
 )
 
+#: Number of fencing tokens of a term, one for each incarnation that a leader tracks.
+FENCES_PER_TERM = 2**20
+
 #: Maximum number of characters of an ID that the log shows.
 MAX_LOGGED_ID = 80
 
@@ -74,6 +77,7 @@
         self._sequences: dict[tuple[str, int], int] = {}
         self._ended: dict[str, tuple[int, float]] = {}
         self._activated_at = 0.0
+        self._enrolments = 0
 
     def clear(self) -> None:
         """Drop all tracked workers."""
@@ -87,6 +91,7 @@
     def activate(self, now: float) -> None:
         """Track the workers of the store of a new leader."""
         self._activated_at = now
+        self._enrolments = 0
         for ended in self._context.store.ended_incarnations:
             # An earlier leader may have called it until now.
             self._ended.setdefault(ended.worker, (ended.incarnation, now))
@@ -224,6 +229,7 @@
             worker = self._context.workers[name] = TrackedWorker(
                 spec,
                 now,
+                fence=self._create_fence(),
                 late_calls_until=self._find_latest_call(spec),
                 last_response_at=now,
                 lost_at=now,
@@ -238,6 +244,15 @@
                     is_confirmed=self._context.store.is_confirmed(key),
                 )
 
+    def _create_fence(self) -> int:
+        """Return a fencing token for the calls to one incarnation of a worker.
+
+        Once the incarnation has seen it, it refuses the calls for the one before, which
+        name the same worker and may arrive late.
+        """
+        self._enrolments = min(self._enrolments + 1, FENCES_PER_TERM - 1)
+        return self._context.fence * FENCES_PER_TERM + self._enrolments
+
     def _find_latest_call(self, spec: WorkerSpec) -> float:
         """Return when the last call for an earlier incarnation may be carried out."""
         incarnation, ended_at = self._ended.get(spec.id, (spec.incarnation, 0.0))
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -237,7 +237,7 @@
             run=start.run,
             payload=workflow.spec.payload,
             deadline_ms=worker.extend_lease(planned_at, self._context.times) or 0,
-            fence=self._context.fence,
+            fence=worker.fence,
             checkpoint=task.checkpoint,
             ticket=item.ticket,
         )
--- a/src/bluebellyoke/dispatch/stops.py
+++ b/src/bluebellyoke/dispatch/stops.py
@@ -96,7 +96,7 @@
             if run.phase is RunPhase.BLOCKING and is_repeated:
                 return
             run.stop_sent_at = now
-        request = StopRequest(task=key[0], run=key[1], fence=self._context.fence)
+        request = StopRequest(task=key[0], run=key[1], fence=worker.fence)
         self._context.calls.stop(worker.spec, request)
 
     def receive(self, worker: TrackedWorker, event: StopFinished, now: float) -> None:
--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -93,6 +93,7 @@
 
     Attributes:
         discovered_at: Time at which this leader learned of the worker.
+        fence: Fencing token of the calls to it, higher than that of all calls before.
         late_calls_until: Time until which it may carry out calls that were meant for an
             earlier incarnation with its ID, or 0. Their deadlines are far ahead of its
             clock, so each of them renews its lease by the longest one.
@@ -140,6 +141,7 @@
 
     spec: WorkerSpec
     discovered_at: float
+    fence: int = 0
     late_calls_until: float = 0.0
     clock_ms: int = 0
     clock_at: float = 0.0
--- a/tests/dispatch/test_dispatcher_random.py
+++ b/tests/dispatch/test_dispatcher_random.py
@@ -93,7 +93,8 @@
                 simulation.events.append(event)
 
     def deliver_late_call(self, sent):
-        self.simulation.deliver(sent)
+        if not self.simulation.is_settled_start(sent):
+            self.simulation.deliver(sent)
 
     def deliver_call(self, sent):
         chance = self.random.random()
--- a/tests/dispatch/test_lease_ends.py
+++ b/tests/dispatch/test_lease_ends.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from bluebellyoke.dispatch.ports import StartResult
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.store import WorkflowStore
 from tests.dispatch.simulation import DispatcherSimulation
@@ -134,3 +135,38 @@
     simulation.handle_poll(worker, late_polls[name].request)
     run(simulation, 3 * MAX_REMOVAL_S, silent=(name,))
     assert find_busy_worker(simulation) is not worker
+
+
+# Guards against a wait for calls that can no longer be carried out: an incarnation that
+# has answered refuses those that were meant for the one before.
+def test_returned_worker_that_has_answered_is_waited_for_no_longer_than_its_lease(
+    simulation,
+):
+    for name in list(simulation.workers):
+        simulation.crash(name)
+    run(simulation, 0.2)
+    submit(simulation, FIRST, 2000)
+    run(simulation, 0.2)
+    worker = find_busy_worker(simulation)
+    name = worker.spec.id
+    run(simulation, MAX_REMOVAL_S, silent=(name,))
+    assert find_busy_worker(simulation) is not worker
+
+
+# Guards against a start of a run for an earlier incarnation that the next one carries
+# out late, when the task may run elsewhere.
+def test_returned_worker_that_has_answered_refuses_a_late_start(simulation):
+    submit(simulation, FIRST, 1000)
+    simulation.advance(TICK_S)
+    simulation.tick()
+    (late,) = [x for x in simulation.sent_calls if x.kind == "start"]
+    simulation.sent_calls.remove(late)
+    simulation.time_out(late)
+    simulation.crash(late.spec.id)
+    run(simulation, 0.2)
+    worker = simulation.workers[late.spec.id]
+    fence = worker.fence
+    assert fence > late.request.fence
+    assert simulation.handle_start(worker, late.request) == {
+        "result": StartResult.FENCED
+    }
