--- a/tests/integration/test_returned_workers.py
+++ b/tests/integration/test_returned_workers.py
@@ -247,6 +247,16 @@
 SILENT_9_S = Fault(
     silent_at=START_HOOK_DELAY_S, silent_until=9.0, heartbeats_at=9.0, finish_at=9.0
 )
+SILENT_3_S = Fault(
+    silent_at=START_HOOK_DELAY_S, silent_until=3.0, heartbeats_at=4.5, finish_at=5.5
+)
+POLLED_THEN_SILENT = Fault(
+    silent_at=1.0,
+    silent_until=10.0,
+    is_polled_before=True,
+    heartbeats_at=10.0,
+    finish_at=10.0,
+)
 
 
 # Guards against a leader that takes a run of the next incarnation for one of the former
@@ -259,3 +269,38 @@
 # incarnation, while the next one grants the longest lease.
 def test_run_of_silent_returned_worker_is_kept_until_its_lease_ends(deployment):
     play_until_it_occurs(deployment, SILENT_9_S)
+
+
+# Guards against a leader that ends a run of the next incarnation when that responds
+# again after a silence that is shorter than the lease.
+def test_run_of_returned_worker_is_kept_after_a_short_silence(deployment):
+    play_until_it_occurs(deployment, SILENT_3_S)
+
+
+# Guards against a leader that ends a run of the next incarnation when a poll shows it,
+# although the silence that follows keeps every stop from the worker.
+def test_run_of_returned_worker_is_kept_until_a_later_silence(deployment):
+    play_until_it_occurs(deployment, POLLED_THEN_SILENT)
+
+
+# Guards against a fault of these tests themselves: the same silences of a worker that
+# has not crashed make no runs overlap.
+def test_runs_of_silent_worker_that_has_not_crashed_do_not_overlap(deployment):
+    faults = (SILENT_9_S, SILENT_3_S, POLLED_THEN_SILENT)
+    rounds = [Round(deployment, number, x) for number, x in enumerate(faults, 1)]
+    try:
+        for played in rounds:
+            played.prepare()
+        for played in rounds:
+            played.submit()
+            assert played.has_accepted_start.wait(WAIT_S)
+            played.add_spare()
+        for played in rounds:
+            played.wait_for_end()
+            played.check_runs()
+        first_outcomes = [played.list_runs()[0][2] for played in rounds]
+        assert first_outcomes[0] == first_outcomes[2] == "lapsed"
+        assert first_outcomes[1] in ("done", "lapsed")
+    finally:
+        for played in rounds:
+            played.close()
