Acknowledge ends only while the worker lists them and responds

Cause: each poll carried the number of the last committed end. A worker that is back under its ID counts its ends from 1 again. A poll that was meant for the former incarnation made it forget the ends up to that number before anyone had read them, so a run that was done there counted as never started.

Change: a poll acknowledges only if the latest report listed ends and no poll has failed since; probes acknowledge nothing. The first calls that reach the next incarnation follow a failed call or carry no acknowledgement. What remains is a poll with an acknowledgement that is itself carried out late, before the first response of the next incarnation.

--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -23,11 +23,12 @@
 from bluebellyoke.dispatch.reported_ends import (
     collect_ends,
     find_contradictory_runs,
+    find_due_acknowledgement,
     find_last_end,
 )
 from bluebellyoke.dispatch.run_check import repair_runs
 from bluebellyoke.dispatch.run_ends import RunEndRecorder
-from bluebellyoke.dispatch.stops import RunStopper
+from bluebellyoke.dispatch.stops import STOP_RETRY_S, RunStopper
 from bluebellyoke.dispatch.tracked_run import RunPhase
 from bluebellyoke.dispatch.workers import RemovalReason, TrackedWorker
 from bluebellyoke.workflow import commands as workflow_commands
@@ -52,10 +53,6 @@
 #: does not list, in seconds.
 UNBLOCKED_POLL_INTERVAL_S = 0.1
 
-#: Time after which a stop without effect is sent again, in seconds. It is shorter than
-#: the timeout of the stop, so that the probe after a timeout sends it again.
-STOP_RETRY_S = 0.3
-
 
 class WorkerPoller:
     """Keeps one poll in flight to each worker.
@@ -138,7 +135,7 @@
         request = PollRequest(
             deadline_ms=deadline_ms,
             fence=worker.fence,
-            acknowledged_end=worker.acknowledged_end,
+            acknowledged_end=find_due_acknowledgement(worker),
             wait_ms=POLL_WAIT_MS if may_wait else 0,
             is_retry=worker.failures > 0,
         )
@@ -180,6 +177,7 @@
         worker.is_refusing = False
         worker.has_responded = True
         worker.last_response_at = worker.lost_at = now
+        worker.has_listed_ends = bool(report.ended)
         if report.incarnation == worker.spec.incarnation:
             # Without an incarnation, the clock may be that of another process.
             worker.record_clock(report.clock_ms, event.sent_at, now)
@@ -336,24 +334,7 @@
             ):
                 self._stopper.stop_run(worker, key)
         worker.unassigned_runs = unassigned_runs
-        self._stop_unassigned(worker, now)
-
-    def _stop_unassigned(self, worker: TrackedWorker, now: float) -> None:
-        """Stop runs that are not assigned to the worker; retry stops without effect."""
-        for key, stopped_at in worker.unassigned_runs.items():
-            if now - stopped_at <= STOP_RETRY_S:
-                continue
-            worker.unassigned_runs[key] = now
-            logger.info(
-                "dispatch: stops an unassigned run",
-                extra={
-                    "job": key[0].workflow,
-                    "task": [key[0].repetition, key[0].step, key[0].index],
-                    "run": key[1],
-                    "worker": worker.spec.id,
-                },
-            )
-            self._stopper.send_stop(worker, key)
+        self._stopper.stop_unassigned(worker, now)
 
     def _resolve_missing_runs(
         self, worker: TrackedWorker, report: StatusReport, sent_at: float, now: float
--- a/src/bluebellyoke/dispatch/probes.py
+++ b/src/bluebellyoke/dispatch/probes.py
@@ -31,7 +31,7 @@
         request = PollRequest(
             deadline_ms=None,
             fence=worker.fence,
-            acknowledged_end=worker.acknowledged_end,
+            acknowledged_end=0,
             is_probe=True,
         )
         self._context.calls.poll(worker.spec, request)
--- a/src/bluebellyoke/dispatch/reported_ends.py
+++ b/src/bluebellyoke/dispatch/reported_ends.py
@@ -5,7 +5,12 @@
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.store import RunKey
 
-__all__ = ["collect_ends", "find_contradictory_runs", "find_last_end"]
+__all__ = [
+    "collect_ends",
+    "find_contradictory_runs",
+    "find_due_acknowledgement",
+    "find_last_end",
+]
 
 #: Maximum difference between the numbers of two ends that a worker lists one after the
 #: other. A row with a higher one is not acknowledged.
@@ -52,3 +57,14 @@
     if report.acknowledgeable_end is not None:
         last_end = min(last_end, report.acknowledgeable_end)
     return last_end
+
+
+def find_due_acknowledgement(worker: TrackedWorker) -> int:
+    """Return the number of the last end that the next poll acknowledges, or 0.
+
+    The poll may reach the next incarnation, which counts its ends from 1 again and
+    forgets those up to this number. So an acknowledgement is sent only while the worker
+    lists ends and responds.
+    """
+    is_due = worker.has_listed_ends and not worker.failures
+    return worker.acknowledged_end if is_due else 0
--- a/src/bluebellyoke/dispatch/stops.py
+++ b/src/bluebellyoke/dispatch/stops.py
@@ -1,5 +1,6 @@
 """Stops of runs that must not go on."""
 
+import logging
 from collections.abc import Iterable
 
 from bluebellyoke.dispatch.context import DispatchContext
@@ -12,12 +13,18 @@
 from bluebellyoke.workflow.store import RunKey
 from bluebellyoke.workflow.workflow import TaskProgress, Workflow
 
-__all__ = ["RunStopper"]
+__all__ = ["STOP_RETRY_S", "RunStopper"]
+
+logger = logging.getLogger("bluebellyoke.dispatch")
 
 #: Minimum time between two stops that block the same run, in seconds. A worker that
 #: refuses starts may refuse stops, too, and is polled at once while a run is unknown.
 BLOCK_INTERVAL_S = 0.3
 
+#: Time after which a stop without effect is sent again, in seconds. It is shorter than
+#: the timeout of the stop, so that the probe after a timeout sends it again.
+STOP_RETRY_S = 0.3
+
 
 class RunStopper:
     """Stops runs of finished workflows and of incomplete gangs.
@@ -99,6 +106,23 @@
         request = StopRequest(task=key[0], run=key[1], fence=worker.fence)
         self._context.calls.stop(worker.spec, request)
 
+    def stop_unassigned(self, worker: TrackedWorker, now: float) -> None:
+        """Stop runs that are not assigned to the worker; retry stops without effect."""
+        for key, stopped_at in worker.unassigned_runs.items():
+            if now - stopped_at <= STOP_RETRY_S:
+                continue
+            worker.unassigned_runs[key] = now
+            logger.info(
+                "dispatch: stops an unassigned run",
+                extra={
+                    "job": key[0].workflow,
+                    "task": [key[0].repetition, key[0].step, key[0].index],
+                    "run": key[1],
+                    "worker": worker.spec.id,
+                },
+            )
+            self.send_stop(worker, key)
+
     def receive(self, worker: TrackedWorker, event: StopFinished, now: float) -> None:
         """Process the result of a stop.
 
--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -105,6 +105,7 @@
         lease_requested_at: Time of the latest call that requested a lease.
         last_response_at: Time of the latest response to a poll or a probe.
         acknowledged_end: Sequence number of the worker's last end that is committed.
+        has_listed_ends: Whether its latest report has ends to acknowledge.
         has_responded: Whether the worker has accepted this leader's fencing token.
         poll_sent_at, probe_sent_at: Time at which the poll or the probe in flight was
             sent, or None.
@@ -150,6 +151,7 @@
     lease_requested_at: float = 0.0
     last_response_at: float = 0.0
     acknowledged_end: int = 0
+    has_listed_ends: bool = False
     has_responded: bool = False
     poll_sent_at: float | None = None
     probe_sent_at: float | None = None
