--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -42,6 +42,55 @@
 
 
 CASES = [
+    Case(
+        "a run that the next incarnation of its worker may have keeps its place",
+        "dispatch/registry.py",
+        "tuple(list_unsettled_runs(worker)) if is_succeeded else ()\n",
+        "()\n",
+        "tests/dispatch/test_late_starts.py tests/dispatch/test_new_leader.py",
+    ),
+    Case(
+        "a response to a start is no proof of the incarnation that began the run",
+        "dispatch/starts.py",
+        "is_clock_of(worker, event.clock_ms, run.sent_at, now)\n        if",
+        "True\n        if",
+        "tests/dispatch/test_incarnations.py",
+    ),
+    Case(
+        "a run on a silent worker outlasts the longest lease of its next incarnation",
+        "dispatch/incarnations.py",
+        "    return requested_at + compute_longest_lease(times)\n",
+        "    return requested_at\n",
+        "tests/dispatch/test_run_evidence.py -k silent",
+    ),
+    Case(
+        "a new incarnation of a worker keeps the runs that are not confirmed",
+        "workflow/store.py",
+        "            unsettled = self._list_unconfirmed_runs(known.key)\n",
+        "            unsettled = []\n",
+        "tests/workflow/test_store.py",
+    ),
+    Case(
+        "a new leader knows which runs were confirmed",
+        "dispatch/registry.py",
+        "is_confirmed=self._context.store.is_confirmed(key)",
+        "is_confirmed=False",
+        "tests/dispatch/test_worker_evidence.py -k new_leader",
+    ),
+    Case(
+        "the calls for an earlier incarnation of a worker are fenced off",
+        "dispatch/registry.py",
+        " * FENCES_PER_TERM + self._enrolments\n",
+        " * FENCES_PER_TERM\n",
+        "tests/dispatch/test_new_leader.py tests/dispatch/test_lease_ends.py",
+    ),
+    Case(
+        "a poll after a failed one acknowledges no end",
+        "dispatch/reported_ends.py",
+        "    is_due = worker.has_listed_ends and not worker.failures\n",
+        "    is_due = True\n",
+        "tests/dispatch/test_returned_acknowledgements.py",
+    ),
     Case(
         "a reply of a proxy is no proof that a run has not begun",
         "dispatch/starts.py",
@@ -243,7 +292,7 @@
     Case(
         "an expired lease is no crash",
         "dispatch/crashes.py",
-        "    if reason is RemovalReason.REPLACED:\n",
+        "    if reason is not RemovalReason.LEASE_EXPIRED:\n",
         "    if True:\n",
         "tests/dispatch/test_crash_evidence.py",
     ),
@@ -1122,8 +1171,8 @@
     Case(
         "a run of unknown state is probed before it is stopped",
         "dispatch/starts.py",
-        "            self._prober.request(worker)\n",
-        "            self._stopper.send_stop(worker, key)\n",
+        "not never_ran:\n            self._prober.request(worker)\n",
+        "not never_ran:\n            self._stopper.send_stop(worker, key)\n",
         "tests/dispatch -k reported_by_a_probe",
     ),
     Case(
