Move what crashes tell from the workflow store to a module of its own

Change: CrashRecorder keeps the crashes, lost workers and unsettled runs, and fails the workflows that crash workers.

Result: the tests of crashes, suspects, new leaders, random faults and of the store pass (x86_64); one pattern of the mutation tests follows the code.

--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -1,16 +1,16 @@
 """Replicated state of workflows, called workers and the configuration."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 
 import msgspec
 
 from bluebellyoke.cell.result import Result, refuse
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.access import AccessDecision, authorize_request
-from bluebellyoke.workflow.crashes import CrashHistory, TaskCrashes
+from bluebellyoke.workflow.crash_recorder import CrashRecorder
+from bluebellyoke.workflow.crashes import CrashHistory
 from bluebellyoke.workflow.ended_incarnations import EndedIncarnations
-from bluebellyoke.workflow.gangs import find_start_group, is_complete, is_gang
-from bluebellyoke.workflow.lost_workers import LostWorker, LostWorkers
+from bluebellyoke.workflow.gangs import find_start_group, is_complete
 from bluebellyoke.workflow.queues import QueueTable
 from bluebellyoke.workflow.quotas import describe_excess, has_quota_for
 from bluebellyoke.workflow.snapshot import WorkflowSnapshot
@@ -20,9 +20,8 @@
     WorkerSpec,
     WorkspaceSpec,
 )
-from bluebellyoke.workflow.unsettled_runs import UnsettledRun, UnsettledRuns
 from bluebellyoke.workflow.usage import WorkspaceUsage
-from bluebellyoke.workflow.workflow import TaskState, Workflow
+from bluebellyoke.workflow.workflow import Workflow
 
 __all__ = ["MAX_OPEN_TASKS", "RunKey", "WorkflowStore"]
 
@@ -30,12 +29,6 @@
 #: bytes of an instance's memory.
 MAX_OPEN_TASKS = 200_000
 
-#: Outcomes of runs that came to an end by themselves on a worker that runs on.
-_CLEARING_OUTCOMES = {
-    workflow_commands.RunOutcome.DONE,
-    workflow_commands.RunOutcome.FAILED,
-}
-
 #: Name of the task and number of the run.
 RunKey = tuple[workflow_commands.TaskName, int]
 
@@ -53,7 +46,6 @@
             worker. A worker that is removed keeps those that its next incarnation may
             have.
         usage: Resources that the runs of each workspace take up.
-        crashes: Crashes of workers by the tasks that they may be due to.
         ended_incarnations: Incarnations of workers that ended a short time ago.
     """
 
@@ -65,13 +57,20 @@
         self.open_tasks = 0
         self.runs: dict[tuple[str, int], dict[RunKey, None]] = {}
         self.usage = WorkspaceUsage()
-        self.crashes = CrashHistory()
         self.ended_incarnations = EndedIncarnations()
-        self._lost_workers = LostWorkers()
-        self._unsettled_runs = UnsettledRuns()
         self._queues = QueueTable()
         self._workspaces: dict[str, WorkspaceSpec] = {}
         self._changed: set[str] = set()
+        self._crash_recorder = CrashRecorder(
+            self.workflows,
+            on_change=lambda names: self._changed.update(names),
+            on_failed=self._deactivate_if_finished,
+        )
+
+    @property
+    def crashes(self) -> CrashHistory:
+        """Crashes of workers by the tasks that they may be due to."""
+        return self._crash_recorder.crashes
 
     def pop_changed(self) -> set[str]:
         """Return the IDs of the workflows changed since the last call, and clear them.
@@ -184,7 +183,7 @@
         if workflow is None or workflow.spec.queue != command.queue:
             return refuse("unknown-job", "no such workflow is known")
         workflow.cancel(command.time)
-        self._forget_crashes(command.workflow)
+        self._crash_recorder.forget_workflow(command.workflow)
         self._changed.add(command.workflow)
         self._deactivate_if_finished(workflow)
         return Result(accepted=True)
@@ -217,7 +216,7 @@
             return Result(accepted=True, code="overtaken")
         if known is not None and known.incarnation < spec.incarnation:
             unsettled = self._list_unconfirmed_runs(known.key)
-            self._mark_unsettled(known.key, unsettled)
+            self._crash_recorder.mark_unsettled(known.key, unsettled)
             self._end_lost_runs(known.key, command.time, kept=unsettled)
             self.ended_incarnations.add(known.key, command.time)
         if (
@@ -231,28 +230,9 @@
         self.runs.setdefault(spec.key, {})
         self._move_unsettled_runs(spec)
         if known is None or known.incarnation != spec.incarnation:
-            return self._review_lost_workers(spec, command.time)
+            return self._crash_recorder.review_lost_workers(spec, command.time)
         return Result(accepted=True)
 
-    def _review_lost_workers(self, spec: WorkerSpec, time: float) -> Result:
-        """Record what a worker that has announced itself tells of those lost before.
-
-        An incarnation that is back has not crashed; the next one proves a crash.
-        """
-        self._lost_workers.drop(spec.key)
-        if self.crashes.drop_unproved(spec.key):
-            self._changed.update(self.crashes.list_workflows())
-        crashed = self._lost_workers.pop_crashed(spec, time)
-        failed = []
-        for lost in crashed:
-            failed += self._record_crash(lost.key, list(lost.runs), time)
-        if not crashed:
-            return Result(accepted=True)
-        names = " ".join(lost.worker for lost in crashed)
-        return Result(
-            accepted=True, detail={"crashed": names, "failed": " ".join(failed)}
-        )
-
     def _remove(self, command: workflow_commands.RemoveWorker) -> Result:
         spec = self.find_current_worker(command.worker, command.incarnation)
         if spec is None:
@@ -266,70 +246,12 @@
             for x in (*command.crashed_runs, *command.lost_runs)
             if (x.task, x.run) in present
         ]
-        self._mark_unsettled(worker_key, unsettled)
+        self._crash_recorder.mark_unsettled(worker_key, unsettled)
         self._end_lost_runs(worker_key, command.time, kept=unsettled)
         self.ended_incarnations.add(worker_key, command.time)
-        is_proved = command.evidence is workflow_commands.CrashEvidence.NEXT_INCARNATION
-        if crashed and not is_proved:
-            self._lost_workers.add(
-                LostWorker(*worker_key, spec.address, command.time, tuple(crashed))
-            )
-        if command.evidence is workflow_commands.CrashEvidence.NONE:
-            crashed = []
-        failed = self._record_crash(
-            worker_key, crashed, command.time, is_proved=is_proved
-        )
+        failed = self._crash_recorder.record_removal(command, spec.address, crashed)
         return Result(accepted=True, detail={"failed": " ".join(failed)})
 
-    def _record_crash(
-        self,
-        worker_key: tuple[str, int],
-        runs: list[workflow_commands.CrashedRun],
-        time: float,
-        *,
-        is_proved: bool = True,
-    ) -> list[str]:
-        """Record a crash; return the IDs of the workflows that fail for it.
-
-        If it is proved late, its runs may have been followed by others meanwhile.
-        """
-        if not runs:
-            return []
-        self._changed.update(self.crashes.list_workflows())
-        grouped = [
-            msgspec.structs.replace(item, task=self.get_group_name(item.task))
-            for item in runs
-        ]
-        given_up = self.crashes.record(worker_key, grouped, time, is_proved=is_proved)
-        failed = self._give_up(given_up, time)
-        for item in grouped:
-            workflow = self.workflows.get(item.task.workflow)
-            if workflow is None or workflow.outcome:
-                self._forget_crashes(item.task.workflow)
-            elif not self._is_open(item.task):
-                self._clear_of_crashes(item.task)
-        return failed
-
-    def _give_up(self, given_up: list[TaskCrashes], time: float) -> list[str]:
-        """Fail the workflows of tasks that crash workers; return their IDs."""
-        failed = []
-        for crashes in given_up:
-            if not self._is_open(crashes.task):
-                continue
-            workflow = self.workflows[crashes.task.workflow]
-            workflow.fail(crashes.describe(), time)
-            self._deactivate_if_finished(workflow)
-            failed.append(workflow.spec.id)
-        return failed
-
-    def _is_open(self, name: workflow_commands.TaskName) -> bool:
-        """Return whether a task is not done and its workflow has not ended."""
-        workflow = self.workflows.get(name.workflow)
-        if workflow is None or workflow.outcome:
-            return False
-        task = workflow.find_task(name)
-        return task is not None and task.state is not TaskState.DONE
-
     def _end_lost_runs(
         self, worker_key: tuple[str, int], time: float, kept: Collection[RunKey]
     ) -> None:
@@ -367,12 +289,6 @@
         task = workflow.find_task(name) if workflow is not None else None
         return task is not None and task.run == run and task.confirmed
 
-    def _mark_unsettled(
-        self, worker_key: tuple[str, int], runs: Iterable[RunKey]
-    ) -> None:
-        for task, run in runs:
-            self._unsettled_runs.add(UnsettledRun(task, run, *worker_key))
-
     def _move_unsettled_runs(self, spec: WorkerSpec) -> None:
         """Assign the unsettled runs of earlier incarnations of a worker to it."""
         earlier = [
@@ -386,30 +302,13 @@
                 self._changed.add(name.workflow)
                 self.runs[spec.key][(name, run)] = None
 
-    def _settle(self, end: workflow_commands.RunEnd, time: float) -> None:
-        """Record what the end of a run tells of the crash that it may have been in."""
-        unsettled = self._unsettled_runs.pop(end.task, end.run)
-        if unsettled is None or end.outcome is workflow_commands.RunOutcome.LOST:
-            return
-        self._changed.update(self.crashes.list_workflows())
-        group = self.get_group_name(end.task)
-        if end.outcome is workflow_commands.RunOutcome.NEVER_STARTED:
-            self._give_up(self.crashes.confirm(unsettled.worker_key, group), time)
-        else:
-            self.crashes.withdraw(unsettled.worker_key, group)
-
     # Runs.
 
     def get_group_name(
         self, task: workflow_commands.TaskName
     ) -> workflow_commands.TaskName:
-        """Return the name under which a task's crashes are kept.
-
-        It is that of the first task of its gang, or of the task itself.
-        """
-        if not is_gang(self.workflows, task):
-            return task
-        return msgspec.structs.replace(task, index=0)
+        """Return the name under which a task's crashes are kept."""
+        return self._crash_recorder.get_group_name(task)
 
     def _assign(self, command: workflow_commands.AssignRuns) -> Result:
         """Assign runs; a gang whose tasks cannot all be assigned is left out."""
@@ -477,11 +376,7 @@
         if workflow.record_end(end, time):
             step = workflow.spec.steps[end.task.step]
             self.usage.release(workflow.spec.workspace, step)
-        if end.outcome in _CLEARING_OUTCOMES:
-            self._clear_of_crashes(end.task)
-        self._settle(end, time)
-        if workflow.outcome:
-            self._forget_crashes(end.task.workflow)
+        self._crash_recorder.record_end(end, time)
         self._changed.add(end.task.workflow)
         self._drop_run((task.worker, task.incarnation), (end.task, end.run))
         self._deactivate_if_finished(workflow)
@@ -492,15 +387,6 @@
         if not runs and self.find_current_worker(*worker_key) is None:
             self.runs.pop(worker_key, None)
 
-    def _forget_crashes(self, workflow: str) -> None:
-        if self.crashes.has_workflow(workflow):
-            self.crashes.forget_workflow(workflow)
-            self._changed.update(self.crashes.list_workflows())
-
-    def _clear_of_crashes(self, task: workflow_commands.TaskName) -> None:
-        if self.crashes.clear(self.get_group_name(task)):
-            self._changed.update(self.crashes.list_workflows())
-
     # Snapshots.
 
     def dump(self) -> WorkflowSnapshot:
@@ -511,9 +397,9 @@
             list(self.workflows.values()),
             self.crashes.dump(),
             self._queues.dump_removed(),
-            self._lost_workers.dump(),
+            self._crash_recorder.lost_workers.dump(),
             self.ended_incarnations.dump(),
-            self._unsettled_runs.dump(),
+            self._crash_recorder.unsettled_runs.dump(),
         )
 
     @classmethod
@@ -523,10 +409,8 @@
         store._queues = QueueTable(snapshot.removed_queues)
         store.workers = {spec.id: spec for spec in snapshot.workers}
         store.runs = {spec.key: {} for spec in snapshot.workers}
-        store.crashes = CrashHistory(snapshot.crashes)
-        store._lost_workers = LostWorkers(snapshot.lost_workers)
+        store._crash_recorder.load(snapshot)
         store.ended_incarnations = EndedIncarnations(snapshot.ended_incarnations)
-        store._unsettled_runs = UnsettledRuns(snapshot.unsettled_runs)
         store.usage = WorkspaceUsage(snapshot.workflows)
         for workflow in snapshot.workflows:
             store.workflows[workflow.spec.id] = workflow
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -398,8 +398,8 @@
     ),
     Case(
         "crashes are part of a snapshot",
-        "workflow/store.py",
-        "        store.crashes = CrashHistory(snapshot.crashes)\n",
+        "workflow/crash_recorder.py",
+        "        self.crashes = CrashHistory(snapshot.crashes)\n",
         "",
         "tests/dispatch/test_crashes.py",
     ),
