Do not blame a task for a crash that came before its start

Cause: a start that is sent to a returned worker before its next incarnation is known fails as the connection is closed, or is answered by that incarnation. The removal of the former incarnation then counted as a crash under the run: the end of that incarnation was reckoned from the leader's last poll, which is later.

Change: the clock of the next incarnation, in its report or its heartbeat, counts from its start, so the former one had ended by then. A run that was sent after that, and is not known to have been on the former one, is in no crash.

Evidence: test_restarts_before_the_start_do_not_count_against_the_task fails before (given up after two starts) and passes now.

--- a/src/bluebellyoke/dispatch/crashes.py
+++ b/src/bluebellyoke/dispatch/crashes.py
@@ -1,6 +1,7 @@
 """What a crash of a worker tells about the runs that it took."""
 
 import logging
+import math
 from collections.abc import Collection
 
 from bluebellyoke.dispatch.calls import POLL_TIMEOUT_SLACK_S, POLL_WAIT_MS
@@ -47,18 +48,23 @@
     return CrashEvidence.REFUSALS if worker.is_refusing else CrashEvidence.NONE
 
 
-def list_crashed_runs(worker: TrackedWorker, now: float) -> tuple[CrashedRun, ...]:
+def list_crashed_runs(
+    worker: TrackedWorker, now: float, successor_start: float = math.inf
+) -> tuple[CrashedRun, ...]:
     """Return the runs that a crash has ended; those sent after it are left out.
 
     Args:
         worker: Worker whose process has ended.
         now: Monotonic time, in seconds.
+        successor_start: Time by which its next incarnation has started, if it has.
     """
     found = []
     latest_end = _find_latest_end(worker, now)
     for (task, number), run in worker.runs.items():
         if run.phase is RunPhase.BLOCKED or _was_sent_too_late(run, latest_end):
             continue
+        if _was_sent_to_successor(run, successor_start):
+            continue
         age_ms = None
         if run.sent_at is not None:
             age_ms = max(round((latest_end - run.sent_at) * 1000), 0)
@@ -89,6 +95,12 @@
     return run.sent_at > latest_end
 
 
+def _was_sent_to_successor(run: TrackedRun, successor_start: float) -> bool:
+    """Return whether a run was sent when the next incarnation had started."""
+    is_later = run.sent_at is not None and run.sent_at > successor_start
+    return is_later and not run.is_confirmed
+
+
 def _has_begun(run: TrackedRun) -> bool:
     """Return whether a run counts as begun.
 
--- a/src/bluebellyoke/dispatch/incarnations.py
+++ b/src/bluebellyoke/dispatch/incarnations.py
@@ -18,6 +18,7 @@
 __all__ = [
     "compute_longest_lease",
     "find_successor_lease_end",
+    "find_successor_start",
     "is_clock_of",
     "is_clock_of_successor",
     "list_unsettled_runs",
@@ -85,6 +86,18 @@
     return not run.is_confirmed and not run.is_planned
 
 
+def find_successor_start(clock_ms: int, now: float) -> float:
+    """Return the latest time at which the next incarnation of a worker has started.
+
+    The former one has ended by then.
+
+    Args:
+        clock_ms: Clock of the next incarnation, which began with its process.
+        now: Monotonic time at which a report with this reading has arrived, in seconds.
+    """
+    return now - clock_ms / 1000 / (1 + MAX_CLOCK_LAG)
+
+
 def compute_longest_lease(times: LeaseTimes) -> float:
     """Return how long after a call runs of the next incarnation may go on, in seconds.
 
--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -202,7 +202,8 @@
         An earlier one tells nothing of this one, which may run elsewhere.
         """
         if event.report.incarnation > worker.spec.incarnation:
-            self._registry.remove(worker, RemovalReason.REPLACED, wall_time)
+            clock_ms = event.report.clock_ms
+            self._registry.remove(worker, RemovalReason.REPLACED, wall_time, clock_ms)
         else:
             cause = "an earlier incarnation responded"
             self._fail_poll(worker, event, cause, now, wall_time)
--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -6,7 +6,10 @@
 from bluebellyoke.cell.result import Result, refuse
 from bluebellyoke.dispatch import crashes
 from bluebellyoke.dispatch.context import DispatchContext
-from bluebellyoke.dispatch.incarnations import list_unsettled_runs
+from bluebellyoke.dispatch.incarnations import (
+    find_successor_start,
+    list_unsettled_runs,
+)
 from bluebellyoke.dispatch.run_check import format_runs
 from bluebellyoke.dispatch.run_ends import RunEndRecorder, log_run_end
 from bluebellyoke.dispatch.stops import RunStopper
@@ -129,7 +132,7 @@
             return
         tracked = self._context.workers.get(spec.id)
         if tracked is not None and tracked.spec.incarnation < spec.incarnation:
-            self.remove(tracked, RemovalReason.REPLACED, wall_time)
+            self.remove(tracked, RemovalReason.REPLACED, wall_time, spec.clock_ms)
 
         def finish(result: Result) -> None:
             logger.info(
@@ -291,11 +294,18 @@
         )
 
     def remove(
-        self, worker: TrackedWorker, reason: RemovalReason, wall_time: float
+        self,
+        worker: TrackedWorker,
+        reason: RemovalReason,
+        wall_time: float,
+        successor_clock_ms: int = 0,
     ) -> None:
         """Commit the removal of a worker, which ends its runs as lost.
 
         Those that its next incarnation may have keep their place.
+
+        Args:
+            successor_clock_ms: Clock of the next incarnation, or 0 if it is not known.
         """
         worker_key = worker.spec.key
         if worker_key in self._removing:
@@ -324,7 +334,8 @@
         evidence = crashes.find_evidence(worker, reason)
         runs: tuple[CrashedRun, ...] = ()
         if not crashes.is_planned_end(worker):
-            runs = self._describe_crash(worker, evidence)
+            successor_start = find_successor_start(successor_clock_ms, now)
+            runs = self._describe_crash(worker, evidence, successor_start)
         is_proved = evidence is CrashEvidence.NEXT_INCARNATION
 
         def finish(result: Result) -> None:
@@ -353,7 +364,7 @@
         )
 
     def _describe_crash(
-        self, worker: TrackedWorker, evidence: CrashEvidence
+        self, worker: TrackedWorker, evidence: CrashEvidence, successor_start: float
     ) -> tuple[CrashedRun, ...]:
         """Log a crash, or a loss that may be one; return the runs that it has ended."""
         if evidence is not CrashEvidence.NONE:
@@ -362,6 +373,7 @@
                 self._context.recent_crashes.record_crash(
                     worker.spec.pool, self._context.now
                 )
-        runs = crashes.list_crashed_runs(worker, self._context.now)
+        now = self._context.now
+        runs = crashes.list_crashed_runs(worker, now, successor_start)
         crashes.log_crash(worker, evidence, runs)
         return runs
--- a/src/bluebellyoke/platform/bodies.py
+++ b/src/bluebellyoke/platform/bodies.py
@@ -162,6 +162,7 @@
     Capacity: Capacity
     Labels: tuple[str, ...] = ()
     born: Integer = 0
+    CurrentTimeMs: Integer = 0  # its monotonic clock, which starts with the process
 
 
 def decode_body(body: bytes, kind: type):
@@ -305,6 +306,7 @@
         labels=announcement.Labels,
         draining=announcement.State == DRAINING,
         sequence=announcement.Seq,
+        clock_ms=announcement.CurrentTimeMs,
     )
 
 
--- a/src/bluebellyoke/workflow/specs.py
+++ b/src/bluebellyoke/workflow/specs.py
@@ -199,6 +199,8 @@
         draining: Whether it is about to leave and gets no new task.
         sequence: Number of this report among those of the incarnation. The highest one
             is the newest, in whichever order they arrive.
+        clock_ms: Time since the start of the process when it sent this report, in
+            milliseconds, or 0 if it is not reported.
     """
 
     id: str
@@ -210,6 +212,7 @@
     labels: tuple[str, ...] = ()
     draining: bool = False
     sequence: int = 0
+    clock_ms: int = 0
 
     @property
     def key(self) -> tuple[str, int]:
@@ -217,5 +220,8 @@
         return self.id, self.incarnation
 
     def says_the_same(self, other: "WorkerSpec") -> bool:
-        """Return whether two reports differ in their number at most."""
-        return msgspec.structs.replace(self, sequence=other.sequence) == other
+        """Return whether two reports differ in their number and time at most."""
+        same = msgspec.structs.replace(
+            self, sequence=other.sequence, clock_ms=other.clock_ms
+        )
+        return same == other
--- a/tests/dispatch/test_crash_evidence.py
+++ b/tests/dispatch/test_crash_evidence.py
@@ -158,3 +158,18 @@
     simulation.run(60.0)
     assert simulation.starts[name_task()] < 6
     assert simulation.store.workflows["0000000000000001"].state == "failed"
+
+
+# Guards against a task that is blamed for a crash which came before its start: the
+# start reached the next incarnation, or a connection that this one closed.
+def test_runs_sent_after_the_next_incarnation_started_are_left_out():
+    worker = create_crashed_worker(
+        before=(RunPhase.STARTED, 0.5),
+        answered=(RunPhase.STARTED, 0.1),
+        unanswered=(RunPhase.UNKNOWN, 0.1),
+    )
+    runs = list_crashed_runs(worker, NOW + 0.1, successor_start=NOW - 0.3)
+    assert [item.task.index for item in runs] == [0]
+    worker.runs[(name_task(index=1), 1)].is_confirmed = True
+    runs = list_crashed_runs(worker, NOW + 0.1, successor_start=NOW - 0.3)
+    assert [item.task.index for item in runs] == [0, 1]
--- a/tests/dispatch/test_incarnations.py
+++ b/tests/dispatch/test_incarnations.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bluebellyoke.dispatch.incarnations import is_clock_of, is_clock_of_successor
+from bluebellyoke.dispatch.ports import NoAnswerError
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.dispatch.forwarding import ForwardingNetwork
@@ -10,6 +11,9 @@
 
 NOW = 1000.0
 
+#: Number of restarts under which a task is given up if they count as crashes.
+CRASHES = 6
+
 
 def create_tracked_worker(clock_ms):
     """Return a worker whose poll of 0.5 s ago took 0.1 s and showed a clock."""
@@ -96,3 +100,39 @@
     network.run(0.1)
     tracked = network.dispatcher.workers[worker.spec.id]
     assert not tracked.can_accept_tasks(network.now, max_silence_s=2.5)
+
+
+def lose_starts_to_returned_workers(network, age_s=0.2):
+    """Let each worker restart before it gets a start, whose connection is closed.
+
+    Its next heartbeat arrives just after that.
+    """
+
+    def forward(sent):
+        if sent.kind != "start" or len(starts) == CRASHES:
+            return False
+        starts.append(sent)
+        announce, network.announce = network.announce, lambda name: None
+        network.crash(sent.spec.id)
+        network.announce = announce
+        worker = network.workers[sent.spec.id]
+        worker.clock_ms = age_s * 1000
+        error = NoAnswerError(sent.spec.address, "closed by the peer")
+        network.finish_call(sent, error=error)
+        network.announce(sent.spec.id, clock_ms=int(worker.clock_ms))
+        return True
+
+    starts = []
+    network.forward = forward
+    return starts
+
+
+# Guards against a job that fails since each worker that got its task had crashed before
+# the start was sent.
+def test_restarts_before_the_start_do_not_count_against_the_task(network):
+    starts = lose_starts_to_returned_workers(network)
+    network.submit_task()
+    network.run(20.0)
+    assert len(starts) == CRASHES
+    assert network.state == "running"
+    assert network.find_busy_worker()
