Resume a lost run from the progress that its worker last reported

Cause: a run that is lost with its worker started afresh, although the worker's last report, at most a poll ago, named the progress that it had saved.

Change: the leader keeps the latest reported checkpoint of each run, and the removal of a worker records it for the runs that are lost. A run that is unsettled keeps what it has.

Evidence: test_lost_progress.py fails before (the next run starts without a checkpoint) and passes now.

--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -321,6 +321,7 @@
             # A report without an incarnation may be that of the next one.
             run.is_confirmed |= bool(report.incarnation)
             run.record_progress(running.percent, now)
+            run.checkpoint = running.checkpoint or run.checkpoint
             for observer in self._context.observers:
                 observer.record_progress(worker, key, run, running.load, now)
             if run.phase in (RunPhase.UNKNOWN, RunPhase.BLOCKED, RunPhase.BLOCKING):
--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -1,7 +1,7 @@
 """Registration and removal of workers."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from bluebellyoke.cell.result import Result, refuse
 from bluebellyoke.dispatch import crashes
@@ -23,6 +23,7 @@
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.commands import CrashedRun, CrashEvidence
 from bluebellyoke.workflow.specs import WorkerSpec
+from bluebellyoke.workflow.store import RunKey
 from bluebellyoke.workflow.worker_validation import validate_worker
 
 __all__ = ["WorkerRegistry"]
@@ -359,6 +360,7 @@
                 evidence=evidence,
                 lost_runs=() if is_proved else runs,
                 unsettled_runs=unsettled,
+                progress=_list_progress(worker, unsettled),
             ),
             finish,
         )
@@ -377,3 +379,16 @@
         runs = crashes.list_crashed_runs(worker, now, successor_start)
         crashes.log_crash(worker, evidence, runs)
         return runs
+
+
+def _list_progress(
+    worker: TrackedWorker, unsettled: Collection[RunKey]
+) -> tuple[workflow_commands.RunEnd, ...]:
+    """Return the ends of the lost runs of a worker that have saved progress."""
+    return tuple(
+        workflow_commands.RunEnd(
+            *key, workflow_commands.RunOutcome.LOST, run.checkpoint
+        )
+        for key, run in worker.runs.items()
+        if run.checkpoint and key not in unsettled
+    )
--- a/src/bluebellyoke/dispatch/tracked_run.py
+++ b/src/bluebellyoke/dispatch/tracked_run.py
@@ -62,6 +62,7 @@
         baseline_at: Time at which `baseline_percent` of its work was done, if known.
         progressed_at: Time at which the worker first reported `percent`.
         percent: Latest reported share of its work that is done, in percent.
+        checkpoint: Latest reported progress that it has saved, or an empty text.
         mark: Points between which its rate is measured, or None if it is not.
     """
 
@@ -82,6 +83,7 @@
     baseline_percent: int = 0
     progressed_at: float = 0.0
     percent: int = 0
+    checkpoint: str = ""
     mark: ProgressMark | None = None
 
     def record_progress(self, percent: int, now: float) -> None:
--- a/src/bluebellyoke/workflow/commands.py
+++ b/src/bluebellyoke/workflow/commands.py
@@ -161,6 +161,7 @@
             which take each of `crashed_runs` for a run of a proved crash, ignore these.
         unsettled_runs: Tasks and numbers of runs that the next incarnation may have,
             which keep their place. The other two may have them, too.
+        progress: Ends of the lost runs that have reported a checkpoint.
     """
 
     worker: str
@@ -169,6 +170,7 @@
     evidence: CrashEvidence = CrashEvidence.NEXT_INCARNATION
     lost_runs: tuple[CrashedRun, ...] = ()
     unsettled_runs: tuple[tuple[TaskName, int], ...] = ()
+    progress: tuple[RunEnd, ...] = ()
 
 
 class AssignRuns(Command, frozen=True, kw_only=True, array_like=True, tag=True):
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -247,6 +247,9 @@
             if (x.task, x.run) in present
         ]
         self._crash_recorder.mark_unsettled(worker_key, unsettled)
+        for end in command.progress:
+            if (end.task, end.run) in present and (end.task, end.run) not in unsettled:
+                self._record_end(end, command.time)
         self._end_lost_runs(worker_key, command.time, kept=unsettled)
         self.ended_incarnations.add(worker_key, command.time)
         failed = self._crash_recorder.record_removal(command, spec.address, crashed)
