Test random returns of workers, and the clocks that tell incarnations apart

Cause: no random test let workers come back without a heartbeat, and no test covered all clocks by which the response to a start confirms a run.

Change: a random scenario with many returns, and hypothesis tests of is_clock_of and is_clock_of_successor.

--- /dev/null
+++ b/tests/dispatch/test_returned_random.py
@@ -0,0 +1,113 @@
+"""Random returns of workers under their IDs, with calls that arrive late.
+
+The simulation checks at each start that no task runs twice, or after its end.
+"""
+
+import pytest
+from hypothesis import assume, given
+from hypothesis import strategies as st
+
+from bluebellyoke.dispatch.incarnations import (
+    MAX_INITIAL_CLOCK_MS,
+    is_clock_of,
+    is_clock_of_successor,
+)
+from bluebellyoke.dispatch.workers import MAX_CLOCK_LAG, TrackedWorker
+from tests.dispatch.simulation import SimulatedWorker
+from tests.dispatch.test_dispatcher_random import LateResponseScenario
+from tests.workflow.factories import create_worker
+
+#: Fraction of the rounds in which a worker comes back, and in which it is heard of.
+RETURN_FRACTION = 0.03
+HEARTBEAT_FRACTION = 0.1
+
+
+class ReturnScenario(LateResponseScenario):
+    """A scenario in which workers come back often, and are heard of later.
+
+    Attributes:
+        returns: Number of returns.
+    """
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.returns = 0
+
+    def inject_event(self):
+        super().inject_event()
+        simulation = self.simulation
+        name = self.random.choice(sorted(simulation.workers))
+        if self.random.random() < RETURN_FRACTION:
+            self.returns += 1
+            self.restart(name)
+        if self.random.random() < HEARTBEAT_FRACTION:
+            simulation.announce(name)
+            simulation.commit()
+
+    def restart(self, name):
+        old = self.simulation.workers[name]
+        spec = create_worker(
+            name, incarnation=old.spec.incarnation + 1, cpu=old.spec.capacity.cpu_millis
+        )
+        clock_ms = self.random.uniform(0.0, MAX_INITIAL_CLOCK_MS)
+        self.simulation.workers[name] = SimulatedWorker(spec, old.clock_rate, clock_ms)
+
+
+# Guards against a second run beside the first, a start after an acknowledged end and
+# jobs that never end, whichever returns, late calls and leaders come together.
+@pytest.mark.parametrize("seed", range(60))
+def test_returns_of_workers_cause_no_second_run(seed):
+    scenario = ReturnScenario(seed)
+    scenario.run()
+    assert scenario.returns
+
+
+seconds = st.floats(0.0, 20.0)
+rates = st.floats(1 - MAX_CLOCK_LAG, 1 + MAX_CLOCK_LAG)
+
+
+@st.composite
+def calls(draw):
+    """Return a worker with a reading, times of a call, and of its response there."""
+    worker = TrackedWorker(create_worker(), 0.0)
+    requested_at = 100.0
+    read_at = requested_at + draw(seconds)
+    received_at = read_at + draw(seconds)
+    sent_at = requested_at + draw(seconds)
+    carried_out_at = sent_at + draw(seconds)
+    now = max(carried_out_at, received_at) + draw(seconds)
+    uptime_ms = draw(st.floats(0.0, 1e6))
+    worker.record_clock(int(uptime_ms), requested_at, received_at)
+    return worker, uptime_ms, read_at, sent_at, carried_out_at, now
+
+
+# Guards against a run that counts as lost with an incarnation because the response to
+# its start, which the next one sent, is taken for one of the incarnation.
+@given(calls(), rates, st.floats(0.0, 1.0), st.floats(0.0, MAX_INITIAL_CLOCK_MS))
+def test_clock_of_the_next_incarnation_is_never_that_of_the_former(
+    call, rate, share, initial_ms
+):
+    worker, _, read_at, sent_at, carried_out_at, now = call
+    assume(carried_out_at >= read_at)
+    born_at = read_at + share * (carried_out_at - read_at)
+    clock_ms = int(initial_ms + (carried_out_at - born_at) * 1000 * rate)
+    assert not is_clock_of(worker, clock_ms, sent_at, now)
+
+
+# Guards against the reverse, by which a worker would get no task for no reason.
+@given(calls(), rates)
+def test_clock_of_an_incarnation_is_never_that_of_the_next(call, rate):
+    worker, uptime_ms, read_at, sent_at, carried_out_at, now = call
+    clock_ms = int(uptime_ms + (carried_out_at - read_at) * 1000 * rate)
+    assert not is_clock_of_successor(worker, clock_ms, sent_at, now)
+
+
+# Guards against runs that are never known to have begun by the response to their start.
+@given(st.floats(2 * MAX_INITIAL_CLOCK_MS, 1e9), rates, st.floats(0.001, 0.35))
+def test_clock_of_an_incarnation_confirms_its_runs(uptime_ms, rate, delay_s):
+    worker = TrackedWorker(create_worker(), 0.0)
+    worker.record_clock(int(uptime_ms), 100.0, 100.0 + delay_s)
+    read_at = 100.0 + delay_s / 2
+    sent_at = 100.0 + delay_s
+    clock_ms = int(uptime_ms + (sent_at + delay_s / 2 - read_at) * 1000 * rate)
+    assert is_clock_of(worker, clock_ms, sent_at, sent_at + delay_s)
