--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -42,6 +42,55 @@
 
 
 CASES = [
+    Case(
+        "a run that the next incarnation may have is not lost with the former",
+        "dispatch/incarnations.py",
+        "    return not run.is_confirmed and not run.is_planned\n",
+        "    return False\n",
+        "tests/dispatch/test_returned_incarnations.py",
+    ),
+    Case(
+        "a clock that the next incarnation may have confirms no run",
+        "dispatch/incarnations.py",
+        " and clock_ms > successor_ms\n",
+        "\n",
+        "tests/dispatch/test_returned_random.py -k clock",
+    ),
+    Case(
+        "an unsettled run ends after the longest lease, not with that of the worker",
+        "dispatch/unsettled_runs.py",
+        "now >= removed.lease_end or",
+        "True or",
+        "tests/dispatch/test_returned_incarnations.py -k longest_lease",
+    ),
+    Case(
+        "an incarnation that has answered refuses the calls for the one before",
+        "dispatch/registry.py",
+        "* FENCES_PER_TERM + self._enrolments\n",
+        "* FENCES_PER_TERM\n",
+        "tests/dispatch/test_returned_calls.py -k refuses_the_calls",
+    ),
+    Case(
+        "a confirmation is one of an incarnation",
+        "workflow/workflow.py",
+        "        task.incarnation = incarnation\n        task.confirmed = False\n",
+        "        task.incarnation = incarnation\n        task.confirmed = True\n",
+        "tests/workflow/test_unsettled_runs.py",
+    ),
+    Case(
+        "a crash counts for an unsettled run once the next incarnation lacks it",
+        "workflow/crashes.py",
+        "x.run for x in self.crashes if x.is_settled and (x.has_begun or x.is_proved)",
+        "x.run for x in self.crashes if x.has_begun or x.is_proved",
+        "tests/dispatch/test_returned_crashes.py",
+    ),
+    Case(
+        "a crash is not one of a run that has outlived it",
+        "workflow/store.py",
+        "            self.crashes.withdraw(unsettled.worker_key, group)\n",
+        "            self.crashes.confirm(unsettled.worker_key, group)\n",
+        "tests/workflow/test_unsettled_runs.py",
+    ),
     Case(
         "a reply of a proxy is no proof that a run has not begun",
         "dispatch/starts.py",
@@ -243,7 +292,7 @@
     Case(
         "an expired lease is no crash",
         "dispatch/crashes.py",
-        "    if reason is RemovalReason.REPLACED:\n",
+        "    if reason is not RemovalReason.LEASE_EXPIRED:\n",
         "    if True:\n",
         "tests/dispatch/test_crash_evidence.py",
     ),
@@ -1122,7 +1171,9 @@
     Case(
         "a run of unknown state is probed before it is stopped",
         "dispatch/starts.py",
+        "        if event.error is not None or not never_ran:\n"
         "            self._prober.request(worker)\n",
+        "        if event.error is not None or not never_ran:\n"
         "            self._stopper.send_stop(worker, key)\n",
         "tests/dispatch -k reported_by_a_probe",
     ),
