Count the crash of a run that is lost without a next incarnation

A task that crashes its workers at their start was started 17 times in 120 s when another worker took over each address, and without a bound when the workers stayed away.

Cause: the crash of an unsettled run counts once it is settled, and a run that ended as lost, since no next incarnation came, was left out.

Change: such a run counts for the crash of the incarnation that it was assigned to. One that is lost with the next incarnation counts for the crash of that one only.

--- a/src/bluebellyoke/workflow/crash_recorder.py
+++ b/src/bluebellyoke/workflow/crash_recorder.py
@@ -171,22 +171,33 @@
 
     # Runs.
 
-    def record_end(self, end: RunEnd, time: float) -> None:
-        """Record what the end of a run tells of crashes that its task was in."""
+    def record_end(self, end: RunEnd, worker_key: tuple[str, int], time: float) -> None:
+        """Record what the end of a run tells of crashes that its task was in.
+
+        Args:
+            worker_key: ID and incarnation of the worker that the run was assigned to.
+        """
         if end.outcome in _CLEARING_OUTCOMES:
             self._clear(end.task)
-        self._settle(end, time)
+        self._settle(end, worker_key, time)
         if self._workflows[end.task.workflow].outcome:
             self.forget_workflow(end.task.workflow)
 
-    def _settle(self, end: RunEnd, time: float) -> None:
-        """Confirm or withdraw the crash that an unsettled run may have been in."""
+    def _settle(self, end: RunEnd, worker_key: tuple[str, int], time: float) -> None:
+        """Confirm or withdraw the crash that an unsettled run may have been in.
+
+        A run that is lost without a next incarnation counts for the crash as well. One
+        that is lost with the next incarnation counts for the crash of that one.
+        """
         unsettled = self.unsettled_runs.pop(end.task, end.run)
-        if unsettled is None or end.outcome is RunOutcome.LOST:
+        if unsettled is None:
+            return
+        is_lost = end.outcome is RunOutcome.LOST
+        if is_lost and worker_key != unsettled.worker_key:
             return
         self._on_change(self.crashes.list_workflows())
         group = self.get_group_name(end.task)
-        if end.outcome is RunOutcome.NEVER_STARTED:
+        if is_lost or end.outcome is RunOutcome.NEVER_STARTED:
             self._give_up(self.crashes.confirm(unsettled.worker_key, group), time)
         else:
             self.crashes.withdraw(unsettled.worker_key, group)
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -379,7 +379,7 @@
         if workflow.record_end(end, time):
             step = workflow.spec.steps[end.task.step]
             self.usage.release(workflow.spec.workspace, step)
-        self._crash_recorder.record_end(end, time)
+        self._crash_recorder.record_end(end, (task.worker, task.incarnation), time)
         self._changed.add(end.task.workflow)
         self._drop_run((task.worker, task.incarnation), (end.task, end.run))
         self._deactivate_if_finished(workflow)
