Ask for a third crash if a run may not have begun

Cause: a new leader took each run of the leader before it for one that had begun.

Change: a run of an earlier leader that is not recorded as confirmed is uncertain. Two proved crashes alone still give a task up if both runs have certainly begun; with an uncertain run it takes three.

--- a/src/bluebellyoke/dispatch/crashes.py
+++ b/src/bluebellyoke/dispatch/crashes.py
@@ -70,7 +70,14 @@
             age_ms = max(round((latest_end - run.sent_at) * 1000), 0)
         suspected = _is_suspect(worker, run)
         found.append(
-            CrashedRun(task, number, age_ms, suspected, has_begun=_has_begun(run))
+            CrashedRun(
+                task,
+                number,
+                age_ms,
+                suspected,
+                has_begun=_has_begun(run),
+                is_uncertain=_is_uncertain(run),
+            )
         )
     return tuple(found)
 
@@ -105,12 +112,19 @@
     """Return whether a run counts as begun.
 
     A worker that closes the connection of a start has received it. One that does not
-    respond may have ended before. A run of an earlier leader counts, since that leader
-    may have known that it had begun.
+    respond may have ended before.
     """
     return run.phase in _CONFIRMED_PHASES or not run.has_start_timed_out
 
 
+def _is_uncertain(run: TrackedRun) -> bool:
+    """Return whether only an earlier leader may have known that a run had begun.
+
+    It records confirmed runs, but may have ended before it did.
+    """
+    return run.sent_at is None and not run.is_confirmed
+
+
 def _is_suspect(worker: TrackedWorker, run: TrackedRun) -> bool:
     """Return whether a run was on probation, or may have been young, at the crash."""
     if run.probation_s:
--- a/src/bluebellyoke/workflow/commands.py
+++ b/src/bluebellyoke/workflow/commands.py
@@ -105,6 +105,7 @@
         has_begun: Whether it is known to have begun. A start that was sent to a silent
             worker may never have arrived.
         is_settled: Whether it cannot be on the next incarnation of the worker.
+        is_uncertain: Whether only an earlier leader may have known that it had begun.
     """
 
     task: TaskName
@@ -113,6 +114,7 @@
     is_suspect: bool
     has_begun: bool = True
     is_settled: bool = True
+    is_uncertain: bool = False
 
 
 class ApplyConfiguration(Command, frozen=True, kw_only=True, array_like=True, tag=True):
--- a/src/bluebellyoke/workflow/crashes.py
+++ b/src/bluebellyoke/workflow/crashes.py
@@ -24,6 +24,11 @@
 #: Crashes without a young suspect that make a task a suspect that was not young.
 SHARED_CRASHES = 2
 
+#: Proved crashes alone that show a task to be their cause: of runs that have certainly
+#: begun, and if an earlier leader may have known of some that they had not.
+CERTAIN_CRASHES = 2
+UNCERTAIN_CRASHES = 3
+
 #: Runs that ended in a crash that make a task fail without proof.
 MAX_CRASHES = 5
 
@@ -46,6 +51,8 @@
         has_begun: Whether the run is known to have begun.
         is_settled: Whether the run cannot be on the next incarnation of the worker. If
             it is there, the task was not in this crash.
+        is_uncertain: Whether only an earlier leader may have known that the run had
+            begun.
     """
 
     worker: str
@@ -59,6 +66,7 @@
     is_proved: bool = True
     has_begun: bool = True
     is_settled: bool = True
+    is_uncertain: bool = False
 
     @property
     def worker_key(self) -> tuple[str, int]:
@@ -243,6 +251,7 @@
                 is_proved=is_proved,
                 has_begun=item.has_begun,
                 is_settled=item.is_settled,
+                is_uncertain=item.is_uncertain,
             )
             crashes = self._add(item.task, shared)
             if item.task == cause or len(crashes.runs) >= MAX_CRASHES:
@@ -268,16 +277,27 @@
         crashes = self._tasks.get(task)
         if crashes is None or not (found.has_begun and found.is_settled):
             return None
-        return task if self._was_suspect(crashes, found.run) else None
+        is_cause = self._is_repeated(crashes, found.run, found.is_uncertain)
+        return task if is_cause else None
+
+    def _is_repeated(self, crashes: TaskCrashes, run: int, is_uncertain: bool) -> bool:
+        """Return whether a task was a suspect for proved crashes of its other runs.
 
-    def _was_suspect(self, crashes: TaskCrashes, run: int) -> bool:
-        """Return whether a task was a suspect for proved crashes of its other runs."""
+        Args:
+            run: Number of the run that is in the latest crash.
+            is_uncertain: Whether it may not have begun.
+        """
         earlier = [
             x
             for x in crashes.unexplained
             if x.is_proved and x.has_begun and x.is_settled and x.run != run
         ]
-        return self._are_suspicious(earlier)
+        uncertain = sum(x.is_uncertain for x in earlier) + is_uncertain
+        has_enough = (
+            len(earlier) + 1 - uncertain >= CERTAIN_CRASHES
+            or len(earlier) + 1 >= UNCERTAIN_CRASHES
+        )
+        return has_enough and self._are_suspicious(earlier)
 
     def confirm(self, worker_key: tuple[str, int], task: TaskName) -> list[TaskCrashes]:
         """Record that a run was in a crash, since the next incarnation lacks it.
@@ -300,7 +320,7 @@
             and shared.has_begun
             and shared.was_young
             and not others
-            and self._was_suspect(crashes, shared.run)
+            and self._is_repeated(crashes, shared.run, shared.is_uncertain)
         )
         if is_cause:
             self._explain(task)
