--- a/tests/integration/deployment.py
+++ b/tests/integration/deployment.py
@@ -32,7 +32,8 @@
 Ready = "{ip}:{ready}"
 Control = "{ip}:{control}"
 [FaultTolerance]
-Machines = 1
+Machines = {machines}
+{limits}
 """
 
 CONFIG = {
@@ -71,10 +72,18 @@
 
 
 class Deployment:
-    """Instances on separate loopback addresses, with called workers and an advisor."""
+    """Instances on separate loopback addresses, with called workers and an advisor.
 
-    def __init__(self, folder):
+    Args:
+        folder: Folder for settings, data and logs.
+        machines: Number of simultaneous machine failures that the cell tolerates.
+        limits: Table `Limits` of the settings file, or None to leave it out.
+    """
+
+    def __init__(self, folder, *, machines=1, limits=None):
         self.folder = folder
+        self.machines = machines
+        self.limits = limits
         self.front_port, self.ready_port, self.control_port, self.peer_port = (
             find_ports(4)
         )
@@ -88,6 +97,7 @@
     def write_settings(self, number, *, has_disk, bootstrap=True, seeds=(1, 2, 3)):
         """Write an instance's settings file and return its path."""
         disk = f'DataDir = "{self.folder}/data-{number}"' if has_disk else ""
+        limits = [f"{key} = {value}" for key, value in (self.limits or {}).items()]
         path = self.folder / f"boot-{number}.toml"
         path.write_text(
             SETTINGS.format(
@@ -105,6 +115,8 @@
                 front=self.front_port,
                 ready=self.ready_port,
                 control=self.control_port,
+                machines=self.machines,
+                limits="\n".join(["[Limits]", *limits] if limits else ()),
             )
         )
         return path
