Bound what clients make an instance hold, in front of the parser

Cause: uvicorn limits neither heads, trailers, chunk extensions and empty lines nor the requests ahead of their responses; bodies had 8 MiB each on every listener and no bound together or in time; nothing compared connections with the descriptors. Change: GuardedProtocol, a subclass of uvicorn's httptools protocol for all HTTP listeners, counts bytes, parses one request at a time and reads into one shared buffer of 32 KiB. ConnectionTable decides without a network whom to refuse: the largest incomplete request of the address that holds most, the connection that is idle for longest. Whole requests are never closed, so a refused one has not run. Bodies have a maximum by listener. Limits of the process follow from MemoryMb and MaxFds of the platform's file. Few connections are accepted at once, as each has a descriptor before it can be refused. Trailers no longer become headers of the request.

--- a/src/bluebellyoke/instance/application.py
+++ b/src/bluebellyoke/instance/application.py
@@ -21,7 +21,6 @@
 from pathlib import Path
 
 import anyio
-import uvicorn
 from grpclib.server import Server as GrpcServer
 
 from bluebellyoke.clock import Clock
@@ -40,11 +39,19 @@
 from bluebellyoke.errors import BluebellyokeError, find_error
 from bluebellyoke.instance import wire
 from bluebellyoke.instance.api import Api, InstanceStatus
+from bluebellyoke.instance.client_refusals import create_table
 from bluebellyoke.instance.codec import MessageCodec
 from bluebellyoke.instance.directory import ReplicaDirectory
 from bluebellyoke.instance.directory_service import DirectoryService
-from bluebellyoke.instance.gateway import AsgiApp, Gateway, GatewayContext, Listener
+from bluebellyoke.instance.gateway import Gateway, GatewayContext, Listener
 from bluebellyoke.instance.http import HttpInterface
+from bluebellyoke.instance.http_server import (
+    HTTP_CLOSE_TIMEOUT_S,
+    LISTEN_BACKLOG,
+    HttpServer,
+    create_http_server,
+    sweep_connections,
+)
 from bluebellyoke.instance.link import LeaderLink
 from bluebellyoke.instance.peers import PeerReceiver, PeerSender
 from bluebellyoke.instance.proxy import RequestProxy
@@ -75,15 +82,9 @@
 #: Polls of an idle instance per lease. Two of them may be lost.
 POLLS_PER_LEASE = 3.0
 
-#: Timeout for closing the HTTP connections after the last request, in seconds.
-HTTP_CLOSE_TIMEOUT_S = 3.0
-
 #: Interval of reloading the settings, in seconds. They may change without a signal.
 RELOAD_INTERVAL_S = 2.0
 
-#: Maximum number of connections that wait to be accepted by a listener.
-LISTEN_BACKLOG = 2048
-
 
 class PortInUseError(BluebellyokeError):
     """A listener's port is in use or its address is not on this machine."""
@@ -96,31 +97,6 @@
         )
 
 
-class _HttpServer(uvicorn.Server):
-    """uvicorn without signal handlers; `Application` handles the signals."""
-
-    @contextlib.contextmanager
-    def capture_signals(self):
-        yield
-
-
-class _PortRouter:
-    """Dispatches each request to the ASGI app of the address that received it.
-
-    Args:
-        default_app: App for addresses that no listener has.
-        listeners: Listeners with an app of their own.
-    """
-
-    def __init__(self, default_app: AsgiApp, listeners: list[Listener]) -> None:
-        self._default_app = default_app
-        self._apps = {(item.address, item.port): item.app for item in listeners}
-
-    async def __call__(self, scope: dict, receive, send) -> None:
-        endpoint = tuple(scope.get("server") or ())[:2]
-        await self._apps.get(endpoint, self._default_app)(scope, receive, send)
-
-
 class Application:
     """Creates, runs and stops the components of an instance.
 
@@ -186,6 +162,7 @@
             clock=clock,
             metrics=self._metrics,
         )
+        self._connections = create_table(settings.limits, self._metrics, clock)
         self._replica: Replica | None = None
         self._directory_service: DirectoryService | None = None
         self._replica_error: BluebellyokeError | None = None
@@ -215,6 +192,7 @@
                 sockets.append(self._open_listener("gateway", item.address, item.port))
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._watch_signals)
+                tasks.start_soon(sweep_connections, self._connections, self._clock)
                 if self._gateway is not None:
                     tasks.start_soon(self._reload_at_intervals)
                 async with self._run_peer_server(sockets[1]):
@@ -314,7 +292,7 @@
         self._directory.set_seeds(seeds)
         logger.info("instance: reloaded the seeds", extra={"seeds": list(seeds)})
 
-    def _create_http_server(self, listeners: list[Listener]) -> _HttpServer:
+    def _create_http_server(self, listeners: list[Listener]) -> HttpServer:
         api = Api(
             proxy=self._proxy,
             link=self._link,
@@ -328,20 +306,9 @@
             clock=self._clock,
             longest_deadline_s=self._settings.limits.longest_deadline_s,
         )
-        config = uvicorn.Config(
-            _PortRouter(interface, listeners),
-            http="httptools",
-            ws="none",
-            lifespan="off",
-            access_log=False,
-            log_config=None,
-            server_header=False,
-            date_header=False,
-            timeout_keep_alive=75,
-            timeout_graceful_shutdown=int(HTTP_CLOSE_TIMEOUT_S),
-            backlog=LISTEN_BACKLOG,
+        return create_http_server(
+            interface, listeners, table=self._connections, clock=self._clock
         )
-        return _HttpServer(config)
 
     def _count_open_requests(self) -> int:
         return (
@@ -489,7 +456,7 @@
 
     # Shutdown.
 
-    async def _drain(self, server: _HttpServer) -> None:
+    async def _drain(self, server: HttpServer) -> None:
         limits = self._settings.limits
         self._status.leaving = True
         if self._replica is not None:
--- a/src/bluebellyoke/instance/gateway.py
+++ b/src/bluebellyoke/instance/gateway.py
@@ -20,11 +20,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Listener:
-    """An address to listen on and the ASGI app that handles its requests."""
+    """An address to listen on and the ASGI app that handles its requests.
+
+    Attributes:
+        max_body_bytes: Maximum size of a body, which the app reads whole before it acts
+            on a request.
+    """
 
     address: str
     port: int
     app: AsgiApp
+    max_body_bytes: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/bluebellyoke/instance/http.py
+++ b/src/bluebellyoke/instance/http.py
@@ -22,6 +22,7 @@
     read_body,
     send_response,
 )
+from bluebellyoke.instance.connection_limits import BodyLimits, ListenerLimits
 from bluebellyoke.instance.exchange import (
     HOP_BY_HOP_HEADERS,
     RequestOutcome,
@@ -31,7 +32,7 @@
 from bluebellyoke.instance.requests import CallerRequest, RequestResult
 from bluebellyoke.routing.decisions import RefusalKind
 
-__all__ = ["HttpInterface"]
+__all__ = ["BODY_LIMITS", "HttpInterface"]
 
 logger = logging.getLogger("bluebellyoke.http")
 
@@ -47,6 +48,12 @@
 
 SERVICE_PREFIX = "/services/"
 
+#: Limits on the bodies of both kinds of paths.
+BODY_LIMITS = ListenerLimits(
+    BodyLimits(API_BODY_BYTES, API_BODY_BYTES),
+    by_prefix=((SERVICE_PREFIX.encode(), BodyLimits(None, BUFFERED_BODY_BYTES)),),
+)
+
 #: Status codes of refusals that do not depend on the instance; all others get 503.
 _REFUSAL_STATUS = {
     RefusalKind.UNKNOWN_SERVICE: 404,
--- a/src/bluebellyoke/metrics.py
+++ b/src/bluebellyoke/metrics.py
@@ -84,6 +84,10 @@
         """Count a job that was refused under load, by the cause."""
         self._counters["admission_refusals_total", cause] += 1
 
+    def record_refused_client(self, cause: str) -> None:
+        """Count a request or connection of a client that a limit has ended."""
+        self._counters["client_refusals_total", cause] += 1
+
     def record_admission_error(self, kind: str) -> None:
         """Count a decision on a job that has proved wrong."""
         self._counters["admission_errors_total", kind] += 1
--- a/src/bluebellyoke/platform/gateway.py
+++ b/src/bluebellyoke/platform/gateway.py
@@ -49,7 +49,8 @@
         for endpoint, create_app in create_apps:
             if endpoint is not None:
                 address, port = split_endpoint(endpoint)
-                listeners.append(Listener(address, port, create_app(port)))
+                app = create_app(port)
+                listeners.append(Listener(address, port, app, app.max_body_bytes))
         return listeners
 
     def create_worker_client(self) -> WorkerClient:
--- a/src/bluebellyoke/platform/listeners.py
+++ b/src/bluebellyoke/platform/listeners.py
@@ -24,7 +24,15 @@
 
 logger = logging.getLogger("bluebellyoke.platform")
 
-MAX_BODY_BYTES = 8 * 1024 * 1024
+#: Maximum size of a client's body, in bytes: four times the 256 KiB that the platform
+#: lets its clients send, since a configuration may state more.
+CLIENT_BODY_BYTES = 1024 * 1024
+
+#: Maximum size of a configuration or a heartbeat, in bytes.
+CONTROL_BODY_BYTES = 4 * 1024 * 1024
+
+#: Maximum size of a readiness check's body, which has no meaning, in bytes.
+READINESS_BODY_BYTES = 16 * 1024
 
 #: Timeout for requests without a deadline, in seconds.
 DEFAULT_TIMEOUT_S = 2.5
@@ -77,7 +85,13 @@
 
 
 class _BaseApp:
-    """Base class of the applications."""
+    """Base class of the applications.
+
+    Attributes:
+        max_body_bytes: Maximum size of a request's body.
+    """
+
+    max_body_bytes: int
 
     def __init__(self, context: GatewayContext) -> None:
         self.context = context
@@ -88,7 +102,7 @@
             return
         self.context.queues.expect_body(_parse_length(scope))
         try:
-            body = await read_body(receive, MAX_BODY_BYTES)
+            body = await read_body(receive, self.max_body_bytes)
             response = await self.handle(scope, body)
         except CallerLeftError:
             return
@@ -119,6 +133,8 @@
 class ReadinessApp(_BaseApp):
     """Readiness check for the platform."""
 
+    max_body_bytes = READINESS_BODY_BYTES
+
     async def handle(self, scope: Scope, body: bytes) -> Response:
         """Return status 200 if the instance takes requests, and 503 if not."""
         return Response(200 if self.context.is_ready() else 503, {})
@@ -127,6 +143,8 @@
 class QueueApp(_BaseApp):
     """Requests of clients to queues."""
 
+    max_body_bytes = CLIENT_BODY_BYTES
+
     async def handle(self, scope: Scope, body: bytes) -> Response:
         """Forward a request to the queues and translate the reply."""
         action = _ACTIONS.get(scope["method"])
@@ -158,6 +176,8 @@
         port: Port of this listener, which all instances of a deployment share.
     """
 
+    max_body_bytes = CONTROL_BODY_BYTES
+
     def __init__(self, context: GatewayContext, *, port: int) -> None:
         super().__init__(context)
         self._port = port
--- a/src/bluebellyoke/platform/settings.py
+++ b/src/bluebellyoke/platform/settings.py
@@ -91,6 +91,13 @@
     MaxHoldMs: float = 6000.0
 
 
+class LimitsTable(_Table):
+    """What the machine has for the instance; None if the platform does not say."""
+
+    MemoryMb: Annotated[float, pydantic.Field(gt=0)] | None = None
+    MaxFds: Annotated[int, pydantic.Field(gt=0)] | None = None
+
+
 class PlatformSettings(_Table):
     """The settings that the project uses."""
 
@@ -107,6 +114,7 @@
     Listen: ListenTable = ListenTable()
     FaultTolerance: FaultToleranceTable = FaultToleranceTable()
     Bounds: BoundsTable = BoundsTable()
+    Limits: LimitsTable = LimitsTable()
     # Properties of the deployment that it announces to its programs.
     Contracts: tuple[str, ...] = ()
 
@@ -190,6 +198,7 @@
             longest_called_worker_lease_s=max_hold_s,
             called_worker_lease_s=max_hold_s * 5 / 6,
             snapshot_mb=SNAPSHOT_MB,
+            **_translate_machine(platform_settings.Limits),
         ),
         dispatch=DispatchSettings(
             urgency=PRESSURE_CONTRACT in platform_settings.Contracts,
@@ -200,6 +209,12 @@
     )
 
 
+def _translate_machine(limits: LimitsTable) -> dict[str, float]:
+    """Return the settings for the machine's size that the platform states."""
+    values = {"memory_mb": limits.MemoryMb, "max_descriptors": limits.MaxFds}
+    return {key: value for key, value in values.items() if value is not None}
+
+
 def split_endpoint(endpoint: str) -> tuple[str, int]:
     """Return the IP address and port of an endpoint, `IP:PORT`."""
     return split_address(endpoint)
--- a/src/bluebellyoke/settings.py
+++ b/src/bluebellyoke/settings.py
@@ -127,6 +127,11 @@
     called_worker_lease_s: Annotated[float, pydantic.Field(ge=1.0)] = 5.0
     longest_called_worker_lease_s: Annotated[float, pydantic.Field(ge=1.0)] = 6.0
     snapshot_mb: Annotated[int, pydantic.Field(ge=1, le=1024)] = 16
+    memory_mb: Annotated[float, pydantic.Field(gt=0)] = 512.0
+    max_descriptors: Annotated[int, pydantic.Field(ge=1)] = 4096
+    client_head_kb: Annotated[int, pydantic.Field(ge=16, le=1024)] = 80
+    client_head_timeout_s: Annotated[float, pydantic.Field(ge=3.0)] = 10.0
+    client_body_timeout_s: Annotated[float, pydantic.Field(ge=15.0)] = 90.0
 
 
 class DispatchSettings(_Table):
--- a/tests/integration/floods.py
+++ b/tests/integration/floods.py
@@ -26,6 +26,10 @@
 WHOLE_BODY_BYTES = 8_000_000
 PARTIAL_BODY_BYTES = 7_900_000
 
+#: Sizes of bodies that each are allowed, by the path of the request.
+ALLOWED_BODY_BYTES = {"/-/config": 4_000_000, "/v1/jobs": 4_000_000}
+CLIENT_BODY_BYTES = 262_144
+
 #: Timeout of a single call of a socket, in seconds.
 SOCKET_TIMEOUT_S = 5.0
 
@@ -110,6 +114,13 @@
     return _repeat(head + b"\r\n", b" ", PARTIAL_BODY_BYTES - 1)
 
 
+def send_allowed_body(target: Target) -> Iterator[bytes]:
+    """Send a body that is allowed, without its last byte."""
+    size = ALLOWED_BODY_BYTES.get(target.path, CLIENT_BODY_BYTES)
+    head = target.build_head(f"Content-Length: {size}")
+    return _repeat(head + b"\r\n", b" ", size - 1)
+
+
 def send_empty_lines(target: Target) -> Iterator[bytes]:
     """Send empty lines without end in place of a request."""
     return _repeat(b"", b"\r\n")
--- a/tests/integration/test_client_limits.py
+++ b/tests/integration/test_client_limits.py
@@ -205,7 +205,10 @@
 
 
 # Guards against many bodies that are each short enough and together are too long.
-@pytest.mark.parametrize("send", [floods.send_whole_body, floods.send_partial_body])
+@pytest.mark.parametrize(
+    "send",
+    [floods.send_whole_body, floods.send_partial_body, floods.send_allowed_body],
+)
 @pytest.mark.parametrize("listener", LISTENERS)
 def test_long_bodies_together_fit_into_memory(instance, watch, listener, send):
     target = instance.get_target(listener)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -151,3 +151,12 @@
     text = TEXT.replace("NewField = 7", line)
     settings = translate_settings(read_settings(write(tmp_path, text)))
     assert settings.dispatch.interference is expected
+
+
+# Guards against limits on clients that do not follow from the machine.
+def test_size_of_the_machine_is_translated(tmp_path):
+    text = TEXT + "[Limits]\nMemoryMb = 300\nMaxFds = 4100\nOther = 1\n"
+    limits = translate_settings(read_settings(write(tmp_path, text))).limits
+    assert (limits.memory_mb, limits.max_descriptors) == (300, 4100)
+    limits = translate_settings(read_settings(write(tmp_path, TEXT))).limits
+    assert (limits.memory_mb, limits.max_descriptors) == (512, 4096)
