Bound the responses of workers and of the advisor

Cause: a response had 16 MiB, whatever other calls held, and its head, trailers and chunk extensions had no bound; many workers with long responses exceed the memory. Change: 64 KiB for a head and what is no body, 4 MiB for a body, and 16 MiB for the incomplete bodies of all calls of a caller, of which the largest fails. The call ends as one without an answer.

--- a/src/bluebellyoke/instance/http_calls.py
+++ b/src/bluebellyoke/instance/http_calls.py
@@ -24,7 +24,17 @@
 IDLE_TIMEOUT_S = 20.0
 
 #: Maximum size of a response body, in bytes.
-MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_BODY_BYTES = 4 * 1024 * 1024
+
+#: Maximum size of a response's head, and of everything else that is no body, in bytes.
+MAX_HEAD_BYTES = 64 * 1024
+
+#: Framing that is allowed for each byte of a chunked body: a chunk of one byte has five
+#: more.
+FRAMING_PER_BYTE = 8
+
+#: Bytes of incomplete response bodies that all calls of a caller may hold together.
+MAX_HELD_BYTES = 16 * 1024 * 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,22 +45,50 @@
     content: bytes
 
 
+class _ResponseBudget:
+    """Bytes of incomplete response bodies on all connections of a caller.
+
+    Args:
+        max_bytes: Maximum number of bytes.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self._held: dict[_Connection, int] = {}
+        self._total = 0
+
+    def hold(self, connection: "_Connection", size: int) -> None:
+        """Set what a connection holds; fail the largest response if it is too much."""
+        self._total += size - self._held.pop(connection, 0)
+        if size:
+            self._held[connection] = size
+        while self._total > self._max_bytes and self._held:
+            largest = max(self._held, key=self._held.__getitem__)
+            self._total -= self._held.pop(largest)
+            largest.fail("the responses of all calls are too large")
+
+
 class _Connection(asyncio.Protocol):
     """Connection that carries one call at a time.
 
+    Args:
+        budget: Bytes that the responses of all connections may hold.
+
     Attributes:
         idle_since: Monotonic time of the event loop at which the last call ended.
         is_reusable: Whether the connection can carry another call.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: _ResponseBudget) -> None:
         self.idle_since = 0.0
+        self._budget = budget
         self.is_reusable = True
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._response: asyncio.Future[HttpResponse] | None = None
         self._chunks: list[bytes] = []
         self._size = 0
+        self._framing_bytes = 0
 
     async def send(self, request: bytes) -> HttpResponse:
         """Send a request and wait for its response.
@@ -61,7 +99,7 @@
         if not self.is_reusable:
             raise ConnectionResetError("the connection is closed")
         self._response = asyncio.get_running_loop().create_future()
-        self._chunks, self._size = [], 0
+        self._chunks, self._size, self._framing_bytes = [], 0, 0
         self._transport.write(request)
         return await self._response
 
@@ -71,11 +109,21 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def fail(self, reason: str) -> None:
+        """Fail the call in flight and close the connection."""
+        self._fail(reason)
+        self.close()
+
     def _fail(self, reason: str) -> None:
         self.is_reusable = False
+        self._release()
         if self._response is not None and not self._response.done():
             self._response.set_exception(ConnectionResetError(reason))
 
+    def _release(self) -> None:
+        self._chunks = []
+        self._budget.hold(self, 0)
+
     # Callbacks of the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -88,11 +136,17 @@
             # Nothing was requested, so the next response could be mistaken.
             self.close()
             return
+        size_before = self._size
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._fail(f"invalid response: {error}")
-            self.close()
+            self.fail(f"invalid response: {error}")
+            return
+        if self._response.done():
+            return
+        self._framing_bytes += len(data) - (self._size - size_before)
+        if self._framing_bytes > MAX_HEAD_BYTES + FRAMING_PER_BYTE * self._size:
+            self.fail("the head or the framing of the response is too large")
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the call in flight."""
@@ -103,11 +157,13 @@
     def on_body(self, chunk: bytes) -> None:
         """Store a part of the body."""
         self._size += len(chunk)
+        if self._response.done():
+            return
         if self._size > MAX_BODY_BYTES:
-            self._fail("the response is too large")
-            self.close()
+            self.fail("the response is too large")
             return
         self._chunks.append(chunk)
+        self._budget.hold(self, self._size)
 
     def on_message_complete(self) -> None:
         """Finish the call."""
@@ -118,12 +174,19 @@
         self.is_reusable = self.is_reusable and self._parser.should_keep_alive()
         status = self._parser.get_status_code()
         self._response.set_result(HttpResponse(status, b"".join(self._chunks)))
+        self._release()
 
 
 class HttpCaller:
-    """Makes calls, and keeps idle connections by address."""
+    """Makes calls, and keeps idle connections by address.
+
+    Args:
+        max_held_bytes: Bytes of incomplete response bodies that all calls may hold
+            together; beyond it the largest response fails.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, *, max_held_bytes: int = MAX_HELD_BYTES) -> None:
+        self._budget = _ResponseBudget(max_held_bytes)
         self._idle: dict[str, list[_Connection]] = {}
 
     async def post(
@@ -183,7 +246,9 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, connection = await loop.create_connection(_Connection, host, port)
+                _, connection = await loop.create_connection(
+                    lambda: _Connection(self._budget), host, port
+                )
         except TimeoutError as error:
             raise NotReachedError(address, refused=False) from error
         except OSError as error:
--- a/tests/instance/test_http_calls.py
+++ b/tests/instance/test_http_calls.py
@@ -92,6 +92,64 @@
     run_against([response, OK], body)
 
 
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+# Guards against a worker or an advisor whose response has no end.
+@pytest.mark.parametrize(
+    "response",
+    [
+        HEAD + b"X-Filler: x\r\n" * 8000,
+        HEAD + b"x" * 100_000,
+        CHUNKED + b"2\r\n{}\r\n0\r\n" + b"X-Filler: x\r\n" * 8000,
+        CHUNKED + b"2;" + b"x" * 100_000,
+        CHUNKED + b"100000\r\n" + b"x" * 0x100000 * 5,
+        HEAD + b"Content-Length: 99999999999\r\n\r\n" + b"x" * 0x100000 * 5,
+    ],
+    ids=["lines", "name", "trailers", "extension", "chunk", "body"],
+)
+def test_response_without_end_is_no_answer(response):
+    async def body(server, caller, address):
+        with pytest.raises(NoAnswerError):
+            await caller.post(address, "/x", b"{}")
+        assert (await caller.post(address, "/x", b"{}")).status == 200
+
+    run_against([response, OK], body)
+
+
+# Guards against many workers whose responses are each short enough.
+def test_incomplete_responses_together_are_bounded():
+    partial = HEAD + b"Content-Length: 3000\r\n\r\n" + b"x" * 2999
+    failed = []
+
+    async def post(caller, address):
+        with contextlib.suppress(NoAnswerError):
+            await caller.post(address, "/x", b"{}")
+        failed.append(address)
+
+    async def body(server, caller, address):
+        bounded = HttpCaller(max_held_bytes=10_000)
+        async with anyio.create_task_group() as tasks:
+            for _ in range(5):
+                tasks.start_soon(post, bounded, address)
+            while len(failed) < 2:
+                await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+        assert (await bounded.post(address, "/x", b"{}")).status == 200
+
+    run_against([*[partial] * 5, OK], body)
+
+
+def test_response_in_chunks_of_one_byte_is_joined():
+    chunked = CHUNKED + b"1\r\nx\r\n" * 30_000 + b"0\r\n\r\n"
+
+    async def body(server, caller, address):
+        assert (await caller.post(address, "/x", b"{}")).content == b"x" * 30_000
+
+    run_against([chunked], body)
+
+
 def test_response_of_a_cancelled_call_never_answers_a_later_one():
     """Pattern: a call times out and its late response meets the next call."""
 
