Bound the connections and messages on the listener for instances

Cause: grpclib takes messages of any announced size and any number of connections, and clients may reach the listener. Change: PeerServer, a subclass of grpclib's server. Connections need a descriptor and a first stream in time; the oldest without a stream makes room. A message has at most 40 MiB, and of several incomplete ones the largest is given up once they exceed the share of the memory. A peer that reads no acknowledgements is closed. Unit tests also show that httpcore bounds heads, trailers and extensions in the responses of upstreams; no change there.

--- a/src/bluebellyoke/instance/application.py
+++ b/src/bluebellyoke/instance/application.py
@@ -21,7 +21,6 @@
 from pathlib import Path
 
 import anyio
-from grpclib.server import Server as GrpcServer
 
 from bluebellyoke.clock import Clock
 from bluebellyoke.consensus.bootstrap import (
@@ -39,8 +38,10 @@
 from bluebellyoke.errors import BluebellyokeError, find_error
 from bluebellyoke.instance import wire
 from bluebellyoke.instance.api import Api, InstanceStatus
-from bluebellyoke.instance.client_refusals import create_table
+from bluebellyoke.instance.client_refusals import RefusalReport, create_limits
 from bluebellyoke.instance.codec import MessageCodec
+from bluebellyoke.instance.connection_limits import ACCEPT_BATCH
+from bluebellyoke.instance.connection_table import ConnectionTable
 from bluebellyoke.instance.directory import ReplicaDirectory
 from bluebellyoke.instance.directory_service import DirectoryService
 from bluebellyoke.instance.gateway import Gateway, GatewayContext, Listener
@@ -53,6 +54,7 @@
     sweep_connections,
 )
 from bluebellyoke.instance.link import LeaderLink
+from bluebellyoke.instance.peer_limits import PeerBudget, PeerServer
 from bluebellyoke.instance.peers import PeerReceiver, PeerSender
 from bluebellyoke.instance.proxy import RequestProxy
 from bluebellyoke.instance.queues import AdviceHandler, QueueClient
@@ -162,7 +164,9 @@
             clock=clock,
             metrics=self._metrics,
         )
-        self._connections = create_table(settings.limits, self._metrics, clock)
+        report = RefusalReport(self._metrics, clock).record
+        self._connections = ConnectionTable(create_limits(settings.limits), report)
+        self._peers = PeerBudget(self._connections, report)
         self._replica: Replica | None = None
         self._directory_service: DirectoryService | None = None
         self._replica_error: BluebellyokeError | None = None
@@ -335,14 +339,16 @@
                 self._create_replica_files()
                 self._replica = self._create_replica(sender)
                 self._status.describe_replica = self._replica.describe
-            server = GrpcServer(
+            server = PeerServer(
                 [
                     PeerReceiver(self._deliver_envelope),
                     SessionServer(self._post_stream_event),
                 ],
                 codec=MessageCodec(),
+                budget=self._peers,
             )
-            await server.start(sock=peer_socket)
+            await server.start(sock=peer_socket, backlog=ACCEPT_BATCH)
+            peer_socket.listen(LISTEN_BACKLOG)
             if self._replica is not None:
                 tasks.start_soon(self._run_replica, self._replica)
             try:
--- a/src/bluebellyoke/instance/client_refusals.py
+++ b/src/bluebellyoke/instance/client_refusals.py
@@ -13,11 +13,10 @@
     Refusal,
     derive_limits,
 )
-from bluebellyoke.instance.connection_table import ConnectionTable
 from bluebellyoke.metrics import Metrics
 from bluebellyoke.settings import LimitSettings
 
-__all__ = ["RefusalReport", "create_limits", "create_table", "format_refusal"]
+__all__ = ["RefusalReport", "create_limits", "format_refusal"]
 
 logger = logging.getLogger("bluebellyoke.http")
 
@@ -70,14 +69,6 @@
             )
 
 
-def create_table(
-    settings: LimitSettings, metrics: Metrics, clock: Clock
-) -> ConnectionTable:
-    """Return the empty table of this process's connections."""
-    report = RefusalReport(metrics, clock)
-    return ConnectionTable(create_limits(settings), report.record)
-
-
 def format_refusal(refusal: Refusal) -> bytes:
     """Return the whole response to a refused request."""
     body = msgspec.json.encode({"Error": refusal.reason})
--- a/src/bluebellyoke/instance/connection_guard.py
+++ b/src/bluebellyoke/instance/connection_guard.py
@@ -9,7 +9,6 @@
 from collections.abc import Mapping
 
 import httptools
-from uvicorn.protocols.http.flow_control import FlowControl
 from uvicorn.protocols.http.httptools_impl import (
     HttpToolsProtocol,
     RequestResponseCycle,
@@ -28,6 +27,7 @@
     ConnectionRecord,
     ConnectionTable,
 )
+from bluebellyoke.instance.holdable_flow import HoldableFlow
 
 __all__ = ["ConnectionGuard", "GuardedProtocol"]
 
@@ -68,19 +68,6 @@
     """Stops the parser; the connection knows the refusal."""
 
 
-class _HoldableFlow(FlowControl):
-    """Flow control that does not resume reading while parsed data has to wait."""
-
-    def __init__(self, transport: asyncio.Transport) -> None:
-        super().__init__(transport)
-        self.is_held = False
-
-    def resume_reading(self) -> None:
-        """Resume reading unless it is held back."""
-        if not self.is_held:
-            super().resume_reading()
-
-
 class ConnectionGuard:
     """What the connections of a process share.
 
@@ -148,7 +135,7 @@
         """Admit the connection, or refuse it if there are too many."""
         super().connection_made(transport)
         transport.set_write_buffer_limits(high=UNSENT_BYTES)
-        self.flow = _HoldableFlow(transport)
+        self.flow = HoldableFlow(transport)
         self._limits = self._guard.get_listener_limits(self.server)
         self._record = ConnectionRecord(
             owner=self,
--- a/tests/instance/test_exchange_evidence.py
+++ b/tests/instance/test_exchange_evidence.py
@@ -127,3 +127,21 @@
         return exchange
 
     assert anyio.run(connect_to_nothing).outcome is RequestOutcome.NOT_RUN
+
+
+# Guards against an upstream whose response has no end.
+@pytest.mark.parametrize(
+    "response",
+    [
+        b"HTTP/1.1 200 OK\r\n" + b"X-Filler: x\r\n" * 20_000,
+        b"HTTP/1.1 200 OK\r\n" + b"x" * 300_000,
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+        + b"X-Filler: x\r\n" * 20_000,
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;" + b"x" * 300_000,
+    ],
+    ids=["lines", "name", "trailers", "extension"],
+)
+def test_response_without_end_has_an_unknown_outcome(response):
+    exchange = exchange_with(Upstream(response))
+    assert exchange.outcome is RequestOutcome.UNKNOWN
+    assert "RemoteProtocolError" in exchange.error
