Count an unsettled run for exactly one crash

Change: an unsettled run counts for the crash of its latest incarnation, and the crash of an earlier one is withdrawn. A late proof takes runs that have been settled since for settled.

Evidence: the four new tests of test_unsettled_runs.py fail before and pass now.

--- a/src/bluebellyoke/workflow/crash_recorder.py
+++ b/src/bluebellyoke/workflow/crash_recorder.py
@@ -76,8 +76,14 @@
     def mark_unsettled(
         self, worker_key: tuple[str, int], runs: Iterable[tuple[TaskName, int]]
     ) -> None:
-        """Record that runs keep their place after their worker has been removed."""
+        """Record that runs keep their place after their worker has been removed.
+
+        Each counts for one crash at most, that of the latest incarnation.
+        """
         for task, run in runs:
+            earlier = self.unsettled_runs.pop(task, run)
+            if earlier is not None:
+                self._withdraw(earlier)
             self.unsettled_runs.add(UnsettledRun(task, run, *worker_key))
 
     def record_removal(
@@ -112,7 +118,7 @@
         crashed = self.lost_workers.pop_crashed(spec, time)
         failed = []
         for lost in crashed:
-            failed += self._record(lost.key, list(lost.runs), time)
+            failed += self._record(lost.key, self._update_settled(lost.runs), time)
         if not crashed:
             return Result(accepted=True)
         names = " ".join(lost.worker for lost in crashed)
@@ -120,6 +126,15 @@
             accepted=True, detail={"crashed": names, "failed": " ".join(failed)}
         )
 
+    def _update_settled(self, runs: Iterable[CrashedRun]) -> list[CrashedRun]:
+        """Return runs of a lost worker, some of which have been settled since."""
+        return [
+            msgspec.structs.replace(
+                item, is_settled=(item.task, item.run) not in self.unsettled_runs
+            )
+            for item in runs
+        ]
+
     def _record(
         self,
         worker_key: tuple[str, int],
@@ -193,14 +208,19 @@
         if unsettled is None:
             return
         is_lost = end.outcome is RunOutcome.LOST
-        if is_lost and worker_key != unsettled.worker_key:
+        is_lost_there = is_lost and worker_key == unsettled.worker_key
+        if not (is_lost_there or end.outcome is RunOutcome.NEVER_STARTED):
+            self._withdraw(unsettled)
             return
         self._on_change(self.crashes.list_workflows())
         group = self.get_group_name(end.task)
-        if is_lost or end.outcome is RunOutcome.NEVER_STARTED:
-            self._give_up(self.crashes.confirm(unsettled.worker_key, group), time)
-        else:
-            self.crashes.withdraw(unsettled.worker_key, group)
+        self._give_up(self.crashes.confirm(unsettled.worker_key, group), time)
+
+    def _withdraw(self, unsettled: UnsettledRun) -> None:
+        """Drop the crash of an incarnation that a run has outlived."""
+        self._on_change(self.crashes.list_workflows())
+        group = self.get_group_name(unsettled.task)
+        self.crashes.withdraw(unsettled.worker_key, group)
 
     def forget_workflow(self, workflow: str) -> None:
         """Drop the crashes of the tasks of a workflow that has ended."""
--- a/src/bluebellyoke/workflow/unsettled_runs.py
+++ b/src/bluebellyoke/workflow/unsettled_runs.py
@@ -16,10 +16,10 @@
 
 
 class UnsettledRun(msgspec.Struct, frozen=True, array_like=True):
-    """A run that was assigned to an incarnation of a worker which has been removed.
+    """A run that was assigned to incarnations of a worker which have been removed.
 
     Attributes:
-        worker, incarnation: The first incarnation that it was assigned to.
+        worker, incarnation: The latest of them.
     """
 
     task: TaskName
@@ -44,8 +44,11 @@
         return list(self._runs.values())
 
     def add(self, run: UnsettledRun) -> None:
-        """Add a run, unless it has been unsettled since an earlier incarnation."""
-        self._runs.setdefault((run.task, run.run), run)
+        """Add a run."""
+        self._runs[(run.task, run.run)] = run
+
+    def __contains__(self, key: tuple[TaskName, int]) -> bool:
+        return key in self._runs
 
     def pop(self, task: TaskName, run: int) -> UnsettledRun | None:
         """Remove and return a run whose end is known, or return None."""
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -136,8 +136,8 @@
     Case(
         "a crash is not one of a run that has outlived it",
         "workflow/crash_recorder.py",
-        "            self.crashes.withdraw(unsettled.worker_key, group)\n",
-        "            self.crashes.confirm(unsettled.worker_key, group)\n",
+        "        self.crashes.withdraw(unsettled.worker_key, group)\n",
+        "        self.crashes.confirm(unsettled.worker_key, group)\n",
         "tests/workflow/test_unsettled_runs.py",
     ),
     Case(
--- a/tests/workflow/test_unsettled_runs.py
+++ b/tests/workflow/test_unsettled_runs.py
@@ -280,3 +280,39 @@
     assert count_crashes(loaded) == count_crashes(store) == 1
     enrol(loaded, 2, worker="w2")
     assert loaded.runs[("w2", 2)] == {(name_task(), 3): None}
+
+
+# Guards against a crash that counts nowhere: the worker came back twice, and not again.
+def test_run_that_is_lost_after_two_returns_was_in_a_crash(store):
+    remove(store, incarnation=1)
+    enrol(store, 2)
+    remove(store, incarnation=2)
+    end(store, RunOutcome.LOST)
+    assert count_crashes(store) == 1
+
+
+# Guards against a suspect for a crash that its run has outlived.
+def test_run_that_is_lost_with_the_next_incarnation_was_not_in_the_former_crash(store):
+    remove(store, incarnation=1)
+    enrol(store, 2)
+    confirm(store, 2)
+    remove(store, incarnation=2, runs=())
+    crashes = store.crashes.find(name_task())
+    assert crashes is None or crashes.find(("w1", 1)) is None
+
+
+# Guards against a crash that does not count since it is proved after its run was lost.
+def test_crash_that_is_proved_after_the_run_was_settled_counts(store):
+    remove(store, evidence=Evidence.NONE)
+    end(store, RunOutcome.LOST)
+    enrol(store, 2)
+    assert count_crashes(store) == 1
+
+
+# Guards against a crash that its own proof takes out of the count.
+def test_proof_does_not_withdraw_a_settled_crash(store):
+    remove(store, evidence=Evidence.REFUSALS)
+    end(store, RunOutcome.LOST)
+    assert count_crashes(store) == 1
+    enrol(store, 2)
+    assert count_crashes(store) == 1
