Leave the progress of a gang to the ends of its runs

An overtaken report could set back the progress of a run, too.

Change: the removal records no progress of gangs, and a report only counts if the run has not gone back in percent.

--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -320,8 +320,9 @@
             run.unblocked_since = None
             # A report without an incarnation may be that of the next one.
             run.is_confirmed |= bool(report.incarnation)
+            if running.checkpoint and running.percent >= run.percent:
+                run.checkpoint = running.checkpoint
             run.record_progress(running.percent, now)
-            run.checkpoint = running.checkpoint or run.checkpoint
             for observer in self._context.observers:
                 observer.record_progress(worker, key, run, running.load, now)
             if run.phase in (RunPhase.UNKNOWN, RunPhase.BLOCKED, RunPhase.BLOCKING):
--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -360,11 +360,28 @@
                 evidence=evidence,
                 lost_runs=() if is_proved else runs,
                 unsettled_runs=unsettled,
-                progress=_list_progress(worker, unsettled),
+                progress=self._list_progress(worker, unsettled),
             ),
             finish,
         )
 
+    def _list_progress(
+        self, worker: TrackedWorker, unsettled: Collection[RunKey]
+    ) -> tuple[workflow_commands.RunEnd, ...]:
+        """Return the ends of the lost runs of a worker that have saved progress.
+
+        Gangs are left out: another of their runs may have saved more since.
+        """
+        return tuple(
+            workflow_commands.RunEnd(
+                *key, workflow_commands.RunOutcome.LOST, run.checkpoint
+            )
+            for key, run in worker.runs.items()
+            if run.checkpoint
+            and key not in unsettled
+            and not self._context.find_step(key).gang
+        )
+
     def _describe_crash(
         self, worker: TrackedWorker, evidence: CrashEvidence, successor_start: float
     ) -> tuple[CrashedRun, ...]:
@@ -379,16 +396,3 @@
         runs = crashes.list_crashed_runs(worker, now, successor_start)
         crashes.log_crash(worker, evidence, runs)
         return runs
-
-
-def _list_progress(
-    worker: TrackedWorker, unsettled: Collection[RunKey]
-) -> tuple[workflow_commands.RunEnd, ...]:
-    """Return the ends of the lost runs of a worker that have saved progress."""
-    return tuple(
-        workflow_commands.RunEnd(
-            *key, workflow_commands.RunOutcome.LOST, run.checkpoint
-        )
-        for key, run in worker.runs.items()
-        if run.checkpoint and key not in unsettled
-    )
