Bound the wait for an unsettled run across enrolments of its worker

A task whose start got no answer had no second run after 120 s if the leader did not reach the worker while its heartbeats arrived, or if the worker accepted no stop or sent unreadable rows.

Cause: each heartbeat after a removal enrolled the worker again, and the 18.1 s began anew. A worker that answers as itself 12 s after the start was sent is the last incarnation that may have the run, but its lease did not end it. Besides, a start counted as sent at the leader's last tick, so a leader that stood still reckoned the lease too short.

Change: calls count across enrolments by one leader; polls without a lease do not count. Once an incarnation has answered a call that was sent 12 s after the start, its own lease ends the run. Starts and polls count from the time at which they were really sent.

Evidence: tests/dispatch/test_unsettled_waits.py: five tests of eight fail before and pass now (three of waiting, two of a leader that stood still for 0.7 and 4 s).

--- a/src/bluebellyoke/dispatch/calls.py
+++ b/src/bluebellyoke/dispatch/calls.py
@@ -136,6 +136,7 @@
     async def _start(
         self, worker: WorkerSpec, request: StartRequest, term: int
     ) -> None:
+        sent_at = self._clock.monotonic()
         reply, error = await self._make_call(
             "start", self._client.start(worker, request), worker, CALL_TIMEOUT_S
         )
@@ -148,6 +149,7 @@
                 key=(request.task, request.run),
                 result=reply.result if reply is not None else None,
                 clock_ms=reply.clock_ms if reply is not None else None,
+                sent_at=sent_at,
             )
         )
 
--- a/src/bluebellyoke/dispatch/events.py
+++ b/src/bluebellyoke/dispatch/events.py
@@ -54,11 +54,13 @@
 
     Attributes:
         clock_ms: Clock of the incarnation that responded, or None if it is not known.
+        sent_at: Monotonic time at which the call was sent.
     """
 
     key: RunKey
     result: StartResult | None = None
     clock_ms: int | None = None
+    sent_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/bluebellyoke/dispatch/incarnations.py
+++ b/src/bluebellyoke/dispatch/incarnations.py
@@ -79,11 +79,15 @@
 
 def list_unsettled_runs(worker: TrackedWorker) -> list[RunKey]:
     """Return the runs of a worker that its next incarnation may have begun."""
-    return [key for key, run in worker.runs.items() if _is_unsettled(run)]
+    return [key for key, run in worker.runs.items() if _is_unsettled(worker, run)]
 
 
-def _is_unsettled(run: TrackedRun) -> bool:
-    return not run.is_confirmed and not run.is_planned
+def _is_unsettled(worker: TrackedWorker, run: TrackedRun) -> bool:
+    if run.is_confirmed or run.is_planned:
+        return False
+    # An incarnation that runs once no call for the start can arrive any more is the
+    # last one that may have begun the run.
+    return worker.identified_at < run.sent_by + MAX_CALL_DELAY_S
 
 
 def find_successor_start(clock_ms: int, now: float) -> float:
@@ -110,8 +114,7 @@
 def find_successor_lease_end(worker: TrackedWorker, times: LeaseTimes) -> float:
     """Return the time by which a next incarnation of a worker has ended its runs.
 
-    It is counted from the latest call that requested a lease, or that an earlier leader
-    may have made. A next incarnation that has been enrolled has a lease of its own.
+    It is counted from the latest call that requested a lease, or from the change of
+    leader. A next incarnation that has been enrolled has a lease of its own.
     """
-    requested_at = max(worker.discovered_at, worker.lease_requested_at)
-    return requested_at + compute_longest_lease(times)
+    return worker.lease_requested_at + compute_longest_lease(times)
--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -123,6 +123,8 @@
         deadline_ms = None
         if not worker.failures:
             deadline_ms = worker.extend_lease(now, self._context.times)
+        worker.is_lease_polled = deadline_ms is not None
+        if worker.is_lease_polled:
             worker.lease_requested_at = now
         may_wait = (
             worker.has_responded
@@ -146,6 +148,7 @@
     ) -> None:
         """Process the result of a poll or a probe."""
         report = event.report
+        self._record_call(worker, event)
         if report is None:
             is_awaited = self._finish_poll(worker, event)
             if is_awaited and not event.is_probe:
@@ -194,6 +197,15 @@
         last_end = find_last_end(worker, report)
         self._record_ends(worker, ends, last_end, event, wall_time)
 
+    def _record_call(self, worker: TrackedWorker, event: PollFinished) -> None:
+        """Record when the call was really sent, and that the worker ran then."""
+        if worker.is_lease_polled and not event.is_probe:
+            # It may be later than the tick that caused it.
+            worker.lease_requested_at = max(worker.lease_requested_at, event.sent_at)
+        report, incarnation = event.report, worker.spec.incarnation
+        if report is not None and report.incarnation == incarnation:
+            worker.identified_at = max(worker.identified_at, event.sent_at)
+
     def _handle_other_incarnation(
         self, worker: TrackedWorker, event: PollFinished, now: float, wall_time: float
     ) -> None:
--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -1,15 +1,13 @@
 """Registration and removal of workers."""
 
 import logging
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 
 from bluebellyoke.cell.result import Result, refuse
 from bluebellyoke.dispatch import crashes
 from bluebellyoke.dispatch.context import DispatchContext
-from bluebellyoke.dispatch.incarnations import (
-    find_successor_start,
-    list_unsettled_runs,
-)
+from bluebellyoke.dispatch.incarnations import find_successor_start
+from bluebellyoke.dispatch.lost_progress import list_progress
 from bluebellyoke.dispatch.run_check import format_runs
 from bluebellyoke.dispatch.run_ends import RunEndRecorder, log_run_end
 from bluebellyoke.dispatch.stops import RunStopper
@@ -23,7 +21,6 @@
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.commands import CrashedRun, CrashEvidence
 from bluebellyoke.workflow.specs import WorkerSpec
-from bluebellyoke.workflow.store import RunKey
 from bluebellyoke.workflow.worker_validation import validate_worker
 
 __all__ = ["WorkerRegistry"]
@@ -95,6 +92,7 @@
     def activate(self, now: float) -> None:
         """Track the workers of the store of a new leader."""
         self._activated_at = now
+        self._unsettled_runs.activate(now)
         self._enrolments = 0
         for ended in self._context.store.ended_incarnations:
             # An earlier leader may have called it until now.
@@ -234,6 +232,7 @@
                 spec,
                 now,
                 fence=self._create_fence(),
+                lease_requested_at=self._unsettled_runs.find_lease_request(name),
                 late_calls_until=self._find_latest_call(spec),
                 last_response_at=now,
                 lost_at=now,
@@ -246,6 +245,7 @@
                     now,
                     probation_s=self._context.find_probation(key),
                     is_confirmed=self._context.store.is_confirmed(key),
+                    sent_by=self._unsettled_runs.find_start(key),
                 )
 
     def _create_fence(self) -> int:
@@ -273,6 +273,7 @@
     def _forget(self, worker: TrackedWorker) -> None:
         """Drop what is known of an incarnation that is no longer tracked."""
         self._sequences.pop(worker.spec.key, None)
+        self._unsettled_runs.remember(worker)
         now = self._context.now
         self._ended = {
             name: (incarnation, ended_at)
@@ -315,8 +316,7 @@
         worker.is_being_removed = True
         now = self._context.now
         lease_left_s = worker.compute_lease_left(now, self._context.times)
-        is_succeeded = reason is not RemovalReason.ADDRESS_TAKEN
-        unsettled = tuple(list_unsettled_runs(worker)) if is_succeeded else ()
+        unsettled = self._unsettled_runs.find_runs(worker, reason)
         logger.info(
             "dispatch: removes a worker",
             extra={
@@ -360,28 +360,11 @@
                 evidence=evidence,
                 lost_runs=() if is_proved else runs,
                 unsettled_runs=unsettled,
-                progress=self._list_progress(worker, unsettled),
+                progress=list_progress(self._context, worker, unsettled),
             ),
             finish,
         )
 
-    def _list_progress(
-        self, worker: TrackedWorker, unsettled: Collection[RunKey]
-    ) -> tuple[workflow_commands.RunEnd, ...]:
-        """Return the ends of the lost runs of a worker that have saved progress.
-
-        Gangs are left out: another of their runs may have saved more since.
-        """
-        return tuple(
-            workflow_commands.RunEnd(
-                *key, workflow_commands.RunOutcome.LOST, run.checkpoint
-            )
-            for key, run in worker.runs.items()
-            if run.checkpoint
-            and key not in unsettled
-            and not self._context.find_step(key).gang
-        )
-
     def _describe_crash(
         self, worker: TrackedWorker, evidence: CrashEvidence, successor_start: float
     ) -> tuple[CrashedRun, ...]:
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -32,6 +32,7 @@
 from bluebellyoke.dispatch.waits import WaitReporter
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow import commands as workflow_commands
+from bluebellyoke.workflow.store import RunKey
 
 __all__ = ["RunStarter"]
 
@@ -241,10 +242,15 @@
             checkpoint=task.checkpoint,
             ticket=item.ticket,
         )
-        worker.runs[(start.task, start.run)].sent_at = self._context.now
-        worker.lease_requested_at = self._context.now
+        self._record_sending(worker, (start.task, start.run), self._context.now)
         self._context.calls.start(worker.spec, request)
 
+    def _record_sending(self, worker: TrackedWorker, key: RunKey, now: float) -> None:
+        """Record when a start was sent, which may be later than was known before."""
+        run = worker.runs[key]
+        run.sent_at = run.sent_by = max(run.sent_at or 0.0, now)
+        worker.lease_requested_at = max(worker.lease_requested_at, now)
+
     def _check_incarnation(
         self, worker: TrackedWorker, event: StartFinished, now: float
     ) -> None:
@@ -285,6 +291,7 @@
                 incarnation=worker.spec.incarnation,
                 error=NoAnswerError(worker.spec.address, "event lost", timed_out=True),
                 key=key,
+                sent_at=now,
             )
             self.receive(worker, event, now, wall_time)
 
@@ -295,6 +302,7 @@
         key = event.key
         if key not in worker.runs:
             return
+        self._record_sending(worker, key, event.sent_at)
         if event.result is StartResult.STARTED:
             worker.set_phase(key, RunPhase.STARTED, now)
             self._check_incarnation(worker, event, now)
--- a/src/bluebellyoke/dispatch/tracked_run.py
+++ b/src/bluebellyoke/dispatch/tracked_run.py
@@ -47,6 +47,7 @@
         unblocked_since: Time since which the worker, which does not list the run, has
             accepted no stop of it, or None.
         sent_at: Time at which this leader sent the start, or None if it has not.
+        sent_by: Time by which its start had been sent, by any leader.
         has_start_timed_out: Whether the start got no response, but its connection did
             not fail either.
         was_refused: Whether the start got a response that does not say that it was
@@ -69,6 +70,7 @@
     need: Resources
     phase: RunPhase
     phase_since: float
+    sent_by: float = 0.0
     unblocked_since: float | None = None
     sent_at: float | None = None
     has_start_timed_out: bool = False
--- a/src/bluebellyoke/dispatch/unsettled_runs.py
+++ b/src/bluebellyoke/dispatch/unsettled_runs.py
@@ -10,9 +10,11 @@
 from bluebellyoke.dispatch.incarnations import (
     compute_longest_lease,
     find_successor_lease_end,
+    list_unsettled_runs,
 )
 from bluebellyoke.dispatch.run_ends import RunEndRecorder
-from bluebellyoke.dispatch.workers import TrackedWorker
+from bluebellyoke.dispatch.workers import RemovalReason, TrackedWorker
+from bluebellyoke.workflow.store import RunKey
 
 __all__ = ["UnsettledRunTracker"]
 
@@ -47,14 +49,52 @@
         self._recorder = recorder
         self._removed: dict[tuple[str, int], RemovedWorker] = {}
         self._ending: set[tuple[str, int]] = set()
+        self._lease_requests: dict[str, float] = {}
+        self._starts: dict[RunKey, float] = {}
+        self._activated_at = 0.0
         self._check_due = 0.0
 
     def clear(self) -> None:
         """Forget all workers."""
         self._removed.clear()
         self._ending.clear()
+        self._lease_requests.clear()
+        self._starts.clear()
         self._check_due = 0.0
 
+    def activate(self, now: float) -> None:
+        """Begin the term of a leader; earlier ones may have made calls until now."""
+        self._activated_at = now
+
+    def remember(self, worker: TrackedWorker) -> None:
+        """Remember the calls to an incarnation that is no longer tracked.
+
+        It may be enrolled again, or the next one, and the calls still count.
+        """
+        self._lease_requests[worker.spec.id] = worker.lease_requested_at
+        for key in list_unsettled_runs(worker):
+            self._starts[key] = worker.runs[key].sent_by
+
+    def find_lease_request(self, worker_id: str) -> float:
+        """Return when a call that requested a lease was last made to a worker."""
+        return self._lease_requests.get(worker_id, self._activated_at)
+
+    def find_start(self, key: RunKey) -> float | None:
+        """Return the time by which the start of a run had been sent, if known."""
+        return self._starts.get(key)
+
+    def find_runs(
+        self, worker: TrackedWorker, reason: RemovalReason
+    ) -> tuple[RunKey, ...]:
+        """Return the runs that outlast the removal of a worker."""
+        lease_end = find_successor_lease_end(worker, self._context.times)
+        is_over = (
+            reason is RemovalReason.LEASE_EXPIRED and self._context.now >= lease_end
+        )
+        if is_over or reason is RemovalReason.ADDRESS_TAKEN:
+            return ()
+        return tuple(list_unsettled_runs(worker))
+
     def add(self, worker: TrackedWorker) -> None:
         """Track the unsettled runs of a worker that has been removed."""
         lease_end = find_successor_lease_end(worker, self._context.times)
@@ -65,6 +105,7 @@
         if now < self._check_due:
             return
         self._check_due = now + CHECK_INTERVAL_S
+        self._drop_old_calls(now)
         unsettled = self._context.store.list_unsettled_runs()
         self._removed = {k: x for k, x in self._removed.items() if k in unsettled}
         for worker_key, runs in unsettled.items():
@@ -83,6 +124,18 @@
                     lambda key=worker_key: self._ending.discard(key),
                 )
 
+    def _drop_old_calls(self, now: float) -> None:
+        """Forget calls that count no more, and starts of runs that have ended."""
+        oldest = now - compute_longest_lease(self._context.times)
+        self._lease_requests = {
+            name: at for name, at in self._lease_requests.items() if at >= oldest
+        }
+        self._starts = {
+            key: at
+            for key, at in self._starts.items()
+            if self._context.store.is_placed(key)
+        }
+
     def _is_address_taken(self, worker_key: tuple[str, int]) -> bool:
         """Return whether a worker with another ID has taken over the address.
 
--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -103,10 +103,12 @@
         lease_deadline_ms: Latest end of the lease that this leader requested, on the
             worker's clock.
         lease_requested_at: Time of the latest call that requested a lease.
+        identified_at: Time of the latest call whose response named this incarnation.
         last_response_at: Time of the latest response to a poll or a probe.
         acknowledged_end: Sequence number of the worker's last end that is committed.
         has_listed_ends: Whether its latest report has ends to acknowledge.
         has_responded: Whether the worker has accepted this leader's fencing token.
+        is_lease_polled: Whether the latest poll requested a lease.
         poll_sent_at, probe_sent_at: Time at which the poll or the probe in flight was
             sent, or None.
         probe_due: Time at which a run is so late that the response to the waiting poll
@@ -149,10 +151,12 @@
     clock_requested_at: float = 0.0
     lease_deadline_ms: int = 0
     lease_requested_at: float = 0.0
+    identified_at: float = -math.inf
     last_response_at: float = 0.0
     acknowledged_end: int = 0
     has_listed_ends: bool = False
     has_responded: bool = False
+    is_lease_polled: bool = False
     poll_sent_at: float | None = None
     probe_sent_at: float | None = None
     probe_due: float = math.inf
@@ -195,6 +199,7 @@
         estimate_s: float = 0.0,
         probation_s: float = 0.0,
         is_confirmed: bool = False,
+        sent_by: float | None = None,
     ) -> None:
         """Allocate resources to a run.
 
@@ -203,6 +208,7 @@
                 seconds, or 0 if it is unknown.
             probation_s: Time for which a suspect has to run, in seconds, or 0.
             is_confirmed: Whether the replicas know that the worker has begun it.
+            sent_by: Time by which its start had been sent, if it is not sent later.
         """
         if key in self.runs:
             return
@@ -210,6 +216,7 @@
             need,
             phase,
             now,
+            sent_by=now if sent_by is None else sent_by,
             probation_s=probation_s,
             is_confirmed=is_confirmed,
             is_confirmation_proposed=is_confirmed,
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -285,6 +285,13 @@
             if not self.is_confirmed((name, run))
         ]
 
+    def is_placed(self, key: RunKey) -> bool:
+        """Return whether a run may take up resources."""
+        name, run = key
+        workflow = self.workflows.get(name.workflow)
+        task = workflow.find_task(name) if workflow is not None else None
+        return task is not None and task.run == run and task.placed
+
     def is_confirmed(self, key: RunKey) -> bool:
         """Return whether the incarnation that a run is assigned to has begun it."""
         name, run = key
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -288,6 +288,8 @@
             key = (sent.request.task, sent.request.run)
             if sent.kind == "pace":
                 base["percent"] = sent.request.percent
+            if sent.kind == "start":
+                base["sent_at"] = sent.sent_at
             event = EVENTS[sent.kind](**base, key=key, **fields)
         self.events.append(event)
 
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -44,9 +44,9 @@
 CASES = [
     Case(
         "a run that the next incarnation of its worker may have keeps its place",
-        "dispatch/registry.py",
-        "tuple(list_unsettled_runs(worker)) if is_succeeded else ()\n",
-        "()\n",
+        "dispatch/unsettled_runs.py",
+        "        return tuple(list_unsettled_runs(worker))\n",
+        "        return ()\n",
         "tests/dispatch/test_late_starts.py tests/dispatch/test_new_leader.py",
     ),
     Case(
@@ -59,8 +59,8 @@
     Case(
         "a run on a silent worker outlasts the longest lease of its next incarnation",
         "dispatch/incarnations.py",
-        "    return requested_at + compute_longest_lease(times)\n",
-        "    return requested_at\n",
+        "    return worker.lease_requested_at + compute_longest_lease(times)\n",
+        "    return worker.lease_requested_at\n",
         "tests/dispatch/test_run_evidence.py -k silent",
     ),
     Case(
@@ -94,7 +94,7 @@
     Case(
         "a run that the next incarnation may have is not lost with the former",
         "dispatch/incarnations.py",
-        "    return not run.is_confirmed and not run.is_planned\n",
+        "    return worker.identified_at < run.sent_by + MAX_CALL_DELAY_S\n",
         "    return False\n",
         "tests/dispatch/test_returned_incarnations.py",
     ),
