Split the removal of a worker, and say what its command holds

Cause: WorkerRegistry.remove had 70 lines, and the review stumbled over the docstring of RemoveWorker.

Change: the log line and what follows the commit are methods of their own.

--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -1,7 +1,7 @@
 """Registration and removal of workers."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from bluebellyoke.cell.result import Result, refuse
 from bluebellyoke.dispatch import crashes
@@ -21,6 +21,7 @@
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.commands import CrashedRun, CrashEvidence
 from bluebellyoke.workflow.specs import WorkerSpec
+from bluebellyoke.workflow.store import RunKey
 from bluebellyoke.workflow.worker_validation import validate_worker
 
 __all__ = ["WorkerRegistry"]
@@ -314,43 +315,16 @@
             return
         self._removing.add(worker_key)
         worker.is_being_removed = True
-        now = self._context.now
-        lease_left_s = worker.compute_lease_left(now, self._context.times)
         unsettled = self._unsettled_runs.find_runs(worker, reason)
-        logger.info(
-            "dispatch: removes a worker",
-            extra={
-                "worker": worker_key[0],
-                "born": worker_key[1],
-                "reason": reason.value,
-                "runs": len(worker.runs),
-                "silent_s": round(now - worker.last_response_at, 3),
-                "failures": worker.failures,
-                "refused": worker.is_refusing,
-                "lease_left_s": round(lease_left_s, 3),
-                "unsettled": format_runs(unsettled),
-            },
-        )
-
+        self._log_removal(worker, reason, unsettled)
         evidence = crashes.find_evidence(worker, reason)
         runs: tuple[CrashedRun, ...] = ()
         if not crashes.is_planned_end(worker):
+            now = self._context.now
             successor_start = find_successor_start(successor_clock_ms, now)
             runs = self._describe_crash(worker, evidence, successor_start)
         is_proved = evidence is CrashEvidence.NEXT_INCARNATION
 
-        def finish(result: Result) -> None:
-            self._removing.discard(worker_key)
-            for key in worker.runs:
-                if key not in unsettled:
-                    log_run_end(key, worker_key[0], LOST)
-            if unsettled:
-                self._unsettled_runs.add(worker)
-            self._drop_removed(worker)
-            self.sync_workers(self._context.now)
-            self._finish_failed_workflows(result)
-            self._stopper.stop_incomplete_gangs(name for name, _ in worker.runs)
-
         self._context.proposals.add(
             workflow_commands.RemoveWorker(
                 time=wall_time,
@@ -362,9 +336,47 @@
                 unsettled_runs=unsettled,
                 progress=list_progress(self._context, worker, unsettled),
             ),
-            finish,
+            lambda result: self._finish_removal(worker, unsettled, result),
+        )
+
+    def _log_removal(
+        self,
+        worker: TrackedWorker,
+        reason: RemovalReason,
+        unsettled: Collection[RunKey],
+    ) -> None:
+        now = self._context.now
+        lease_left_s = worker.compute_lease_left(now, self._context.times)
+        logger.info(
+            "dispatch: removes a worker",
+            extra={
+                "worker": worker.spec.id,
+                "born": worker.spec.incarnation,
+                "reason": reason.value,
+                "runs": len(worker.runs),
+                "silent_s": round(now - worker.last_response_at, 3),
+                "failures": worker.failures,
+                "refused": worker.is_refusing,
+                "lease_left_s": round(lease_left_s, 3),
+                "unsettled": format_runs(unsettled),
+            },
         )
 
+    def _finish_removal(
+        self, worker: TrackedWorker, unsettled: Collection[RunKey], result: Result
+    ) -> None:
+        """Drop a worker whose removal has been committed."""
+        self._removing.discard(worker.spec.key)
+        for key in worker.runs:
+            if key not in unsettled:
+                log_run_end(key, worker.spec.id, LOST)
+        if unsettled:
+            self._unsettled_runs.add(worker)
+        self._drop_removed(worker)
+        self.sync_workers(self._context.now)
+        self._finish_failed_workflows(result)
+        self._stopper.stop_incomplete_gangs(name for name, _ in worker.runs)
+
     def _describe_crash(
         self, worker: TrackedWorker, evidence: CrashEvidence, successor_start: float
     ) -> tuple[CrashedRun, ...]:
--- a/src/bluebellyoke/workflow/commands.py
+++ b/src/bluebellyoke/workflow/commands.py
@@ -154,7 +154,7 @@
 
 
 class RemoveWorker(Command, frozen=True, kw_only=True, array_like=True, tag=True):
-    """Remove an incarnation of a worker; its runs end as lost.
+    """Remove an incarnation of a worker; its runs end as lost, but for unsettled ones.
 
     Attributes:
         crashed_runs: Runs that its crash has ended, if it has crashed.
@@ -162,7 +162,8 @@
         lost_runs: The same if it may have crashed. Replicas of an earlier version,
             which take each of `crashed_runs` for a run of a proved crash, ignore these.
         unsettled_runs: Tasks and numbers of runs that the next incarnation may have,
-            which keep their place. The other two may have them, too.
+            which keep their place. Those that a crash may have ended are in one of the
+            lists above as well.
         progress: Ends of the lost runs that have reported a checkpoint.
     """
 
--- a/src/bluebellyoke/workflow/unsettled_runs.py
+++ b/src/bluebellyoke/workflow/unsettled_runs.py
@@ -25,7 +25,7 @@
     task: TaskName
     run: int
     worker: str
-    incarnation: int = msgspec.field(name="born")
+    incarnation: int
 
     @property
     def worker_key(self) -> tuple[str, int]:
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -320,7 +320,7 @@
     Case(
         "a worker is tracked afresh after its removal",
         "dispatch/registry.py",
-        "            self._drop_removed(worker)\n",
+        "        self._drop_removed(worker)\n",
         "",
         "tests/dispatch/test_command_order.py",
     ),
