Keep polls from a returned worker until its silence has begun

Change: the returned worker closes the connections of polls until the silence has begun, in the forms that are silent from the start on. Check, silences and bounds are as before.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -94,8 +94,7 @@
         forwarder: Forwarder in front of it, whose address it announces, or None.
         port: Port at which it listens: that of a crashed worker, or 0 for any.
         are_heartbeats_lost: Whether its heartbeats fail; it may be changed.
-        refuses_polls: Whether it closes the connections of polls until it has accepted
-            a start; it may be changed.
+        refuses_polls: Whether it closes the connections of polls; it may be changed.
 
     Attributes:
         calls: Paths of the calls that have reached it, in their order.
@@ -224,7 +223,6 @@
         if body.get("Ticket") != f"ticket-{self.name}":
             return 409, {"Reason": "ticket"}
         self.running[key] = time.monotonic() + self.run_s
-        self.refuses_polls = False
         self.ledger.append((time.time(), "start", *key))
         self.most_running = max(self.most_running, len(self.running))
         if body["TaskSpec"] == self.deadly_text:
--- a/tests/integration/test_returned_workers.py
+++ b/tests/integration/test_returned_workers.py
@@ -5,7 +5,6 @@
 the one before. The ledgers of the workers tell whether the task ran twice.
 """
 
-import contextlib
 import json
 import math
 import threading
@@ -128,6 +127,8 @@
         """Play the fault; the worker calls this just after it has accepted a start."""
         started_at = time.monotonic() - START_HOOK_DELAY_S
         self.has_accepted_start.set()
+        if self.fault.silent_at > START_HOOK_DELAY_S:
+            self.worker.refuses_polls = False
         actions = [
             (self.fault.silent_at, self.silence),
             (self.fault.silent_until, self.forwarder.reconnect),
@@ -144,6 +145,7 @@
         self.forwarder.cut_off()
         self.worker.are_heartbeats_lost = True
         self.calls_before_silence = list(self.worker.calls)
+        self.worker.refuses_polls = False
 
     def accept_heartbeats(self):
         self.worker.are_heartbeats_lost = False
@@ -165,9 +167,10 @@
         Returns:
             Whether it is the start. If not, the job runs without a fault.
         """
-        with contextlib.suppress(TimeoutError):
+        try:
             wait_until(lambda: self.worker.calls, START_WAIT_S, "the start")
-        self.worker.refuses_polls = False
+        except TimeoutError:
+            self.worker.refuses_polls = False
         wait_until(lambda: self.worker.calls, WAIT_S, "the first call")
         if self.worker.calls[0] == START:
             return True
