--- a/src/bluebellyoke/instance/application.py
+++ b/src/bluebellyoke/instance/application.py
@@ -72,6 +72,7 @@
 from bluebellyoke.placement.policies import create_policy
 from bluebellyoke.routing.router import Router
 from bluebellyoke.settings import Settings
+from bluebellyoke.sources import compute_digest
 
 __all__ = ["Application", "PortInUseError"]
 
@@ -211,6 +212,7 @@
                             extra={
                                 "address": instance.address,
                                 "port": instance.http_port,
+                                "sources": compute_digest(),
                             },
                         )
                         await self._stop_requested.wait()
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -12,6 +12,7 @@
 import httpcore
 import pytest
 
+from bluebellyoke.sources import compute_digest
 from standins.cell import wait_until
 from tests.integration.deployment import (
     CONFIG,
@@ -43,6 +44,13 @@
     assert done == {f"{job_id}.0.{x}" for x in ("0.0", "0.1", "0.2", "1.0", "1.1")}
 
 
+# Guards against an operator who cannot tell which release a process runs.
+def test_start_log_names_the_sources(deployment):
+    lines = (deployment.folder / "log-1").read_text().splitlines()
+    started = [json.loads(x) for x in lines if '"instance: started"' in x]
+    assert [x["sources"] for x in started] == [compute_digest()]
+
+
 def test_invalid_calls_are_refused_and_change_nothing(deployment):
     invalid_config = {**CONFIG, "Version": 9, "Services": []}
     assert deployment.put_configuration(invalid_config) == 400
