Keep jobs by the address of their queue, not by its name

Cause: a workflow was kept with its queue's name, and each request compared that with the name which the newest configuration gives to the host and the prefix. Callers address a job by host, prefix and ID; the name is a label that a version may change.

Change: a workflow belongs to the address of its queue. Queues are kept, found and counted by it, commands carry it, learned run times are keyed by it. Records of earlier versions have a name only; the store finds the address by it, at loading and at replay.

--- a/bench/dispatch.py
+++ b/bench/dispatch.py
@@ -109,6 +109,7 @@
         spec = WorkflowSpec(
             id=f"{number:016x}",
             queue="q",
+            address=store.configuration.queues[0].address,
             payload="x" * 300,
             steps=(STEPS[number % len(STEPS)],),
             workspace=workspaces[number % len(workspaces)].name if workspaces else "",
@@ -123,7 +124,7 @@
     for number, worker in enumerate(tracked_workers.values()):
         level = math.log(factors[number % len(factors)])
         speeds.set_level(worker, level)
-    return [ExpectedEndCost(speeds, run_times, store.get_queue)]
+    return [ExpectedEndCost(speeds, run_times, store.find_queue)]
 
 
 def measure_planning(workers, factors=(), label="none"):
--- a/src/bluebellyoke/dispatch/admission.py
+++ b/src/bluebellyoke/dispatch/admission.py
@@ -170,7 +170,7 @@
         self, spec: WorkflowSpec, now: float, wall_time: float
     ) -> AdmissionDecision:
         """Decide on a job that has not been accepted before."""
-        queue = self._context.store.get_queue(spec.queue)
+        queue = self._context.store.find_queue(spec.address)
         shape = describe_job(spec, queue)
         if shape is None or now - self._activated_at < WARM_UP_S:
             return AdmissionDecision(cause=Cause.UNKNOWN)
--- a/src/bluebellyoke/dispatch/context.py
+++ b/src/bluebellyoke/dispatch/context.py
@@ -13,7 +13,7 @@
 from bluebellyoke.dispatch.workers import LeaseTimes, TrackedWorker
 from bluebellyoke.leader.sessions import ProposalQueue
 from bluebellyoke.metrics import Metrics
-from bluebellyoke.workflow.specs import QueueSpec, StepSpec
+from bluebellyoke.workflow.specs import QueueAddress, QueueSpec, StepSpec
 from bluebellyoke.workflow.store import RunKey, WorkflowStore
 
 __all__ = ["DispatchContext"]
@@ -80,12 +80,12 @@
         task = self.store.workflows[key[0].workflow].find_task(key[0])
         return 0.0 if task.checkpoint else self.find_step(key).estimate_ms / 1000
 
-    def find_queue(self, name: str) -> QueueSpec | None:
+    def find_queue(self, address: QueueAddress) -> QueueSpec | None:
         """Return a queue as it is configured, or was before its removal."""
-        return self.store.find_last_queue(name)
+        return self.store.find_last_queue(address)
 
-    def find_run(self, key: RunKey) -> tuple[str, StepSpec, bool] | None:
-        """Return the queue and the step of a run, and whether it began afresh.
+    def find_run(self, key: RunKey) -> tuple[QueueAddress, StepSpec, bool] | None:
+        """Return the address of a run's queue, its step, and whether it began afresh.
 
         Returns:
             None if the task is unknown.
@@ -96,7 +96,7 @@
         if task is None:
             return None
         step = workflow.spec.steps[name.step]
-        return workflow.spec.queue, step, not task.checkpoint
+        return workflow.spec.address, step, not task.checkpoint
 
     def find_step(self, key: RunKey) -> StepSpec:
         """Return the step of a run whose workflow is known."""
--- a/src/bluebellyoke/dispatch/costs.py
+++ b/src/bluebellyoke/dispatch/costs.py
@@ -8,7 +8,7 @@
 
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.commands import RunStart
-from bluebellyoke.workflow.specs import StepSpec
+from bluebellyoke.workflow.specs import QueueAddress, StepSpec
 
 __all__ = ["COST_STEP", "CostTables", "PlacementCost", "sum_costs"]
 
@@ -28,19 +28,21 @@
     is_lasting: bool = False
 
     @abc.abstractmethod
-    def estimate(self, step: StepSpec, queue: str, worker: TrackedWorker) -> float:
+    def estimate(
+        self, step: StepSpec, queue: QueueAddress, worker: TrackedWorker
+    ) -> float:
         """Return the additional cost of one task on a worker.
 
         Args:
             step: Step of the task.
-            queue: Name of the step's queue, or an empty text if it is not known.
+            queue: Address of the step's queue.
             worker: Worker that the task fits on.
 
         Returns:
             Cost in units of the expected run time; 0 is neutral, more is worse.
         """
 
-    def classify(self, step: StepSpec, queue: str) -> Hashable | None:
+    def classify(self, step: StepSpec, queue: QueueAddress) -> Hashable | None:
         """Return a key that is equal for steps with equal costs, or None.
 
         None means that the cost of the step is 0 on all workers. The planner estimates
@@ -53,7 +55,10 @@
 
 
 def sum_costs(
-    costs: Sequence[PlacementCost], step: StepSpec, queue: str, worker: TrackedWorker
+    costs: Sequence[PlacementCost],
+    step: StepSpec,
+    queue: QueueAddress,
+    worker: TrackedWorker,
 ) -> float:
     """Return the sum of all costs, rounded so that noise does not order workers."""
     total = 0.0
@@ -91,7 +96,7 @@
         for table in self._tables.values():
             table.is_used = False
 
-    def find(self, step: StepSpec, queue: str) -> Mapping[str, float] | None:
+    def find(self, step: StepSpec, queue: QueueAddress) -> Mapping[str, float] | None:
         """Return the costs of a step by worker, or None if they are all 0."""
         if not self._costs:
             return None
@@ -123,7 +128,7 @@
         self,
         costs: Sequence[PlacementCost],
         step: StepSpec,
-        queue: str,
+        queue: QueueAddress,
         workers: Mapping[str, TrackedWorker],
     ) -> None:
         super().__init__()
--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -40,7 +40,7 @@
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.access import LOGGED_DIGITS
 from bluebellyoke.workflow.configuration import validate_configuration
-from bluebellyoke.workflow.specs import WorkerSpec, WorkflowSpec
+from bluebellyoke.workflow.specs import QueueAddress, WorkerSpec, WorkflowSpec
 from bluebellyoke.workflow.store import WorkflowStore
 
 __all__ = ["Dispatcher"]
@@ -335,7 +335,7 @@
         return self._context.backlog.estimate_wait(open_tasks, spec.count_tasks())
 
     def _prefetch_advice(self, spec: WorkflowSpec, wall_time: float) -> None:
-        queue = self._context.store.get_queue(spec.queue)
+        queue = self._context.store.find_queue(spec.address)
         if queue is None or queue.advisor is None:
             return
         workers = [
@@ -376,14 +376,15 @@
                 workflow=command.workflow,
                 queue=command.queue,
                 credential=command.credential,
+                address=command.address,
             ),
             finish,
         )
 
-    def count_waiting(self, queue: str) -> int:
+    def count_waiting(self, address: QueueAddress) -> int:
         """Return the number of a queue's accepted workflows without a started task."""
         return sum(
-            workflow.spec.queue == queue
+            workflow.spec.address == address
             and not workflow.has_started
             and not workflow.outcome
             for workflow in self._context.store.active.values()
--- a/src/bluebellyoke/dispatch/expected_end.py
+++ b/src/bluebellyoke/dispatch/expected_end.py
@@ -7,7 +7,7 @@
 from bluebellyoke.dispatch.run_times import RunTimes
 from bluebellyoke.dispatch.worker_speeds import WorkerSpeeds
 from bluebellyoke.dispatch.workers import TrackedWorker
-from bluebellyoke.workflow.specs import QueueSpec, StepSpec
+from bluebellyoke.workflow.specs import QueueAddress, QueueSpec, StepSpec
 
 __all__ = ["ExpectedEndCost"]
 
@@ -39,7 +39,7 @@
     Args:
         speeds: Speed of the workers.
         run_times: Expected run times.
-        find_queue: Finds a queue by its name, also one that has been removed.
+        find_queue: Finds a queue by its address, also one that has been removed.
     """
 
     is_lasting = True
@@ -48,14 +48,14 @@
         self,
         speeds: WorkerSpeeds,
         run_times: RunTimes,
-        find_queue: Callable[[str], QueueSpec | None],
+        find_queue: Callable[[QueueAddress], QueueSpec | None],
     ) -> None:
         self._speeds = speeds
         self._run_times = run_times
         self._find_queue = find_queue
         self._latest: tuple[StepSpec, str, float] | None = None
 
-    def classify(self, step: StepSpec, queue: str) -> Hashable | None:
+    def classify(self, step: StepSpec, queue: QueueAddress) -> Hashable | None:
         """Return the sensitivity of a step and the version of the known speeds.
 
         It is None while the workers are equal.
@@ -66,7 +66,9 @@
         self._latest = (step, queue, sensitivity)
         return sensitivity, self._speeds.version
 
-    def estimate(self, step: StepSpec, queue: str, worker: TrackedWorker) -> float:
+    def estimate(
+        self, step: StepSpec, queue: QueueAddress, worker: TrackedWorker
+    ) -> float:
         """Return the additional run time on a worker, weighted by the lack of slack."""
         latest = self._latest
         if latest is None or latest[0] is not step or latest[1] != queue:
@@ -82,7 +84,7 @@
             cost += weight * factor * (slowdown - 1.0)
         return cost
 
-    def _compute_sensitivity(self, step: StepSpec, queue: str) -> float:
+    def _compute_sensitivity(self, step: StepSpec, queue: QueueAddress) -> float:
         """Return how much of the additional run time of a slow worker counts."""
         spec = self._find_queue(queue)
         if spec is None:
--- a/src/bluebellyoke/dispatch/planning_round.py
+++ b/src/bluebellyoke/dispatch/planning_round.py
@@ -195,7 +195,7 @@
     def _find_costs(self, step: WaitingStep) -> Mapping[str, float] | None:
         if self.costs is None:
             return None
-        return self.costs.find(step.spec, step.queue.name if step.queue else "")
+        return self.costs.find(step.spec, step.workflow.spec.address)
 
     def add_start(
         self,
--- a/src/bluebellyoke/dispatch/prediction.py
+++ b/src/bluebellyoke/dispatch/prediction.py
@@ -121,7 +121,7 @@
         pool = self.get_pool(queue.pool)
         if pool is None:
             return None
-        ratio = self._ratios.get_ratio(queue.name)
+        ratio = self._ratios.get_ratio(queue.address)
         reserved = self._find_reserved(queue, pool)
         ahead = pool.sum_ahead(queue.priority, with_late=False)
         useful = pool.sum_ahead(queue.priority, with_late=True)
@@ -179,7 +179,7 @@
         self, spec: WorkflowSpec, queue: QueueSpec, shape: JobShape, now: float
     ) -> None:
         """Count a job that has just been accepted as waiting."""
-        work = shape.work * self._ratios.get_ratio(queue.name)
+        work = shape.work * self._ratios.get_ratio(queue.address)
         pool = self.get_pool(queue.pool)
         if pool is not None:
             pool.punctual[queue.priority] += work
@@ -261,7 +261,7 @@
         if workflow is None:
             return []
         self._count_stoppable(workflow)
-        ratio = self._ratios.get_ratio(workflow.spec.queue)
+        ratio = self._ratios.get_ratio(workflow.spec.address)
         return [
             0.0 if x.long_running or x.backfill else x.estimate_ms / 1000 * ratio
             for x in workflow.spec.steps
@@ -269,7 +269,7 @@
 
     def _count_stoppable(self, workflow: Workflow) -> None:
         """Count the cores of a workflow's runs that may be stopped for short jobs."""
-        queue = self._context.store.find_last_queue(workflow.spec.queue)
+        queue = self._context.store.find_last_queue(workflow.spec.address)
         repetition = workflow.repetitions.get(0)
         if queue is None or queue.priority <= PREEMPTING_PRIORITY or not repetition:
             return
@@ -291,7 +291,7 @@
         }
         for workflow_id, workflow in store.active.items():
             spec = workflow.spec
-            queue = store.find_last_queue(spec.queue)
+            queue = store.find_last_queue(spec.address)
             if workflow_id in shapes:
                 shape = shapes[workflow_id]
             else:
@@ -303,7 +303,7 @@
             if spec.workspace in quotas:
                 seconds = _compute_quota_seconds(spec, quotas[spec.workspace])
                 self._workspace_work[spec.workspace] += fraction * seconds
-            ratio = self._ratios.get_ratio(spec.queue)
+            ratio = self._ratios.get_ratio(spec.address)
             work = fraction * shape.work * ratio - placed.get(workflow_id, 0.0)
             if work <= 0:
                 continue
--- a/src/bluebellyoke/dispatch/preemption.py
+++ b/src/bluebellyoke/dispatch/preemption.py
@@ -233,7 +233,7 @@
         workflow = self._context.store.workflows.get(name.workflow)
         if workflow is None or workflow.outcome:
             return False
-        queue = self._context.store.find_last_queue(workflow.spec.queue)
+        queue = self._context.store.find_last_queue(workflow.spec.address)
         step = workflow.spec.steps[name.step]
         if queue is None or queue.priority <= PREEMPTING_PRIORITY:
             return False
--- a/src/bluebellyoke/dispatch/queue_requests.py
+++ b/src/bluebellyoke/dispatch/queue_requests.py
@@ -61,7 +61,7 @@
             reply(wire.QueueReply(decision.code, reason=decision.reason))
             return
         if not workflow_id and body.action is wire.QueueAction.READ:
-            waiting = self._dispatcher.count_waiting(queue.name)
+            waiting = self._dispatcher.count_waiting(queue.address)
             reply(wire.QueueReply("accepted", waiting=waiting))
             return
         if not _WORKFLOW_ID_PATTERN.fullmatch(workflow_id):
@@ -72,7 +72,10 @@
             reply(_describe(store, queue, workflow_id))
         elif body.action is wire.QueueAction.CANCEL:
             command = workflow_commands.CancelWorkflow(
-                workflow=workflow_id, queue=queue.name, credential=body.credential
+                workflow=workflow_id,
+                queue=queue.name,
+                credential=body.credential,
+                address=queue.address,
             )
             self._dispatcher.cancel(command, wall_time, lambda x: reply(_convert(x)))
         else:
@@ -80,6 +83,7 @@
                 body.draft,
                 id=workflow_id,
                 queue=queue.name,
+                address=queue.address,
                 workspace=decision.workspace,
             )
             command = workflow_commands.SubmitWorkflow(
@@ -138,7 +142,7 @@
     store: WorkflowStore, queue: QueueSpec, workflow_id: str
 ) -> wire.QueueReply:
     workflow = store.workflows.get(workflow_id)
-    if workflow is None or workflow.spec.queue != queue.name:
+    if workflow is None or workflow.spec.address != queue.address:
         return wire.QueueReply("unknown-job", reason="no such workflow is known")
     return wire.QueueReply("accepted", state=workflow.state)
 
--- a/src/bluebellyoke/dispatch/refusals.py
+++ b/src/bluebellyoke/dispatch/refusals.py
@@ -59,7 +59,7 @@
         for item in refusals:
             known = self._context.store.workflows.get(item.spec.id)
             # Another attempt of the same job may have been accepted meanwhile.
-            if known is not None and known.spec.queue == item.spec.queue:
+            if known is not None and known.spec.address == item.spec.address:
                 item.reply(Result(accepted=True, code="known"))
             else:
                 item.reply(item.result)
--- a/src/bluebellyoke/dispatch/run_ratios.py
+++ b/src/bluebellyoke/dispatch/run_ratios.py
@@ -5,6 +5,7 @@
 from bluebellyoke.dispatch.tracked_run import TrackedRun
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.commands import RunOutcome
+from bluebellyoke.workflow.specs import QueueAddress
 from bluebellyoke.workflow.store import RunKey
 
 __all__ = ["RunRatios"]
@@ -34,14 +35,14 @@
 
     def __init__(self, context: DispatchContext) -> None:
         self._context = context
-        self._ratios: dict[str, float] = {}
-        self._high_ratios: dict[str, float] = {}
+        self._ratios: dict[QueueAddress, float] = {}
+        self._high_ratios: dict[QueueAddress, float] = {}
 
-    def get_ratio(self, queue: str) -> float:
+    def get_ratio(self, queue: QueueAddress) -> float:
         """Return the mean ratio of a queue, 1 if nothing is known."""
         return self._ratios.get(queue, 1.0)
 
-    def get_high_ratio(self, queue: str) -> float:
+    def get_high_ratio(self, queue: QueueAddress) -> float:
         """Return the ratio that most runs of a queue are below, 1 if unknown."""
         return self._high_ratios.get(queue, 1.0)
 
@@ -64,7 +65,7 @@
         if not estimate_s:
             return
         ratio = min(max((now - run.sent_at) / estimate_s, MIN_RATIO), MAX_RATIO)
-        queue = workflow.spec.queue
+        queue = workflow.spec.address
         old = self._ratios.get(queue, 1.0)
         self._ratios[queue] = old + SAMPLE_WEIGHT * (ratio - old)
         high = self._high_ratios.get(queue, 1.0)
--- a/src/bluebellyoke/dispatch/run_times.py
+++ b/src/bluebellyoke/dispatch/run_times.py
@@ -9,13 +9,13 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from bluebellyoke.workflow.specs import StepSpec
+from bluebellyoke.workflow.specs import QueueAddress, StepSpec
 
 __all__ = ["Prediction", "RunTimes"]
 
 #: Queue, image or an empty text for all, whether the tasks have an estimate, and
 #: whether they are those of gangs, which all end with the slowest one.
-_GroupKey = tuple[str, str, bool, bool]
+_GroupKey = tuple[QueueAddress, str, bool, bool]
 
 #: Maximum number of groups; the one that was used least recently is dropped.
 MAX_GROUPS = 512
@@ -136,7 +136,7 @@
         """Drop everything."""
         self._groups.clear()
 
-    def predict(self, queue: str, step: StepSpec) -> Prediction | None:
+    def predict(self, queue: QueueAddress, step: StepSpec) -> Prediction | None:
         """Return the expected run time of a task, or None if nothing is known."""
         has_estimate = step.estimate_ms > 0
         estimate = math.log(step.estimate_ms / 1000) if has_estimate else 0.0
@@ -156,7 +156,7 @@
         return Prediction(result, spread, runs)
 
     def record(
-        self, queue: str, step: StepSpec, duration_s: float, now: float
+        self, queue: QueueAddress, step: StepSpec, duration_s: float, now: float
     ) -> Prediction | None:
         """Add a run and return what was predicted for it.
 
@@ -184,7 +184,7 @@
         return group
 
 
-def _list_keys(queue: str, step: StepSpec) -> list[_GroupKey]:
+def _list_keys(queue: QueueAddress, step: StepSpec) -> list[_GroupKey]:
     """Return the keys of a step's groups, the general one first."""
     has_estimate = step.estimate_ms > 0
     keys = [(queue, "", has_estimate, step.gang)]
--- a/src/bluebellyoke/dispatch/separation.py
+++ b/src/bluebellyoke/dispatch/separation.py
@@ -10,7 +10,7 @@
 from bluebellyoke.dispatch.pair_table import PairTable
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.commands import RunStart
-from bluebellyoke.workflow.specs import StepSpec
+from bluebellyoke.workflow.specs import QueueAddress, StepSpec
 
 __all__ = ["InterferenceCost"]
 
@@ -49,13 +49,15 @@
         self._images: dict[str, frozenset[str]] = {}
         self._costs: dict[str, dict[str, ImageCost]] = {}
 
-    def classify(self, step: StepSpec, queue: str) -> Hashable | None:
+    def classify(self, step: StepSpec, queue: QueueAddress) -> Hashable | None:
         """Return what the cost of a step depends on, or None if it has none."""
         if not step.backfill and step.image not in self._table.partners:
             return None
         return step.backfill, step.image
 
-    def estimate(self, step: StepSpec, queue: str, worker: TrackedWorker) -> float:
+    def estimate(
+        self, step: StepSpec, queue: QueueAddress, worker: TrackedWorker
+    ) -> float:
         """Return the additional run time of a task and of its neighbours."""
         cost = self._pacer.estimate_pressure(worker) if step.backfill else 0.0
         if step.image in self._table.partners:
--- a/src/bluebellyoke/dispatch/stragglers.py
+++ b/src/bluebellyoke/dispatch/stragglers.py
@@ -18,7 +18,7 @@
 from bluebellyoke.dispatch.worker_speeds import WorkerSpeeds
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.commands import TaskName
-from bluebellyoke.workflow.specs import StepSpec
+from bluebellyoke.workflow.specs import QueueAddress, StepSpec
 from bluebellyoke.workflow.store import RunKey
 
 __all__ = ["StragglerMover"]
@@ -180,7 +180,7 @@
             and self._has_room_elsewhere(worker, step, key)
         )
 
-    def _compute_limit(self, queue: str, expected_s: float) -> float:
+    def _compute_limit(self, queue: QueueAddress, expected_s: float) -> float:
         """Return the run time from which a run is far over its expected time."""
         limit_s = LATE_FACTOR * expected_s
         spec = self._context.find_queue(queue)
--- a/src/bluebellyoke/dispatch/urgency.py
+++ b/src/bluebellyoke/dispatch/urgency.py
@@ -125,7 +125,7 @@
             until = first_at + NO_OBJECTIVE_SLACK_S
             times = _Times(until, math.inf, math.inf)
         else:
-            ratio = self._admission.ratios.get_high_ratio(spec.queue)
+            ratio = self._admission.ratios.get_high_ratio(spec.address)
             chain_s = compute_remaining_chains(spec)[key[2]] * ratio
             due_at = first_at + shape.objective_s
             times = _Times(
--- a/src/bluebellyoke/dispatch/waiting.py
+++ b/src/bluebellyoke/dispatch/waiting.py
@@ -171,7 +171,7 @@
             return
         if workflow.spec.repeats:
             self._repeating.add(workflow_id)
-        queue = store.find_last_queue(workflow.spec.queue)
+        queue = store.find_last_queue(workflow.spec.address)
         waiting = list(_find_waiting(workflow, queue, wall_time))
         if store.crashes.has_workflow(workflow_id):
             suspects = [x for step in waiting for x in _take_suspects(store, step)]
--- a/src/bluebellyoke/leader/queries.py
+++ b/src/bluebellyoke/leader/queries.py
@@ -182,12 +182,14 @@
 
 def _explain_workflow(context: QueryContext, subject: str) -> dict | None:
     """Return why the steps of a workflow wait, or None for an unknown workflow."""
-    workflow = context.state.workflows.workflows.get(subject)
+    store = context.state.workflows
+    workflow = store.workflows.get(subject)
     if workflow is None:
         return None
+    queue = store.find_last_queue(workflow.spec.address)
     return {
         "id": subject,
-        "queue": workflow.spec.queue,
+        "queue": queue.name if queue is not None else workflow.spec.queue,
         "workspace": workflow.spec.workspace,
         "state": workflow.state,
         "reason": workflow.reason,
--- a/src/bluebellyoke/workflow/access.py
+++ b/src/bluebellyoke/workflow/access.py
@@ -74,7 +74,7 @@
         return AccessDecision()
     if queue is None:
         return AccessDecision(code="unknown-queue", reason="no such queue is in force")
-    if workflow is None or workflow.spec.queue != queue.name:
+    if workflow is None or workflow.spec.address != queue.address:
         return authorize(configuration, queue, credential)
     decision = authorize(configuration, queue, credential, workflow.spec)
     if (
--- a/src/bluebellyoke/workflow/commands.py
+++ b/src/bluebellyoke/workflow/commands.py
@@ -5,7 +5,13 @@
 import msgspec
 
 from bluebellyoke.cell.command import Command
-from bluebellyoke.workflow.specs import Configuration, WorkerSpec, WorkflowSpec
+from bluebellyoke.workflow.specs import (
+    NO_ADDRESS,
+    Configuration,
+    QueueAddress,
+    WorkerSpec,
+    WorkflowSpec,
+)
 
 __all__ = [
     "ApplyConfiguration",
@@ -139,12 +145,15 @@
     """Cancel a workflow: its runs are to be stopped and no further run starts.
 
     Attributes:
+        queue: Name of its queue, by which older commands find it.
         credential: As in `SubmitWorkflow`.
+        address: Address of its queue; older commands have none.
     """
 
     workflow: str
     queue: str
     credential: str | None = None
+    address: QueueAddress = NO_ADDRESS
 
 
 class EnrolWorker(Command, frozen=True, kw_only=True, array_like=True, tag=True):
--- a/src/bluebellyoke/workflow/queues.py
+++ b/src/bluebellyoke/workflow/queues.py
@@ -2,47 +2,64 @@
 
 from collections.abc import Collection, Iterable
 
-from bluebellyoke.workflow.specs import QueueSpec
+from bluebellyoke.workflow.specs import QueueAddress, QueueSpec
 
 __all__ = ["QueueTable"]
 
 
 class QueueTable:
-    """Queues by name; part of the replicated state.
+    """Queues by address; part of the replicated state.
 
     An accepted workflow goes on after its queue has been removed. Its starts still need
     tickets of the queue's advisor, so the last definition of the queue is kept.
 
     Args:
         removed: Last definitions of the queues that are no longer configured.
+        configured: Queues of the configuration.
     """
 
-    def __init__(self, removed: Iterable[QueueSpec] = ()) -> None:
-        self._configured: dict[str, QueueSpec] = {}
-        self._removed = {queue.name: queue for queue in removed}
+    def __init__(
+        self, removed: Iterable[QueueSpec] = (), configured: Iterable[QueueSpec] = ()
+    ) -> None:
+        self._configured = {queue.address: queue for queue in configured}
+        self._removed = {queue.address: queue for queue in removed}
 
-    def configure(self, queues: Iterable[QueueSpec], used: Collection[str]) -> None:
+    def configure(
+        self, queues: Iterable[QueueSpec], used: Collection[QueueAddress]
+    ) -> None:
         """Replace the configured queues.
 
         Args:
             queues: Queues of the new configuration.
-            used: Names of the queues of workflows that have not ended.
+            used: Addresses of the queues of workflows that have not ended.
         """
         last = self._removed | self._configured
-        self._configured = {queue.name: queue for queue in queues}
+        self._configured = {queue.address: queue for queue in queues}
         self._removed = {
-            name: queue
-            for name, queue in last.items()
-            if name in used and name not in self._configured
+            address: queue
+            for address, queue in last.items()
+            if address in used and address not in self._configured
         }
 
-    def find(self, name: str) -> QueueSpec | None:
+    def find(self, address: QueueAddress) -> QueueSpec | None:
         """Return a queue of the current configuration, or None."""
-        return self._configured.get(name)
+        return self._configured.get(address)
 
-    def find_last(self, name: str) -> QueueSpec | None:
+    def find_last(self, address: QueueAddress) -> QueueSpec | None:
         """Return the last definition of a queue, or None if it is not known."""
-        return self._configured.get(name) or self._removed.get(name)
+        return self._configured.get(address) or self._removed.get(address)
+
+    def find_address(self, name: str) -> QueueAddress:
+        """Return the address of the queue that has a name, for an older record.
+
+        Returns:
+            An address that no caller can send, if no queue has the name.
+        """
+        for queues in (self._configured, self._removed):
+            for queue in queues.values():
+                if queue.name == name:
+                    return queue.address
+        return QueueAddress("", name)
 
     def dump_removed(self) -> list[QueueSpec]:
         """Return the removed queues for a snapshot."""
--- a/src/bluebellyoke/workflow/specs.py
+++ b/src/bluebellyoke/workflow/specs.py
@@ -3,6 +3,8 @@
 All durations are in milliseconds unless the name says otherwise.
 """
 
+from typing import NamedTuple
+
 import msgspec
 
 from bluebellyoke.cell.resources import Resources
@@ -10,7 +12,9 @@
 __all__ = [
     "AdvisorSpec",
     "Configuration",
+    "NO_ADDRESS",
     "PoolSpec",
+    "QueueAddress",
     "QueueSpec",
     "StepSpec",
     "WorkerSpec",
@@ -33,10 +37,29 @@
     validity_ms: float = 0.0
 
 
+class QueueAddress(NamedTuple):
+    """What callers address a queue by, and what its workflows belong to.
+
+    A configuration may give the queue another name, or its name to another queue.
+
+    Attributes:
+        host: Value of the Host header that selects the queue.
+        prefix: Path prefix that selects the queue.
+    """
+
+    host: str
+    prefix: str
+
+
+#: Address of a queue that is not known.
+NO_ADDRESS = QueueAddress("", "")
+
+
 class QueueSpec(msgspec.Struct, frozen=True, kw_only=True):
     """A queue that callers submit workflows to.
 
     Attributes:
+        name: Label that the operator has given it, which a configuration may change.
         host: Value of the Host header that selects the queue.
         prefix: Path prefix that selects the queue; the longest matching one wins.
         pool: Pool of workers that run the tasks.
@@ -61,6 +84,11 @@
     advisor: AdvisorSpec | None = None
     public: bool = False
 
+    @property
+    def address(self) -> QueueAddress:
+        """What callers address the queue by."""
+        return QueueAddress(self.host, self.prefix)
+
 
 class PoolSpec(msgspec.Struct, frozen=True, kw_only=True):
     """A group of workers.
@@ -164,7 +192,9 @@
 
     Attributes:
         id: ID chosen by the caller, 16 hexadecimal digits.
-        queue: Queue that it was submitted to.
+        queue: Name that its queue had when it was submitted.
+        address: Address of its queue, which stays the same. Records of earlier versions
+            have none; the store finds it by the name.
         payload: Opaque text that every task receives.
         repeats: Number of repetitions of the steps; 0 means one that starts at once.
         first_at_ms: Wall-clock time at which the first repetition starts.
@@ -180,6 +210,7 @@
     first_at_ms: int = 0
     interval_ms: int = 0
     workspace: str = ""
+    address: QueueAddress = NO_ADDRESS
 
     def count_tasks(self) -> int:
         """Return the number of tasks of one repetition."""
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -15,9 +15,12 @@
 from bluebellyoke.workflow.quotas import describe_excess, has_quota_for
 from bluebellyoke.workflow.snapshot import WorkflowSnapshot
 from bluebellyoke.workflow.specs import (
+    NO_ADDRESS,
     Configuration,
+    QueueAddress,
     QueueSpec,
     WorkerSpec,
+    WorkflowSpec,
     WorkspaceSpec,
 )
 from bluebellyoke.workflow.usage import WorkspaceUsage
@@ -85,13 +88,13 @@
         self.ended_incarnations.drop_old(command.time)
         return _HANDLERS[type(command)](self, command)
 
-    def get_queue(self, name: str) -> QueueSpec | None:
+    def find_queue(self, address: QueueAddress) -> QueueSpec | None:
         """Return a queue of the current configuration, or None."""
-        return self._queues.find(name)
+        return self._queues.find(address)
 
-    def find_last_queue(self, name: str) -> QueueSpec | None:
+    def find_last_queue(self, address: QueueAddress) -> QueueSpec | None:
         """Return a queue as it is configured, or was before its removal, or None."""
-        return self._queues.find_last(name)
+        return self._queues.find_last(address)
 
     def find_workspace(self, name: str) -> WorkspaceSpec | None:
         """Return a workspace of the current configuration, or None."""
@@ -103,7 +106,7 @@
         That is the pool of its queue at present or, if the queue is not known, at the
         time of the submission.
         """
-        queue = self._queues.find_last(workflow.spec.queue)
+        queue = self._queues.find_last(workflow.spec.address)
         return queue.pool if queue is not None else workflow.pool
 
     def find_current_worker(self, worker: str, incarnation: int) -> WorkerSpec | None:
@@ -123,23 +126,23 @@
 
     def _set_configuration(self, configuration: Configuration) -> None:
         self.configuration = configuration
-        used = {workflow.spec.queue for workflow in self.active.values()}
+        used = {workflow.spec.address for workflow in self.active.values()}
         self._queues.configure(configuration.queues, used)
         self._workspaces = {item.name: item for item in configuration.workspaces}
 
     # Workflows.
 
     def _submit(self, command: workflow_commands.SubmitWorkflow) -> Result:
-        spec = command.spec
+        spec = self._add_address(command.spec)
         known = self.workflows.get(spec.id)
-        decision = self._authorize(command, spec.queue, known)
+        decision = self._authorize(command, spec.address, known)
         if not decision.admitted:
             return refuse(decision.code, decision.reason)
         if known is not None:
-            if known.spec.queue != spec.queue:
+            if known.spec.address != spec.address:
                 return refuse("id-taken", "another queue holds this id; choose another")
             return Result(accepted=True, code="known")
-        queue = self._queues.find(spec.queue)
+        queue = self._queues.find(spec.address)
         if queue is None:
             return refuse("unknown-queue", "no such queue is in force")
         workspace = self._workspaces.get(spec.workspace)
@@ -156,15 +159,22 @@
         self._activate(workflow)
         return Result(accepted=True)
 
+    def _add_address(self, spec: WorkflowSpec) -> WorkflowSpec:
+        """Return a specification with the address of its queue."""
+        if spec.address != NO_ADDRESS:
+            return spec
+        address = self._queues.find_address(spec.queue)
+        return msgspec.structs.replace(spec, address=address)
+
     def _authorize(
         self,
         command: workflow_commands.SubmitWorkflow | workflow_commands.CancelWorkflow,
-        queue: str,
+        address: QueueAddress,
         workflow: Workflow | None,
     ) -> AccessDecision:
         return authorize_request(
             self.configuration,
-            self._queues.find(queue),
+            self._queues.find(address),
             command.credential,
             workflow,
             submits=isinstance(command, workflow_commands.SubmitWorkflow),
@@ -177,10 +187,13 @@
 
     def _cancel(self, command: workflow_commands.CancelWorkflow) -> Result:
         workflow = self.workflows.get(command.workflow)
-        decision = self._authorize(command, command.queue, workflow)
+        address = command.address
+        if address == NO_ADDRESS:
+            address = self._queues.find_address(command.queue)
+        decision = self._authorize(command, address, workflow)
         if not decision.admitted:
             return refuse(decision.code, decision.reason)
-        if workflow is None or workflow.spec.queue != command.queue:
+        if workflow is None or workflow.spec.address != address:
             return refuse("unknown-job", "no such workflow is known")
         workflow.cancel(command.time)
         self._crash_recorder.forget_workflow(command.workflow)
@@ -416,13 +429,16 @@
     def load(cls, snapshot: WorkflowSnapshot) -> "WorkflowStore":
         """Return the store of a snapshot."""
         store = cls()
-        store._queues = QueueTable(snapshot.removed_queues)
+        store._queues = QueueTable(
+            snapshot.removed_queues, snapshot.configuration.queues
+        )
         store.workers = {spec.id: spec for spec in snapshot.workers}
         store.runs = {spec.key: {} for spec in snapshot.workers}
         store._crash_recorder.load(snapshot)
         store.ended_incarnations = EndedIncarnations(snapshot.ended_incarnations)
         store.usage = WorkspaceUsage(snapshot.workflows)
         for workflow in snapshot.workflows:
+            workflow.spec = store._add_address(workflow.spec)
             store.workflows[workflow.spec.id] = workflow
             if not workflow.outcome or workflow.placed:
                 store._activate(workflow)
--- a/tests/dispatch/faulty_cell.py
+++ b/tests/dispatch/faulty_cell.py
@@ -135,7 +135,7 @@
 
     def find_advisor(self, step):
         workflow = self.store.workflows.get(step[0])
-        queue = self.store.find_last_queue(workflow.spec.queue) if workflow else None
+        queue = self.store.find_last_queue(workflow.spec.address) if workflow else None
         return queue.advisor if queue is not None else None
 
     # Faults of workers.
--- a/tests/dispatch/fleet.py
+++ b/tests/dispatch/fleet.py
@@ -131,7 +131,7 @@
         self.stopping = []
         self.saved = {}
         self.checkpoint = "saved"
-        self.cost = ExpectedEndCost(self.speeds, self.run_times, self.store.get_queue)
+        self.cost = ExpectedEndCost(self.speeds, self.run_times, self.store.find_queue)
         costs = [self.cost] if is_uneven else []
         self.planner = Planner(AdviceManager(), costs=costs)
         for number, factor in enumerate(factors):
@@ -278,7 +278,7 @@
 
     def compute_on_time(self, queue, since=0.0):
         """Return the share of a queue's jobs that met their objective."""
-        spec = self.store.get_queue(queue)
+        spec = self.store.find_queue(create_queue(queue).address)
         jobs = [x for x in self.jobs.values() if x.queue == queue and x.finished_at]
         jobs = [x for x in jobs if x.submitted_at >= since]
         on_time = 0
--- a/tests/dispatch/reference_planner.py
+++ b/tests/dispatch/reference_planner.py
@@ -101,7 +101,7 @@
     ) -> None:
         """Request advice on steps that can begin once the placed tasks have ended."""
         for workflow in store.active.values():
-            queue = store.find_last_queue(workflow.spec.queue)
+            queue = store.find_last_queue(workflow.spec.address)
             if workflow.outcome or queue is None or queue.advisor is None:
                 continue
             for number, repetition in workflow.repetitions.items():
@@ -352,7 +352,7 @@
     for workflow in store.active.values():
         if workflow.outcome:
             continue
-        queue = store.find_last_queue(workflow.spec.queue)
+        queue = store.find_last_queue(workflow.spec.address)
         rank = _rank(workflow, queue)
         for number in _find_due_repetitions(workflow, wall_time):
             yield from _find_waiting_steps(workflow, queue, number, rank)
--- a/tests/dispatch/test_access.py
+++ b/tests/dispatch/test_access.py
@@ -27,8 +27,12 @@
 
     def __init__(self):
         self.simulation = DispatcherSimulation()
-        self._handler = QueueRequestHandler(self.simulation.dispatcher)
         self._version = 1
+        self.create_handler()
+
+    def create_handler(self):
+        """Let the present leader answer."""
+        self._handler = QueueRequestHandler(self.simulation.dispatcher)
 
     def configure(self, *, queues=QUEUES, workspaces=WORKSPACES):
         """Commit a configuration."""
--- a/tests/dispatch/test_expected_end.py
+++ b/tests/dispatch/test_expected_end.py
@@ -21,6 +21,8 @@
     create_queue("short", priority=0, slack_factor=1.5, target_ms=250.0),
 ]
 
+SHORT = create_queue("short").address
+
 #: Load of the bid house on 176 workers: queue, jobs a second, tasks in a job,
 #: thousandths of a core and run time of a task in seconds, share of gangs.
 LOAD = (
@@ -115,7 +117,7 @@
     fleet = create_fleet()
     fleet.submit("short", 1, 1000, 1.0, **fields)
     (workflow,) = fleet.store.workflows.values()
-    assert fleet.cost.classify(workflow.spec.steps[0], "short") is None
+    assert fleet.cost.classify(workflow.spec.steps[0], SHORT) is None
 
 
 # Guards against costs of an earlier round that are used although a speed has changed.
@@ -153,7 +155,7 @@
         )
     assert placed[0] == placed[1]
     step = next(iter(fleets[1].store.workflows.values())).spec.steps[0]
-    assert fleets[1].cost.classify(step, "short") is None
+    assert fleets[1].cost.classify(step, SHORT) is None
     assert len(placed[0]) > 300
 
 
--- a/tests/workflow/factories.py
+++ b/tests/workflow/factories.py
@@ -3,6 +3,7 @@
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.specs import (
+    NO_ADDRESS,
     AdvisorSpec,
     Configuration,
     PoolSpec,
@@ -43,12 +44,14 @@
 
 
 def create_spec(workflow_id="0000000000000001", steps=None, queue="q", **fields):
+    """Return a specification for the queue that `create_queue` gives that name."""
+    address = create_queue(queue).address if queue else NO_ADDRESS
     return WorkflowSpec(
         id=workflow_id,
         queue=queue,
         payload="payload",
         steps=tuple(steps or (create_step(),)),
-        **fields,
+        **{"address": address, **fields},
     )
 
 
--- a/tests/workflow/test_store.py
+++ b/tests/workflow/test_store.py
@@ -17,6 +17,7 @@
 )
 
 ID = "0000000000000001"
+Q = create_queue("q").address
 DONE, FAILED = workflow_commands.RunOutcome.DONE, workflow_commands.RunOutcome.FAILED
 
 
@@ -46,7 +47,7 @@
         workflow_commands.ApplyConfiguration(configuration=changed)
     ).accepted
     assert store.configuration.version == 5
-    assert store.get_queue("q") is None
+    assert store.find_queue(Q) is None
 
 
 @pytest.mark.parametrize("version", [1, 4, 5])
@@ -340,7 +341,7 @@
     assert restored.dump() == store.dump()
     assert restored.runs == store.runs
     assert restored.active.keys() == store.active.keys()
-    assert restored.get_queue("q") == store.get_queue("q")
+    assert restored.find_queue(Q) == store.find_queue(Q)
 
 
 # Guards against a start over a worker's capacity: a command of an earlier leader with
@@ -365,7 +366,7 @@
 
 # Guards against starts without a ticket after the removal of a queue and a restart.
 def test_removed_queue_is_known_as_long_as_it_has_work(store):
-    queue = store.get_queue("q")
+    queue = store.find_queue(Q)
     submit(store)
     other = create_queue("other")
     for version in (5, 6):
@@ -373,12 +374,12 @@
         command = workflow_commands.ApplyConfiguration(configuration=changed)
         store.apply(command)
         store = restore(store)
-        assert store.get_queue("q") is None
-        assert store.find_last_queue("q") == queue
+        assert store.find_queue(Q) is None
+        assert store.find_last_queue(Q) == queue
     cancel(store)
     changed = create_configuration(7, [other])
     store.apply(workflow_commands.ApplyConfiguration(configuration=changed))
-    assert store.find_last_queue("q") is None
+    assert store.find_last_queue(Q) is None
 
 
 def test_queue_that_returns_has_its_new_definition(store):
@@ -386,5 +387,5 @@
     for version, queue in ((5, create_queue("other")), (6, create_queue(priority=7))):
         changed = create_configuration(version, [queue])
         store.apply(workflow_commands.ApplyConfiguration(configuration=changed))
-    assert store.find_last_queue("q").priority == 7
+    assert store.find_last_queue(Q).priority == 7
     assert restore(store).dump().removed_queues == []
