Answer a known job by its own record, before the configuration

Cause: the handler asked the newest configuration first and the store last. The link sends pending calls again because commands are idempotent; this answer was not.

Change: host and path find a known job before the configuration is asked. If its queue is gone, the time of the request's arrival decides: calls carry their age, also when they are sent again, and the time of a removal is replicated. Earlier requests are answered as before; later, a submission gets 504, a read 404, and a cancel ends the job with 410. A submission beside one that waits for its commit is left to the log. A key that moved to another workspace no longer gets 403 for the job that it handed in.

--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -312,6 +312,10 @@
             finish,
         )
 
+    def is_submitting(self, workflow_id: str) -> bool:
+        """Return whether a submission of a workflow waits for its commit."""
+        return workflow_id in self._submitting
+
     def _admit(
         self, spec: WorkflowSpec, wall_time: float, reply: Callable[[Result], None]
     ) -> bool:
--- a/src/bluebellyoke/dispatch/queue_requests.py
+++ b/src/bluebellyoke/dispatch/queue_requests.py
@@ -15,15 +15,25 @@
     AccessDecision,
     authorize_request,
 )
-from bluebellyoke.workflow.configuration import find_queue
-from bluebellyoke.workflow.specs import QueueSpec, WorkflowSpec
+from bluebellyoke.workflow.configuration import find_queue, split_path
+from bluebellyoke.workflow.specs import WORKFLOW_ID_LENGTH, QueueSpec, WorkflowSpec
 from bluebellyoke.workflow.store import WorkflowStore
+from bluebellyoke.workflow.workflow import Workflow
 
 __all__ = ["QueueRequestHandler"]
 
 logger = logging.getLogger("bluebellyoke.dispatch")
 
-_WORKFLOW_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
+_WORKFLOW_ID_PATTERN = re.compile(rf"[0-9a-fA-F]{{{WORKFLOW_ID_LENGTH}}}")
+
+_ACCEPTED = wire.QueueReply("accepted")
+_UNKNOWN_QUEUE = wire.QueueReply("unknown-queue", reason="no queue has this path")
+_STORED_IN_REMOVED_QUEUE = wire.QueueReply(
+    "unanswered", reason="the job was accepted; its queue has been removed since"
+)
+_CANCELLED_IN_REMOVED_QUEUE = wire.QueueReply(
+    "unknown-job", reason="the job is cancelled, and its queue has been removed"
+)
 
 
 class QueueRequestHandler:
@@ -42,20 +52,60 @@
         body: wire.QueueRequest,
         wall_time: float,
         reply: Callable[[wire.QueueReply], None],
+        *,
+        age_s: float = 0.0,
     ) -> None:
-        """Handle a caller's request and reply once the outcome is committed."""
-        queue = find_queue(store.configuration, body.host, body.path)
-        if queue is None:
-            reply(wire.QueueReply("unknown-queue", reason="no queue has this path"))
+        """Handle a caller's request and reply once the outcome is committed.
+
+        A workflow that is known answers by its own record, whatever the configuration
+        says by now; all other requests are answered by the configuration.
+
+        Args:
+            store: Replicated state.
+            body: The request.
+            wall_time: Wall-clock time, in seconds.
+            reply: Takes the reply.
+            age_s: Time since the request arrived at an instance, in seconds.
+        """
+        workflow = store.find_workflow(body.host, body.path)
+        if workflow is None and self._is_submitting(body):
+            # The log decides, since it may accept the submission before this one.
+            self._submit(body, "", "", wall_time, reply)
             return
-        workflow_id = body.path[len(queue.prefix) :]
-        decision = authorize_request(
-            store.configuration,
-            queue,
-            body.credential,
-            store.workflows.get(workflow_id),
-            submits=body.action is wire.QueueAction.SUBMIT,
+        if workflow is None:
+            queue = find_queue(store.configuration, body.host, body.path)
+        else:
+            queue = store.find_queue(workflow.spec.address)
+        if queue is not None:
+            self._handle_configured(
+                store, queue, workflow, body, wall_time, reply, age_s=age_s
+            )
+        elif workflow is not None:
+            self._handle_removed(store, workflow, body, wall_time, reply, age_s=age_s)
+        else:
+            reply(_UNKNOWN_QUEUE)
+
+    def _is_submitting(self, body: wire.QueueRequest) -> bool:
+        """Return whether a submission repeats one that waits for its commit."""
+        _, workflow_id = split_path(body.host, body.path)
+        return body.action is wire.QueueAction.SUBMIT and (
+            self._dispatcher.is_submitting(workflow_id)
         )
+
+    def _handle_configured(
+        self,
+        store: WorkflowStore,
+        queue: QueueSpec,
+        workflow: Workflow | None,
+        body: wire.QueueRequest,
+        wall_time: float,
+        reply: Callable[[wire.QueueReply], None],
+        *,
+        age_s: float,
+    ) -> None:
+        """Handle a request to a queue of the configuration."""
+        workflow_id = body.path[len(queue.prefix) :]
+        decision = self._authorize(store, queue, workflow, body)
         if not decision.admitted:
             _log_refusal(queue, workflow_id, body, decision)
             reply(wire.QueueReply(decision.code, reason=decision.reason))
@@ -69,29 +119,108 @@
             reply(wire.QueueReply("bad-id", reason=reason))
             return
         if body.action is wire.QueueAction.READ:
-            reply(_describe(store, queue, workflow_id))
+            reply(_describe(workflow))
         elif body.action is wire.QueueAction.CANCEL:
-            command = workflow_commands.CancelWorkflow(
-                workflow=workflow_id,
-                queue=queue.name,
-                credential=body.credential,
-                address=queue.address,
-            )
-            self._dispatcher.cancel(command, wall_time, lambda x: reply(_convert(x)))
+            self._cancel(store, body, queue.name, wall_time, reply, age_s=age_s)
         else:
-            spec = msgspec.structs.replace(
-                body.draft,
-                id=workflow_id,
-                queue=queue.name,
-                address=queue.address,
-                workspace=decision.workspace,
-            )
-            command = workflow_commands.SubmitWorkflow(
-                spec=spec, credential=body.credential
-            )
-            self._dispatcher.submit(
-                command, wall_time, lambda x: reply(self._convert_submission(x, spec))
-            )
+            self._submit(body, queue.name, decision.workspace, wall_time, reply)
+
+    def _handle_removed(
+        self,
+        store: WorkflowStore,
+        workflow: Workflow,
+        body: wire.QueueRequest,
+        wall_time: float,
+        reply: Callable[[wire.QueueReply], None],
+        *,
+        age_s: float,
+    ) -> None:
+        """Handle a request for a workflow whose queue has been removed.
+
+        A request that arrived before the removal is answered as before. Later, no
+        success may be reported for a queue that is not there, and no refusal for a
+        workflow that is stored: a repeated submission gets no clear answer, and a
+        cancel ends the workflow, which callers cannot see any more.
+        """
+        address = workflow.spec.address
+        decision = self._authorize(store, None, workflow, body)
+        is_earlier = wall_time - age_s < store.get_removal_time(address)
+        if decision.code == "unanswered":
+            reply(wire.QueueReply(decision.code, reason=decision.reason))
+        elif not decision.admitted:
+            reply(_UNKNOWN_QUEUE)
+        elif body.action is wire.QueueAction.CANCEL:
+            name = workflow.spec.queue
+            self._cancel(store, body, name, wall_time, reply, age_s=age_s)
+        elif body.action is wire.QueueAction.SUBMIT:
+            reply(_ACCEPTED if is_earlier else _STORED_IN_REMOVED_QUEUE)
+        else:
+            reply(_describe(workflow) if is_earlier else _UNKNOWN_QUEUE)
+
+    def _authorize(
+        self,
+        store: WorkflowStore,
+        queue: QueueSpec | None,
+        workflow: Workflow | None,
+        body: wire.QueueRequest,
+    ) -> AccessDecision:
+        return authorize_request(
+            store.configuration,
+            queue,
+            body.credential,
+            workflow,
+            submits=body.action is wire.QueueAction.SUBMIT,
+        )
+
+    def _cancel(
+        self,
+        store: WorkflowStore,
+        body: wire.QueueRequest,
+        queue_name: str,
+        wall_time: float,
+        reply: Callable[[wire.QueueReply], None],
+        *,
+        age_s: float,
+    ) -> None:
+        address, workflow_id = split_path(body.host, body.path)
+        command = workflow_commands.CancelWorkflow(
+            workflow=workflow_id,
+            queue=queue_name,
+            credential=body.credential,
+            address=address,
+        )
+
+        def finish(result: Result) -> None:
+            is_earlier = wall_time - age_s < store.get_removal_time(address)
+            if result.accepted and not is_earlier:
+                reply(_CANCELLED_IN_REMOVED_QUEUE)
+            else:
+                reply(_convert(result))
+
+        self._dispatcher.cancel(command, wall_time, finish)
+
+    def _submit(
+        self,
+        body: wire.QueueRequest,
+        queue_name: str,
+        workspace: str,
+        wall_time: float,
+        reply: Callable[[wire.QueueReply], None],
+    ) -> None:
+        address, workflow_id = split_path(body.host, body.path)
+        spec = msgspec.structs.replace(
+            body.draft,
+            id=workflow_id,
+            queue=queue_name,
+            address=address,
+            workspace=workspace,
+        )
+        command = workflow_commands.SubmitWorkflow(
+            spec=spec, credential=body.credential
+        )
+        self._dispatcher.submit(
+            command, wall_time, lambda x: reply(self._convert_submission(x, spec))
+        )
 
     def _convert_submission(
         self, result: Result, spec: WorkflowSpec
@@ -138,11 +267,8 @@
     )
 
 
-def _describe(
-    store: WorkflowStore, queue: QueueSpec, workflow_id: str
-) -> wire.QueueReply:
-    workflow = store.workflows.get(workflow_id)
-    if workflow is None or workflow.spec.address != queue.address:
+def _describe(workflow: Workflow | None) -> wire.QueueReply:
+    if workflow is None:
         return wire.QueueReply("unknown-job", reason="no such workflow is known")
     return wire.QueueReply("accepted", state=workflow.state)
 
--- a/src/bluebellyoke/instance/link.py
+++ b/src/bluebellyoke/instance/link.py
@@ -75,16 +75,18 @@
 
     Attributes:
         body: Body of the call.
+        arrived_at: Monotonic time at which its request arrived, in seconds.
         done: Set once the call has its reply or has failed.
         max_disconnected_s: Time without a stream after which the call fails, in
             seconds.
         reply: Body of the reply, or None if there was none.
     """
 
-    __slots__ = ("body", "done", "max_disconnected_s", "reply")
+    __slots__ = ("arrived_at", "body", "done", "max_disconnected_s", "reply")
 
-    def __init__(self, body, max_disconnected_s: float) -> None:
+    def __init__(self, body, arrived_at: float, max_disconnected_s: float) -> None:
         self.body = body
+        self.arrived_at = arrived_at
         self.max_disconnected_s = max_disconnected_s
         self.done = anyio.Event()
         self.reply = None
@@ -163,7 +165,8 @@
         if len(self._pending_calls) >= MAX_PENDING_CALLS:
             raise TooManyCallsError()
         call_id = next(self._call_ids)
-        pending = self._pending_calls[call_id] = _PendingCall(body, max_disconnected_s)
+        pending = _PendingCall(body, self._clock.monotonic(), max_disconnected_s)
+        self._pending_calls[call_id] = pending
         self._outbox.append(wire.Call(call_id, body))
         self._wake.set()
         try:
@@ -266,8 +269,9 @@
                 logger.info(
                     "link: connected to the leader", extra={"leader": first.leader}
                 )
+                now = self._clock.monotonic()
                 self._outbox = [
-                    wire.Call(call_id, item.body)
+                    wire.Call(call_id, item.body, age_s=now - item.arrived_at)
                     for call_id, item in self._pending_calls.items()
                 ]
                 self._poll_requested = True
--- a/src/bluebellyoke/instance/wire.py
+++ b/src/bluebellyoke/instance/wire.py
@@ -235,7 +235,12 @@
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True, tag=True):
-    """A request to the leader, which the instance sends again on a new stream."""
+    """A request to the leader, which the instance sends again on a new stream.
+
+    Attributes:
+        age_s: Time since the request arrived at the instance, in seconds. It may have
+            arrived before.
+    """
 
     id: int
     body: (
@@ -251,6 +256,7 @@
         | ApplyConfiguration
         | WorkerAnnouncement
     )
+    age_s: float = 0.0
 
 
 class Bye(msgspec.Struct, frozen=True, array_like=True, tag=True):
--- a/src/bluebellyoke/leader/controller.py
+++ b/src/bluebellyoke/leader/controller.py
@@ -187,6 +187,7 @@
                 body,
                 wall_time,
                 lambda reply: session.send(wire.Reply(call.id, reply)),
+                age_s=call.age_s,
             )
         elif isinstance(body, wire.WorkerAnnouncement):
             self._queue_requests.handle_announcement(
--- a/src/bluebellyoke/workflow/access.py
+++ b/src/bluebellyoke/workflow/access.py
@@ -6,7 +6,8 @@
       queue admits all callers.
     * A workflow of a workspace admits the callers that have a credential of this
       workspace, also on a public queue. A workflow without a workspace admits the
-      callers that its queue admits.
+      callers that its queue admits or, once that is removed, those with the credential
+      that it was submitted with.
     * The leader decides before it proposes a command, and the store decides again when
       it applies the command, since a configuration may be committed in between.
 """
@@ -59,38 +60,40 @@
 ) -> AccessDecision:
     """Decide on a request, or on its command when it is applied.
 
-    In addition to `authorize`, it covers queues that do not exist, IDs that another
-    queue holds, and repeated submissions whose key has been removed.
+    In addition to `authorize`, it covers queues that are not configured, and
+    submissions that are repeated after their key has been removed or given to another
+    workspace.
 
     Args:
         configuration: Newest committed configuration.
         queue: Queue that the request is for, or None if the configuration has none.
         credential: Digest of the caller's key, an empty text without a key, or None for
             a command from before workspaces, which is always admitted.
-        workflow: Workflow that has the request's ID, in any queue, or None.
+        workflow: Workflow of the queue that the request concerns, or None.
         submits: Whether the request submits a workflow.
     """
     if credential is None or not configuration.workspaces:
         return AccessDecision()
-    if queue is None:
-        return AccessDecision(code="unknown-queue", reason="no such queue is in force")
-    if workflow is None or workflow.spec.address != queue.address:
+    if workflow is None:
+        if queue is None:
+            reason = "no such queue is in force"
+            return AccessDecision(code="unknown-queue", reason=reason)
         return authorize(configuration, queue, credential)
     decision = authorize(configuration, queue, credential, workflow.spec)
-    if (
-        submits
-        and decision.code == "unauthenticated"
-        and hmac.compare_digest(workflow.credential, credential)
-    ):
+    if decision.admitted or not hmac.compare_digest(workflow.credential, credential):
+        return decision
+    if queue is None and not workflow.spec.workspace:
+        return AccessDecision()
+    if submits:
         # The caller must not be told that its job was refused, because the job runs.
-        reason = "the job was accepted with a key that has been removed since"
+        reason = "the job was accepted with a key that has been removed or moved since"
         return AccessDecision(code="unanswered", reason=reason)
     return decision
 
 
 def authorize(
     configuration: Configuration,
-    queue: QueueSpec,
+    queue: QueueSpec | None,
     credential: str,
     workflow: WorkflowSpec | None = None,
 ) -> AccessDecision:
@@ -98,7 +101,7 @@
 
     Args:
         configuration: Newest committed configuration.
-        queue: Queue of the configuration that the request's path selects.
+        queue: Queue that the request's path selects, or None if it was removed.
         credential: Digest of the caller's key, or an empty text.
         workflow: Existing workflow of the queue that the request concerns, if any.
     """
@@ -106,7 +109,8 @@
         return AccessDecision()
     workspace = find_workspace(configuration, credential)
     owner = workflow.workspace if workflow is not None else ""
-    if not workspace and (owner or not queue.public):
+    is_public = queue is not None and queue.public
+    if not workspace and (owner or not is_public):
         return _refuse_unknown(credential)
     if owner and owner != workspace:
         return AccessDecision(
--- a/src/bluebellyoke/workflow/configuration.py
+++ b/src/bluebellyoke/workflow/configuration.py
@@ -3,9 +3,15 @@
 import hashlib
 import math
 
-from bluebellyoke.workflow.specs import Configuration, QueueSpec, WorkspaceSpec
+from bluebellyoke.workflow.specs import (
+    WORKFLOW_ID_LENGTH,
+    Configuration,
+    QueueAddress,
+    QueueSpec,
+    WorkspaceSpec,
+)
 
-__all__ = ["find_queue", "validate_configuration"]
+__all__ = ["find_queue", "split_path", "validate_configuration"]
 
 #: Digest of an empty key. A request without a key could not be told from one with it.
 _EMPTY_KEY_DIGEST = hashlib.sha256(b"").hexdigest()
@@ -94,3 +100,12 @@
         if queue.host == host and path.startswith(queue.prefix)
     ]
     return max(found, key=lambda queue: len(queue.prefix), default=None)
+
+
+def split_path(host: str, path: str) -> tuple[QueueAddress, str]:
+    """Return the address of the queue and the ID of the workflow that a path names.
+
+    They are the same for any configuration, since IDs are of equal length.
+    """
+    prefix, workflow_id = path[:-WORKFLOW_ID_LENGTH], path[-WORKFLOW_ID_LENGTH:]
+    return QueueAddress(host, prefix), workflow_id
--- a/src/bluebellyoke/workflow/snapshot.py
+++ b/src/bluebellyoke/workflow/snapshot.py
@@ -5,7 +5,12 @@
 from bluebellyoke.workflow.crashes import TaskCrashes
 from bluebellyoke.workflow.ended_incarnations import EndedIncarnation
 from bluebellyoke.workflow.lost_workers import LostWorker
-from bluebellyoke.workflow.specs import Configuration, QueueSpec, WorkerSpec
+from bluebellyoke.workflow.specs import (
+    Configuration,
+    QueueAddress,
+    QueueSpec,
+    WorkerSpec,
+)
 from bluebellyoke.workflow.unsettled_runs import UnsettledRun
 from bluebellyoke.workflow.workflow import Workflow
 
@@ -20,6 +25,8 @@
         lost_workers: Removed workers that may have crashed.
         ended_incarnations: Incarnations of workers that ended a short time ago.
         unsettled_runs: Runs that the next incarnations of removed workers may have.
+        removal_times: Addresses of removed queues that have workflows, and wall-clock
+            times of their removals, in seconds.
     """
 
     configuration: Configuration
@@ -30,3 +37,4 @@
     lost_workers: list[LostWorker] = []
     ended_incarnations: list[EndedIncarnation] = []
     unsettled_runs: list[UnsettledRun] = []
+    removal_times: list[tuple[QueueAddress, float]] = []
--- a/src/bluebellyoke/workflow/specs.py
+++ b/src/bluebellyoke/workflow/specs.py
@@ -17,6 +17,7 @@
     "QueueAddress",
     "QueueSpec",
     "StepSpec",
+    "WORKFLOW_ID_LENGTH",
     "WorkerSpec",
     "WorkflowSpec",
     "WorkspaceSpec",
@@ -51,6 +52,9 @@
     prefix: str
 
 
+#: Number of digits of a workflow's ID, which ends the path of its requests.
+WORKFLOW_ID_LENGTH = 16
+
 #: Address of a queue that is not known.
 NO_ADDRESS = QueueAddress("", "")
 
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -7,6 +7,7 @@
 from bluebellyoke.cell.result import Result, refuse
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.access import AccessDecision, authorize_request
+from bluebellyoke.workflow.configuration import split_path
 from bluebellyoke.workflow.crash_recorder import CrashRecorder
 from bluebellyoke.workflow.crashes import CrashHistory
 from bluebellyoke.workflow.ended_incarnations import EndedIncarnations
@@ -96,6 +97,26 @@
         """Return a queue as it is configured, or was before its removal, or None."""
         return self._queues.find_last(address)
 
+    def get_removal_time(self, address: QueueAddress) -> float:
+        """Return when a queue was removed, as a wall-clock time in seconds.
+
+        Returns:
+            Infinity for a queue that is configured, minus infinity if the time is not
+            known.
+        """
+        return self._queues.get_removal_time(address)
+
+    def find_workflow(self, host: str, path: str) -> Workflow | None:
+        """Return the workflow that callers address by a host and a path, or None.
+
+        It does not depend on the configuration, which may have changed since.
+        """
+        address, workflow_id = split_path(host, path)
+        workflow = self.workflows.get(workflow_id)
+        if workflow is None or workflow.spec.address != address:
+            return None
+        return workflow
+
     def find_workspace(self, name: str) -> WorkspaceSpec | None:
         """Return a workspace of the current configuration, or None."""
         return self._workspaces.get(name)
@@ -121,13 +142,15 @@
     ) -> Result:
         if command.configuration.version <= self.configuration.version:
             return Result(accepted=True, code="overtaken")
-        self._set_configuration(command.configuration)
+        configuration = command.configuration
+        used = {workflow.spec.address for workflow in self.active.values()}
+        known = {workflow.spec.address for workflow in self.workflows.values()}
+        self._queues.configure(configuration.queues, used, known, command.time)
+        self._set_configuration(configuration)
         return Result(accepted=True)
 
     def _set_configuration(self, configuration: Configuration) -> None:
         self.configuration = configuration
-        used = {workflow.spec.address for workflow in self.active.values()}
-        self._queues.configure(configuration.queues, used)
         self._workspaces = {item.name: item for item in configuration.workspaces}
 
     # Workflows.
@@ -145,14 +168,15 @@
         queue = self._queues.find(spec.address)
         if queue is None:
             return refuse("unknown-queue", "no such queue is in force")
+        spec = msgspec.structs.replace(spec, queue=queue.name)
+        if command.credential is not None:
+            spec = msgspec.structs.replace(spec, workspace=decision.workspace)
         workspace = self._workspaces.get(spec.workspace)
         excess = describe_excess(workspace, spec) if workspace is not None else ""
         if excess:
             return refuse("malformed", excess)
         if self.open_tasks + spec.count_tasks() > MAX_OPEN_TASKS:
             return refuse("overloaded", "too many tasks wait; submit later")
-        if command.credential is not None:
-            spec = msgspec.structs.replace(spec, workspace=decision.workspace)
         workflow = Workflow(spec, command.time, queue.attempts, queue.pool)
         workflow.credential = command.credential or ""
         self.workflows[spec.id] = workflow
@@ -172,6 +196,8 @@
         address: QueueAddress,
         workflow: Workflow | None,
     ) -> AccessDecision:
+        if workflow is not None and workflow.spec.address != address:
+            workflow = None
         return authorize_request(
             self.configuration,
             self._queues.find(address),
@@ -423,6 +449,7 @@
             self._crash_recorder.lost_workers.dump(),
             self.ended_incarnations.dump(),
             self._crash_recorder.unsettled_runs.dump(),
+            self._queues.dump_removal_times(),
         )
 
     @classmethod
@@ -430,7 +457,9 @@
         """Return the store of a snapshot."""
         store = cls()
         store._queues = QueueTable(
-            snapshot.removed_queues, snapshot.configuration.queues
+            snapshot.removed_queues,
+            snapshot.configuration.queues,
+            dict(snapshot.removal_times),
         )
         store.workers = {spec.id: spec for spec in snapshot.workers}
         store.runs = {spec.key: {} for spec in snapshot.workers}
