Remember the cancel of an unknown job, and refuse its late submission

Cause: a cancel of a job that is not known changed nothing, so its submission was accepted when it arrived.

Change: such a cancel is replicated with the path of the job and whom its caller counts as; a submission that it concerns is refused (503) when it is applied. It is remembered for 240 s, which is more than a submission can take: an instance refuses one that may have waited unread for 60 s (StallWatch), a call is given up after 60 s, gets its age when it is sent, and the leader refuses an older one. 30,000 cancels are remembered; beyond them a cancel of an unknown job gets 429 and is not acknowledged. `/v1/jobs` has the same.

--- a/src/bluebellyoke/cell/scheduling.py
+++ b/src/bluebellyoke/cell/scheduling.py
@@ -22,6 +22,7 @@
     TaskReport,
     refuse,
 )
+from bluebellyoke.cell.early_cancels import EarlyCancels
 from bluebellyoke.cell.feasibility import find_infeasibility
 from bluebellyoke.cell.jobs import (
     PLACED_STATES,
@@ -51,6 +52,9 @@
 #: Maximum total length of the payloads of unfinished jobs, in characters.
 MAX_PAYLOAD_CHARS = 64 * 1024 * 1024
 
+#: Owner of a remembered cancel: any submission of the job is refused.
+ANY_OWNER = ("",)
+
 #: Weight of the newest sample in the moving average of a job's run time.
 RUN_TIME_EWMA_WEIGHT = 0.2
 
@@ -70,6 +74,7 @@
         payload_chars: Total length of the payloads of unfinished jobs, in characters.
         lost_workers: Names of workers whose session ended, oldest first.
         total: Resources of all workers with a live session.
+        early_cancels: Cancels of jobs that were not known.
         workers_with_changed_orders: Names of workers whose orders changed; the leader
             clears the set.
         workers_with_changed_capacity: Names of workers whose free resources changed;
@@ -86,6 +91,7 @@
     payload_chars: int = 0
     lost_workers: dict[str, None] = field(default_factory=dict)
     total: Resources = field(default_factory=Resources)
+    early_cancels: EarlyCancels = field(default_factory=EarlyCancels)
     workers_with_changed_orders: set[str] = field(default_factory=set)
     workers_with_changed_capacity: set[str] = field(default_factory=set)
 
@@ -102,6 +108,11 @@
                 "id-taken",
                 f"another job has the identity {spec.id!r}; choose a new one",
             )
+        if self.early_cancels.find_end((spec.id,), ANY_OWNER, command.time):
+            return refuse(
+                "cancelled",
+                f"job {spec.id!r} was cancelled before it arrived; choose another id",
+            )
         if spec.workspace not in self.workspaces:
             return refuse(
                 "unknown-workspace",
@@ -142,6 +153,10 @@
     def cancel_job(self, job_id: str, now: float) -> Result:
         """Cancel a job; its running tasks keep their resources until they stop."""
         job = self.jobs.get(job_id)
+        if job is None and not self.early_cancels.add((job_id,), ANY_OWNER, now):
+            return refuse(
+                "cell-full", "too many unknown jobs were cancelled; cancel it later"
+            )
         if job is None:
             return refuse("unknown-job", f"no job {job_id!r}; look at the job list")
         if job.finished_at:
--- a/src/bluebellyoke/cell/snapshot.py
+++ b/src/bluebellyoke/cell/snapshot.py
@@ -11,6 +11,7 @@
 from bluebellyoke.cell import commands
 from bluebellyoke.cell.claims import Claim
 from bluebellyoke.cell.crashes import CrashRecord
+from bluebellyoke.cell.early_cancels import EarlyCancel, EarlyCancels
 from bluebellyoke.cell.jobs import PLACED_STATES, Job, Task, TaskState
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.cell.state import CellState
@@ -91,6 +92,7 @@
     claims: dict[str, Claim]
     claim_expiries: list[tuple[float, str]]
     workflows: WorkflowSnapshot
+    early_cancels: list[EarlyCancel] = []
 
 
 def dump_state(state: CellState) -> bytes:
@@ -115,6 +117,7 @@
         claims=state.claims.claims,
         claim_expiries=state.claims.expiries,
         workflows=state.workflows.dump(),
+        early_cancels=scheduling.early_cancels.dump(),
     )
     return msgspec.msgpack.encode(snapshot)
 
@@ -141,6 +144,7 @@
 
 def _load_scheduling(state: CellState, snapshot: StateSnapshot) -> None:
     scheduling = state.scheduling
+    scheduling.early_cancels = EarlyCancels(snapshot.early_cancels)
     scheduling.workspaces = {item.name: Workspace(item) for item in snapshot.workspaces}
     for workspace, ratio in zip(
         scheduling.workspaces.values(), snapshot.memory_ratios, strict=True
--- a/src/bluebellyoke/dispatch/queue_requests.py
+++ b/src/bluebellyoke/dispatch/queue_requests.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from bluebellyoke.cell.early_cancels import MAX_PENDING_S
 from bluebellyoke.cell.result import Result
 from bluebellyoke.dispatch.dispatcher import Dispatcher
 from bluebellyoke.instance import wire
@@ -31,6 +32,7 @@
 _STORED_IN_REMOVED_QUEUE = wire.QueueReply(
     "unanswered", reason="the job was accepted; its queue has been removed since"
 )
+_TOO_OLD = wire.QueueReply("unavailable", reason="the request is too old; repeat it")
 _CANCELLED_IN_REMOVED_QUEUE = wire.QueueReply(
     "unknown-job", reason="the job is cancelled, and its queue has been removed"
 )
@@ -68,10 +70,14 @@
             age_s: Time since the request arrived at an instance, in seconds.
         """
         workflow = store.find_workflow(body.host, body.path)
-        if workflow is None and self._is_submitting(body):
+        is_new = workflow is None and body.action is wire.QueueAction.SUBMIT
+        if is_new and self._is_submitting(body):
             # The log decides, since it may accept the submission before this one.
             self._submit(body, "", "", wall_time, reply)
             return
+        if is_new and age_s > MAX_PENDING_S:
+            reply(_TOO_OLD)
+            return
         if workflow is None:
             queue = find_queue(store.configuration, body.host, body.path)
         else:
@@ -88,9 +94,7 @@
     def _is_submitting(self, body: wire.QueueRequest) -> bool:
         """Return whether a submission repeats one that waits for its commit."""
         _, workflow_id = split_path(body.host, body.path)
-        return body.action is wire.QueueAction.SUBMIT and (
-            self._dispatcher.is_submitting(workflow_id)
-        )
+        return self._dispatcher.is_submitting(workflow_id)
 
     def _handle_configured(
         self,
@@ -225,8 +229,8 @@
     def _convert_submission(
         self, result: Result, spec: WorkflowSpec
     ) -> wire.QueueReply:
-        """Return the reply to a submission, with a retry time if it is overloaded."""
-        if result.code != "overloaded":
+        """Return the reply to a submission, with a retry time if it is refused."""
+        if result.code not in ("overloaded", "cancelled"):
             return _convert(result)
         # Admission gives the time with the refusal; the limit of open tasks does not.
         wait_s = float(result.detail.get("retry_after_s", 0))
--- a/src/bluebellyoke/instance/api.py
+++ b/src/bluebellyoke/instance/api.py
@@ -8,10 +8,12 @@
 from returns.pipeline import is_successful
 
 from bluebellyoke.cell import commands
+from bluebellyoke.cell.early_cancels import MAX_UNREAD_S
 from bluebellyoke.clock import Clock
 from bluebellyoke.instance import bodies, wire
 from bluebellyoke.instance.link import LeaderLink
 from bluebellyoke.instance.proxy import RequestProxy
+from bluebellyoke.instance.stalls import StallWatch
 from bluebellyoke.metrics import Metrics
 
 __all__ = ["Api", "InstanceStatus"]
@@ -29,6 +31,7 @@
     "unknown-workspace": 404,
     "unknown-service": 404,
     "finished": 409,
+    "cancelled": 409,
     "can-never-run": 422,
     "too-many-tasks": 422,
     "cell-full": 503,
@@ -65,6 +68,7 @@
         clock: Source of time.
         status: State of the instance.
         metrics: Histograms and counters.
+        stalls: Times in which the instance stood still.
     """
 
     def __init__(
@@ -75,7 +79,9 @@
         clock: Clock,
         status: InstanceStatus,
         metrics: Metrics,
+        stalls: StallWatch,
     ) -> None:
+        self._stalls = stalls
         self._proxy = proxy
         self._link = link
         self._clock = clock
@@ -95,9 +101,7 @@
                 self._status.request_stop()
                 return 202, {"code": "draining"}
             case ("POST", "v1", "jobs"):
-                return await self._run_command(
-                    bodies.JobBody, body, accepted_status=202
-                )
+                return await self._submit_job(body)
             case ("DELETE", "v1", "jobs", job_id):
                 return await self._call_leader(commands.CancelJob(job_id=job_id))
             case ("GET", "v1", "jobs", job_id):
@@ -139,6 +143,13 @@
             "replica": self._status.describe_replica(),
         }
 
+    async def _submit_job(self, body: bytes):
+        unread_s = self._stalls.measure()
+        if unread_s > MAX_UNREAD_S:
+            reason = f"the request may be {unread_s:.0f} s old; repeat it"
+            return 503, {"accepted": False, "code": "unavailable", "reason": reason}
+        return await self._run_command(bodies.JobBody, body, accepted_status=202)
+
     async def _run_command(self, model, body: bytes, *, accepted_status: int = 200):
         parsed = bodies.parse_body(model, body)
         if not is_successful(parsed):
--- a/src/bluebellyoke/instance/application.py
+++ b/src/bluebellyoke/instance/application.py
@@ -65,6 +65,7 @@
     SessionInput,
 )
 from bluebellyoke.instance.sessions import SessionServer
+from bluebellyoke.instance.stalls import StallWatch
 from bluebellyoke.leader.controller import LeaderController
 from bluebellyoke.leader.sessions import LeaderOptions
 from bluebellyoke.metrics import Metrics
@@ -153,11 +154,13 @@
             holder=f"{instance.name}/{self._status.incarnation}",
             metrics=self._metrics,
         )
+        self._stalls = StallWatch(clock)
         self._queues = QueueClient(
             link=self._link,
             clock=clock,
             metrics=self._metrics,
             own_address=f"{instance.address}:{instance.external_peer_port}",
+            stalls=self._stalls,
         )
         self._advice = AdviceHandler(
             advisor=gateway.create_advisor() if gateway is not None else None,
@@ -198,6 +201,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._watch_signals)
                 tasks.start_soon(sweep_connections, self._connections, self._clock)
+                tasks.start_soon(self._stalls.run)
                 if self._gateway is not None:
                     tasks.start_soon(self._reload_at_intervals)
                 async with self._run_peer_server(sockets[1]):
@@ -305,6 +309,7 @@
             clock=self._clock,
             status=self._status,
             metrics=self._metrics,
+            stalls=self._stalls,
         )
         interface = HttpInterface(
             proxy=self._proxy,
--- a/src/bluebellyoke/instance/link.py
+++ b/src/bluebellyoke/instance/link.py
@@ -135,6 +135,7 @@
         self._call_ids = itertools.count(1)
         self._pending_calls: dict[int, _PendingCall] = {}
         self._outbox: list[wire.FromInstance] = []
+        self._unsent_calls: list[int] = []
         self._wake = anyio.Event()
         self._poll_requested = False
         self._is_poll_unanswered = False
@@ -167,7 +168,7 @@
         call_id = next(self._call_ids)
         pending = _PendingCall(body, self._clock.monotonic(), max_disconnected_s)
         self._pending_calls[call_id] = pending
-        self._outbox.append(wire.Call(call_id, body))
+        self._unsent_calls.append(call_id)
         self._wake.set()
         try:
             with anyio.move_on_after(timeout_s):
@@ -269,11 +270,8 @@
                 logger.info(
                     "link: connected to the leader", extra={"leader": first.leader}
                 )
-                now = self._clock.monotonic()
-                self._outbox = [
-                    wire.Call(call_id, item.body, age_s=now - item.arrived_at)
-                    for call_id, item in self._pending_calls.items()
-                ]
+                self._outbox = []
+                self._unsent_calls = list(self._pending_calls)
                 self._poll_requested = True
                 self._is_poll_unanswered = False
                 self._silent_since = math.inf
@@ -294,8 +292,10 @@
     async def _send_messages(self, stream) -> None:
         next_poll_at = self._clock.monotonic()
         while True:
-            batch, self._outbox = self._outbox, []
             now = self._clock.monotonic()
+            batch = [*self._create_calls(now), *self._outbox]
+            self._outbox = []
+            self._unsent_calls = []
             if self._poll_requested or now >= next_poll_at:
                 self._poll_requested = False
                 next_poll_at = now + self._get_poll_interval()
@@ -305,11 +305,19 @@
                 self._expect_reply(now)
                 await stream.send_message(tuple(batch))
             self._wake = anyio.Event()
-            if self._outbox or self._poll_requested:
+            if self._outbox or self._unsent_calls or self._poll_requested:
                 continue
             with anyio.move_on_after(max(next_poll_at - now, 0.0)):
                 await self._wake.wait()
 
+    def _create_calls(self, now: float) -> list[wire.Call]:
+        """Return the unsent calls whose callers still wait, with their present age."""
+        return [
+            wire.Call(call_id, pending.body, age_s=now - pending.arrived_at)
+            for call_id in self._unsent_calls
+            if (pending := self._pending_calls.get(call_id)) is not None
+        ]
+
     async def _receive_messages(self, stream) -> None:
         async for batch in stream:
             for message in batch:
--- a/src/bluebellyoke/instance/queues.py
+++ b/src/bluebellyoke/instance/queues.py
@@ -4,12 +4,14 @@
 
 import anyio
 
+from bluebellyoke.cell.early_cancels import MAX_PENDING_S, MAX_UNREAD_S
 from bluebellyoke.cell.result import Result, refuse
 from bluebellyoke.clock import Clock
 from bluebellyoke.dispatch.ports import Advisor, AdvisorBusyError
 from bluebellyoke.errors import BluebellyokeError
 from bluebellyoke.instance import wire
 from bluebellyoke.instance.link import LeaderLink, NoLeaderError, TooManyCallsError
+from bluebellyoke.instance.stalls import StallWatch
 from bluebellyoke.metrics import Metrics
 from bluebellyoke.workflow.admission import validate_workflow
 from bluebellyoke.workflow.commands import ApplyConfiguration
@@ -90,6 +92,7 @@
         clock: Source of time.
         metrics: Histograms and counters.
         own_address: Address at which other instances reach this one.
+        stalls: Times in which this instance stood still.
     """
 
     def __init__(
@@ -99,7 +102,9 @@
         clock: Clock,
         metrics: Metrics,
         own_address: str = "",
+        stalls: StallWatch | None = None,
     ) -> None:
+        self._stalls = stalls or StallWatch(clock)
         self._link = link
         self._own_address = own_address
         self._clock = clock
@@ -127,11 +132,15 @@
             credential: Digest of the caller's key, or an empty text.
         """
         started_at = self._clock.monotonic()
+        unread_s = self._stalls.measure()
         errors = validate_workflow(draft) if draft is not None else []
         self.open_requests += 1
         try:
             if errors:
                 reply = wire.QueueReply("malformed", reason="; ".join(errors))
+            elif draft is not None and unread_s > MAX_UNREAD_S:
+                reason = f"the request may be {unread_s:.0f} s old; repeat it"
+                reply = wire.QueueReply(UNAVAILABLE, reason=reason)
             else:
                 body = wire.QueueRequest(action, host, path, draft, credential)
                 reply = await self._ask_leader(body, timeout_s)
@@ -159,6 +168,7 @@
         link_timeout_s = SHORT_LINK_TIMEOUT_S if is_read else LINK_TIMEOUT_S
         if not await self._link.wait_connected(min(link_timeout_s, timeout_s)):
             return wire.QueueReply(UNAVAILABLE, reason="no leader is known now")
+        timeout_s = min(timeout_s, MAX_PENDING_S)
         if body.credential:
             timeout_s = min(timeout_s, MAX_DECISION_AGE_S)
         try:
--- a/src/bluebellyoke/platform/listeners.py
+++ b/src/bluebellyoke/platform/listeners.py
@@ -52,6 +52,7 @@
     "malformed": 400,
     "id-taken": 400,
     "overloaded": 429,
+    "cancelled": 503,
     "unavailable": 503,
     "unanswered": 504,
 }
--- a/src/bluebellyoke/workflow/access.py
+++ b/src/bluebellyoke/workflow/access.py
@@ -20,17 +20,23 @@
 from bluebellyoke.workflow.workflow import Workflow
 
 __all__ = [
+    "ANYONE",
     "LOGGED_DIGITS",
     "AccessDecision",
     "authorize",
     "authorize_request",
     "find_workspace",
+    "list_owners",
 ]
 
 #: Number of digits of a digest that logs may show.
 LOGGED_DIGITS = 8
 
 
+#: Owner of what concerns all callers.
+ANYONE = "anyone"
+
+
 class AccessDecision(msgspec.Struct, frozen=True, kw_only=True):
     """Decision on a request.
 
@@ -133,6 +139,19 @@
     return ""
 
 
+def list_owners(workspace: str, credential: str | None) -> tuple[str, ...]:
+    """Return whom the callers with a credential count as.
+
+    Two callers count as the same if they have an owner in common.
+
+    Args:
+        workspace: Workspace of the credential, or an empty text.
+        credential: Digest of the caller's key, an empty text, or None.
+    """
+    owner = f"workspace {workspace}"
+    return (owner, f"key {credential}") if credential else (owner,)
+
+
 def _refuse_unknown(credential: str) -> AccessDecision:
     reason = "the key is unknown; send one that the configuration holds"
     if not credential:
--- a/src/bluebellyoke/workflow/snapshot.py
+++ b/src/bluebellyoke/workflow/snapshot.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from bluebellyoke.cell.early_cancels import EarlyCancel
 from bluebellyoke.workflow.crashes import TaskCrashes
 from bluebellyoke.workflow.ended_incarnations import EndedIncarnation
 from bluebellyoke.workflow.lost_workers import LostWorker
@@ -27,6 +28,7 @@
         unsettled_runs: Runs that the next incarnations of removed workers may have.
         removal_times: Addresses of removed queues that have workflows, and wall-clock
             times of their removals, in seconds.
+        early_cancels: Cancels of workflows that were not known.
     """
 
     configuration: Configuration
@@ -38,3 +40,4 @@
     ended_incarnations: list[EndedIncarnation] = []
     unsettled_runs: list[UnsettledRun] = []
     removal_times: list[tuple[QueueAddress, float]] = []
+    early_cancels: list[EarlyCancel] = []
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -4,9 +4,15 @@
 
 import msgspec
 
+from bluebellyoke.cell.early_cancels import EarlyCancels
 from bluebellyoke.cell.result import Result, refuse
 from bluebellyoke.workflow import commands as workflow_commands
-from bluebellyoke.workflow.access import AccessDecision, authorize_request
+from bluebellyoke.workflow.access import (
+    ANYONE,
+    AccessDecision,
+    authorize_request,
+    list_owners,
+)
 from bluebellyoke.workflow.configuration import split_path
 from bluebellyoke.workflow.crash_recorder import CrashRecorder
 from bluebellyoke.workflow.crashes import CrashHistory
@@ -51,6 +57,7 @@
             have.
         usage: Resources that the runs of each workspace take up.
         ended_incarnations: Incarnations of workers that ended a short time ago.
+        early_cancels: Cancels of workflows that were not known.
     """
 
     def __init__(self) -> None:
@@ -62,6 +69,7 @@
         self.runs: dict[tuple[str, int], dict[RunKey, None]] = {}
         self.usage = WorkspaceUsage()
         self.ended_incarnations = EndedIncarnations()
+        self.early_cancels = EarlyCancels()
         self._queues = QueueTable()
         self._workspaces: dict[str, WorkspaceSpec] = {}
         self._changed: set[str] = set()
@@ -168,6 +176,17 @@
         queue = self._queues.find(spec.address)
         if queue is None:
             return refuse("unknown-queue", "no such queue is in force")
+        cancelled_until = self.early_cancels.find_end(
+            (spec.id, *spec.address),
+            (ANYONE, *list_owners(decision.workspace, command.credential)),
+            command.time,
+        )
+        if cancelled_until is not None:
+            return refuse(
+                "cancelled",
+                "the job was cancelled before it arrived; choose another id",
+                retry_after_s=str(cancelled_until - command.time),
+            )
         spec = msgspec.structs.replace(spec, queue=queue.name)
         if command.credential is not None:
             spec = msgspec.structs.replace(spec, workspace=decision.workspace)
@@ -220,13 +239,32 @@
         if not decision.admitted:
             return refuse(decision.code, decision.reason)
         if workflow is None or workflow.spec.address != address:
-            return refuse("unknown-job", "no such workflow is known")
+            return self._cancel_unknown(command, decision.workspace)
         workflow.cancel(command.time)
         self._crash_recorder.forget_workflow(command.workflow)
         self._changed.add(command.workflow)
         self._deactivate_if_finished(workflow)
         return Result(accepted=True)
 
+    def _cancel_unknown(
+        self, command: workflow_commands.CancelWorkflow, workspace: str
+    ) -> Result:
+        """Remember a cancel whose submission may still arrive."""
+        unknown = refuse("unknown-job", "no such workflow is known")
+        if command.address == NO_ADDRESS:
+            return unknown
+        queue = self._queues.find(command.address)
+        if queue is None:
+            return refuse("unknown-queue", "no such queue is in force")
+        has_workspaces = bool(self.configuration.workspaces)
+        owners = list_owners(workspace, command.credential)
+        if not has_workspaces:
+            owners = (ANYONE,)
+        job = (command.workflow, *queue.address)
+        if self.early_cancels.add(job, owners, command.time):
+            return unknown
+        return refuse("overloaded", "too many unknown jobs were cancelled; try later")
+
     def _forget(self, command: workflow_commands.ForgetWorkflows) -> Result:
         for name in command.workflows:
             workflow = self.workflows.get(name)
@@ -450,6 +488,7 @@
             self.ended_incarnations.dump(),
             self._crash_recorder.unsettled_runs.dump(),
             self._queues.dump_removal_times(),
+            self.early_cancels.dump(),
         )
 
     @classmethod
@@ -465,6 +504,7 @@
         store.runs = {spec.key: {} for spec in snapshot.workers}
         store._crash_recorder.load(snapshot)
         store.ended_incarnations = EndedIncarnations(snapshot.ended_incarnations)
+        store.early_cancels = EarlyCancels(snapshot.early_cancels)
         store.usage = WorkspaceUsage(snapshot.workflows)
         for workflow in snapshot.workflows:
             workflow.spec = store._add_address(workflow.spec)
--- a/tests/dispatch/test_access_stateful.py
+++ b/tests/dispatch/test_access_stateful.py
@@ -1,15 +1,18 @@
-"""Stateful test of access while configurations, keys and leaders change."""
+"""Stateful test of access and promises while configurations and leaders change."""
 
 import math
 from dataclasses import dataclass, field
 
 import hypothesis.strategies as st
+import msgspec
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from bluebellyoke.dispatch.queue_requests import QueueRequestHandler
 from bluebellyoke.instance import wire
 from bluebellyoke.workflow import commands as workflow_commands
+from bluebellyoke.workflow.snapshot import WorkflowSnapshot
+from bluebellyoke.workflow.store import WorkflowStore
 from tests.dispatch.simulation import DispatcherSimulation
 from tests.workflow.factories import create_configuration, create_queue, create_spec
 from tests.workflow.test_access import create_workspace, digest
@@ -93,6 +96,7 @@
         self.access = Access()
         self.jobs = {}
         self.removed_at = {}
+        self.early_cancels = {}
         self.open_requests = []
         self.log = []
         self.change_configuration(
@@ -137,11 +141,15 @@
         for _ in range(min(count, len(self.log))):
             self.apply(self.log.pop(0), replies=True)
 
-    @rule(survive=st.booleans())
-    def change_leader(self, survive):
+    @rule(survive=st.booleans(), is_restored=st.booleans())
+    def change_leader(self, survive, is_restored):
         lost, self.log = self.log, []
         for proposal in lost if survive else ():
             self.apply(proposal, replies=False)
+        if is_restored:
+            data = msgspec.msgpack.encode(self.simulation.store.dump())
+            snapshot = msgspec.msgpack.decode(data, type=WorkflowSnapshot)
+            self.simulation.store = WorkflowStore.load(snapshot)
         self.simulation.change_leader()
         self.handler = QueueRequestHandler(self.simulation.dispatcher)
         repeated, self.open_requests = self.open_requests, []
@@ -243,11 +251,19 @@
         code = self.decide_access(action, key, queue, job)
         if code != "accepted" or known is not None:
             return code
+        if action is SUBMIT and job in self.jobs:
+            return "id-taken"
+        if is_gone:
+            return "unknown-queue"
         if action is not SUBMIT:
             return "unknown-job"
-        if job in self.jobs:
-            return "id-taken"
-        return "unknown-queue" if is_gone else "accepted"
+        owners = {"anyone", *self.list_owners(key)}
+        is_cancelled = owners & self.early_cancels.get((queue, job), set())
+        return "cancelled" if is_cancelled else "accepted"
+
+    def list_owners(self, key):
+        owner = f"workspace {self.access.owners.get(key, '')}"
+        return {owner, f"key {key}"} if key else {owner}
 
     def decide_access(self, action, key, queue, job):
         if not self.access.has_workspaces:
@@ -287,6 +303,9 @@
         code = self.decide_at_commit(CANCEL, key, queue, job)
         if code == "accepted":
             self.jobs[job].cancelled = True
+        if code == "unknown-job":
+            owners = self.list_owners(key) if self.access.has_workspaces else {"anyone"}
+            self.early_cancels.setdefault((queue, job), set()).update(owners)
         return code
 
     # Checks.
