Accept a repeated cancel of a job that it has ended

Seen by callers of `/v1/jobs`: an instance sends a DELETE again if the leader was lost before its reply; the next leader answers 409 `finished`, although the first one has cancelled the job.

Cause: a job whose tasks all waited is finished at once by its cancel, and a cancel of a finished job was refused whatever had finished it.

Change: a cancel of a job that was cancelled before answers 200 with code `known`.

Evidence: test_repeated_cancel_is_accepted failed before ("assert (False, 'finished') == (True, 'known')") and passes; a cancel of a done job is refused as before, by a test too.

--- a/src/bluebellyoke/cell/scheduling.py
+++ b/src/bluebellyoke/cell/scheduling.py
@@ -159,6 +159,8 @@
             )
         if job is None:
             return refuse("unknown-job", f"no job {job_id!r}; look at the job list")
+        if job.finished_at and job.cancelled:
+            return Result(accepted=True, code="known", reason="cancelled before")
         if job.finished_at:
             return refuse("finished", f"job {job_id!r} has already finished")
         job.cancelled = True
--- a/tests/cell/test_jobs.py
+++ b/tests/cell/test_jobs.py
@@ -29,6 +29,24 @@
     assert len(state.scheduling.jobs) == 1
 
 
+# Guards against a cancel that an instance sends again to the next leader, and that is
+# refused although the first one has ended the job.
+def test_repeated_cancel_is_accepted(state):
+    state.apply(create_job("j"))
+    for code in ("accepted", "known", "known"):
+        result = state.apply(commands.CancelJob(job_id="j", time=2.0))
+        assert (result.accepted, result.code) == (True, code)
+    assert state.scheduling.jobs["j"].summarize_state() == "cancelled"
+
+
+def test_cancel_of_a_done_job_is_refused(state):
+    state.apply(create_job("j"))
+    place(state, "j", 0, "m0")
+    report(state, "j", 0, commands.TaskOutcome.DONE, worker="m0")
+    result = state.apply(commands.CancelJob(job_id="j", time=4.0))
+    assert (result.accepted, result.code) == (False, "finished")
+
+
 @pytest.mark.parametrize(
     ("fields", "reason"),
     [
