Split the decisions on requests from the workflow store

Change: workflow/requests.py decides by the configuration, the job's own record and earlier cancels; workflow/configuration_state.py holds the configuration with its queues and workspaces.

--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -7,27 +7,21 @@
 from bluebellyoke.cell.early_cancels import EarlyCancels
 from bluebellyoke.cell.result import Result, refuse
 from bluebellyoke.workflow import commands as workflow_commands
-from bluebellyoke.workflow.access import (
-    ANYONE,
-    AccessDecision,
-    authorize_request,
-    list_owners,
-)
 from bluebellyoke.workflow.configuration import split_path
+from bluebellyoke.workflow.configuration_state import ConfigurationState
 from bluebellyoke.workflow.crash_recorder import CrashRecorder
 from bluebellyoke.workflow.crashes import CrashHistory
 from bluebellyoke.workflow.ended_incarnations import EndedIncarnations
 from bluebellyoke.workflow.gangs import find_start_group, is_complete
 from bluebellyoke.workflow.queues import QueueTable
-from bluebellyoke.workflow.quotas import describe_excess, has_quota_for
+from bluebellyoke.workflow.quotas import has_quota_for
+from bluebellyoke.workflow.requests import RequestPolicy
 from bluebellyoke.workflow.snapshot import WorkflowSnapshot
 from bluebellyoke.workflow.specs import (
-    NO_ADDRESS,
     Configuration,
     QueueAddress,
     QueueSpec,
     WorkerSpec,
-    WorkflowSpec,
     WorkspaceSpec,
 )
 from bluebellyoke.workflow.usage import WorkspaceUsage
@@ -47,7 +41,6 @@
     """Workflows, called workers and the configuration, changed by commands only.
 
     Attributes:
-        configuration: Current configuration.
         workers: Current incarnation of each called worker, by ID.
         workflows: Accepted workflows that have not been dropped, by ID.
         active: Workflows that have not ended or still have placed runs.
@@ -57,11 +50,9 @@
             have.
         usage: Resources that the runs of each workspace take up.
         ended_incarnations: Incarnations of workers that ended a short time ago.
-        early_cancels: Cancels of workflows that were not known.
     """
 
     def __init__(self) -> None:
-        self.configuration = Configuration(version=0)
         self.workers: dict[str, WorkerSpec] = {}
         self.workflows: dict[str, Workflow] = {}
         self.active: dict[str, Workflow] = {}
@@ -69,9 +60,8 @@
         self.runs: dict[tuple[str, int], dict[RunKey, None]] = {}
         self.usage = WorkspaceUsage()
         self.ended_incarnations = EndedIncarnations()
-        self.early_cancels = EarlyCancels()
-        self._queues = QueueTable()
-        self._workspaces: dict[str, WorkspaceSpec] = {}
+        self._state = ConfigurationState(Configuration(version=0))
+        self._requests = RequestPolicy(self._state)
         self._changed: set[str] = set()
         self._crash_recorder = CrashRecorder(
             self.workflows,
@@ -97,13 +87,23 @@
         self.ended_incarnations.drop_old(command.time)
         return _HANDLERS[type(command)](self, command)
 
+    @property
+    def configuration(self) -> Configuration:
+        """Current configuration."""
+        return self._state.configuration
+
+    @property
+    def early_cancels(self) -> EarlyCancels:
+        """Cancels of workflows that were not known."""
+        return self._requests.early_cancels
+
     def find_queue(self, address: QueueAddress) -> QueueSpec | None:
         """Return a queue of the current configuration, or None."""
-        return self._queues.find(address)
+        return self._state.queues.find(address)
 
     def find_last_queue(self, address: QueueAddress) -> QueueSpec | None:
         """Return a queue as it is configured, or was before its removal, or None."""
-        return self._queues.find_last(address)
+        return self._state.queues.find_last(address)
 
     def get_removal_time(self, address: QueueAddress) -> float:
         """Return when a queue was removed, as a wall-clock time in seconds.
@@ -112,7 +112,7 @@
             Infinity for a queue that is configured, minus infinity if the time is not
             known.
         """
-        return self._queues.get_removal_time(address)
+        return self._state.queues.get_removal_time(address)
 
     def find_workflow(self, host: str, path: str) -> Workflow | None:
         """Return the workflow that callers address by a host and a path, or None.
@@ -127,7 +127,7 @@
 
     def find_workspace(self, name: str) -> WorkspaceSpec | None:
         """Return a workspace of the current configuration, or None."""
-        return self._workspaces.get(name)
+        return self._state.find_workspace(name)
 
     def find_pool(self, workflow: Workflow) -> str:
         """Return the pool that runs a workflow's tasks.
@@ -135,7 +135,7 @@
         That is the pool of its queue at present or, if the queue is not known, at the
         time of the submission.
         """
-        queue = self._queues.find_last(workflow.spec.address)
+        queue = self._state.queues.find_last(workflow.spec.address)
         return queue.pool if queue is not None else workflow.pool
 
     def find_current_worker(self, worker: str, incarnation: int) -> WorkerSpec | None:
@@ -150,81 +150,30 @@
     ) -> Result:
         if command.configuration.version <= self.configuration.version:
             return Result(accepted=True, code="overtaken")
-        configuration = command.configuration
-        used = {workflow.spec.address for workflow in self.active.values()}
-        known = {workflow.spec.address for workflow in self.workflows.values()}
-        self._queues.configure(configuration.queues, used, known, command.time)
-        self._set_configuration(configuration)
+        self._state.configure(
+            command.configuration,
+            active=self.active.values(),
+            known=self.workflows.values(),
+            time=command.time,
+        )
         return Result(accepted=True)
 
-    def _set_configuration(self, configuration: Configuration) -> None:
-        self.configuration = configuration
-        self._workspaces = {item.name: item for item in configuration.workspaces}
-
     # Workflows.
 
     def _submit(self, command: workflow_commands.SubmitWorkflow) -> Result:
-        spec = self._add_address(command.spec)
-        known = self.workflows.get(spec.id)
-        decision = self._authorize(command, spec.address, known)
-        if not decision.admitted:
-            return refuse(decision.code, decision.reason)
-        if known is not None:
-            if known.spec.address != spec.address:
-                return refuse("id-taken", "another queue holds this id; choose another")
-            return Result(accepted=True, code="known")
-        queue = self._queues.find(spec.address)
-        if queue is None:
-            return refuse("unknown-queue", "no such queue is in force")
-        cancelled_until = self.early_cancels.find_end(
-            (spec.id, *spec.address),
-            (ANYONE, *list_owners(decision.workspace, command.credential)),
-            command.time,
-        )
-        if cancelled_until is not None:
-            return refuse(
-                "cancelled",
-                "the job was cancelled before it arrived; choose another id",
-                retry_after_s=str(cancelled_until - command.time),
-            )
-        spec = msgspec.structs.replace(spec, queue=queue.name)
-        if command.credential is not None:
-            spec = msgspec.structs.replace(spec, workspace=decision.workspace)
-        workspace = self._workspaces.get(spec.workspace)
-        excess = describe_excess(workspace, spec) if workspace is not None else ""
-        if excess:
-            return refuse("malformed", excess)
+        known = self.workflows.get(command.spec.id)
+        spec = self._requests.decide_submission(command, known)
+        if isinstance(spec, Result):
+            return spec
         if self.open_tasks + spec.count_tasks() > MAX_OPEN_TASKS:
             return refuse("overloaded", "too many tasks wait; submit later")
+        queue = self._state.queues.find(spec.address)
         workflow = Workflow(spec, command.time, queue.attempts, queue.pool)
         workflow.credential = command.credential or ""
         self.workflows[spec.id] = workflow
         self._activate(workflow)
         return Result(accepted=True)
 
-    def _add_address(self, spec: WorkflowSpec) -> WorkflowSpec:
-        """Return a specification with the address of its queue."""
-        if spec.address != NO_ADDRESS:
-            return spec
-        address = self._queues.find_address(spec.queue)
-        return msgspec.structs.replace(spec, address=address)
-
-    def _authorize(
-        self,
-        command: workflow_commands.SubmitWorkflow | workflow_commands.CancelWorkflow,
-        address: QueueAddress,
-        workflow: Workflow | None,
-    ) -> AccessDecision:
-        if workflow is not None and workflow.spec.address != address:
-            workflow = None
-        return authorize_request(
-            self.configuration,
-            self._queues.find(address),
-            command.credential,
-            workflow,
-            submits=isinstance(command, workflow_commands.SubmitWorkflow),
-        )
-
     def _activate(self, workflow: Workflow) -> None:
         self._changed.add(workflow.spec.id)
         self.active[workflow.spec.id] = workflow
@@ -232,38 +181,14 @@
 
     def _cancel(self, command: workflow_commands.CancelWorkflow) -> Result:
         workflow = self.workflows.get(command.workflow)
-        address = command.address
-        if address == NO_ADDRESS:
-            address = self._queues.find_address(command.queue)
-        decision = self._authorize(command, address, workflow)
-        if not decision.admitted:
-            return refuse(decision.code, decision.reason)
-        if workflow is None or workflow.spec.address != address:
-            return self._cancel_unknown(command, decision.workspace)
+        result = self._requests.decide_cancel(command, workflow)
+        if not result.accepted:
+            return result
         workflow.cancel(command.time)
         self._crash_recorder.forget_workflow(command.workflow)
         self._changed.add(command.workflow)
         self._deactivate_if_finished(workflow)
-        return Result(accepted=True)
-
-    def _cancel_unknown(
-        self, command: workflow_commands.CancelWorkflow, workspace: str
-    ) -> Result:
-        """Remember a cancel whose submission may still arrive."""
-        unknown = refuse("unknown-job", "no such workflow is known")
-        if command.address == NO_ADDRESS:
-            return unknown
-        queue = self._queues.find(command.address)
-        if queue is None:
-            return refuse("unknown-queue", "no such queue is in force")
-        has_workspaces = bool(self.configuration.workspaces)
-        owners = list_owners(workspace, command.credential)
-        if not has_workspaces:
-            owners = (ANYONE,)
-        job = (command.workflow, *queue.address)
-        if self.early_cancels.add(job, owners, command.time):
-            return unknown
-        return refuse("overloaded", "too many unknown jobs were cancelled; try later")
+        return result
 
     def _forget(self, command: workflow_commands.ForgetWorkflows) -> Result:
         for name in command.workflows:
@@ -418,7 +343,7 @@
 
     def _is_within_quota(self, group: tuple[workflow_commands.RunStart, ...]) -> bool:
         spec = self.workflows[group[0].task.workflow].spec
-        workspace = self._workspaces.get(spec.workspace)
+        workspace = self.find_workspace(spec.workspace)
         if workspace is None:
             return True
         used = self.usage.get_used(spec.workspace)
@@ -483,11 +408,11 @@
             list(self.workers.values()),
             list(self.workflows.values()),
             self.crashes.dump(),
-            self._queues.dump_removed(),
+            self._state.queues.dump_removed(),
             self._crash_recorder.lost_workers.dump(),
             self.ended_incarnations.dump(),
             self._crash_recorder.unsettled_runs.dump(),
-            self._queues.dump_removal_times(),
+            self._state.queues.dump_removal_times(),
             self.early_cancels.dump(),
         )
 
@@ -495,26 +420,26 @@
     def load(cls, snapshot: WorkflowSnapshot) -> "WorkflowStore":
         """Return the store of a snapshot."""
         store = cls()
-        store._queues = QueueTable(
+        queues = QueueTable(
             snapshot.removed_queues,
             snapshot.configuration.queues,
             dict(snapshot.removal_times),
         )
+        store._state = ConfigurationState(snapshot.configuration, queues)
+        store._requests = RequestPolicy(store._state, snapshot.early_cancels)
         store.workers = {spec.id: spec for spec in snapshot.workers}
         store.runs = {spec.key: {} for spec in snapshot.workers}
         store._crash_recorder.load(snapshot)
         store.ended_incarnations = EndedIncarnations(snapshot.ended_incarnations)
-        store.early_cancels = EarlyCancels(snapshot.early_cancels)
         store.usage = WorkspaceUsage(snapshot.workflows)
         for workflow in snapshot.workflows:
-            workflow.spec = store._add_address(workflow.spec)
+            workflow.spec = store._requests.add_address(workflow.spec)
             store.workflows[workflow.spec.id] = workflow
             if not workflow.outcome or workflow.placed:
                 store._activate(workflow)
             for name, task in workflow.iter_placed_tasks():
                 worker_key = (task.worker, task.incarnation)
                 store.runs.setdefault(worker_key, {})[(name, task.run)] = None
-        store._set_configuration(snapshot.configuration)
         return store
 
 
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -42,6 +42,69 @@
 
 
 CASES = [
+    Case(
+        "a workflow belongs to the address of its queue, whatever that is called",
+        "workflow/requests.py",
+        "        if address != NO_ADDRESS:\n            return address\n",
+        "",
+        "tests/dispatch/test_renamed_queue.py",
+    ),
+    Case(
+        "a known job answers by its own record, before the configuration",
+        "dispatch/queue_requests.py",
+        "        workflow = store.find_workflow(body.host, body.path)\n",
+        "        workflow = None\n",
+        "tests/dispatch/test_repeated_requests.py",
+    ),
+    Case(
+        "a submission beside one that waits for its commit is left to the log",
+        "dispatch/queue_requests.py",
+        "if is_new and self._is_submitting(body):",
+        "if False:",
+        "tests/dispatch/test_repeated_requests.py",
+    ),
+    Case(
+        "a request that is sent again keeps the time of its arrival",
+        "instance/link.py",
+        "age_s=now - pending.arrived_at",
+        "age_s=0.0",
+        "tests/instance/test_link.py",
+    ),
+    Case(
+        "a cancel of an unknown job refuses its submission",
+        "workflow/requests.py",
+        "        if refusal is not None:\n            return refusal\n",
+        "",
+        "tests/dispatch/test_late_submissions.py",
+    ),
+    Case(
+        "a remembered cancel is in the snapshot",
+        "workflow/store.py",
+        "            self.early_cancels.dump(),\n",
+        "",
+        "tests/dispatch/test_late_submissions.py",
+    ),
+    Case(
+        "a cancel that finds no room to be remembered is not acknowledged",
+        "cell/early_cancels.py",
+        "> MAX_EARLY_CANCELS:\n            return False\n",
+        "> MAX_EARLY_CANCELS:\n            return True\n",
+        "tests/dispatch/test_late_submissions.py",
+    ),
+    Case(
+        "a submission that may be older than a remembered cancel is not passed on",
+        "instance/queues.py",
+        "draft is not None and unread_s > MAX_UNREAD_S",
+        "False",
+        "tests/instance/test_stalls.py",
+    ),
+    Case(
+        "a submission that was pending for too long is refused by the leader",
+        "dispatch/queue_requests.py",
+        "if is_new and age_s > MAX_PENDING_S:",
+        "if False:",
+        "tests/dispatch/test_late_submissions.py",
+    ),
     Case(
         "a run that the next incarnation of its worker may have keeps its place",
         "dispatch/unsettled_runs.py",
@@ -270,8 +333,8 @@
     Case(
         "a removed queue keeps its advisor and priority",
         "workflow/queues.py",
-        "self._configured.get(name) or self._removed.get(name)",
-        "self._configured.get(name)",
+        "self._configured.get(address) or self._removed.get(address)",
+        "self._configured.get(address)",
         "tests/dispatch/test_removed_queue.py",
     ),
     Case(
@@ -362,7 +425,7 @@
     Case(
         "access: a caller needs a credential",
         "workflow/access.py",
-        "    if not workspace and (owner or not queue.public):\n",
+        "    if not workspace and (owner or not is_public):\n",
         "    if not workspace and owner:\n",
         "tests/workflow/test_access.py tests/dispatch/test_access.py",
     ),
@@ -382,23 +445,23 @@
     ),
     Case(
         "access: the store decides again on a submission",
-        "workflow/store.py",
-        "        decision = self._authorize(command, spec.queue, known)\n",
+        "workflow/requests.py",
+        "        decision = self._authorize(command, spec.address, known)\n",
         "        decision = AccessDecision(workspace=spec.workspace)\n",
         "tests/dispatch/test_access.py",
     ),
     Case(
         "access: the store decides again on a cancellation",
-        "workflow/store.py",
-        "        decision = self._authorize(command, command.queue, workflow)\n",
+        "workflow/requests.py",
+        "        decision = self._authorize(command, address, workflow)\n",
         "        decision = AccessDecision()\n",
         "tests/dispatch/test_access.py",
     ),
     Case(
         "access: an accepted job is not reported as refused",
         "workflow/access.py",
-        '        and decision.code == "unauthenticated"\n',
-        "        and False\n",
+        "    if submits:\n        # The caller",
+        "    if False:\n        # The caller",
         "tests/dispatch/test_access.py",
     ),
     Case(
@@ -1289,9 +1352,9 @@
     ),
     Case(
         "quota: a workflow that can never fit is refused",
-        "workflow/store.py",
-        "        if excess:\n            return refuse(",
-        "        if False:\n            return refuse(",
+        "workflow/requests.py",
+        'return refuse("malformed", excess) if excess else spec',
+        "return spec",
         "tests/dispatch/test_quotas.py",
     ),
     Case(
