Log what is answered for a removed queue, and require a watch for stalls

Cause: the leader's log did not tell why a request for a known job of a removed queue was answered as it was. And a QueueClient without a running StallWatch would refuse every submission after a minute; its default made that easy to do.

Change: `dispatch: handles a request to a removed queue` tells the request's age and on which side of the removal it arrived; the watch is a required argument.

Evidence: tests of queues, link, stalls, repeated requests and platform pass (x86_64).

--- a/src/bluebellyoke/dispatch/queue_requests.py
+++ b/src/bluebellyoke/dispatch/queue_requests.py
@@ -149,6 +149,17 @@
         address = workflow.spec.address
         decision = self._authorize(store, None, workflow, body)
         is_earlier = wall_time - age_s < store.get_removal_time(address)
+        logger.info(
+            "dispatch: handles a request to a removed queue",
+            extra={
+                "action": body.action.value,
+                "job": workflow.spec.id,
+                "queue": workflow.spec.queue,
+                "code": decision.code,
+                "earlier": is_earlier,
+                "age_s": round(age_s, 3),
+            },
+        )
         if decision.code == "unanswered":
             reply(wire.QueueReply(decision.code, reason=decision.reason))
         elif not decision.admitted:
--- a/src/bluebellyoke/instance/queues.py
+++ b/src/bluebellyoke/instance/queues.py
@@ -91,8 +91,8 @@
         link: Stream to the leader.
         clock: Source of time.
         metrics: Histograms and counters.
-        own_address: Address at which other instances reach this one.
         stalls: Times in which this instance stood still.
+        own_address: Address at which other instances reach this one.
     """
 
     def __init__(
@@ -101,10 +101,10 @@
         link: LeaderLink,
         clock: Clock,
         metrics: Metrics,
+        stalls: StallWatch,
         own_address: str = "",
-        stalls: StallWatch | None = None,
     ) -> None:
-        self._stalls = stalls or StallWatch(clock)
+        self._stalls = stalls
         self._link = link
         self._own_address = own_address
         self._clock = clock
--- a/tests/instance/test_link.py
+++ b/tests/instance/test_link.py
@@ -18,6 +18,7 @@
 from bluebellyoke.instance.queues import QueueClient
 from bluebellyoke.instance.replica import SessionInput
 from bluebellyoke.instance.sessions import SessionServer
+from bluebellyoke.instance.stalls import StallWatch
 from bluebellyoke.metrics import Metrics
 from tests.test_addresses import ODD_ADDRESSES
 
@@ -120,7 +121,12 @@
 )
 def test_only_calls_with_an_effect_are_reported_as_unanswered(clock, action, code):
     """A submission that the leader may have executed is not reported as not run."""
-    client = QueueClient(link=DisconnectingLink(), clock=clock, metrics=Metrics())
+    client = QueueClient(
+        link=DisconnectingLink(),
+        clock=clock,
+        metrics=Metrics(),
+        stalls=StallWatch(clock),
+    )
     replies = []
 
     async def body():
--- a/tests/instance/test_queues.py
+++ b/tests/instance/test_queues.py
@@ -17,6 +17,7 @@
     LargeDocumentError,
     QueueClient,
 )
+from bluebellyoke.instance.stalls import StallWatch
 from bluebellyoke.metrics import Metrics
 from tests.workflow.factories import create_worker
 from tests.workflow.test_worker_validation import ODD_FIELDS
@@ -62,9 +63,13 @@
     return Link(bytes(MAX_RELAYED_BYTES + 1))
 
 
-def create_client(link, own_address):
+def create_client(link, own_address="", *, metrics=None):
     return QueueClient(
-        link=link, clock=SystemClock(), metrics=Metrics(), own_address=own_address
+        link=link,
+        clock=SystemClock(),
+        metrics=metrics or Metrics(),
+        stalls=StallWatch(SystemClock()),
+        own_address=own_address,
     )
 
 
@@ -122,7 +127,7 @@
 # Guards against a refusal that is not counted, and against a digest in a log.
 def test_refused_callers_are_counted_by_code(caplog):
     link, metrics = RefusingLink(b""), Metrics()
-    client = QueueClient(link=link, clock=SystemClock(), metrics=metrics)
+    client = create_client(link, metrics=metrics)
 
     async def request():
         return await client.request(
@@ -146,7 +151,7 @@
     credential, timeout_s, expected_s
 ):
     link = RefusingLink(b"")
-    client = QueueClient(link=link, clock=SystemClock(), metrics=Metrics())
+    client = create_client(link)
 
     async def request():
         await client.request(
@@ -208,7 +213,7 @@
 @pytest.mark.parametrize("fields", ODD_FIELDS)
 def test_heartbeat_that_is_not_valid_is_not_forwarded(fields):
     link = Link(b"")
-    client = QueueClient(link=link, clock=SystemClock(), metrics=Metrics())
+    client = create_client(link)
     spec = msgspec.structs.replace(create_worker(), **fields)
     announcement = wire.WorkerAnnouncement(spec.id, spec)
     result = anyio.run(client.announce, announcement)
@@ -219,7 +224,7 @@
 @pytest.mark.parametrize("worker_id", ["", "a\r\nb", "x" * 9000])
 def test_leave_of_an_odd_id_is_not_forwarded(worker_id):
     link = Link(b"")
-    client = QueueClient(link=link, clock=SystemClock(), metrics=Metrics())
+    client = create_client(link)
     announcement = wire.WorkerAnnouncement(worker_id, None, leaving=True)
     assert anyio.run(client.announce, announcement).code == "malformed"
     assert link.calls == []
--- a/tests/instance/test_stalls.py
+++ b/tests/instance/test_stalls.py
@@ -94,7 +94,8 @@
 # Guards against a submission that a caller without a patience keeps pending for hours.
 def test_request_waits_for_a_leader_no_longer_than_its_cancel_is_remembered(clock):
     link = AcceptingLink()
-    client = QueueClient(link=link, clock=clock, metrics=Metrics())
+    stalls = StallWatch(clock)
+    client = QueueClient(link=link, clock=clock, metrics=Metrics(), stalls=stalls)
     draft = create_spec("", queue="")
     request(client, wire.QueueAction.SUBMIT, draft, timeout_s=1e9)
     assert link.timeouts_s == [60.0]
