Draw the names of queues in the stateful test of access

Cause: its configurations gave each queue the same name, so it could not notice a job that is looked up by a name. Change: names are drawn, also exchanged ones.

--- a/tests/dispatch/test_access_stateful.py
+++ b/tests/dispatch/test_access_stateful.py
@@ -34,14 +34,20 @@
         owners: Workspace of each key.
         public: Whether each queue is public.
         has_workspaces: Whether the configuration has workspaces.
+        names: Names of the queues, which tell nothing of what is allowed.
     """
 
     owners: dict = field(default_factory=dict)
     public: dict = field(default_factory=dict)
     has_workspaces: bool = False
+    names: tuple = QUEUES
 
     def build(self, version):
-        queues = [create_queue(x, public=public) for x, public in self.public.items()]
+        names = dict(zip(QUEUES, self.names, strict=True))
+        queues = [
+            msgspec.structs.replace(create_queue(x, public=public), name=names[x])
+            for x, public in self.public.items()
+        ]
         names = sorted({*self.owners.values(), "idle"}) if self.has_workspaces else ()
         workspaces = tuple(
             create_workspace(
@@ -110,10 +116,12 @@
         owners=st.dictionaries(st.sampled_from(KEYS), st.sampled_from(["a", "b"])),
         public=st.dictionaries(st.sampled_from(QUEUES), st.booleans(), min_size=1),
         has_workspaces=st.sampled_from([True, True, True, False]),
+        names=st.permutations([*QUEUES, "s"]),
     )
-    def change_configuration(self, owners, public, has_workspaces):
+    def change_configuration(self, owners, public, has_workspaces, names=QUEUES):
         self.version += 1
-        access = Access(owners if has_workspaces else {}, public, has_workspaces)
+        owners = owners if has_workspaces else {}
+        access = Access(owners, public, has_workspaces, tuple(names[: len(QUEUES)]))
         self.proposed[self.version] = access
         command = workflow_commands.ApplyConfiguration(
             configuration=access.build(self.version)
