--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# A job whose tasks never end; see claim.txt.
+# A gang whose runners crash twice, under different tasks; see claim.txt.
 cd "$(dirname "$0")" && exec python3 play.py
--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Jobs of many steps that are each allowed; see claim.txt.
+# One job whose estimate is a tiny number; see claim.txt.
 cd "$(dirname "$0")" && exec python3 play.py
