Keep the place of a task whose start may still be carried out

Cause: a stop blocks a start in one incarnation only, but an accepted stop ended the run as never started, and with it the wait for calls that arrive up to 12 s late.

Change: the task keeps its place on the worker until no start of it can arrive, and its next run begins there (AssignRuns with open_until, restarts.py). Each such run has a new fencing token. A leader sends no start whose lease has run out since its plan; how long a removed worker may have its runs is counted from its removal, not by each leader anew. The end of a late start that is done counts as that of its task.

The simulation's exemption of late starts after a block is gone, but for done tasks.

--- a/src/bluebellyoke/dispatch/context.py
+++ b/src/bluebellyoke/dispatch/context.py
@@ -16,7 +16,10 @@
 from bluebellyoke.workflow.specs import QueueAddress, QueueSpec, StepSpec
 from bluebellyoke.workflow.store import RunKey, WorkflowStore
 
-__all__ = ["DispatchContext"]
+__all__ = ["FENCES_PER_TERM", "DispatchContext"]
+
+#: Number of fencing tokens that a leader may create in its term.
+FENCES_PER_TERM = 2**20
 
 
 @dataclass(slots=True)
@@ -36,10 +39,14 @@
         store: Replicated state.
         workers: Workers as this leader sees them, by ID.
         fence: Fencing token of this leader.
+        created_fences: Number of fencing tokens that it has created for its calls.
         now: Monotonic time of the current tick or event, in seconds.
+        wall_time: Wall-clock time of the same, in seconds.
         needs_planning: Whether a change that affects planning has occurred.
         due_workers: Workers to poll in the next tick, before the next round through all
             workers, in the order in which they became due.
+        restartable_runs: Runs whose tasks may start again in their place, with the IDs
+            of their workers. Some of them may have ended meanwhile.
     """
 
     proposals: ProposalQueue
@@ -54,9 +61,22 @@
     store: WorkflowStore = field(default_factory=WorkflowStore)
     workers: dict[str, TrackedWorker] = field(default_factory=dict)
     fence: int = 0
+    created_fences: int = 0
     now: float = 0.0
+    wall_time: float = 0.0
     needs_planning: bool = True
     due_workers: dict[str, None] = field(default_factory=dict)
+    restartable_runs: dict[RunKey, str] = field(default_factory=dict)
+
+    def create_fence(self) -> int:
+        """Return a fencing token for further calls to a worker.
+
+        Each incarnation of a worker gets one, and each run that takes the place of an
+        unanswered start. A process that has seen it refuses the calls before, which
+        name the same worker and may arrive late.
+        """
+        self.created_fences = min(self.created_fences + 1, FENCES_PER_TERM - 1)
+        return self.fence * FENCES_PER_TERM + self.created_fences
 
     @property
     def metrics(self) -> Metrics:
--- a/src/bluebellyoke/dispatch/crashes.py
+++ b/src/bluebellyoke/dispatch/crashes.py
@@ -61,7 +61,9 @@
     found = []
     latest_end = _find_latest_end(worker, now)
     for (task, number), run in worker.runs.items():
-        if run.phase is RunPhase.BLOCKED or _was_sent_too_late(run, latest_end):
+        if run.phase is RunPhase.BLOCKED or run.has_ended:
+            continue
+        if _was_sent_too_late(run, latest_end):
             continue
         if _was_sent_to_successor(run, successor_start):
             continue
--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -146,6 +146,7 @@
         self.deactivate()
         self._context.store = store
         self._context.fence = fence
+        self._context.created_fences = 0
         self._context.calls.term = fence
         self.advice.activate(fence)
         self._ticked_at = self._context.now = now
@@ -170,6 +171,7 @@
         """Poll workers, plan runs and drop old records as they become due."""
         self._context.metrics.record_tick_interval(now - self._ticked_at)
         self._ticked_at = self._context.now = now
+        self._context.wall_time = wall_time
         self._poll_workers(now, wall_time)
         self._unsettled_runs.tick(now, wall_time)
         self._confirmations.tick(now, wall_time)
@@ -208,7 +210,7 @@
 
     def receive(self, event: events.WorkerEvent, now: float, wall_time: float) -> None:
         """Process the event of a call to a worker; ignore one of an earlier term."""
-        self._context.now = now
+        self._context.now, self._context.wall_time = now, wall_time
         worker = self.workers.get(event.worker)
         if event.term != self._context.fence or worker is None:
             return
--- a/src/bluebellyoke/dispatch/incarnations.py
+++ b/src/bluebellyoke/dispatch/incarnations.py
@@ -83,7 +83,7 @@
 
 
 def _is_unsettled(worker: TrackedWorker, run: TrackedRun) -> bool:
-    if run.is_confirmed or run.is_planned:
+    if run.is_confirmed or run.is_planned or run.has_ended:
         return False
     # An incarnation that runs once no call for the start can arrive any more is the
     # last one that may have begun the run.
--- a/src/bluebellyoke/dispatch/isolation.py
+++ b/src/bluebellyoke/dispatch/isolation.py
@@ -151,8 +151,9 @@
         A suspect that needs more of them than that has to be the only one.
         """
         pool = workers[0].spec.pool
+        own = {x.spec.id for x in workers}
         used = self.recent_crashes.count(pool, self.now) + sum(
-            bool(x.suspects) or x.spec.id in self.chosen
+            x.spec.id not in own and (bool(x.suspects) or x.spec.id in self.chosen)
             for x in self._list_members(pool)
         )
         places = self.count_places(pool, is_overdue=is_overdue)
--- a/src/bluebellyoke/dispatch/placement.py
+++ b/src/bluebellyoke/dispatch/placement.py
@@ -132,9 +132,14 @@
 
 
 def select_gang_workers(
-    step: StepSpec, candidates: Iterable[Candidate]
+    step: StepSpec, candidates: Iterable[Candidate], count: int | None = None
 ) -> list[Candidate] | None:
-    """Return a worker for each task of a gang, or None if they do not all fit now."""
+    """Return a worker for each task of a gang, or None if they do not all fit now.
+
+    Args:
+        count: Number of its tasks that need one, or None for all.
+    """
+    count = step.count if count is None else count
     counted = [
         (count_allowed(step, candidate, candidate.free), candidate)
         for candidate in candidates
@@ -142,10 +147,10 @@
     counted = [item for item in counted if item[0] > 0]
     if step.same_rack or step.data_rack:
         for group in _group_by_rack(step, counted):
-            chosen = _fill_largest_first(step.count, group)
+            chosen = _fill_largest_first(count, group)
             if chosen is not None:
                 return chosen
-    return _fill_largest_first(step.count, counted)
+    return _fill_largest_first(count, counted)
 
 
 def _group_by_rack(
--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -5,7 +5,7 @@
 workers are planned first, on workers that the others do not get meanwhile.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, MutableMapping
 
 from bluebellyoke.dispatch.advice import AdviceManager, StepAdvice, StepKey
 from bluebellyoke.dispatch.costs import CostTables, PlacementCost
@@ -23,12 +23,13 @@
 )
 from bluebellyoke.dispatch.quotas import RoundQuotas
 from bluebellyoke.dispatch.reservations import Reservations
+from bluebellyoke.dispatch.restarts import RestartPlanner
 from bluebellyoke.dispatch.step_tickets import StepTickets, have_tickets
 from bluebellyoke.dispatch.suspects import SuspectPlanner
 from bluebellyoke.dispatch.waiting import WaitingStep, WaitingSteps
 from bluebellyoke.dispatch.workers import TrackedWorker
 from bluebellyoke.workflow.specs import StepSpec
-from bluebellyoke.workflow.store import WorkflowStore
+from bluebellyoke.workflow.store import RunKey, WorkflowStore
 from bluebellyoke.workflow.workflow import TaskProgress
 
 __all__ = ["Planner"]
@@ -75,8 +76,12 @@
     ) -> None:
         self._tickets = StepTickets(advice)
         self._reservations = Reservations()
+        recent_crashes = recent_crashes or RecentCrashes()
         self._suspects = SuspectPlanner(
-            self._tickets, self._reservations, recent_crashes or RecentCrashes()
+            self._tickets, self._reservations, recent_crashes
+        )
+        self._restarts = RestartPlanner(
+            self._tickets, self._reservations, recent_crashes
         )
         self._costs = CostTables(tuple(costs))
         self._orders = tuple(orders)
@@ -107,8 +112,14 @@
         workers: dict[str, TrackedWorker],
         now: float,
         wall_time: float,
+        restartable: MutableMapping[RunKey, str] | None = None,
     ) -> list[PlannedStart]:
-        """Return the starts to make now; those of a gang are next to each other."""
+        """Return the starts to make now; those of a gang are next to each other.
+
+        Args:
+            restartable: Runs whose tasks may start again in their place, with the IDs
+                of their workers. Those that may no longer are removed.
+        """
         self._steps.update(store, wall_time)
         self._costs.start_round(workers)
         self._tickets.start_round(now)
@@ -128,6 +139,8 @@
             planning.get_max_free()
         self._paused_until = _keep_current(self._paused_until, now)
         self._refused_until = _keep_current(self._refused_until, now)
+        if restartable:
+            self._restarts.plan(store, restartable, planning, self._paused_until)
         self._suspects.plan(
             store, self._steps.list_suspects(), planning, self._paused_until
         )
--- a/src/bluebellyoke/dispatch/planning_round.py
+++ b/src/bluebellyoke/dispatch/planning_round.py
@@ -7,13 +7,15 @@
 from bluebellyoke.cell.resources import Resources
 from bluebellyoke.dispatch.advice import StepAdvice, StepKey, WorkerKey
 from bluebellyoke.dispatch.costs import CostTables
+from bluebellyoke.dispatch.open_starts import compute_open_until
 from bluebellyoke.dispatch.placement import Candidate
 from bluebellyoke.dispatch.quotas import RoundQuotas
+from bluebellyoke.dispatch.tracked_run import TrackedRun
 from bluebellyoke.dispatch.waiting import WaitingStep
 from bluebellyoke.dispatch.workers import ESTIMATE_FACTOR, TrackedWorker
 from bluebellyoke.workflow.commands import RunStart, TaskName
 
-__all__ = ["PlannedStart", "PlanningRound", "WaitReason"]
+__all__ = ["HeldPlace", "PlannedStart", "PlanningRound", "WaitReason"]
 
 #: Time without a response after which a worker gets no new task, in seconds.
 MAX_WORKER_SILENCE_S = 2.5
@@ -49,10 +51,28 @@
 
 @dataclass(frozen=True, slots=True)
 class PlannedStart:
-    """A start with its ticket, which is empty if the queue has no advisor."""
+    """A start with its ticket, which is empty if the queue has no advisor.
+
+    Attributes:
+        replaced: Number of the run whose place it takes, or 0.
+    """
 
     start: RunStart
     ticket: str
+    replaced: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class HeldPlace:
+    """A place that a task keeps on a worker.
+
+    Attributes:
+        number: Number of the run that has the place.
+    """
+
+    worker: TrackedWorker
+    run: TrackedRun
+    number: int
 
 
 @dataclass(slots=True)
@@ -212,6 +232,22 @@
         self.quotas.take(step)
         self.starts.append(PlannedStart(start, ticket))
 
+    def add_restart(
+        self,
+        name: TaskName,
+        run: int,
+        held: HeldPlace,
+        advice: StepAdvice | None,
+    ) -> None:
+        """Plan the next run of a task in the place of its present one."""
+        worker = held.worker
+        ticket = ""
+        if advice is not None:
+            ticket = advice.find_ticket(worker.spec.key, self.now)
+        open_until = compute_open_until(held.run, self.now, self.wall_time)
+        start = RunStart(name, run, *worker.spec.key, open_until)
+        self.starts.append(PlannedStart(start, ticket, held.number))
+
     def drop_reasons_of_started_steps(self) -> None:
         """Drop the wait reasons of steps of which an order has put a part first."""
         for item in self.starts:
--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -11,6 +11,7 @@
 from bluebellyoke.dispatch.context import DispatchContext
 from bluebellyoke.dispatch.events import PollFinished
 from bluebellyoke.dispatch.log_limits import LogLimit
+from bluebellyoke.dispatch.missing_runs import MissingRunResolver
 from bluebellyoke.dispatch.open_states import find_open_state
 from bluebellyoke.dispatch.ports import (
     NoAnswerError,
@@ -22,6 +23,7 @@
 from bluebellyoke.dispatch.registry import WorkerRegistry
 from bluebellyoke.dispatch.reported_ends import (
     collect_ends,
+    collect_late_ends,
     find_contradictory_runs,
     find_due_acknowledgement,
     find_last_end,
@@ -79,6 +81,7 @@
         self._recorder = recorder
         self._registry = registry
         self._prober = prober
+        self._missing_runs = MissingRunResolver(context, stopper=stopper)
         self._log_limit = LogLimit()
 
     def poll_if_due(self, worker: TrackedWorker, now: float, wall_time: float) -> None:
@@ -131,6 +134,7 @@
             and not worker.failures
             and not any(
                 run.phase in (RunPhase.UNKNOWN, RunPhase.BLOCKED)
+                and not run.is_restartable
                 for run in worker.runs.values()
             )
         )
@@ -191,9 +195,12 @@
         self._clear_suspects(worker, report, now)
         worker.schedule_probe(now)
         self._update_stall(worker, report, now)
-        ends = collect_ends(worker, report)
-        if report.complete:
-            ends += self._resolve_missing_runs(worker, report, event.sent_at, now)
+        late_ends = collect_late_ends(self._context, worker, report)
+        ends = collect_ends(worker, report) + late_ends
+        if report.complete and not late_ends:
+            ends += self._missing_runs.resolve(
+                worker, report, sent_at=event.sent_at, now=now, wall_time=wall_time
+            )
         last_end = find_last_end(worker, report)
         self._record_ends(worker, ends, last_end, event, wall_time)
 
@@ -351,32 +358,6 @@
         worker.unassigned_runs = unassigned_runs
         self._stopper.stop_unassigned(worker, now)
 
-    def _resolve_missing_runs(
-        self, worker: TrackedWorker, report: StatusReport, sent_at: float, now: float
-    ) -> list[workflow_commands.RunEnd]:
-        """Block or end assigned runs that the worker does not list.
-
-        Returns:
-            Ends of the runs that can no longer begin.
-        """
-        listed = {(x.task, x.run) for x in report.running}
-        listed |= {(x.task, x.run) for x in report.ended}
-        ends = []
-        for key, run in worker.runs.items():
-            if key in listed or run.phase_since >= sent_at:
-                continue
-            if not run.can_begin_later:
-                ends.append(
-                    workflow_commands.RunEnd(
-                        *key, workflow_commands.RunOutcome.NEVER_STARTED
-                    )
-                )
-            elif run.phase is not RunPhase.STARTING:
-                run.phase = RunPhase.BLOCKING
-                run.phase_since = now
-                self._stopper.send_stop(worker, key)
-        return ends
-
     def _record_ends(
         self,
         worker: TrackedWorker,
--- a/src/bluebellyoke/dispatch/preemption.py
+++ b/src/bluebellyoke/dispatch/preemption.py
@@ -16,6 +16,7 @@
 from bluebellyoke.cell.sharing import is_within_quota
 from bluebellyoke.dispatch.admission import AdmissionControl
 from bluebellyoke.dispatch.context import DispatchContext
+from bluebellyoke.dispatch.open_starts import keeps_place_after_end
 from bluebellyoke.dispatch.planning_round import MAX_WORKER_SILENCE_S
 from bluebellyoke.dispatch.pool_forecast import MAX_STOP_S, MAX_STOPPING_FRACTION
 from bluebellyoke.dispatch.prediction import PREEMPTING_PRIORITY
@@ -230,6 +231,8 @@
         name = key[0]
         if run.phase is not RunPhase.STARTED or name in self._stopped:
             return False
+        if keeps_place_after_end(run, now, wall_time):
+            return False
         workflow = self._context.store.workflows.get(name.workflow)
         if workflow is None or workflow.outcome:
             return False
--- a/src/bluebellyoke/dispatch/quotas.py
+++ b/src/bluebellyoke/dispatch/quotas.py
@@ -34,13 +34,17 @@
         """Replicated state that the round is planned from."""
         return self._store
 
-    def allows(self, step: WaitingStep) -> bool:
-        """Return whether one task of a step may start, or all of a gang."""
+    def allows(self, step: WaitingStep, held: int = 0) -> bool:
+        """Return whether one task of a step may start, or all of a gang.
+
+        Args:
+            held: Number of these tasks that have a place.
+        """
         workspace = self._find_limits(step)
         if workspace is None:
             return True
         spec = step.spec
-        count = spec.count if spec.gang else 1
+        count = (spec.count if spec.gang else 1) - held
         used, quota = self.get_used(workspace.name), self._find_quota(workspace, step)
         return is_within_quota(used, quota, spec.allocation, count)
 
--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -44,9 +44,6 @@
     "the number of the report is far above that of the one before; count up by 1"
 )
 
-#: Number of fencing tokens of a term, one for each incarnation that a leader tracks.
-FENCES_PER_TERM = 2**20
-
 #: Maximum number of characters of an ID that the log shows.
 MAX_LOGGED_ID = 80
 
@@ -79,7 +76,6 @@
         self._sequences: dict[tuple[str, int], int] = {}
         self._ended: dict[str, tuple[int, float]] = {}
         self._activated_at = 0.0
-        self._enrolments = 0
 
     def clear(self) -> None:
         """Drop all tracked workers."""
@@ -94,7 +90,6 @@
         """Track the workers of the store of a new leader."""
         self._activated_at = now
         self._unsettled_runs.activate(now)
-        self._enrolments = 0
         for ended in self._context.store.ended_incarnations:
             # An earlier leader may have called it until now.
             self._ended.setdefault(ended.worker, (ended.incarnation, now))
@@ -232,7 +227,7 @@
             worker = self._context.workers[name] = TrackedWorker(
                 spec,
                 now,
-                fence=self._create_fence(),
+                fence=self._context.create_fence(),
                 lease_requested_at=self._unsettled_runs.find_lease_request(name),
                 late_calls_until=self._find_latest_call(spec),
                 last_response_at=now,
@@ -247,17 +242,11 @@
                     probation_s=self._context.find_probation(key),
                     is_confirmed=self._context.store.is_confirmed(key),
                     sent_by=self._unsettled_runs.find_start(key),
+                    open_by=self._unsettled_runs.find_open_end(key),
+                    open_until=self._context.store.find_open_until(key),
+                    has_ended=self._context.store.has_ended(key),
                 )
 
-    def _create_fence(self) -> int:
-        """Return a fencing token for the calls to one incarnation of a worker.
-
-        Once the incarnation has seen it, it refuses the calls for the one before, which
-        name the same worker and may arrive late.
-        """
-        self._enrolments = min(self._enrolments + 1, FENCES_PER_TERM - 1)
-        return self._context.fence * FENCES_PER_TERM + self._enrolments
-
     def _find_latest_call(self, spec: WorkerSpec) -> float:
         """Return when the last call for an earlier incarnation may be carried out."""
         incarnation, ended_at = self._ended.get(spec.id, (spec.incarnation, 0.0))
@@ -367,10 +356,10 @@
     ) -> None:
         """Drop a worker whose removal has been committed."""
         self._removing.discard(worker.spec.key)
-        for key in worker.runs:
-            if key not in unsettled:
-                log_run_end(key, worker.spec.id, LOST)
-        if unsettled:
+        ended = [key for key in worker.runs if key not in unsettled]
+        for key in ended:
+            log_run_end(key, worker.spec.id, LOST)
+        if unsettled or any(map(self._context.store.is_placed, ended)):
             self._unsettled_runs.add(worker)
         self._drop_removed(worker)
         self.sync_workers(self._context.now)
--- a/src/bluebellyoke/dispatch/run_check.py
+++ b/src/bluebellyoke/dispatch/run_check.py
@@ -26,11 +26,14 @@
     A run that is added is of unknown state, which the worker's reports resolve.
     """
     present = context.store.runs.get(worker.spec.key, {})
-    missing = [key for key in present if key not in worker.runs]
+    restarting = {key[0] for key, run in worker.runs.items() if run.is_restart_planned}
+    missing = [
+        key for key in present if key not in worker.runs and key[0] not in restarting
+    ]
     surplus = [
         key
         for key, run in worker.runs.items()
-        if key not in present and not run.is_planned
+        if key not in present and not run.is_planned and key[0] not in restarting
     ]
     if not missing and not surplus:
         return
@@ -54,6 +57,8 @@
             now,
             probation_s=context.find_probation(key),
             is_confirmed=context.store.is_confirmed(key),
+            open_until=context.store.find_open_until(key),
+            has_ended=context.store.has_ended(key),
         )
 
 
--- a/src/bluebellyoke/dispatch/run_ends.py
+++ b/src/bluebellyoke/dispatch/run_ends.py
@@ -105,8 +105,13 @@
         present = self._context.store.runs.get(worker.spec.key, {})
         for key in [x for x in worker.runs if x not in present]:
             # A start that is planned but not committed keeps its resources.
-            if not worker.runs[key].is_planned:
+            run = worker.runs[key]
+            if not (run.is_planned or run.is_restart_planned):
                 worker.drop_run(key)
+        for end in ends:
+            run = worker.runs.get((end.task, end.run))
+            if run is not None:
+                run.has_ended = self._context.store.has_ended((end.task, end.run))
         self._handle_ended_tasks(ends)
 
     def _handle_ended_tasks(self, ends: Iterable[workflow_commands.RunEnd]) -> None:
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -13,6 +13,7 @@
 from bluebellyoke.dispatch.events import StartFinished
 from bluebellyoke.dispatch.fair_order import FairOrder
 from bluebellyoke.dispatch.incarnations import is_clock_of, is_clock_of_successor
+from bluebellyoke.dispatch.open_starts import find_open_end, find_own_open_end
 from bluebellyoke.dispatch.ordering import StepOrder
 from bluebellyoke.dispatch.planner import Planner
 from bluebellyoke.dispatch.planning_round import PlannedStart, WaitReason
@@ -104,6 +105,7 @@
         self._planner.reset()
         self._waits.reset()
         self._quota_reports.reset()
+        self._context.restartable_runs.clear()
         if self._preemptor is not None:
             self._preemptor.clear()
 
@@ -115,7 +117,11 @@
     def plan(self, now: float, wall_time: float) -> None:
         """Plan a round of starts and propose the assignment of its runs."""
         planned = self._planner.plan(
-            self._context.store, self._context.workers, now, wall_time
+            self._context.store,
+            self._context.workers,
+            now,
+            wall_time,
+            self._context.restartable_runs,
         )
         reasons = self._planner.wait_reasons
         self._waits.check(reasons, now)
@@ -133,6 +139,9 @@
             start = item.start
             key = (start.task, start.run)
             worker = self._context.workers[start.worker]
+            if item.replaced:
+                worker.runs[(start.task, item.replaced)].is_restart_planned = True
+                continue
             worker.add_run(
                 key,
                 self._context.find_allocation(key),
@@ -159,8 +168,11 @@
             worker = self._context.workers.get(start.worker)
             if worker is None or worker.spec.incarnation != start.incarnation:
                 continue
+            if item.replaced:
+                self._finish_restart(worker, item, done == "1")
             if done != "1" or not self._is_assigned(start):
                 worker.drop_run((start.task, start.run))
+                self._finish_if_failed(start.task.workflow)
                 self._context.needs_planning = True
             elif worker.is_being_removed:
                 # The removal ends the run. A start would extend the worker's lease.
@@ -168,12 +180,51 @@
             elif (start.task, start.run) not in worker.runs:
                 # The check of the tracked runs adds it at the worker's next report.
                 continue
-            elif self._has_shrunk(worker, start):
+            elif self._has_shrunk(worker, start) or self._is_too_late(planned_at):
                 self._give_back(worker, start, wall_time)
             else:
                 self._record_start_wait(start, wall_time)
                 self._send_start(worker, item, planned_at)
 
+    def _finish_restart(
+        self,
+        worker: TrackedWorker,
+        item: PlannedStart,
+        is_done: bool,
+    ) -> None:
+        """Let a run take the place of the one before it, if that was committed."""
+        start, now = item.start, self._context.now
+        former = worker.runs.get((start.task, item.replaced))
+        if former is None:
+            return
+        former.is_restart_planned = False
+        former_key = (start.task, item.replaced)
+        if not is_done and self._context.store.is_placed(former_key):
+            worker.set_phase(former_key, RunPhase.UNKNOWN, now)
+            return
+        worker.drop_run(former_key)
+        if not is_done:
+            return
+        # Whichever incarnation gets the next start refuses the one before from then on.
+        worker.fence = self._context.create_fence()
+        key = (start.task, start.run)
+        worker.add_run(
+            key,
+            self._context.find_allocation(key),
+            RunPhase.STARTING,
+            now,
+            self._context.find_estimate(key),
+            self._context.find_probation(key),
+            open_by=find_own_open_end(former),
+            open_until=former.open_until,
+        )
+
+    def _finish_if_failed(self, workflow_id: str) -> None:
+        """Finish a workflow that a replaced run has shown to crash its workers."""
+        workflow = self._context.store.workflows.get(workflow_id)
+        if workflow is not None and workflow.outcome:
+            self._recorder.finish_workflow(workflow)
+
     def _is_assigned(self, start: workflow_commands.RunStart) -> bool:
         """Return whether a run that was assigned has not been ended since.
 
@@ -190,12 +241,23 @@
         is_overcommitted = not worker.allocated.fits_in(worker.spec.capacity)
         return is_overcommitted and allocation != Resources()
 
+    def _is_too_late(self, planned_at: float) -> bool:
+        """Return whether this leader may have been replaced since it planned a start.
+
+        The lease that the start would request from then on has expired.
+        """
+        return self._context.now - planned_at >= self._context.times.lease_s
+
     def _give_back(
         self, worker: TrackedWorker, start: workflow_commands.RunStart, wall_time: float
     ) -> None:
         """End an assigned run that is not sent to its worker."""
         key = (start.task, start.run)
-        worker.set_phase(key, RunPhase.UNKNOWN, self._context.now)
+        now = self._context.now
+        worker.set_phase(key, RunPhase.UNKNOWN, now)
+        worker.runs[key].was_refused = True
+        if now < find_open_end(worker.runs[key], now, wall_time):
+            return
         end = workflow_commands.RunEnd(*key, workflow_commands.RunOutcome.NEVER_STARTED)
         self._recorder.commit(worker, [end], wall_time)
 
@@ -321,18 +383,21 @@
                 "fault": str(event.error) if event.error else None,
             },
         )
-        never_ran = event.result in _NEVER_STARTED_RESULTS or isinstance(
-            event.error, NotReachedError
-        )
+        run = worker.runs[key]
         if event.error is not None:
-            has_timed_out = getattr(event.error, "timed_out", False)
-            worker.runs[key].has_start_timed_out = has_timed_out
+            run.has_start_timed_out = getattr(event.error, "timed_out", False)
             worker.unanswered_start_at = now
+        run.was_refused = event.result is not None or isinstance(
+            event.error, (NotReachedError, OtherLifeError)
+        )
+        # An earlier start of the task may still be carried out.
+        is_open = now < find_open_end(run, now, wall_time)
+        never_ran = not is_open and (
+            event.result in _NEVER_STARTED_RESULTS
+            or isinstance(event.error, NotReachedError)
+        )
         if event.error is not None or not never_ran:
             self._prober.request(worker)
-        worker.runs[key].was_refused = event.result is not None or isinstance(
-            event.error, OtherLifeError
-        )
         if event.result in _SUSPECT_RESULTS:
             worker.suspect_until = max(worker.suspect_until, now + SUSPECT_S)
         step = (key[0].workflow, key[0].repetition, key[0].step)
--- a/src/bluebellyoke/dispatch/stops.py
+++ b/src/bluebellyoke/dispatch/stops.py
@@ -69,7 +69,7 @@
             if workflow is None or not workflow.spec.steps[step].gang:
                 continue
             progress = workflow.repetitions[repetition].steps[step]
-            placed = [task.placed for task in progress.tasks]
+            placed = [task.placed and not task.has_ended for task in progress.tasks]
             is_complete = all(placed) and not is_state_unknown
             if progress.is_done or is_complete or not any(placed):
                 continue
--- a/src/bluebellyoke/dispatch/stragglers.py
+++ b/src/bluebellyoke/dispatch/stragglers.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterator
 
 from bluebellyoke.dispatch.context import DispatchContext
+from bluebellyoke.dispatch.open_starts import keeps_place_after_end
 from bluebellyoke.dispatch.placement import count_fitting_tasks
 from bluebellyoke.dispatch.planning_round import MAX_WORKER_SILENCE_S
 from bluebellyoke.dispatch.run_times import RunTimes
@@ -148,6 +149,8 @@
         mark = run.mark
         if mark is None or run.phase is not RunPhase.STARTED:
             return False
+        if keeps_place_after_end(run, now, self._context.wall_time):
+            return False
         begun_at = mark.first_at if run.sent_at is None else run.sent_at
         if now - begun_at < MIN_AGE_S or not run.percent >= MIN_PERCENT:
             return False
--- a/src/bluebellyoke/dispatch/suspects.py
+++ b/src/bluebellyoke/dispatch/suspects.py
@@ -18,7 +18,7 @@
 from bluebellyoke.workflow.specs import StepSpec
 from bluebellyoke.workflow.store import WorkflowStore
 
-__all__ = ["SuspectPlanner"]
+__all__ = ["SuspectPlanner", "choose_few_workers"]
 
 #: Maximum number of suspects that a round looks at, and how many of them are the first
 #: in the order. The others take turns, so that none is kept back by suspects that can
@@ -79,6 +79,7 @@
             recent_crashes=self._recent_crashes,
             previous=self._isolated,
             drained=self._drains.list_workers(),
+            chosen=dict.fromkeys(planning.isolated),
         )
         waiting = seen = 0
         for suspect in self._rotate(suspects):
@@ -160,7 +161,7 @@
         own = self._drains.find(suspect)
         ordered = isolation.order(workers, own)
         candidates = planning.collect_candidates(step, ordered)
-        chosen = _choose_few_workers(step.spec, len(indexes), candidates)
+        chosen = choose_few_workers(step.spec, len(indexes), candidates)
         if chosen is None:
             if step.spec.gang:
                 self._reservations.reserve_workers(step, workers, planning)
@@ -201,13 +202,13 @@
         isolation.take(workers, is_overdue=overdue)
 
 
-def _choose_few_workers(
+def choose_few_workers(
     spec: StepSpec, count: int, candidates: list[Candidate]
 ) -> list[Candidate] | None:
     """Return the workers for some tasks, among the first ones that they fit on.
 
     Args:
-        count: Number of tasks: all of a gang, or one.
+        count: Number of tasks.
         candidates: Workers, the best first.
     """
     fitting = [x for x in candidates if count_allowed(spec, x, x.free)]
@@ -215,7 +216,7 @@
         return fitting[:1] or None
     size = 1
     while fitting:
-        chosen = select_gang_workers(spec, fitting[:size])
+        chosen = select_gang_workers(spec, fitting[:size], count)
         if chosen is not None or size >= len(fitting):
             return chosen
         size *= 2
--- a/src/bluebellyoke/dispatch/tracked_run.py
+++ b/src/bluebellyoke/dispatch/tracked_run.py
@@ -51,7 +51,14 @@
         has_start_timed_out: Whether the start got no response, but its connection did
             not fail either.
         was_refused: Whether the start got a response that does not say that it was
-            carried out. It is not carried out after that response.
+            carried out, or never reached the worker. It is not carried out later.
+        open_by: Time by which all earlier starts of the task on this worker have been
+            carried out, as far as this leader sent them.
+        open_until: Wall-clock time of the same by earlier leaders, in seconds, or 0.
+        has_ended: Whether it has ended, but its task keeps its place.
+        is_restartable: Whether the worker, which has the task blocked and does not list
+            it, may get its next run in this place.
+        is_restart_planned: Whether such a run waits for its commit.
         is_confirmed: Whether this incarnation of the worker is known to have begun it.
             A response to its start may be that of the next incarnation.
         is_confirmation_proposed: Whether that has been proposed to the replicas.
@@ -75,6 +82,11 @@
     sent_at: float | None = None
     has_start_timed_out: bool = False
     was_refused: bool = False
+    open_by: float = 0.0
+    open_until: float = 0.0
+    has_ended: bool = False
+    is_restartable: bool = False
+    is_restart_planned: bool = False
     is_confirmed: bool = False
     is_confirmation_proposed: bool = False
     stop_sent_at: float = -math.inf
--- a/src/bluebellyoke/dispatch/unsettled_runs.py
+++ b/src/bluebellyoke/dispatch/unsettled_runs.py
@@ -12,6 +12,7 @@
     find_successor_lease_end,
     list_unsettled_runs,
 )
+from bluebellyoke.dispatch.open_starts import MAX_WALL_CLOCK_ERROR_S
 from bluebellyoke.dispatch.run_ends import RunEndRecorder
 from bluebellyoke.dispatch.workers import RemovalReason, TrackedWorker
 from bluebellyoke.workflow.store import RunKey
@@ -51,6 +52,7 @@
         self._ending: set[tuple[str, int]] = set()
         self._lease_requests: dict[str, float] = {}
         self._starts: dict[RunKey, float] = {}
+        self._open_ends: dict[RunKey, float] = {}
         self._activated_at = 0.0
         self._check_due = 0.0
 
@@ -60,6 +62,7 @@
         self._ending.clear()
         self._lease_requests.clear()
         self._starts.clear()
+        self._open_ends.clear()
         self._check_due = 0.0
 
     def activate(self, now: float) -> None:
@@ -74,6 +77,9 @@
         self._lease_requests[worker.spec.id] = worker.lease_requested_at
         for key in list_unsettled_runs(worker):
             self._starts[key] = worker.runs[key].sent_by
+        for key, run in worker.runs.items():
+            if run.open_by > self._context.now:
+                self._open_ends[key] = run.open_by
 
     def find_lease_request(self, worker_id: str) -> float:
         """Return when a call that requested a lease was last made to a worker."""
@@ -83,6 +89,13 @@
         """Return the time by which the start of a run had been sent, if known."""
         return self._starts.get(key)
 
+    def find_open_end(self, key: RunKey) -> float:
+        """Return the time by which earlier starts of a run's task have arrived, or 0.
+
+        It is the time that is known from the incarnations of its worker before.
+        """
+        return self._open_ends.get(key, 0.0)
+
     def find_runs(
         self, worker: TrackedWorker, reason: RemovalReason
     ) -> tuple[RunKey, ...]:
@@ -113,7 +126,7 @@
                 continue
             removed = self._removed.get(worker_key)
             if removed is None:
-                lease_end = now + compute_longest_lease(self._context.times)
+                lease_end = now + self._find_remaining_lease(runs, wall_time)
                 removed = self._removed[worker_key] = RemovedWorker("", lease_end)
             if now >= removed.lease_end or self._is_address_taken(worker_key):
                 self._ending.add(worker_key)
@@ -124,6 +137,18 @@
                     lambda key=worker_key: self._ending.discard(key),
                 )
 
+    def _find_remaining_lease(self, runs: list[RunKey], wall_time: float) -> float:
+        """Return how long a worker that an earlier leader removed may have its runs.
+
+        It has made no call to the worker since.
+        """
+        longest_s = compute_longest_lease(self._context.times)
+        removed_at = max(map(self._context.store.find_kept_since, runs))
+        elapsed_s = wall_time - removed_at - MAX_WALL_CLOCK_ERROR_S
+        return (
+            min(max(longest_s - elapsed_s, 0.0), longest_s) if removed_at else longest_s
+        )
+
     def _drop_old_calls(self, now: float) -> None:
         """Forget calls that count no more, and starts of runs that have ended."""
         oldest = now - compute_longest_lease(self._context.times)
@@ -135,6 +160,7 @@
             for key, at in self._starts.items()
             if self._context.store.is_placed(key)
         }
+        self._open_ends = {key: at for key, at in self._open_ends.items() if at > now}
 
     def _is_address_taken(self, worker_key: tuple[str, int]) -> bool:
         """Return whether a worker with another ID has taken over the address.
--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -200,6 +200,9 @@
         probation_s: float = 0.0,
         is_confirmed: bool = False,
         sent_by: float | None = None,
+        open_by: float = 0.0,
+        open_until: float = 0.0,
+        has_ended: bool = False,
     ) -> None:
         """Allocate resources to a run.
 
@@ -209,6 +212,7 @@
             probation_s: Time for which a suspect has to run, in seconds, or 0.
             is_confirmed: Whether the replicas know that the worker has begun it.
             sent_by: Time by which its start had been sent, if it is not sent later.
+            open_by, open_until, has_ended: As in `TrackedRun`.
         """
         if key in self.runs:
             return
@@ -220,6 +224,9 @@
             probation_s=probation_s,
             is_confirmed=is_confirmed,
             is_confirmation_proposed=is_confirmed,
+            open_by=open_by,
+            open_until=open_until,
+            has_ended=has_ended,
         )
         self.allocated = self.allocated + need
         if probation_s:
@@ -299,6 +306,7 @@
         if run is not None:
             run.phase = phase
             run.phase_since = now
+            run.is_restartable = False
 
     # Health.
 
@@ -370,11 +378,14 @@
         own_lease_s = (self.lease_deadline_ms - self.clock_ms) / 1000 - elapsed_s
         return max(earlier_lease_s, own_lease_s)
 
-    def can_accept_tasks(self, now: float, max_silence_s: float) -> bool:
+    def can_accept_tasks(
+        self, now: float, max_silence_s: float, replaced: RunKey | None = None
+    ) -> bool:
         """Return whether the worker may get new tasks.
 
         Args:
             max_silence_s: Time without a response after which it gets none, in seconds.
+            replaced: Run whose place a new task would take.
         """
         return (
             self.has_responded
@@ -386,7 +397,7 @@
             and now >= self.suspect_until
             and not self.has_unanswered_start
             and not self._is_kept_for_stall(now)
-            and not self.suspects
+            and self.suspects <= {replaced}
             and not (self.quarantines and self._has_trial_run(now))
         )
 
--- a/src/bluebellyoke/workflow/commands.py
+++ b/src/bluebellyoke/workflow/commands.py
@@ -64,12 +64,19 @@
 
 
 class RunStart(msgspec.Struct, frozen=True, array_like=True):
-    """One run of a task on one incarnation of a worker."""
+    """One run of a task on one incarnation of a worker.
+
+    Attributes:
+        open_until: Wall-clock time until which an earlier start of the task may still
+            be carried out by that worker, in seconds, or 0. Such a run takes the place
+            of the earlier one, which it ends.
+    """
 
     task: TaskName
     run: int
     worker: str
     incarnation: int = msgspec.field(name="born")
+    open_until: float = 0.0
 
 
 class RunEnd(msgspec.Struct, frozen=True, array_like=True):
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -25,7 +25,7 @@
     WorkspaceSpec,
 )
 from bluebellyoke.workflow.usage import WorkspaceUsage
-from bluebellyoke.workflow.workflow import Workflow
+from bluebellyoke.workflow.workflow import TaskProgress, Workflow
 
 __all__ = ["MAX_OPEN_TASKS", "RunKey", "WorkflowStore"]
 
@@ -218,8 +218,7 @@
             return Result(accepted=True, code="overtaken")
         if known is not None and known.incarnation < spec.incarnation:
             unsettled = self._list_unconfirmed_runs(known.key)
-            self._crash_recorder.mark_unsettled(known.key, unsettled)
-            self._end_lost_runs(known.key, command.time, kept=unsettled)
+            self._keep_runs(known.key, unsettled, command.time)
             self.ended_incarnations.add(known.key, command.time)
         if (
             known is not None
@@ -248,26 +247,32 @@
             for x in (*command.crashed_runs, *command.lost_runs)
             if (x.task, x.run) in present
         ]
-        self._crash_recorder.mark_unsettled(worker_key, unsettled)
         for end in command.progress:
             if (end.task, end.run) in present and (end.task, end.run) not in unsettled:
-                self._record_end(end, command.time)
-        self._end_lost_runs(worker_key, command.time, kept=unsettled)
+                self.workflows[end.task.workflow].save_progress(end)
+        self._keep_runs(worker_key, unsettled, command.time)
         self.ended_incarnations.add(worker_key, command.time)
         failed = self._crash_recorder.record_removal(command, spec.address, crashed)
         return Result(accepted=True, detail={"failed": " ".join(failed)})
 
-    def _end_lost_runs(
-        self, worker_key: tuple[str, int], time: float, kept: Collection[RunKey]
+    def _keep_runs(
+        self, worker_key: tuple[str, int], unsettled: Collection[RunKey], time: float
     ) -> None:
-        for task, run in list(self.runs.get(worker_key, ())):
-            if (task, run) in kept:
+        """End the runs of an incarnation that is over, but for those to be kept.
+
+        Kept are the unsettled ones, and those whose tasks the worker may start again.
+        """
+        self._crash_recorder.mark_unsettled(worker_key, unsettled)
+        for key in list(self.runs.get(worker_key, ())):
+            name, run = key
+            if key in unsettled or self.is_open(key, time):
+                task = self.workflows[name.workflow].find_task(name)
+                task.kept_since = time
+                task.has_ended |= key not in unsettled
                 continue
-            self._record_end(
-                workflow_commands.RunEnd(task, run, workflow_commands.RunOutcome.LOST),
-                time,
-            )
-        if not kept:
+            outcome = workflow_commands.RunOutcome.LOST
+            self._record_end(workflow_commands.RunEnd(name, run, outcome), time)
+        if not self.runs.get(worker_key):
             self.runs.pop(worker_key, None)
 
     # Runs that the next incarnation of their worker may have.
@@ -282,24 +287,51 @@
 
     def _list_unconfirmed_runs(self, worker_key: tuple[str, int]) -> list[RunKey]:
         return [
-            (name, run)
-            for name, run in self.runs.get(worker_key, ())
-            if not self.is_confirmed((name, run))
+            key
+            for key in self.runs.get(worker_key, ())
+            if not (self.is_confirmed(key) or self.has_ended(key))
         ]
 
-    def is_placed(self, key: RunKey) -> bool:
-        """Return whether a run may take up resources."""
+    def is_open(self, key: RunKey, time: float) -> bool:
+        """Return whether an earlier start of a run's task may still be carried out.
+
+        Args:
+            time: Wall-clock time, in seconds.
+        """
+        return time < self.find_open_until(key)
+
+    def find_open_until(self, key: RunKey) -> float:
+        """Return the wall-clock time until which a run's task keeps its place, or 0."""
+        workflow = self.workflows.get(key[0].workflow)
+        task = self._find_current_task(key)
+        return task.open_until if task is not None and not workflow.outcome else 0.0
+
+    def has_ended(self, key: RunKey) -> bool:
+        """Return whether a run has ended whose task keeps its place."""
+        task = self._find_current_task(key)
+        return task is not None and task.has_ended
+
+    def find_kept_since(self, key: RunKey) -> float:
+        """Return the wall-clock time of the removal that a run outlasted, or 0."""
+        task = self._find_current_task(key)
+        return task.kept_since if task is not None else 0.0
+
+    def _find_current_task(self, key: RunKey) -> TaskProgress | None:
+        """Return the task of a run if it is its latest one, else None."""
         name, run = key
         workflow = self.workflows.get(name.workflow)
         task = workflow.find_task(name) if workflow is not None else None
-        return task is not None and task.run == run and task.placed
+        return task if task is not None and task.run == run else None
+
+    def is_placed(self, key: RunKey) -> bool:
+        """Return whether a run may take up resources."""
+        task = self._find_current_task(key)
+        return task is not None and task.placed
 
     def is_confirmed(self, key: RunKey) -> bool:
         """Return whether the incarnation that a run is assigned to has begun it."""
-        name, run = key
-        workflow = self.workflows.get(name.workflow)
-        task = workflow.find_task(name) if workflow is not None else None
-        return task is not None and task.run == run and task.confirmed
+        task = self._find_current_task(key)
+        return task is not None and task.confirmed
 
     def _move_unsettled_runs(self, spec: WorkerSpec) -> None:
         """Assign the unsettled runs of earlier incarnations of a worker to it."""
@@ -335,6 +367,10 @@
                 and is_complete(self.workflows, group)
                 and self._is_within_quota(group)
             )
+            if valid:
+                self._end_replaced_runs(group, command.time)
+                # The end of a run may prove a crash, for which its workflow fails.
+                valid = all(map(self._can_assign, group))
             if valid:
                 for start in group:
                     self._assign_one(start)
@@ -347,7 +383,24 @@
         if workspace is None:
             return True
         used = self.usage.get_used(spec.workspace)
-        return has_quota_for(workspace, used, spec.steps[group[0].task.step])
+        step = spec.steps[group[0].task.step]
+        replaced = sum(self._can_replace(start) for start in group)
+        return has_quota_for(workspace, used - step.allocation * replaced, step)
+
+    def _can_replace(self, start: workflow_commands.RunStart) -> bool:
+        return self.workflows[start.task.workflow].can_replace(start)
+
+    def _end_replaced_runs(
+        self, group: tuple[workflow_commands.RunStart, ...], time: float
+    ) -> None:
+        """End the runs whose places some starts take."""
+        for start in group:
+            if not self._can_replace(start):
+                continue
+            task = self.workflows[start.task.workflow].find_task(start.task)
+            outcome = workflow_commands.RunOutcome.NEVER_STARTED
+            end = workflow_commands.RunEnd(start.task, task.run, outcome)
+            self._record_end(end, time)
 
     def _can_assign(self, start: workflow_commands.RunStart) -> bool:
         workflow = self.workflows.get(start.task.workflow)
@@ -390,7 +443,8 @@
             self.usage.release(workflow.spec.workspace, step)
         self._crash_recorder.record_end(end, (task.worker, task.incarnation), time)
         self._changed.add(end.task.workflow)
-        self._drop_run((task.worker, task.incarnation), (end.task, end.run))
+        if not task.placed:
+            self._drop_run((task.worker, task.incarnation), (end.task, end.run))
         self._deactivate_if_finished(workflow)
 
     def _drop_run(self, worker_key: tuple[str, int], key: RunKey) -> None:
--- a/src/bluebellyoke/workflow/workflow.py
+++ b/src/bluebellyoke/workflow/workflow.py
@@ -15,6 +15,10 @@
 #: is assigned or done.
 _RESTARTING_OUTCOMES = {RunOutcome.NEVER_STARTED, RunOutcome.LOST}
 
+#: Outcomes after which a task does not keep its place for a start that may still be
+#: carried out: it can no longer be, or the task does not start again.
+_RELEASING_OUTCOMES = {*_RESTARTING_OUTCOMES, RunOutcome.DONE}
+
 
 class TaskState(enum.IntEnum):
     """State of a task."""
@@ -36,6 +40,12 @@
         checkpoint: Latest saved progress, or an empty text.
         confirmed: Whether that incarnation of the worker is known to have begun the
             latest run.
+        open_until: Wall-clock time until which an earlier start of the task may still
+            be carried out by that worker, in seconds, or 0. Until then, the task keeps
+            its place there.
+        has_ended: Whether the latest run has ended, but the task keeps its place.
+        kept_since: Wall-clock time at which that incarnation was removed while the task
+            kept its place, in seconds, or 0.
     """
 
     state: TaskState = TaskState.WAITING
@@ -46,6 +56,9 @@
     failures: int = 0
     checkpoint: str = ""
     confirmed: bool = False
+    open_until: float = 0.0
+    has_ended: bool = False
+    kept_since: float = 0.0
 
 
 class StepProgress(msgspec.Struct, array_like=True):
@@ -168,12 +181,22 @@
         repetition = self.get_repetition(name.repetition)
         task = repetition.steps[name.step].tasks[name.index]
         return (
-            task.state is TaskState.WAITING
-            and not task.placed
+            (self.can_replace(start) or not task.placed)
+            and task.state is not TaskState.DONE
             and start.run > task.run
             and self.is_ready(repetition, name.step)
         )
 
+    def can_replace(self, start: RunStart) -> bool:
+        """Return whether a start takes the place of the present run of its task."""
+        task = self.find_task(start.task)
+        return (
+            task is not None
+            and task.placed
+            and start.open_until > 0
+            and (task.worker, task.incarnation) == (start.worker, start.incarnation)
+        )
+
     def assign(self, start: RunStart) -> None:
         """Assign the next run of a task to a worker."""
         task = self.find_task(start.task)
@@ -182,6 +205,9 @@
         task.worker = start.worker
         task.incarnation = start.incarnation
         task.confirmed = False
+        task.open_until = start.open_until
+        task.has_ended = False
+        task.kept_since = 0.0
         task.placed = True
         self.has_started = True
         self.placed += 1
@@ -212,13 +238,22 @@
             self._finish("cancelled", "cancelled by its caller", time)
 
     def record_end(self, end: RunEnd, time: float) -> bool:
-        """Record the end of a run; return whether it is the task's current run."""
+        """Record the end of a run; return whether the task has left its place.
+
+        While an earlier start may still be carried out by the worker, the task keeps
+        its place there, so that it does not start elsewhere meanwhile.
+        """
         task = self.find_task(end.task)
         if task is None or not task.placed or task.run != end.run:
             return False
+        is_releasing = end.outcome in _RELEASING_OUTCOMES
+        if task.has_ended and not is_releasing:
+            return False
         spec = self.spec.steps[end.task.step]
         progress = self.repetitions[end.task.repetition].steps[end.task.step]
-        self._release(task)
+        task.has_ended = not is_releasing and time < task.open_until
+        if not task.has_ended:
+            self._release(task)
         if end.checkpoint:
             self._save_checkpoint(spec, progress, task, end.checkpoint)
         if end.outcome is RunOutcome.DONE and not spec.long_running:
@@ -231,7 +266,16 @@
             )
         if not self.outcome:
             self._finish_if_done(time)
-        return True
+        elif task.placed:
+            self._release(task)
+        return not task.placed
+
+    def save_progress(self, end: RunEnd) -> None:
+        """Store the checkpoint of a lost run whose task keeps its place."""
+        task = self.find_task(end.task)
+        spec = self.spec.steps[end.task.step]
+        progress = self.repetitions[end.task.repetition].steps[end.task.step]
+        self._save_checkpoint(spec, progress, task, end.checkpoint)
 
     def _release(self, task: TaskProgress) -> None:
         task.placed = False
--- a/tests/dispatch/faulty_cell.py
+++ b/tests/dispatch/faulty_cell.py
@@ -205,7 +205,7 @@
             self.time_out(sent)
             is_out_of_reach = worker.is_down or worker.is_cut
             is_lost_too = self.random.random() >= 0.5 or is_out_of_reach
-            if not (is_lost_too or self.is_settled_start(sent)):
+            if not (is_lost_too or self.is_late_start_of_done_task(sent)):
                 self.deliver(sent)
         elif worker.is_down:
             error = NotReachedError(sent.spec.address, refused=True)
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -28,6 +28,7 @@
 from bluebellyoke.metrics import Metrics
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.specs import WorkerSpec
+from bluebellyoke.workflow.workflow import TaskState
 from tests.workflow.factories import create_store, create_worker
 
 MAX_LEASE_MS = 6000
@@ -241,17 +242,18 @@
             response["clock_ms"] = int(worker.clock_ms)
         self.finish_call(sent, **response)
 
-    def is_settled_start(self, sent):
-        """Return whether a start reaches an incarnation that does not know its block.
+    def is_late_start_of_done_task(self, sent):
+        """Return whether a start reaches a next incarnation after its task was done.
 
-        The run has been blocked on the incarnation that the start was meant for, and
-        the next one carries it out: `test_late_starts.py` shows what happens then.
+        Nothing keeps that incarnation from it: docs/PROOF.md lists it as open.
         """
         if sent.kind != "start":
             return False
         is_next = self.workers[sent.spec.id].spec.incarnation > sent.spec.incarnation
-        key = (sent.request.task, sent.request.run)
-        return is_next and all(key not in runs for runs in self.store.runs.values())
+        workflow = self.store.workflows.get(sent.request.task.workflow)
+        if workflow is None or workflow.outcome:
+            return is_next
+        return is_next and workflow.find_task(sent.request.task).state is TaskState.DONE
 
     def deliver_late(self, sent):
         """Let a worker carry out a poll that has timed out, and return the event.
--- a/tests/dispatch/test_dispatcher_random.py
+++ b/tests/dispatch/test_dispatcher_random.py
@@ -93,7 +93,7 @@
                 simulation.events.append(event)
 
     def deliver_late_call(self, sent):
-        if not self.simulation.is_settled_start(sent):
+        if not self.simulation.is_late_start_of_done_task(sent):
             self.simulation.deliver(sent)
 
     def deliver_call(self, sent):
--- a/tests/dispatch/test_new_leader.py
+++ b/tests/dispatch/test_new_leader.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from bluebellyoke.dispatch.registry import FENCES_PER_TERM
+from bluebellyoke.dispatch.context import FENCES_PER_TERM
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.dispatch.simulation import DispatcherSimulation
 from tests.workflow.factories import create_spec, create_step, create_worker
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -142,8 +142,8 @@
     ),
     Case(
         "the calls for an earlier incarnation of a worker are fenced off",
-        "dispatch/registry.py",
-        " * FENCES_PER_TERM + self._enrolments\n",
+        "dispatch/context.py",
+        " * FENCES_PER_TERM + self.created_fences\n",
         " * FENCES_PER_TERM\n",
         "tests/dispatch/test_new_leader.py tests/dispatch/test_lease_ends.py",
     ),
@@ -177,8 +177,8 @@
     ),
     Case(
         "an incarnation that has answered refuses the calls for the one before",
-        "dispatch/registry.py",
-        "* FENCES_PER_TERM + self._enrolments\n",
+        "dispatch/context.py",
+        "* FENCES_PER_TERM + self.created_fences\n",
         "* FENCES_PER_TERM\n",
         "tests/dispatch/test_returned_calls.py -k refuses_the_calls",
     ),
--- a/tests/workflow/test_unsettled_runs.py
+++ b/tests/workflow/test_unsettled_runs.py
@@ -268,7 +268,7 @@
     del snapshot[7]
     workflows, crashes = snapshot[2], snapshot[3]
     ((task,),) = [tasks for item in workflows[0][4].values() for ((tasks, *_),) in item]
-    del task[7]
+    del task[7:]
     for entry in crashes:
         for crash in entry[1]:
             del crash[10:]
