Count crashes of workers for each task of a gang by itself

Cause: all tasks of a gang had one record of crashes. It decides whether they are suspects, which start together, but it was also counted for giving up, which takes two crashes under one task. A wide gang is struck by most crashes.

Change: crashes are kept by task and merged for a gang only to decide whether it is a suspect, here and for jobs on the product's own interface. There, reports of the other tasks cleared the record of a gang, so one deadly task was never given up. Records of earlier builds, which do not name the task, count for none.

--- a/src/bluebellyoke/cell/crashes.py
+++ b/src/bluebellyoke/cell/crashes.py
@@ -7,7 +7,8 @@
       own, so that a further crash has one possible cause.
     * A suspect under which several workers have crashed that it had to itself fails.
     * A suspect is cleared once it ends, or once it has outlived the suspect age.
-    * The tasks of a gang count as one, since they start together.
+    * The tasks of a gang start together, so they are suspects together. Which of them
+      fails depends on its own crashes.
 """
 
 from collections.abc import Iterable
@@ -38,27 +39,27 @@
 
     Attributes:
         shared: Crashes of workers that ran other tasks too.
-        alone: Crashes of workers that ran nothing else.
+        alone: Crashes of workers that ran nothing else, but tasks of the same gang.
+        names_task: Whether all of them were under this very task. Earlier builds kept
+            the crashes of all tasks of a gang under its first one.
     """
 
     shared: int = 0
     alone: int = 0
-
-
-def _get_key(job: Job, index: int) -> int:
-    """Return the key of a task's crashes, which the members of a gang share."""
-    return 0 if job.is_gang else index
+    names_task: bool = False
 
 
 def is_suspect(job: Job, index: int) -> bool:
-    """Return whether a task of a job may crash its worker."""
-    return bool(job.crashes) and _get_key(job, index) in job.crashes
+    """Return whether a task of a job, or its gang, may crash its worker."""
+    return bool(job.crashes) and (job.is_gang or index in job.crashes)
 
 
 def is_given_up(task: Task) -> bool:
     """Return whether too many workers have crashed under a task."""
-    record = task.job.crashes.get(_get_key(task.job, task.index))
-    return record is not None and record.alone >= MAX_LONE_CRASHES
+    record = task.job.crashes.get(task.index)
+    if record is None or not (record.names_task or not task.job.is_gang):
+        return False
+    return record.alone >= MAX_LONE_CRASHES
 
 
 def is_young(task: Task, now: float) -> bool:
@@ -82,22 +83,29 @@
         tasks: Tasks that were placed on the worker.
         now: Wall-clock time, in seconds.
     """
-    groups = {
-        (task.job.spec.id, _get_key(task.job, task.index)): task for task in tasks
-    }
-    for task in groups.values():
+    tasks = list(tasks)
+    is_alone = len({_get_group(task) for task in tasks}) == 1
+    for task in tasks:
         if not is_young(task, now):
             clear(task)
             continue
-        record = task.job.crashes.setdefault(
-            _get_key(task.job, task.index), CrashRecord()
-        )
-        if len(groups) == 1:
+        record = task.job.crashes.get(task.index)
+        if record is None or not record.names_task:
+            earlier = record if not task.job.is_gang else None
+            record = earlier or CrashRecord()
+            record.names_task = True
+            task.job.crashes[task.index] = record
+        if is_alone:
             record.alone += 1
         else:
             record.shared += 1
 
 
+def _get_group(task: Task) -> tuple[str, int]:
+    """Return what the tasks of a gang have in common, and no others."""
+    return task.job.spec.id, -1 if task.job.is_gang else task.index
+
+
 def clear(task: Task) -> None:
     """Remove the record of the crashes under a task."""
-    task.job.crashes.pop(_get_key(task.job, task.index), None)
+    task.job.crashes.pop(task.index, None)
--- a/src/bluebellyoke/dispatch/context.py
+++ b/src/bluebellyoke/dispatch/context.py
@@ -89,8 +89,7 @@
 
     def find_probation(self, key: RunKey) -> float:
         """Return the time for which a suspect has to run, in seconds, else 0."""
-        name = self.store.get_group_name(key[0])
-        return compute_probation(self.store.crashes.find_suspect(name))
+        return compute_probation(self.store.crashes.find_suspect(key[0]))
 
     def find_estimate(self, key: RunKey) -> float:
         """Return the expected duration of a run in seconds, or 0 if it is unknown.
--- a/src/bluebellyoke/dispatch/restarts.py
+++ b/src/bluebellyoke/dispatch/restarts.py
@@ -175,7 +175,7 @@
 
 
 def _is_suspect(store: WorkflowStore, name: TaskName) -> bool:
-    return store.crashes.find_suspect(store.get_group_name(name)) is not None
+    return store.crashes.find_suspect(name) is not None
 
 
 def _isolate(workers: list[TrackedWorker], isolation: Isolation) -> bool:
--- a/src/bluebellyoke/dispatch/waiting.py
+++ b/src/bluebellyoke/dispatch/waiting.py
@@ -199,7 +199,7 @@
     """Remove the suspects from the waiting tasks of a step, and yield them."""
     groups = [step.indexes] if step.spec.gang else [[x] for x in step.indexes]
     for indexes in groups:
-        name = store.get_group_name(TaskName(*step.key, indexes[0]))
+        name = TaskName(*step.key, indexes[0])
         crashes = store.crashes.find_suspect(name)
         if crashes is not None:
             step.indexes = [x for x in step.indexes if x not in indexes]
--- a/src/bluebellyoke/workflow/crash_recorder.py
+++ b/src/bluebellyoke/workflow/crash_recorder.py
@@ -52,24 +52,18 @@
         self._workflows = workflows
         self._on_change = on_change
         self._on_failed = on_failed
-        self.crashes = CrashHistory()
+        self.crashes = CrashHistory(is_gang=self._is_gang)
         self.lost_workers = LostWorkers()
         self.unsettled_runs = UnsettledRuns()
 
     def load(self, snapshot: WorkflowSnapshot) -> None:
         """Take over the state of a snapshot."""
-        self.crashes = CrashHistory(snapshot.crashes)
+        self.crashes = CrashHistory(snapshot.crashes, is_gang=self._is_gang)
         self.lost_workers = LostWorkers(snapshot.lost_workers)
         self.unsettled_runs = UnsettledRuns(snapshot.unsettled_runs)
 
-    def get_group_name(self, task: TaskName) -> TaskName:
-        """Return the name under which a task's crashes are kept.
-
-        It is that of the first task of its gang, or of the task itself.
-        """
-        if not is_gang(self._workflows, task):
-            return task
-        return msgspec.structs.replace(task, index=0)
+    def _is_gang(self, task: TaskName) -> bool:
+        return is_gang(self._workflows, task)
 
     # Workers.
 
@@ -150,18 +144,14 @@
         if not runs:
             return []
         self._on_change(self.crashes.list_workflows())
-        grouped = [
-            msgspec.structs.replace(item, task=self.get_group_name(item.task))
-            for item in runs
-        ]
-        given_up = self.crashes.record(worker_key, grouped, time, is_proved=is_proved)
+        given_up = self.crashes.record(worker_key, runs, time, is_proved=is_proved)
         failed = self._give_up(given_up, time)
-        for item in grouped:
+        for item in runs:
             workflow = self._workflows.get(item.task.workflow)
             if workflow is None or workflow.outcome:
                 self.forget_workflow(item.task.workflow)
             elif not self._is_open(item.task):
-                self._clear(item.task)
+                self._clear(item.task, RunOutcome.DONE)
         return failed
 
     def _give_up(self, given_up: list[TaskCrashes], time: float) -> list[str]:
@@ -193,7 +183,7 @@
             worker_key: ID and incarnation of the worker that the run was assigned to.
         """
         if end.outcome in _CLEARING_OUTCOMES:
-            self._clear(end.task)
+            self._clear(end.task, end.outcome)
         self._settle(end, worker_key, time)
         if self._workflows[end.task.workflow].outcome:
             self.forget_workflow(end.task.workflow)
@@ -213,14 +203,13 @@
             self._withdraw(unsettled)
             return
         self._on_change(self.crashes.list_workflows())
-        group = self.get_group_name(end.task)
-        self._give_up(self.crashes.confirm(unsettled.worker_key, group), time)
+        confirmed = self.crashes.confirm(unsettled.worker_key, end.task)
+        self._give_up(confirmed, time)
 
     def _withdraw(self, unsettled: UnsettledRun) -> None:
         """Drop the crash of an incarnation that a run has outlived."""
         self._on_change(self.crashes.list_workflows())
-        group = self.get_group_name(unsettled.task)
-        self.crashes.withdraw(unsettled.worker_key, group)
+        self.crashes.withdraw(unsettled.worker_key, unsettled.task)
 
     def forget_workflow(self, workflow: str) -> None:
         """Drop the crashes of the tasks of a workflow that has ended."""
@@ -228,6 +217,12 @@
             self.crashes.forget_workflow(workflow)
             self._on_change(self.crashes.list_workflows())
 
-    def _clear(self, task: TaskName) -> None:
-        if self.crashes.clear(self.get_group_name(task)):
+    def _clear(self, task: TaskName, outcome: RunOutcome) -> None:
+        """Clear a task of its crashes, and the others of its gang if that is done.
+
+        A task that fails by itself tells nothing of the others.
+        """
+        is_done = outcome is RunOutcome.DONE
+        clear = self.crashes.clear_gang if is_done else self.crashes.clear
+        if clear(task):
             self._on_change(self.crashes.list_workflows())
--- a/src/bluebellyoke/workflow/crashes.py
+++ b/src/bluebellyoke/workflow/crashes.py
@@ -10,10 +10,12 @@
     * A suspect starts apart from other young runs. If its worker crashes again, and
       both crashes are proved, it is the cause, and its workflow fails.
     * A cause explains all crashes that it was in: other tasks are cleared of them.
-    * The tasks of a gang count as one, since they start together.
+    * The tasks of a gang start together, so they are suspects together, and one of them
+      is the cause of a crash if no task of another gang can be. Which of them has to be
+      given up depends on its own crashes: others of its gang may run elsewhere.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -53,6 +55,8 @@
             it is there, the task was not in this crash.
         is_uncertain: Whether only an earlier leader may have known that the run had
             begun.
+        names_task: Whether the run was of this very task. Earlier builds kept the
+            crashes of all tasks of a gang under its first one.
     """
 
     worker: str
@@ -67,6 +71,7 @@
     has_begun: bool = True
     is_settled: bool = True
     is_uncertain: bool = False
+    names_task: bool = False
 
     @property
     def worker_key(self) -> tuple[str, int]:
@@ -80,10 +85,10 @@
 
 
 class TaskCrashes(msgspec.Struct, array_like=True):
-    """Recent crashes that the runs of a task, or of a gang, were in.
+    """Recent crashes that the runs of a task were in, or those of all tasks of a gang.
 
     Attributes:
-        task: The task, or the first task of the gang.
+        task: The task, or the first one of the gang.
     """
 
     task: TaskName
@@ -168,10 +173,21 @@
 
 
 class CrashHistory:
-    """Crashes by the tasks that they may be due to; part of the replicated state."""
+    """Crashes by the tasks that they may be due to; part of the replicated state.
 
-    def __init__(self, tasks: Iterable[TaskCrashes] = ()) -> None:
+    Args:
+        tasks: State of a snapshot.
+        is_gang: Returns whether a task belongs to a gang.
+    """
+
+    def __init__(
+        self,
+        tasks: Iterable[TaskCrashes] = (),
+        *,
+        is_gang: Callable[[TaskName], bool] = lambda task: False,
+    ) -> None:
         self._tasks = {item.task: item for item in tasks}
+        self._is_gang = is_gang
         self._workflows = {task.workflow for task in self._tasks}
         self._young: set[tuple[str, int]] = set()
         self._update_young()
@@ -181,16 +197,34 @@
         return list(self._tasks.values())
 
     def find(self, task: TaskName) -> TaskCrashes | None:
-        """Return the crashes of a task, or of a gang by its first task."""
+        """Return the crashes of a task."""
         return self._tasks.get(task)
 
     def find_suspect(self, task: TaskName) -> TaskCrashes | None:
-        """Return the crashes of a task if it is a suspect, else None."""
+        """Return the crashes of a task, or of its whole gang, if it is a suspect."""
+        if not self.has_workflow(task.workflow):
+            return None
         found = self._tasks.get(task)
-        return found if found is not None and self._is_suspect(found) else None
-
-    def _is_suspect(self, crashes: TaskCrashes) -> bool:
-        return self._are_suspicious(crashes.unexplained)
+        if self._is_gang(task):
+            found = self._merge_gang(task)
+        is_suspect = found is not None and self._are_suspicious(found.unexplained)
+        return found if is_suspect else None
+
+    def _get_group(self, task: TaskName) -> TaskName:
+        """Return the task, or the first one of its gang."""
+        if not self._is_gang(task):
+            return task
+        return msgspec.structs.replace(task, index=0)
+
+    def _list_group(self, task: TaskName) -> list[TaskCrashes]:
+        """Return the crashes of a task, or of each task of its gang."""
+        group = self._get_group(task)
+        return [x for x in self._tasks.values() if self._get_group(x.task) == group]
+
+    def _merge_gang(self, task: TaskName) -> TaskCrashes:
+        """Return the crashes of all tasks of a gang."""
+        crashes = [x for item in self._list_group(task) for x in item.crashes]
+        return TaskCrashes(self._get_group(task), crashes)
 
     def _are_suspicious(self, crashes: list[SharedCrash]) -> bool:
         """Return whether some unexplained crashes of a task make it a suspect."""
@@ -229,17 +263,18 @@
         Args:
             worker_key: ID and incarnation of the worker.
             time: Wall-clock time, in seconds.
-            runs: Runs that the crash ended, a gang by its first task.
+            runs: Runs that the crash ended.
             is_proved: Whether the worker's process is known to have ended.
         """
         self._drop_before(time - CRASH_MEMORY_S)
-        merged = _merge_gangs(runs)
-        young = {item.task for item in merged if item.is_suspect}
-        cause = self._find_cause(young, merged) if is_proved else None
-        if len(merged) == 1:
-            young = {merged[0].task}
+        runs = list(runs)
+        young = {item.task for item in runs if item.is_suspect}
+        cause = self._find_cause(young, runs) if is_proved else None
+        if len({self._get_group(item.task) for item in runs}) == 1:
+            young = {item.task for item in runs}
+        suspects = len({self._get_group(task) for task in young})
         given_up = []
-        for item in merged:
+        for item in runs:
             was_young = item.task in young
             shared = SharedCrash(
                 *worker_key,
@@ -247,14 +282,15 @@
                 time,
                 item.age_ms,
                 was_young,
-                len(young),
+                suspects,
                 is_proved=is_proved,
                 has_begun=item.has_begun,
                 is_settled=item.is_settled,
                 is_uncertain=item.is_uncertain,
+                names_task=True,
             )
             crashes = self._add(item.task, shared)
-            if item.task == cause or len(crashes.runs) >= MAX_CRASHES:
+            if item.task == cause or self._has_max_crashes(crashes):
                 given_up.append(crashes)
         if cause is not None:
             self._explain(cause)
@@ -269,16 +305,21 @@
     def _find_cause(
         self, young: set[TaskName], runs: list[CrashedRun]
     ) -> TaskName | None:
-        """Return the only young task if an earlier run of it was a suspect before."""
-        if len(young) != 1:
-            return None
-        (task,) = young
-        found = next(item for item in runs if item.task == task)
-        crashes = self._tasks.get(task)
-        if crashes is None or not (found.has_begun and found.is_settled):
+        """Return a young task if an earlier run of it was a suspect before.
+
+        Only tasks of one gang may be young besides.
+        """
+        if len({self._get_group(task) for task in young}) != 1:
             return None
-        is_cause = self._is_repeated(crashes, found.run, found.is_uncertain)
-        return task if is_cause else None
+        for item in runs:
+            crashes = self._tasks.get(item.task)
+            if item.task not in young or crashes is None:
+                continue
+            if not (item.has_begun and item.is_settled):
+                continue
+            if self._is_repeated(crashes, item.run, item.is_uncertain):
+                return item.task
+        return None
 
     def _is_repeated(self, crashes: TaskCrashes, run: int, is_uncertain: bool) -> bool:
         """Return whether a task was a suspect for proved crashes of its other runs.
@@ -290,7 +331,11 @@
         earlier = [
             x
             for x in crashes.unexplained
-            if x.is_proved and x.has_begun and x.is_settled and x.run != run
+            if x.is_proved
+            and x.has_begun
+            and x.is_settled
+            and x.run != run
+            and self._is_of_task(x, crashes.task)
         ]
         uncertain = sum(x.is_uncertain for x in earlier) + is_uncertain
         has_enough = (
@@ -299,6 +344,15 @@
         )
         return has_enough and self._are_suspicious(earlier)
 
+    def _is_of_task(self, crash: SharedCrash, task: TaskName) -> bool:
+        """Return whether a crash is known to have struck a run of this very task."""
+        return crash.names_task or not self._is_gang(task)
+
+    def _has_max_crashes(self, crashes: TaskCrashes) -> bool:
+        """Return whether so many runs of a task were in a crash that it has to fail."""
+        own = [x for x in crashes.crashes if self._is_of_task(x, crashes.task)]
+        return len(TaskCrashes(crashes.task, own).runs) >= MAX_CRASHES
+
     def confirm(self, worker_key: tuple[str, int], task: TaskName) -> list[TaskCrashes]:
         """Record that a run was in a crash, since the next incarnation lacks it.
 
@@ -311,10 +365,10 @@
             return []
         shared.is_settled = True
         others = {
-            item.task
+            self._get_group(item.task)
             for item in self._tasks.values()
             if (crash := item.find(worker_key)) is not None and crash.was_young
-        } - {task}
+        } - {self._get_group(task)}
         is_cause = (
             shared.is_proved
             and shared.has_begun
@@ -325,7 +379,7 @@
         if is_cause:
             self._explain(task)
         self._update_young()
-        return [crashes] if is_cause or len(crashes.runs) >= MAX_CRASHES else []
+        return [crashes] if is_cause or self._has_max_crashes(crashes) else []
 
     def withdraw(self, worker_key: tuple[str, int], task: TaskName) -> None:
         """Drop a crash that a task was not in, since its run outlived the worker."""
@@ -371,19 +425,13 @@
         self._update_young()
         return True
 
+    def clear_gang(self, task: TaskName) -> bool:
+        """Clear all tasks of a gang, since a run of the gang was done; see `clear`."""
+        return any([self.clear(item.task) for item in self._list_group(task)])
+
     def forget_workflow(self, workflow: str) -> None:
         """Drop the tasks of a workflow that has ended."""
         self._workflows.discard(workflow)
         for task in [x for x in self._tasks if x.workflow == workflow]:
             del self._tasks[task]
         self._update_young()
-
-
-def _merge_gangs(runs: Iterable[CrashedRun]) -> list[CrashedRun]:
-    """Return one run for each task or gang, a suspected one if there is one."""
-    merged: dict[TaskName, CrashedRun] = {}
-    for item in runs:
-        known = merged.get(item.task)
-        if known is None or item.is_suspect:
-            merged[item.task] = item
-    return list(merged.values())
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -348,12 +348,6 @@
 
     # Runs.
 
-    def get_group_name(
-        self, task: workflow_commands.TaskName
-    ) -> workflow_commands.TaskName:
-        """Return the name under which a task's crashes are kept."""
-        return self._crash_recorder.get_group_name(task)
-
     def _assign(self, command: workflow_commands.AssignRuns) -> Result:
         """Assign runs; a gang whose tasks cannot all be assigned is left out."""
         done = []
--- a/tests/cell/test_crashes.py
+++ b/tests/cell/test_crashes.py
@@ -111,6 +111,65 @@
     assert starts < 6
 
 
+def place_gang(state, workers, time):
+    """Assign a gang to some workers; return whether it has started."""
+    if state.scheduling.find_task("g", 0) is None:
+        return False
+    placements = tuple(
+        commands.Placement(
+            "g",
+            index,
+            state.scheduling.find_task("g", index).epoch + 1,
+            worker,
+            state.scheduling.workers[worker].session,
+        )
+        for index, worker in enumerate(workers)
+    )
+    result = state.apply(commands.PlaceTasks(placements=placements, time=time))
+    return result.detail["started"] == str(len(workers))
+
+
+def play_gang(state, struck):
+    """Start a gang of three tasks again and again, and strike one task of each run.
+
+    Args:
+        struck: Index of the task whose worker crashes, for each run.
+
+    Returns:
+        The number of its starts.
+    """
+    state.apply(
+        create_job("g", kind=commands.JobKind.GANG, tasks=3, idempotent=True, time=2.0)
+    )
+    workers = ["m0", "m1", "m2"]
+    starts = 0
+    for number, index in enumerate(struck):
+        time = 10.0 * number + 10
+        if not place_gang(state, workers, time):
+            break
+        starts += 1
+        crash(state, workers[index], time + 1)
+        for other in {0, 1, 2} - {index}:
+            if get_state(state, "g") == "failed":
+                return starts
+            report(state, "g", other, commands.TaskOutcome.STOPPED, time=time + 2)
+        state.apply(commands.AdvanceTime(time=time + 9))
+    return starts
+
+
+# Guards against a gang that fails for crashes under different tasks of it.
+def test_gang_struck_under_its_tasks_in_turn_is_not_given_up(state):
+    assert play_gang(state, [0, 1, 2, 0, 1]) == 5
+    assert get_state(state, "g") != "failed"
+
+
+# Guards against a task that crashes its workers for ever, since the reports of other
+# tasks of its gang clear it.
+def test_gang_with_one_deadly_task_is_given_up(state):
+    assert play_gang(state, [1] * 6) == MAX_LONE_CRASHES
+    assert get_state(state, "g") == "failed"
+
+
 # Guards against a crash without a single possible cause: a suspect starts alone.
 def test_suspect_gets_an_idle_worker_that_no_other_task_gets(state):
     state.apply(create_job("more", tasks=9, idempotent=True, time=2.0))
--- a/tests/dispatch/test_crashes.py
+++ b/tests/dispatch/test_crashes.py
@@ -1,5 +1,7 @@
 """Tests of tasks that crash their workers."""
 
+import pytest
+
 from bluebellyoke.workflow import commands as workflow_commands
 from tests.dispatch.crashing import CrashSimulation
 from tests.workflow.factories import create_spec, create_step
@@ -110,6 +112,92 @@
     assert [states[number_id(x)] for x in range(2, 10)] == ["completed"] * 8
 
 
+class GangCrashes:
+    """Crashes of the workers of some tasks of a gang, one in each of its runs.
+
+    Args:
+        indexes: Indexes of the tasks, in the order of the runs.
+    """
+
+    def __init__(self, simulation, indexes, on_crash=lambda: None):
+        self.simulation = simulation
+        self.indexes = list(indexes)
+        self.on_crash = on_crash
+        self.seen = set()
+
+    def __call__(self):
+        members = {
+            key: worker
+            for worker in self.simulation.workers.values()
+            for key in worker.runs
+            if key[0].workflow == number_id(1)
+        }
+        numbers = {run for _, run in members} - self.seen
+        if not self.indexes or len(members) < GANG_TASKS or not numbers:
+            return
+        self.seen |= numbers
+        index = self.indexes.pop(0)
+        (worker,) = [x for (task, _), x in members.items() if task.index == index]
+        self.simulation.crash(worker.spec.id)
+        self.on_crash()
+
+
+GANG_TASKS = 6
+
+
+def submit_gang(simulation):
+    step = create_step(GANG_TASKS, cpu=2000, gang=True)
+    simulation.submit(create_spec(number_id(1), [step]))
+
+
+# Guards against a gang that fails although no task of it has two crashes: they were
+# counted for the gang, whichever tasks they struck.
+@pytest.mark.parametrize("count", [2, 3, 5])
+@pytest.mark.parametrize("has_new_leaders", [False, True])
+def test_gang_is_done_after_crashes_under_different_tasks(count, has_new_leaders):
+    simulation = create_cell(workers=8, deadly=lambda task: False, task_s=2.0)
+    submit_gang(simulation)
+    change = simulation.change_leader_and_restore if has_new_leaders else lambda: None
+    crashes = GangCrashes(simulation, range(count), change)
+    simulation.run(count * 15 + 15, crashes)
+    assert crashes.indexes == []
+    assert get_states(simulation)[number_id(1)] == "completed"
+
+
+# Guards against a gang without a bound on its crashes, and a reason that names a task
+# which none of them struck.
+@pytest.mark.parametrize("indexes", [[2, 2], [4, 1, 4], [0, 3, 5, 3]])
+def test_gang_is_given_up_after_two_crashes_under_one_task(indexes):
+    simulation = create_cell(workers=8, deadly=lambda task: False, task_s=2.0)
+    submit_gang(simulation)
+    crashes = GangCrashes(simulation, indexes)
+    simulation.run(len(indexes) * 15 + 10, crashes)
+    assert crashes.indexes == []
+    workflow = simulation.store.workflows[number_id(1)]
+    assert workflow.state == "failed"
+    assert workflow.reason == f"2 workers crashed under task 0.0.{indexes[-1]}"
+
+
+# Guards against a gang of which all tasks, or two in turn, take workers down for ever.
+@pytest.mark.parametrize("kind", ["all", "in-turn"])
+def test_gang_with_several_deadly_tasks_is_given_up(kind):
+    def is_gang_deadly(task):
+        if task.workflow != number_id(1):
+            return False
+        runs = {key[1] for x in simulation.workers.values() for key in x.runs}
+        return kind == "all" or task.index == max(runs, default=0) % 2
+
+    simulation = create_cell(workers=8)
+    simulation.deadly = is_gang_deadly
+    submit_gang(simulation)
+    for number in range(2, 8):
+        simulation.submit(create_spec(number_id(number)))
+    simulation.run(60)
+    check_deadly_task(simulation, *(x for x in simulation.crashes if is_deadly(x)))
+    states = get_states(simulation)
+    assert [states[number_id(x)] for x in range(2, 8)] == ["completed"] * 6
+
+
 # Guards against crashes that are counted twice or forgotten: a new leader takes over at
 # each of them, with a state read from a snapshot.
 def test_crashes_are_counted_once_across_changes_of_leader():
--- a/tests/workflow/test_crashes.py
+++ b/tests/workflow/test_crashes.py
@@ -75,6 +75,54 @@
     assert crash(history, 3, (DEADLY, 2, True)) == [DEADLY]
 
 
+MEMBERS = [TaskName(f"{50:016x}", 0, 0, index) for index in range(6)]
+
+
+@pytest.fixture
+def gang_history():
+    return CrashHistory(is_gang=lambda task: task.workflow == MEMBERS[0].workflow)
+
+
+# Guards against a gang that is given up for crashes under different tasks of it.
+def test_crashes_under_different_tasks_of_a_gang_prove_nothing(gang_history):
+    for number, member in enumerate(MEMBERS):
+        assert crash(gang_history, number, (member, number + 1, True)) == []
+        assert all(is_suspect(gang_history, task) for task in MEMBERS)
+    assert crash(gang_history, 9, (MEMBERS[3], 9, True)) == [MEMBERS[3]]
+
+
+# Guards against two tasks of a gang on one worker that excuse each other for ever.
+def test_tasks_of_a_gang_on_one_worker_are_one_possible_cause(gang_history):
+    pair = [(task, 1, True) for task in MEMBERS[:2]]
+    assert crash(gang_history, 1, *pair, (OLD, 1, False)) == []
+    pair = [(task, 2, True) for task in MEMBERS[1:3]]
+    assert crash(gang_history, 2, *pair, (OLD, 2, False)) == [MEMBERS[1]]
+
+
+# Guards against evidence that vanishes as another task of the gang ends as failed.
+def test_end_of_a_task_clears_itself_and_a_done_gang_all(gang_history):
+    crash(gang_history, 1, (MEMBERS[1], 1, True))
+    gang_history.clear(MEMBERS[0])
+    assert is_suspect(gang_history, MEMBERS[0])
+    gang_history.clear_gang(MEMBERS[0])
+    assert not is_suspect(gang_history, MEMBERS[1])
+
+
+# Guards against a gang that is given up for its first task by the snapshot of an older
+# build, which kept the crashes of all its tasks there.
+def test_crashes_of_a_gang_in_an_old_snapshot_count_for_no_task(gang_history):
+    crash(gang_history, 1, (MEMBERS[0], 1, True))
+    crash(gang_history, 2, (DEADLY, 1, True))
+    for item in gang_history.dump():
+        for shared in item.crashes:
+            shared.names_task = False
+    restored = CrashHistory(gang_history.dump(), is_gang=gang_history._is_gang)
+    assert is_suspect(restored, MEMBERS[0])
+    assert crash(restored, 3, (MEMBERS[0], 2, True)) == []
+    assert crash(restored, 4, (MEMBERS[0], 3, True)) == [MEMBERS[0]]
+    assert crash(restored, 5, (DEADLY, 2, True)) == [DEADLY]
+
+
 def test_task_is_given_up_without_proof_before_the_budget_is_used(history):
     given_up = []
     for number in range(1, MAX_CRASHES + 1):
