Bound the numbers that come from outside, and contain unexpected errors

Cause: run_times.py took the logarithm of estimate_ms / 1000, which is 0.0 for such estimates, and nothing between the report of one worker and the loop of the replica caught the error.

Errors of a calculation or of a state are contained to the event, message, step or command that has caused them, with a line and contained_errors_total (docs/DESIGN.md, "Unexpected errors"). All others still end the process. Ends that could not be recorded are not acknowledged.

Every test now fails if an error is contained that it does not bring about itself.

--- a/src/bluebellyoke/dispatch/context.py
+++ b/src/bluebellyoke/dispatch/context.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from bluebellyoke.cell.resources import Resources
+from bluebellyoke.containment import ErrorContainment
 from bluebellyoke.dispatch.advice import AdviceManager
 from bluebellyoke.dispatch.backlog import BacklogEstimator
 from bluebellyoke.dispatch.calls import WorkerCalls
@@ -39,6 +40,7 @@
         store: Replicated state.
         workers: Workers as this leader sees them, by ID.
         fence: Fencing token of this leader.
+        containment: Contains unexpected errors.
         created_fences: Number of fencing tokens that it has created for its calls.
         now: Monotonic time of the current tick or event, in seconds.
         wall_time: Wall-clock time of the same, in seconds.
@@ -62,12 +64,18 @@
     workers: dict[str, TrackedWorker] = field(default_factory=dict)
     fence: int = 0
     created_fences: int = 0
+    containment: ErrorContainment = field(init=False)
     now: float = 0.0
     wall_time: float = 0.0
     needs_planning: bool = True
     due_workers: dict[str, None] = field(default_factory=dict)
     restartable_runs: dict[RunKey, str] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.containment = ErrorContainment(
+            lambda: self.now, self.metrics.record_contained_error
+        )
+
     def create_fence(self) -> int:
         """Return a fencing token for further calls to a worker.
 
--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Mapping
 
 from bluebellyoke.cell.result import Result, refuse
+from bluebellyoke.containment import ErrorContainment
 from bluebellyoke.dispatch import events
 from bluebellyoke.dispatch.admission import AdmissionDecision
 from bluebellyoke.dispatch.advice import AdviceManager, StepKey
@@ -128,6 +129,11 @@
         """Histograms and counters."""
         return self._context.metrics
 
+    @property
+    def containment(self) -> ErrorContainment:
+        """Contains unexpected errors, which it logs and counts."""
+        return self._context.containment
+
     @property
     def workers(self) -> dict[str, TrackedWorker]:
         """Workers as this leader sees them, by ID."""
@@ -172,14 +178,21 @@
         self._context.metrics.record_tick_interval(now - self._ticked_at)
         self._ticked_at = self._context.now = now
         self._context.wall_time = wall_time
+        contain = self._context.containment.contain
         self._poll_workers(now, wall_time)
-        self._unsettled_runs.tick(now, wall_time)
-        self._confirmations.tick(now, wall_time)
-        self._record_cleaner.tick(now, wall_time)
+        with contain("unsettled-runs"):
+            self._unsettled_runs.tick(now, wall_time)
+        with contain("confirmations"):
+            self._confirmations.tick(now, wall_time)
+        with contain("record-cleanup"):
+            self._record_cleaner.tick(now, wall_time)
         self._parts.tick(now, wall_time)
-        self._refusals.send(wall_time)
-        self._plan_if_due(now, wall_time)
-        self.advice.tick(now)
+        with contain("refusals"):
+            self._refusals.send(wall_time)
+        with contain("planning"):
+            self._plan_if_due(now, wall_time)
+        with contain("advice"):
+            self.advice.tick(now)
 
     def _poll_workers(self, now: float, wall_time: float) -> None:
         """Send due polls: to all workers once a round, to due workers in each tick."""
@@ -192,7 +205,8 @@
         for name in names:
             worker = context.workers.get(name)
             if worker is not None:
-                self._poller.poll_if_due(worker, now, wall_time)
+                with context.containment.contain("poll", worker=name):
+                    self._poller.poll_if_due(worker, now, wall_time)
 
     def _plan_if_due(self, now: float, wall_time: float) -> None:
         due = self._plan_due
@@ -216,6 +230,21 @@
             return
         if worker.spec.incarnation != event.incarnation:
             return
+        kind = type(event).__name__
+        with self._context.containment.contain(kind, worker=event.worker):
+            self._process(worker, event, now, wall_time)
+
+    def _process(
+        self,
+        worker: TrackedWorker,
+        event: events.WorkerEvent,
+        now: float,
+        wall_time: float,
+    ) -> None:
+        """Process an event; what an unexpected error leaves undone is repeated later.
+
+        A poll, a start or a stop without an event counts as unanswered after a while.
+        """
         if isinstance(event, events.PollFinished):
             self._poller.receive(worker, event, now, wall_time)
             self._starter.give_up_lost_starts(worker, now, wall_time)
@@ -325,7 +354,12 @@
         admission = self._parts.admission
         if admission is None or spec.id in self._submitting:
             return True
-        decision = admission.decide(spec, self._context.now, wall_time)
+        decision = None
+        with self._context.containment.contain("admission", job=spec.id):
+            decision = admission.decide(spec, self._context.now, wall_time)
+        if decision is None:
+            # Nothing is refused for a fault of the forecast.
+            return True
         if not decision.is_accepted:
             self._refusals.add(spec, _describe_refusal(decision), reply)
         return decision.is_accepted
--- a/src/bluebellyoke/dispatch/optional_parts.py
+++ b/src/bluebellyoke/dispatch/optional_parts.py
@@ -35,6 +35,7 @@
     def __init__(
         self, context: DispatchContext, *, stopper: RunStopper, prober: WorkerProber
     ) -> None:
+        self._context = context
         self.admission: AdmissionControl | None = None
         self.orders: list[StepOrder] = []
         self.preemptor: Preemptor | None = None
@@ -87,9 +88,13 @@
 
     def tick(self, now: float, wall_time: float) -> None:
         """Run the periodic work that is due."""
+        contain = self._context.containment.contain
         if self.interference is not None:
-            self.interference.tick(now)
+            with contain("interference"):
+                self.interference.tick(now)
         if self.admission is not None:
-            self.admission.tick(now, wall_time)
+            with contain("admission"):
+                self.admission.tick(now, wall_time)
         if self.mover is not None:
-            self.mover.tick(now)
+            with contain("stragglers"):
+                self.mover.tick(now)
--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -5,8 +5,10 @@
 workers are planned first, on workers that the others do not get meanwhile.
 """
 
+import contextlib
 from collections.abc import Iterable, MutableMapping
 
+from bluebellyoke.containment import ErrorContainment
 from bluebellyoke.dispatch.advice import AdviceManager, StepAdvice, StepKey
 from bluebellyoke.dispatch.costs import CostTables, PlacementCost
 from bluebellyoke.dispatch.isolation import RecentCrashes
@@ -61,6 +63,7 @@
         costs: Costs by which a task prefers some workers to others.
         orders: Orders of the waiting steps, which are applied one after the other.
             Without any, steps are planned by priority and age.
+        containment: Contains unexpected errors to a step, or None to pass them on.
 
     Attributes:
         wait_reasons: Why each step waits for which the last round started nothing.
@@ -73,6 +76,7 @@
         *,
         costs: Iterable[PlacementCost] = (),
         orders: Iterable[StepOrder] = (),
+        containment: ErrorContainment | None = None,
     ) -> None:
         self._tickets = StepTickets(advice)
         self._reservations = Reservations()
@@ -85,6 +89,7 @@
         )
         self._costs = CostTables(tuple(costs))
         self._orders = tuple(orders)
+        self._containment = containment
         self._steps = WaitingSteps()
         self._paused_until: dict[StepKey, float] = {}
         self._refused_until: dict[StepKey, float] = {}
@@ -133,19 +138,23 @@
         )
         waiting = self._steps.list_waiting()
         for order in self._orders:
-            waiting = order.arrange(waiting, planning)
+            with self._contain("order"):
+                waiting = order.arrange(waiting, planning)
         if len(waiting) > RENEWED_STEPS:
             # Computed before any start, so that it is an upper bound during the round.
             planning.get_max_free()
         self._paused_until = _keep_current(self._paused_until, now)
         self._refused_until = _keep_current(self._refused_until, now)
         if restartable:
-            self._restarts.plan(store, restartable, planning, self._paused_until)
-        self._suspects.plan(
-            store, self._steps.list_suspects(), planning, self._paused_until
-        )
+            with self._contain("restarts"):
+                self._restarts.plan(store, restartable, planning, self._paused_until)
+        with self._contain("suspects"):
+            self._suspects.plan(
+                store, self._steps.list_suspects(), planning, self._paused_until
+            )
         self._plan_steps(store, waiting, planning)
-        self._prefetch_advice(store, planning)
+        with self._contain("advice"):
+            self._prefetch_advice(store, planning)
         planning.drop_reasons_of_started_steps()
         for key in self._steps.iter_open_gangs():
             planning.wait_reasons[key] = WaitReason.OPEN_RUNS
@@ -179,9 +188,33 @@
                 continue
             is_head = head_steps < RENEWED_STEPS and _can_ever_fit(step.spec, planning)
             head_steps += is_head
-            self._plan_step(store, step, planning, is_head)
+            self._plan_or_pause(store, step, planning, is_head)
         self._quota_waits = quota_waits
 
+    def _plan_or_pause(
+        self,
+        store: WorkflowStore,
+        step: WaitingStep,
+        planning: PlanningRound,
+        is_head: bool,
+    ) -> None:
+        """Plan a step; after an unexpected error, leave it to a later round."""
+        before = len(planning.starts)
+        is_planned = False
+        with self._contain("step", job=step.key[0]):
+            self._plan_step(store, step, planning, is_head)
+            is_planned = True
+        if not is_planned:
+            del planning.starts[before:]
+            self.pause(step.key, planning.now)
+
+    def _contain(
+        self, part: str, **details: object
+    ) -> contextlib.AbstractContextManager:
+        if self._containment is None:
+            return contextlib.nullcontext()
+        return self._containment.contain(part, **details)
+
     def _prefetch_advice(self, store: WorkflowStore, planning: PlanningRound) -> None:
         """Request advice on steps that can begin once the placed tasks have ended."""
         for step in self._steps.iter_next():
--- a/src/bluebellyoke/dispatch/polls.py
+++ b/src/bluebellyoke/dispatch/polls.py
@@ -3,6 +3,7 @@
 import logging
 from dataclasses import replace
 
+from bluebellyoke.cell.result import Result
 from bluebellyoke.dispatch.calls import (
     MAX_EVENT_DELAY_S,
     POLL_TIMEOUT_SLACK_S,
@@ -343,7 +344,8 @@
                 run.checkpoint = running.checkpoint
             run.record_progress(running.percent, now)
             for observer in self._context.observers:
-                observer.record_progress(worker, key, run, running.load, now)
+                with self._context.containment.contain("progress", job=key[0].workflow):
+                    observer.record_progress(worker, key, run, running.load, now)
             if run.phase in (RunPhase.UNKNOWN, RunPhase.BLOCKED, RunPhase.BLOCKING):
                 worker.set_phase(key, RunPhase.STARTED, now)
                 self._stopper.stop_incomplete_gangs((running.task,))
@@ -368,11 +370,13 @@
     ) -> None:
         """Commit ends; the next poll acknowledges them only after that."""
 
-        def acknowledge() -> None:
-            worker.acknowledged_end = max(worker.acknowledged_end, last_end)
-            self._finish_poll(worker, event)
+        def finish(result: Result) -> None:
+            if result.accepted:
+                worker.acknowledged_end = max(worker.acknowledged_end, last_end)
+            if self._finish_poll(worker, event) and not result.accepted:
+                worker.poll_due += UNREADABLE_POLL_INTERVAL_S
 
         if ends:
-            self._recorder.commit(worker, ends, wall_time, acknowledge)
+            self._recorder.commit(worker, ends, wall_time, finish)
         else:
-            acknowledge()
+            finish(Result(accepted=True))
--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -272,7 +272,8 @@
         }
         self._ended[worker.spec.id] = worker.spec.incarnation, now
         for observer in self._context.observers:
-            observer.forget_worker(worker)
+            with self._context.containment.contain("end", worker=worker.spec.id):
+                observer.forget_worker(worker)
 
     def has_successor(self, worker: TrackedWorker) -> bool:
         """Return whether a process born later has announced itself at the address.
--- a/src/bluebellyoke/dispatch/run_ends.py
+++ b/src/bluebellyoke/dispatch/run_ends.py
@@ -33,12 +33,12 @@
         worker: TrackedWorker,
         ends: list[workflow_commands.RunEnd],
         wall_time: float,
-        on_commit: Callable[[], None] = lambda: None,
+        on_commit: Callable[[Result], None] = lambda result: None,
     ) -> None:
-        """Commit ends of runs on a worker, then call `on_commit`."""
+        """Commit ends of runs on a worker, then call `on_commit` with the result."""
 
         def finish(result: Result) -> None:
-            on_commit()
+            on_commit(result)
             self._context.backlog.record_ended_tasks(len(ends), self._context.now)
             self._handle_committed_ends(worker, ends)
 
@@ -81,7 +81,8 @@
             return
         now = self._context.now
         for observer in self._context.observers:
-            observer.record_end(worker, (end.task, end.run), run, end.outcome, now)
+            with self._context.containment.contain("end", job=end.task.workflow):
+                observer.record_end(worker, (end.task, end.run), run, end.outcome, now)
 
     def _update_health(
         self, worker: TrackedWorker, ends: list[workflow_commands.RunEnd]
--- a/src/bluebellyoke/dispatch/run_times.py
+++ b/src/bluebellyoke/dispatch/run_times.py
@@ -9,6 +9,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
+from bluebellyoke.workflow.bounds import MAX_DURATION_MS, MIN_DURATION_MS
 from bluebellyoke.workflow.specs import QueueAddress, StepSpec
 
 __all__ = ["Prediction", "RunTimes"]
@@ -51,6 +52,19 @@
 PRIOR_VARIANCE_RUNS = 10.0
 
 
+#: Range of the logarithms of run times in seconds. Estimates far from all that are
+#: known would be extrapolated beyond what has an exponential.
+MIN_LOG = math.log(MIN_DURATION_MS / 1000)
+MAX_LOG = math.log(MAX_DURATION_MS / 1000)
+
+
+def _take_logarithm(duration_s: float) -> float:
+    """Return the logarithm of a duration, which may be any number."""
+    if not duration_s >= MIN_DURATION_MS / 1000:
+        return MIN_LOG
+    return min(math.log(duration_s), MAX_LOG)
+
+
 @dataclass(frozen=True, slots=True)
 class Prediction:
     """Expected run time of a task on a worker of median speed.
@@ -139,7 +153,7 @@
     def predict(self, queue: QueueAddress, step: StepSpec) -> Prediction | None:
         """Return the expected run time of a task, or None if nothing is known."""
         has_estimate = step.estimate_ms > 0
-        estimate = math.log(step.estimate_ms / 1000) if has_estimate else 0.0
+        estimate = _take_logarithm(step.estimate_ms / 1000) if has_estimate else 0.0
         result, spread, runs = estimate, INITIAL_SPREAD, 0.0
         for key in _list_keys(queue, step):
             group = self._groups.get(key)
@@ -153,7 +167,7 @@
             runs = group.runs
         if not has_estimate and not runs:
             return None
-        return Prediction(result, spread, runs)
+        return Prediction(min(max(result, MIN_LOG), MAX_LOG), spread, runs)
 
     def record(
         self, queue: QueueAddress, step: StepSpec, duration_s: float, now: float
@@ -164,8 +178,9 @@
             duration_s: Run time on a worker of median speed, in seconds.
         """
         prediction = self.predict(queue, step)
-        duration = math.log(duration_s)
-        estimate = math.log(step.estimate_ms / 1000) if step.estimate_ms > 0 else 0.0
+        duration = _take_logarithm(duration_s)
+        has_estimate = step.estimate_ms > 0
+        estimate = _take_logarithm(step.estimate_ms / 1000) if has_estimate else 0.0
         for key in _list_keys(queue, step):
             group = self._find_or_add(key, now)
             group.age(now)
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -93,6 +93,7 @@
             context.recent_crashes,
             costs=context.costs,
             orders=(*orders, FairOrder()),
+            containment=context.containment,
         )
         self._preemptor = preemptor
         self._waits = WaitReporter(context.advice, context.metrics)
@@ -163,7 +164,9 @@
         wall_time: float,
     ) -> None:
         self.is_pending = False
-        for item, done in zip(planned, result.detail["done"], strict=True):
+        # After an unexpected error in its application, nothing is done.
+        done_flags = result.detail.get("done", "0" * len(planned))
+        for item, done in zip(planned, done_flags, strict=True):
             start = item.start
             worker = self._context.workers.get(start.worker)
             if worker is None or worker.spec.incarnation != start.incarnation:
--- a/src/bluebellyoke/dispatch/worker_speeds.py
+++ b/src/bluebellyoke/dispatch/worker_speeds.py
@@ -262,7 +262,7 @@
         estimate = self._find_estimate(worker)
         normal_s = duration_s / math.exp(estimate.estimate)
         predicted = self._run_times.record(queue, step, normal_s, now)
-        if predicted is None:
+        if predicted is None or not math.isfinite(normal_s):
             return
         self._metrics.record_run_time_error(abs(normal_s - predicted.seconds))
         deviation = math.log(duration_s) - predicted.log_s
--- a/src/bluebellyoke/instance/bodies.py
+++ b/src/bluebellyoke/instance/bodies.py
@@ -28,6 +28,35 @@
 Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9._:-]{1,128}$")]
 Amount = Annotated[int, pydantic.Field(ge=0, le=10**9)]
 
+#: Smallest share of a workspace.
+MIN_SHARE = 1e-6
+
+#: Range of a run time other than 0, in seconds: from the precision of the clocks to
+#: over 30 years.
+MIN_TIME_S = 1e-6
+MAX_TIME_S = 1e9
+
+
+def _check_run_time(value: float) -> float:
+    if 0 < value < MIN_TIME_S:
+        raise ValueError(f"send at least {MIN_TIME_S} s, or 0 if it is unknown")
+    return value
+
+
+def _round_run_time(value: float) -> float:
+    """Return a measured time; the report of a worker is not lost for it."""
+    return min(value, MAX_TIME_S) if value >= MIN_TIME_S else 0.0
+
+
+RunTime = Annotated[
+    float,
+    pydantic.Field(ge=0, le=MAX_TIME_S),
+    pydantic.AfterValidator(_check_run_time),
+]
+MeasuredTime = Annotated[
+    float, pydantic.Field(ge=0), pydantic.AfterValidator(_round_run_time)
+]
+
 #: Maximum number of characters of an invalid header that an error message shows.
 MAX_SHOWN = 40
 
@@ -79,7 +108,7 @@
     """A workspace in a ticket."""
 
     name: Name
-    share: Annotated[float, pydantic.Field(gt=0, le=1e6)] = 1.0
+    share: Annotated[float, pydantic.Field(ge=MIN_SHARE, le=1e6)] = 1.0
     quota: ResourcesBody = ResourcesBody()
 
     def build(self) -> commands.WorkspaceSpec:
@@ -93,7 +122,7 @@
     """A service in a ticket."""
 
     name: Name
-    deadline_s: Annotated[float, pydantic.Field(gt=0, le=3600)] = 10.0
+    deadline_s: Annotated[float, pydantic.Field(ge=MIN_TIME_S, le=3600)] = 10.0
     idempotent_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
     enabled: bool = True
 
@@ -143,7 +172,7 @@
     checkpoint: bool = False
     urgent: bool = False
     max_attempts: Annotated[int, pydantic.Field(ge=1, le=100)] = 3
-    expected_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
+    expected_s: RunTime = 0.0
 
     def build(self) -> commands.SubmitJob:
         """Return the command that submits the job."""
@@ -199,7 +228,7 @@
     """An ended task in a heartbeat."""
 
     outcome: commands.TaskOutcome
-    ran_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
+    ran_s: MeasuredTime = 0.0
 
 
 class HeartbeatBody(_Body):
--- a/src/bluebellyoke/instance/replica.py
+++ b/src/bluebellyoke/instance/replica.py
@@ -15,6 +15,7 @@
 from anyio.abc import TaskGroup
 
 from bluebellyoke.cell import commands
+from bluebellyoke.cell.result import refuse
 from bluebellyoke.cell.snapshot import load_state
 from bluebellyoke.cell.state import CellState
 from bluebellyoke.clock import Clock
@@ -523,6 +524,21 @@
             options.cell, self.raft.replica, origin, target, message
         )
 
+    def _apply(self, command: commands.Command) -> commands.Result:
+        """Apply a command; contain an unexpected error, and refuse the command.
+
+        All replicas apply the same command to the same state, so the error leaves the
+        same state on all of them. Ending the process would end each of them, again
+        after each restart.
+        """
+        result = refuse(
+            "internal-error", "the command could not be applied; see the log"
+        )
+        kind = type(command).__name__
+        with self._controller.containment.contain("command", command=kind):
+            result = self.state.apply(command)
+        return result
+
     def _apply_entries(self, entries: list[messages.Entry]) -> None:
         for entry in entries:
             self._applied_index = entry.index
@@ -530,13 +546,14 @@
                 continue
             pending = self._pending_entries.pop(entry.index, None)
             decoded = commands.decode_commands(entry.payload)
-            results = [self.state.apply(command) for command in decoded]
+            results = [self._apply(command) for command in decoded]
             if pending is None or pending.term != entry.term:
                 continue
             if self._controller.active:
                 for proposal, result in zip(pending.proposals, results, strict=True):
                     if proposal.on_result is not None:
-                        proposal.on_result(result)
+                        with self._controller.containment.contain("result"):
+                            proposal.on_result(result)
         if self._controller.active:
             self._controller.after_apply()
         else:
--- a/src/bluebellyoke/leader/controller.py
+++ b/src/bluebellyoke/leader/controller.py
@@ -13,6 +13,7 @@
 from bluebellyoke.cell import commands
 from bluebellyoke.cell.state import CellState, ViewUpdate
 from bluebellyoke.clock import SystemClock
+from bluebellyoke.containment import ErrorContainment
 from bluebellyoke.dispatch.calls import WorkerCalls
 from bluebellyoke.dispatch.dispatcher import Dispatcher
 from bluebellyoke.dispatch.events import WorkerEvent
@@ -88,6 +89,11 @@
         self._housekeeping_due = 0.0
         self._peers: tuple[str, ...] = ()
 
+    @property
+    def containment(self) -> ErrorContainment:
+        """Contains unexpected errors, which it logs and counts."""
+        return self.dispatcher.containment
+
     # Lifecycle.
 
     def activate(self, state: CellState, now: float, term: int = 0) -> None:
@@ -150,6 +156,22 @@
         session = self.sessions.get(session_id)
         if session is None:
             return
+        kind = type(getattr(message, "body", message)).__name__
+        with self.containment.contain(kind, instance=session.instance):
+            self._process(session, message, now, wall_time)
+
+    def _process(
+        self,
+        session: InstanceSession,
+        message: wire.FromInstance,
+        now: float,
+        wall_time: float,
+    ) -> None:
+        """Process a message; a call is not answered after an unexpected error.
+
+        Its caller learns after a timeout that it may or may not have been carried out.
+        """
+        session_id = session.id
         if isinstance(message, wire.Poll):
             self._handle_poll(session, message, now, wall_time)
         elif isinstance(message, wire.Call):
@@ -244,8 +266,10 @@
 
     def tick(self, now: float, wall_time: float) -> None:
         """Run the periodic work that is due."""
-        self.workers.tick(now, wall_time)
-        self.slots.tick(now, wall_time)
+        with self.containment.contain("workers"):
+            self.workers.tick(now, wall_time)
+        with self.containment.contain("slots"):
+            self.slots.tick(now, wall_time)
         self.dispatcher.tick(now, wall_time)
         if now >= self._housekeeping_due:
             self._housekeeping_due = now + HOUSEKEEPING_INTERVAL_S
@@ -253,7 +277,8 @@
                 self._proposals.add(commands.AdvanceTime(time=wall_time))
         if now >= self._plan_due and not self._plan_pending:
             self._plan_due = now + self.engine.policy.interval_s
-            self._plan(wall_time)
+            with self.containment.contain("placement"):
+                self._plan(wall_time)
 
     def _needs_housekeeping(self, wall_time: float) -> bool:
         scheduling, claims = self.state.scheduling, self.state.claims
--- a/src/bluebellyoke/leader/slots.py
+++ b/src/bluebellyoke/leader/slots.py
@@ -193,7 +193,9 @@
         """Send grants for the slots whose assignment was applied."""
         self._pending_changes.subtract(change.holder for change in changes)
         self._pending_changes = +self._pending_changes
-        for change, applied in zip(changes, result.detail["done"], strict=True):
+        # After an unexpected error in its application, nothing is done.
+        done_flags = result.detail.get("done", "0" * len(changes))
+        for change, applied in zip(changes, done_flags, strict=True):
             session = self._sessions.get(change.holder)
             if applied == "1" and change.delta > 0 and session is not None:
                 self.assignments.append(change)
--- a/src/bluebellyoke/metrics.py
+++ b/src/bluebellyoke/metrics.py
@@ -92,6 +92,10 @@
         """Count a decision on a job that has proved wrong."""
         self._counters["admission_errors_total", kind] += 1
 
+    def record_contained_error(self, part: str) -> None:
+        """Count an unexpected error by the part that was skipped for it."""
+        self._counters["contained_errors_total", part] += 1
+
     def record_preemption(self, stops: int, lost_work: float) -> None:
         """Count runs that were stopped for short jobs, and the core-seconds lost."""
         self._counters["preemptions_total", "stopped"] += stops
--- a/src/bluebellyoke/platform/settings.py
+++ b/src/bluebellyoke/platform/settings.py
@@ -87,8 +87,8 @@
 class BoundsTable(_Table):
     """Time limits of the deployment, in the unit that the key ends with."""
 
-    GraceS: float = 6.0
-    MaxHoldMs: float = 6000.0
+    GraceS: Annotated[float, pydantic.Field(ge=0.002, le=1e9)] = 6.0
+    MaxHoldMs: Annotated[float, pydantic.Field(ge=1, le=1e12)] = 6000.0
 
 
 class LimitsTable(_Table):
--- a/src/bluebellyoke/settings.py
+++ b/src/bluebellyoke/settings.py
@@ -65,7 +65,7 @@
 IpAddress = Annotated[str, pydantic.AfterValidator(_check_ip)]
 Endpoint = Annotated[str, pydantic.AfterValidator(_check_endpoint)]
 Port = Annotated[int, pydantic.Field(ge=1, le=65535)]
-Seconds = Annotated[float, pydantic.Field(gt=0)]
+Seconds = Annotated[float, pydantic.Field(ge=0.001, le=1e9)]
 
 
 class _Table(pydantic.BaseModel):
--- a/src/bluebellyoke/workflow/admission.py
+++ b/src/bluebellyoke/workflow/admission.py
@@ -1,5 +1,6 @@
 """Validation of workflows before they are accepted."""
 
+from bluebellyoke.workflow.bounds import MAX_DURATION_MS
 from bluebellyoke.workflow.specs import StepSpec, WorkflowSpec
 
 __all__ = ["validate_workflow"]
@@ -16,10 +17,6 @@
 MAX_REPETITIONS = 10_000
 MAX_REPEATED_TASKS = 100_000
 
-#: Longest declared run time or target, in milliseconds: over 30 years. The sums and
-#: squares of larger ones are infinite.
-MAX_DURATION_MS = 10**12
-
 
 def validate_workflow(spec: WorkflowSpec) -> list[str]:
     """Return the errors of a workflow that are independent of the state of the cell."""
--- a/src/bluebellyoke/workflow/specs.py
+++ b/src/bluebellyoke/workflow/specs.py
@@ -6,8 +6,15 @@
 from typing import NamedTuple
 
 import msgspec
+from msgspec.structs import force_setattr
 
 from bluebellyoke.cell.resources import Resources
+from bluebellyoke.workflow.bounds import (
+    bound_duration,
+    bound_share,
+    bound_weight,
+    round_duration,
+)
 
 __all__ = [
     "AdvisorSpec",
@@ -37,6 +44,10 @@
     per_worker_ms: float = 0.0
     validity_ms: float = 0.0
 
+    def __post_init__(self) -> None:
+        for name in ("decision_ms", "per_worker_ms", "validity_ms"):
+            force_setattr(self, name, bound_duration(getattr(self, name)))
+
 
 class QueueAddress(NamedTuple):
     """What callers address a queue by, and what its workflows belong to.
@@ -88,6 +99,10 @@
     advisor: AdvisorSpec | None = None
     public: bool = False
 
+    def __post_init__(self) -> None:
+        force_setattr(self, "target_ms", bound_duration(self.target_ms))
+        force_setattr(self, "slack_factor", bound_weight(self.slack_factor))
+
     @property
     def address(self) -> QueueAddress:
         """What callers address the queue by."""
@@ -122,6 +137,9 @@
     share: float = 1.0
     quota: Resources = Resources()
 
+    def __post_init__(self) -> None:
+        force_setattr(self, "share", bound_share(self.share))
+
 
 class Configuration(msgspec.Struct, frozen=True, kw_only=True):
     """All queues, pools and workspaces under one version.
@@ -144,7 +162,8 @@
     Attributes:
         count: Number of tasks.
         need: Declared resources of each task. What a task takes up is `allocation`.
-        estimate_ms: Declared run time of a task, or 0 if it is unknown.
+        estimate_ms: Declared run time of a task, or 0 if it is unknown. One that is
+            shorter than the precision of the clocks tells nothing, so it is unknown.
         depends_on: Indexes of earlier steps whose tasks must all be done before.
         gang: Whether the tasks run all at once or not at all.
         same_rack: Whether the tasks are slow if they run in several racks.
@@ -179,6 +198,11 @@
     backfill: bool = msgspec.field(default=False, name="fills")
     max_unavailable: int = msgspec.field(default=-1, name="may_be_away")
 
+    def __post_init__(self) -> None:
+        # Logs and snapshots of earlier builds hold shorter ones.
+        force_setattr(self, "estimate_ms", round_duration(self.estimate_ms))
+        force_setattr(self, "tail_target_ms", round_duration(self.tail_target_ms))
+
     @property
     def allocation(self) -> Resources:
         """Resources that each task takes up on its worker while it runs.
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 run and are printed, but do not fail the run; failures of all other tests do.
 """
 
+import logging
 from pathlib import Path
 
 import hypothesis
@@ -36,3 +37,26 @@
     for outcome, word in (("xfailed", "fails as known"), ("xpassed", "passes now")):
         for report in terminalreporter.stats.get(outcome, ()):
             terminalreporter.write_line(f"KNOWN-RED: {report.nodeid} {word}")
+
+
+class ErrorCollector(logging.Handler):
+    """Collects the lines on contained errors."""
+
+    def __init__(self):
+        super().__init__()
+        self.lines = []
+
+    def emit(self, record):
+        self.lines.append(self.format(record))
+
+
+@pytest.fixture(autouse=True)
+def fail_on_contained_errors(request):
+    """Fail a test in which an unexpected error was contained, unless it brings it."""
+    collector = ErrorCollector()
+    logger = logging.getLogger("bluebellyoke.containment")
+    logger.addHandler(collector)
+    yield
+    logger.removeHandler(collector)
+    if request.node.get_closest_marker("contains_errors") is None:
+        assert collector.lines == []
--- a/tests/instance/test_bodies.py
+++ b/tests/instance/test_bodies.py
@@ -108,3 +108,26 @@
 def test_address_of_an_upstream_is_an_ip_address_without_a_scope(address):
     text = json.dumps({**UPSTREAM, "address": address})
     assert parse_errors(bodies.UpstreamBody, text)
+
+
+# Guards against numbers of the project's own interface whose quotients are infinite.
+@pytest.mark.parametrize(
+    ("model", "fields", "key"),
+    [
+        (bodies.JobBody, {"id": "a", "workspace": "w", "expected_s": 1e-322}, "exp"),
+        (bodies.JobBody, {"id": "a", "workspace": "w", "expected_s": 1e300}, "exp"),
+        (bodies.TicketBody, {"workspaces": [{"name": "w", "share": 5e-324}]}, "work"),
+        (bodies.TicketBody, {"services": [{"name": "s", "deadline_s": 5e-324}]}, "ser"),
+    ],
+)
+def test_numbers_out_of_range_are_refused(model, fields, key):
+    if model is bodies.TicketBody:
+        fields = {"number": 1, **fields}
+    (error,) = parse_errors(model, json.dumps(fields))
+    assert error.startswith(key)
+
+
+@pytest.mark.parametrize(("sent", "taken"), [(1e-322, 0.0), (1e300, 1e9), (2.5, 2.5)])
+def test_measured_run_times_are_bounded(sent, taken):
+    body = bodies.EndedBody(**RUNNING, outcome="done", ran_s=sent)
+    assert body.ran_s == taken
--- a/tests/instance/test_replica.py
+++ b/tests/instance/test_replica.py
@@ -6,6 +6,7 @@
 
 from bench.consensus import ReplicaCluster, run_claim_load
 from bluebellyoke.cell import commands
+from bluebellyoke.cell.state import CellState
 from bluebellyoke.clock import SystemClock
 from bluebellyoke.consensus.bootstrap import create_replica
 from bluebellyoke.consensus.membership_planner import MembershipOptions
@@ -216,3 +217,27 @@
             replica._controller._proposals.add(commands.AdvanceTime(time=1.0))
 
     replica._apply_entries = apply_and_propose
+
+
+# Guards against a command that ends every replica, again after each restart.
+@pytest.mark.contains_errors
+def test_command_that_cannot_be_applied_leaves_the_others_served(
+    create_single_replica, monkeypatch
+):
+    apply = CellState.apply
+
+    def fail_for_bad_key(state, command):
+        if getattr(command, "key", "") == "bad":
+            raise ZeroDivisionError
+        return apply(state, command)
+
+    monkeypatch.setattr(CellState, "apply", fail_for_bad_key)
+
+    async def body(client):
+        refused = await client.claim("bad")
+        assert (refused.accepted, refused.code) == (False, "internal-error")
+        assert (await client.claim("good")).accepted
+
+    anyio.run(run_with_client, create_single_replica(), body)
+    # The command is in the log, and is applied again.
+    anyio.run(run_with_client, create_single_replica(), body)
