--- a/src/bluebellyoke/dispatch/dispatcher.py
+++ b/src/bluebellyoke/dispatch/dispatcher.py
@@ -17,7 +17,6 @@
 from bluebellyoke.cell.result import Result, refuse
 from bluebellyoke.containment import ErrorContainment
 from bluebellyoke.dispatch import events
-from bluebellyoke.dispatch.admission import AdmissionDecision
 from bluebellyoke.dispatch.advice import AdviceManager, StepKey
 from bluebellyoke.dispatch.calls import WorkerCalls
 from bluebellyoke.dispatch.confirmations import ConfirmationRecorder
@@ -31,15 +30,14 @@
 from bluebellyoke.dispatch.refusals import RefusalSender
 from bluebellyoke.dispatch.registry import WorkerRegistry
 from bluebellyoke.dispatch.run_ends import RunEndRecorder
-from bluebellyoke.dispatch.selection import order_by_room
 from bluebellyoke.dispatch.starts import RunStarter
 from bluebellyoke.dispatch.stops import RunStopper
+from bluebellyoke.dispatch.submissions import SubmissionHandler
 from bluebellyoke.dispatch.unsettled_runs import UnsettledRunTracker
 from bluebellyoke.dispatch.workers import LeaseTimes, TrackedWorker
 from bluebellyoke.leader.sessions import ProposalQueue
 from bluebellyoke.metrics import Metrics
 from bluebellyoke.workflow import commands as workflow_commands
-from bluebellyoke.workflow.access import LOGGED_DIGITS
 from bluebellyoke.workflow.configuration import validate_configuration
 from bluebellyoke.workflow.specs import QueueAddress, WorkerSpec, WorkflowSpec
 from bluebellyoke.workflow.store import WorkflowStore
@@ -107,9 +105,11 @@
             prober=prober,
         )
         self._refusals = RefusalSender(context)
+        self._submissions = SubmissionHandler(
+            context, refusals=self._refusals, admission=self._parts.admission
+        )
         self._confirmations = ConfirmationRecorder(context)
         self._record_cleaner = RecordCleaner(context)
-        self._submitting: set[str] = set()
         self._ticked_at = 0.0
         self._poll_round_due = 0.0
         self._plan_due = 0.0
@@ -171,7 +171,7 @@
         self._parts.clear()
         self._starter.reset()
         self._refusals.clear()
-        self._submitting.clear()
+        self._submissions.clear()
 
     def tick(self, now: float, wall_time: float) -> None:
         """Poll workers, plan runs and drop old records as they become due."""
@@ -308,87 +308,15 @@
         reply: Callable[[Result], None],
     ) -> None:
         """Accept a workflow; advice on its first steps is requested meanwhile."""
-        spec = command.spec
-        is_known = spec.id in self._context.store.workflows
-        if not is_known and not self._admit(spec, wall_time, reply):
-            return
-        if not is_known:
-            self._prefetch_advice(spec, wall_time)
-
-        def finish(result: Result) -> None:
-            self._submitting.discard(spec.id)
-            logger.info(
-                "dispatch: took a workflow",
-                extra={
-                    "job": spec.id,
-                    "queue": spec.queue,
-                    "workspace": spec.workspace,
-                    "credential": (command.credential or "")[:LOGGED_DIGITS],
-                    "code": result.code,
-                    "tasks": [step.count for step in spec.steps],
-                },
-            )
-            # A refused submission may have the ID of a workflow that runs.
-            if not result.accepted and spec.id not in self._context.store.workflows:
-                self.advice.drop_workflow(spec.id)
-                self._record_refusal(spec, result)
-            self._context.needs_planning = True
-            reply(result)
-
-        self._submitting.add(spec.id)
-        self._context.proposals.add(
-            workflow_commands.SubmitWorkflow(
-                time=wall_time, spec=spec, credential=command.credential
-            ),
-            finish,
-        )
+        self._submissions.submit(command, wall_time, reply)
 
     def is_submitting(self, workflow_id: str) -> bool:
         """Return whether a submission of a workflow waits for its commit."""
-        return workflow_id in self._submitting
-
-    def _admit(
-        self, spec: WorkflowSpec, wall_time: float, reply: Callable[[Result], None]
-    ) -> bool:
-        """Return whether a new workflow is accepted; refuse it if not."""
-        admission = self._parts.admission
-        if admission is None or spec.id in self._submitting:
-            return True
-        decision = None
-        with self._context.containment.contain("admission", job=spec.id):
-            decision = admission.decide(spec, self._context.now, wall_time)
-        if decision is None:
-            # Nothing is refused for a fault of the forecast.
-            return True
-        if not decision.is_accepted:
-            self._refusals.add(spec, _describe_refusal(decision), reply)
-        return decision.is_accepted
-
-    def _record_refusal(self, spec: WorkflowSpec, result: Result) -> None:
-        # A name that is not configured may be any text, so it gets no label.
-        if self._context.store.find_workspace(spec.workspace) is not None:
-            self._context.metrics.record_refused_workflow(spec.workspace, result.code)
+        return self._submissions.is_submitting(workflow_id)
 
     def estimate_wait(self, spec: WorkflowSpec) -> float:
         """Return the time until a workflow's tasks can be accepted, in seconds."""
-        open_tasks = self._context.store.open_tasks
-        return self._context.backlog.estimate_wait(open_tasks, spec.count_tasks())
-
-    def _prefetch_advice(self, spec: WorkflowSpec, wall_time: float) -> None:
-        queue = self._context.store.find_queue(spec.address)
-        if queue is None or queue.advisor is None:
-            return
-        workers = [
-            worker
-            for worker in self.workers.values()
-            if worker.spec.pool == queue.pool and not worker.spec.draining
-        ]
-        rank = (queue.priority, wall_time, spec.id)
-        for index, step in enumerate(spec.steps):
-            if not step.depends_on and not spec.repeats:
-                key = (spec.id, 0, index)
-                worker_keys = order_by_room(key, step.allocation, workers)
-                self.advice.evaluate(key, worker_keys, queue.advisor, rank)
+        return self._submissions.estimate_wait(spec)
 
     def cancel(
         self,
@@ -429,8 +357,3 @@
             and not workflow.outcome
             for workflow in self._context.store.active.values()
         )
-
-
-def _describe_refusal(decision: AdmissionDecision) -> Result:
-    retry_after_s = str(decision.retry_after_s)
-    return refuse("overloaded", decision.reason, retry_after_s=retry_after_s)
--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -26,7 +26,11 @@
 from bluebellyoke.dispatch.quotas import RoundQuotas
 from bluebellyoke.dispatch.reservations import Reservations
 from bluebellyoke.dispatch.restarts import RestartPlanner
-from bluebellyoke.dispatch.step_tickets import StepTickets, have_tickets
+from bluebellyoke.dispatch.step_tickets import (
+    StepTickets,
+    find_expired_workers,
+    have_tickets,
+)
 from bluebellyoke.dispatch.suspects import SuspectPlanner
 from bluebellyoke.dispatch.waiting import WaitingStep, WaitingSteps
 from bluebellyoke.dispatch.workers import TrackedWorker
@@ -281,7 +285,7 @@
         advice: StepAdvice | None,
     ) -> bool:
         chosen = None
-        expired = _find_expired(workers, advice, planning.now)
+        expired = find_expired_workers(workers, advice, planning.now)
         if expired and not (step.spec.same_rack or step.spec.data_rack):
             usable = [x for x in candidates if x.worker not in expired]
             chosen = self._choose_gang_workers(step, usable)
@@ -328,7 +332,7 @@
     ) -> bool:
         worker_keys = {worker.spec.id: worker.spec.key for worker in workers}
         tasks = step.tasks
-        expired = _find_expired(workers, advice, planning.now)
+        expired = find_expired_workers(workers, advice, planning.now)
         ranked = CandidateQueue(step.spec, candidates, deferred=expired)
         reason = None
         has_started = False
@@ -388,16 +392,3 @@
     """Return why a step fits on none of the workers that it may use."""
     is_kept_out = len(candidates) < len(workers)
     return WaitReason.RESERVED if is_kept_out else WaitReason.NO_ROOM
-
-
-def _find_expired(
-    workers: list[TrackedWorker], advice: StepAdvice | None, now: float
-) -> set[str]:
-    """Return the IDs of the workers whose tickets have expired while others are valid.
-
-    If all are valid or all have expired, there is nothing to prefer.
-    """
-    expired = advice.list_expired(now) if advice is not None else set()
-    if not expired or len(expired) == len(advice.tickets):
-        return set()
-    return {x.spec.id for x in workers if x.spec.key in expired}
--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -240,11 +240,11 @@
                     RunPhase.UNKNOWN,
                     now,
                     probation_s=self._context.find_probation(key),
-                    is_confirmed=self._context.store.is_confirmed(key),
+                    is_confirmed=self._context.store.run_states.is_confirmed(key),
                     sent_by=self._unsettled_runs.find_start(key),
                     open_by=self._unsettled_runs.find_open_end(key),
-                    open_until=self._context.store.find_open_until(key),
-                    has_ended=self._context.store.has_ended(key),
+                    open_until=self._context.store.run_states.find_open_until(key),
+                    has_ended=self._context.store.run_states.has_ended(key),
                 )
 
     def _find_latest_call(self, spec: WorkerSpec) -> float:
@@ -360,7 +360,7 @@
         ended = [key for key in worker.runs if key not in unsettled]
         for key in ended:
             log_run_end(key, worker.spec.id, LOST)
-        if unsettled or any(map(self._context.store.is_placed, ended)):
+        if unsettled or any(map(self._context.store.run_states.is_placed, ended)):
             self._unsettled_runs.add(worker)
         self._drop_removed(worker)
         self.sync_workers(self._context.now)
--- a/src/bluebellyoke/dispatch/run_check.py
+++ b/src/bluebellyoke/dispatch/run_check.py
@@ -56,9 +56,9 @@
             RunPhase.UNKNOWN,
             now,
             probation_s=context.find_probation(key),
-            is_confirmed=context.store.is_confirmed(key),
-            open_until=context.store.find_open_until(key),
-            has_ended=context.store.has_ended(key),
+            is_confirmed=context.store.run_states.is_confirmed(key),
+            open_until=context.store.run_states.find_open_until(key),
+            has_ended=context.store.run_states.has_ended(key),
         )
 
 
--- a/src/bluebellyoke/dispatch/run_ends.py
+++ b/src/bluebellyoke/dispatch/run_ends.py
@@ -112,7 +112,9 @@
         for end in ends:
             run = worker.runs.get((end.task, end.run))
             if run is not None:
-                run.has_ended = self._context.store.has_ended((end.task, end.run))
+                run.has_ended = self._context.store.run_states.has_ended(
+                    (end.task, end.run)
+                )
         self._handle_ended_tasks(ends)
 
     def _handle_ended_tasks(self, ends: Iterable[workflow_commands.RunEnd]) -> None:
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -13,7 +13,7 @@
 from bluebellyoke.dispatch.events import StartFinished
 from bluebellyoke.dispatch.fair_order import FairOrder
 from bluebellyoke.dispatch.incarnations import is_clock_of, is_clock_of_successor
-from bluebellyoke.dispatch.open_starts import find_open_end, find_own_open_end
+from bluebellyoke.dispatch.open_starts import find_open_end
 from bluebellyoke.dispatch.ordering import StepOrder
 from bluebellyoke.dispatch.planner import Planner
 from bluebellyoke.dispatch.planning_round import PlannedStart, WaitReason
@@ -28,6 +28,7 @@
 from bluebellyoke.dispatch.probes import WorkerProber
 from bluebellyoke.dispatch.quota_reports import QuotaReporter
 from bluebellyoke.dispatch.run_ends import RunEndRecorder
+from bluebellyoke.dispatch.run_replacement import replace_run
 from bluebellyoke.dispatch.stops import RunStopper
 from bluebellyoke.dispatch.tracked_run import RunPhase
 from bluebellyoke.dispatch.waits import WaitReporter
@@ -172,7 +173,7 @@
             if worker is None or worker.spec.incarnation != start.incarnation:
                 continue
             if item.replaced:
-                self._finish_restart(worker, item, done == "1")
+                replace_run(self._context, worker, item, is_done=done == "1")
             if done != "1" or not self._is_assigned(start):
                 worker.drop_run((start.task, start.run))
                 self._finish_if_failed(start.task.workflow)
@@ -189,39 +190,6 @@
                 self._record_start_wait(start, wall_time)
                 self._send_start(worker, item, planned_at)
 
-    def _finish_restart(
-        self,
-        worker: TrackedWorker,
-        item: PlannedStart,
-        is_done: bool,
-    ) -> None:
-        """Let a run take the place of the one before it, if that was committed."""
-        start, now = item.start, self._context.now
-        former = worker.runs.get((start.task, item.replaced))
-        if former is None:
-            return
-        former.is_restart_planned = False
-        former_key = (start.task, item.replaced)
-        if not is_done and self._context.store.is_placed(former_key):
-            worker.set_phase(former_key, RunPhase.UNKNOWN, now)
-            return
-        worker.drop_run(former_key)
-        if not is_done:
-            return
-        # Whichever incarnation gets the next start refuses the one before from then on.
-        worker.fence = self._context.create_fence()
-        key = (start.task, start.run)
-        worker.add_run(
-            key,
-            self._context.find_allocation(key),
-            RunPhase.STARTING,
-            now,
-            self._context.find_estimate(key),
-            self._context.find_probation(key),
-            open_by=find_own_open_end(former),
-            open_until=former.open_until,
-        )
-
     def _finish_if_failed(self, workflow_id: str) -> None:
         """Finish a workflow that a replaced run has shown to crash its workers."""
         workflow = self._context.store.workflows.get(workflow_id)
--- a/src/bluebellyoke/dispatch/step_tickets.py
+++ b/src/bluebellyoke/dispatch/step_tickets.py
@@ -13,8 +13,14 @@
 from bluebellyoke.dispatch.planning_round import PlanningRound
 from bluebellyoke.dispatch.selection import order_by_room
 from bluebellyoke.dispatch.waiting import NextStep, WaitingStep
+from bluebellyoke.dispatch.workers import TrackedWorker
 
-__all__ = ["TICKET_WAIT_S", "StepTickets", "have_tickets"]
+__all__ = [
+    "TICKET_WAIT_S",
+    "StepTickets",
+    "find_expired_workers",
+    "have_tickets",
+]
 
 #: Time for which room is kept for a step whose tickets are renewed, in seconds. A call
 #: to the advisor rarely takes longer, and the advisor may be down.
@@ -112,3 +118,16 @@
 ) -> bool:
     """Return whether a step may start on workers; without advice it always may."""
     return advice is None or all(advice.is_ticket_valid(x, now) for x in worker_keys)
+
+
+def find_expired_workers(
+    workers: list[TrackedWorker], advice: StepAdvice | None, now: float
+) -> set[str]:
+    """Return the IDs of the workers whose tickets have expired while others are valid.
+
+    If all are valid or all have expired, there is nothing to prefer.
+    """
+    expired = advice.list_expired(now) if advice is not None else set()
+    if not expired or len(expired) == len(advice.tickets):
+        return set()
+    return {x.spec.id for x in workers if x.spec.key in expired}
--- a/src/bluebellyoke/dispatch/unsettled_runs.py
+++ b/src/bluebellyoke/dispatch/unsettled_runs.py
@@ -143,7 +143,7 @@
         It has made no call to the worker since.
         """
         longest_s = compute_longest_lease(self._context.times)
-        removed_at = max(map(self._context.store.find_kept_since, runs))
+        removed_at = max(map(self._context.store.run_states.find_kept_since, runs))
         elapsed_s = wall_time - removed_at - MAX_WALL_CLOCK_ERROR_S
         return (
             min(max(longest_s - elapsed_s, 0.0), longest_s) if removed_at else longest_s
@@ -158,7 +158,7 @@
         self._starts = {
             key: at
             for key, at in self._starts.items()
-            if self._context.store.is_placed(key)
+            if self._context.store.run_states.is_placed(key)
         }
         self._open_ends = {key: at for key, at in self._open_ends.items() if at > now}
 
--- a/src/bluebellyoke/workflow/store.py
+++ b/src/bluebellyoke/workflow/store.py
@@ -16,6 +16,7 @@
 from bluebellyoke.workflow.queues import QueueTable
 from bluebellyoke.workflow.quotas import has_quota_for
 from bluebellyoke.workflow.requests import RequestPolicy
+from bluebellyoke.workflow.run_states import RunKey, RunStates
 from bluebellyoke.workflow.snapshot import WorkflowSnapshot
 from bluebellyoke.workflow.specs import (
     Configuration,
@@ -25,7 +26,7 @@
     WorkspaceSpec,
 )
 from bluebellyoke.workflow.usage import WorkspaceUsage
-from bluebellyoke.workflow.workflow import TaskProgress, Workflow
+from bluebellyoke.workflow.workflow import Workflow
 
 __all__ = ["MAX_OPEN_TASKS", "RunKey", "WorkflowStore"]
 
@@ -33,9 +34,6 @@
 #: bytes of an instance's memory.
 MAX_OPEN_TASKS = 200_000
 
-#: Name of the task and number of the run.
-RunKey = tuple[workflow_commands.TaskName, int]
-
 
 class WorkflowStore:
     """Workflows, called workers and the configuration, changed by commands only.
@@ -50,6 +48,7 @@
             have.
         usage: Resources that the runs of each workspace take up.
         ended_incarnations: Incarnations of workers that ended a short time ago.
+        run_states: What is known of single runs.
     """
 
     def __init__(self) -> None:
@@ -60,6 +59,7 @@
         self.runs: dict[tuple[str, int], dict[RunKey, None]] = {}
         self.usage = WorkspaceUsage()
         self.ended_incarnations = EndedIncarnations()
+        self.run_states = RunStates(self.workflows)
         self._state = ConfigurationState(Configuration(version=0))
         self._requests = RequestPolicy(self._state)
         self._changed: set[str] = set()
@@ -265,7 +265,7 @@
         self._crash_recorder.mark_unsettled(worker_key, unsettled)
         for key in list(self.runs.get(worker_key, ())):
             name, run = key
-            if key in unsettled or self.is_open(key, time):
+            if key in unsettled or self.run_states.is_open(key, time):
                 task = self.workflows[name.workflow].find_task(name)
                 task.kept_since = time
                 task.has_ended |= key not in unsettled
@@ -289,50 +289,9 @@
         return [
             key
             for key in self.runs.get(worker_key, ())
-            if not (self.is_confirmed(key) or self.has_ended(key))
+            if not (self.run_states.is_confirmed(key) or self.run_states.has_ended(key))
         ]
 
-    def is_open(self, key: RunKey, time: float) -> bool:
-        """Return whether an earlier start of a run's task may still be carried out.
-
-        Args:
-            time: Wall-clock time, in seconds.
-        """
-        return time < self.find_open_until(key)
-
-    def find_open_until(self, key: RunKey) -> float:
-        """Return the wall-clock time until which a run's task keeps its place, or 0."""
-        workflow = self.workflows.get(key[0].workflow)
-        task = self._find_current_task(key)
-        return task.open_until if task is not None and not workflow.outcome else 0.0
-
-    def has_ended(self, key: RunKey) -> bool:
-        """Return whether a run has ended whose task keeps its place."""
-        task = self._find_current_task(key)
-        return task is not None and task.has_ended
-
-    def find_kept_since(self, key: RunKey) -> float:
-        """Return the wall-clock time of the removal that a run outlasted, or 0."""
-        task = self._find_current_task(key)
-        return task.kept_since if task is not None else 0.0
-
-    def _find_current_task(self, key: RunKey) -> TaskProgress | None:
-        """Return the task of a run if it is its latest one, else None."""
-        name, run = key
-        workflow = self.workflows.get(name.workflow)
-        task = workflow.find_task(name) if workflow is not None else None
-        return task if task is not None and task.run == run else None
-
-    def is_placed(self, key: RunKey) -> bool:
-        """Return whether a run may take up resources."""
-        task = self._find_current_task(key)
-        return task is not None and task.placed
-
-    def is_confirmed(self, key: RunKey) -> bool:
-        """Return whether the incarnation that a run is assigned to has begun it."""
-        task = self._find_current_task(key)
-        return task is not None and task.confirmed
-
     def _move_unsettled_runs(self, spec: WorkerSpec) -> None:
         """Assign the unsettled runs of earlier incarnations of a worker to it."""
         earlier = [
--- a/tests/dispatch/test_returned_new_leader.py
+++ b/tests/dispatch/test_returned_new_leader.py
@@ -205,7 +205,7 @@
     network.restart(name)
     network.carry_out_late_start()
     network.run(1.0)
-    assert network.store.is_confirmed((network.late.request.task, 1))
+    assert network.store.run_states.is_confirmed((network.late.request.task, 1))
     network.restart(name)
     replace_leader(network)
     network.run(MAX_RESTART_S)
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -136,7 +136,7 @@
     Case(
         "a new leader knows which runs were confirmed",
         "dispatch/registry.py",
-        "is_confirmed=self._context.store.is_confirmed(key)",
+        "is_confirmed=self._context.store.run_states.is_confirmed(key)",
         "is_confirmed=False",
         "tests/dispatch/test_worker_evidence.py -k new_leader",
     ),
--- a/tests/workflow/test_unsettled_runs.py
+++ b/tests/workflow/test_unsettled_runs.py
@@ -120,13 +120,13 @@
     remove(store)
     enrol(store, 2)
     confirm(store, 1)
-    assert not store.is_confirmed(KEY)
+    assert not store.run_states.is_confirmed(KEY)
     confirm(store, 2)
     store = reload(store)
-    assert store.is_confirmed(KEY)
+    assert store.run_states.is_confirmed(KEY)
     enrol(store, 3)
     assert start(store, run=2, worker="w2")
-    assert not store.is_confirmed((name_task(), 2))
+    assert not store.run_states.is_confirmed((name_task(), 2))
 
 
 # Guards against a run that counts as confirmed by a command of an earlier run.
@@ -134,7 +134,7 @@
     end(store, RunOutcome.NEVER_STARTED)
     assert start(store, run=2)
     confirm(store, 1, run=1)
-    assert not store.is_confirmed((name_task(), 2))
+    assert not store.run_states.is_confirmed((name_task(), 2))
 
 
 # Guards against runs that a worker gets back although they have ended meanwhile.
@@ -276,7 +276,7 @@
         msgspec.msgpack.decode(msgspec.msgpack.encode(snapshot), type=WorkflowSnapshot)
     )
     assert loaded.list_unsettled_runs() == {}
-    assert not loaded.is_confirmed((name_task(), 3))
+    assert not loaded.run_states.is_confirmed((name_task(), 3))
     assert count_crashes(loaded) == count_crashes(store) == 1
     enrol(loaded, 2, worker="w2")
     assert loaded.runs[("w2", 2)] == {(name_task(), 3): None}
