Keep the place of lasting tasks that end beside a late start

A restart in place also respects the quota of its workspace, which the state would refuse it for again and again. The mutation tests name the new checks, and six whose lines had moved are found again.

--- a/src/bluebellyoke/dispatch/restarts.py
+++ b/src/bluebellyoke/dispatch/restarts.py
@@ -109,7 +109,7 @@
         planning: PlanningRound,
         isolation: Isolation,
     ) -> None:
-        if not places:
+        if not places or not planning.quotas.allows(step, held=1):
             return
         advice = self._find_advice(store, step, places, planning)
         for index, place in places.items():
--- a/src/bluebellyoke/workflow/workflow.py
+++ b/src/bluebellyoke/workflow/workflow.py
@@ -15,10 +15,6 @@
 #: is assigned or done.
 _RESTARTING_OUTCOMES = {RunOutcome.NEVER_STARTED, RunOutcome.LOST}
 
-#: Outcomes after which a task does not keep its place for a start that may still be
-#: carried out: it can no longer be, or the task does not start again.
-_RELEASING_OUTCOMES = {*_RESTARTING_OUTCOMES, RunOutcome.DONE}
-
 
 class TaskState(enum.IntEnum):
     """State of a task."""
@@ -246,17 +242,18 @@
         task = self.find_task(end.task)
         if task is None or not task.placed or task.run != end.run:
             return False
-        is_releasing = end.outcome in _RELEASING_OUTCOMES
+        spec = self.spec.steps[end.task.step]
+        is_done = end.outcome is RunOutcome.DONE and not spec.long_running
+        is_releasing = is_done or end.outcome in _RESTARTING_OUTCOMES
         if task.has_ended and not is_releasing:
             return False
-        spec = self.spec.steps[end.task.step]
         progress = self.repetitions[end.task.repetition].steps[end.task.step]
         task.has_ended = not is_releasing and time < task.open_until
         if not task.has_ended:
             self._release(task)
         if end.checkpoint:
             self._save_checkpoint(spec, progress, task, end.checkpoint)
-        if end.outcome is RunOutcome.DONE and not spec.long_running:
+        if is_done:
             self._mark_done(spec, progress, task)
         elif end.outcome is RunOutcome.FAILED and task.state is not TaskState.DONE:
             self._count_failure(spec, progress, task, time)
--- a/tests/dispatch/test_late_starts.py
+++ b/tests/dispatch/test_late_starts.py
@@ -196,6 +196,24 @@
     assert network.find_busy_worker() is not late.worker
 
 
+# Guards against a second run of a task that lasts, which starts again however it ends.
+@pytest.mark.parametrize("outcome", ["DONE", "FAILED", "LEASE_EXPIRED"])
+def test_lasting_task_that_ends_beside_a_late_start_starts_there_again(
+    network, outcome
+):
+    late = LateStart(network, long_running=True)
+    network.run(1.0)
+    key = next(iter(late.worker.runs))
+    late.worker.end(key, workflow_commands.RunOutcome[outcome])
+    network.run(2.0)
+    assert [key[1] for key in late.worker.runs] == [3]
+    late.crash_worker()
+    late.carry_out()
+    late.check_only_run()
+    network.run(3.0)
+    late.check_only_run()
+
+
 # Guards against a place that the task of a cancelled job keeps.
 def test_cancelled_task_keeps_no_place(network):
     late = LateStart(network)
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -42,6 +42,76 @@
 
 
 CASES = [
+    Case(
+        "a task keeps its place while a start of it may be carried out",
+        "dispatch/missing_runs.py",
+        "return is_open and not self._stopper.has_workflow_ended(key[0])",
+        "return False",
+        "tests/dispatch/test_late_starts.py",
+    ),
+    Case(
+        "a task keeps its place when its worker crashes under the next run",
+        "workflow/store.py",
+        "if key in unsettled or self.run_states.is_open(key, time):",
+        "if key in unsettled:",
+        "tests/dispatch/test_late_starts.py",
+    ),
+    Case(
+        "a task ends in its place only once no start of it may be carried out",
+        "workflow/workflow.py",
+        "not is_releasing and time < task.open_until",
+        "False",
+        "tests/dispatch/test_late_starts.py",
+    ),
+    Case(
+        "a run in a kept place is not counted from a leader to the next",
+        "dispatch/unsettled_runs.py",
+        "removed_at = max(map(self._context.store.run_states.find_kept_since, runs))",
+        "removed_at = 0.0",
+        "tests/dispatch/test_unsettled_waits.py",
+    ),
+    Case(
+        "a run in a kept place has a fencing token of its own",
+        "dispatch/run_replacement.py",
+        "    worker.fence = context.create_fence()\n",
+        "",
+        "tests/dispatch/test_returned_random.py",
+    ),
+    Case(
+        "a leader sends no start whose lease has run out since its plan",
+        "dispatch/starts.py",
+        "self._context.now - planned_at >= self._context.times.lease_s",
+        "False",
+        "tests/dispatch/test_returned_new_leader.py",
+    ),
+    Case(
+        "a late start that is done is the end of its task",
+        "dispatch/polls.py",
+        "collect_late_ends(self._context, worker, report)",
+        "[]",
+        "tests/dispatch/test_returned_random.py",
+    ),
+    Case(
+        "crashes of a gang in an old snapshot count for no task",
+        "workflow/crashes.py",
+        "return crash.names_task or not self._is_gang(task)",
+        "return True",
+        "tests/workflow/test_crashes.py",
+    ),
+    Case(
+        "an unexpected error is contained",
+        "containment.py",
+        "        except CONTAINED_ERRORS:\n",
+        "        except ():\n",
+        "tests/dispatch/test_containment.py",
+    ),
+    Case(
+        "an estimate that is too short for the clocks is unknown",
+        "workflow/bounds.py",
+        "0.0 if 0 < duration_ms < MIN_DURATION_MS else duration_ms",
+        "duration_ms",
+        "tests/workflow/test_bounds.py",
+    ),
     Case(
         "a workflow belongs to the address of its queue, whatever that is called",
         "workflow/requests.py",
@@ -199,8 +269,8 @@
     Case(
         "a crash is not one of a run that has outlived it",
         "workflow/crash_recorder.py",
-        "        self.crashes.withdraw(unsettled.worker_key, group)\n",
-        "        self.crashes.confirm(unsettled.worker_key, group)\n",
+        "        self.crashes.withdraw(unsettled.worker_key, unsettled.task)\n",
+        "        self.crashes.confirm(unsettled.worker_key, unsettled.task)\n",
         "tests/workflow/test_unsettled_runs.py",
     ),
     Case(
@@ -326,8 +396,8 @@
     Case(
         "a crash that is not proved gives no job up",
         "workflow/crashes.py",
-        "self._find_cause(young, merged) if is_proved else None",
-        "self._find_cause(young, merged)",
+        "self._find_cause(young, runs) if is_proved else None",
+        "self._find_cause(young, runs)",
         "tests/workflow/test_lost_workers.py",
     ),
     Case(
@@ -488,17 +558,15 @@
     Case(
         "a worker with a suspect gets no other task",
         "dispatch/workers.py",
-        "            and not self.suspects\n",
+        "            and self.suspects <= {replaced}\n",
         "",
         "tests/dispatch/test_isolation.py",
     ),
     Case(
         "a task is given up only for a crash alone",
         "workflow/crashes.py",
-        "        if len(young) != 1:\n            return None\n"
-        "        (task,) = young\n",
-        "        if not young:\n            return None\n"
-        "        task = min(young, key=lambda item: item.workflow)\n",
+        "        if len({self._get_group(task) for task in young}) != 1:\n",
+        "        if not young:\n",
         "tests/workflow/test_crashes.py",
     ),
     Case(
@@ -511,8 +579,8 @@
     Case(
         "crashes are part of a snapshot",
         "workflow/crash_recorder.py",
-        "        self.crashes = CrashHistory(snapshot.crashes)\n",
-        "",
+        "CrashHistory(snapshot.crashes, is_gang=self._is_gang)",
+        "CrashHistory(is_gang=self._is_gang)",
         "tests/dispatch/test_crashes.py",
     ),
     Case(
@@ -1134,9 +1202,9 @@
     ),
     Case(
         "a run of unknown outcome is blocked before it counts as never started",
-        "dispatch/polls.py",
-        "if not run.can_begin_later:",
-        "if run.phase is not RunPhase.STARTING:",
+        "dispatch/missing_runs.py",
+        "            if run.can_begin_later:\n",
+        "            if run.phase is RunPhase.STARTING:\n",
         "tests/dispatch -k random",
     ),
     Case(
