Take a start whose connection was lost for one that may not have begun

Its run 2 had ended in a crash; the start of run 3 lost its connection by a cut that resets connections, never arrived, and its worker crashed behind the cut.

Cause: a start without a response counted as begun for certain if its connection was lost, though the network may lose it, too.

Change: such a run is uncertain, as those that only an earlier leader may have known, so three proved crashes give a task up with it, not two. Crashes of tasks are also listed by workflow, so that the look-up of a gang does not go through all of them.

--- a/src/bluebellyoke/dispatch/crashes.py
+++ b/src/bluebellyoke/dispatch/crashes.py
@@ -113,18 +113,21 @@
 def _has_begun(run: TrackedRun) -> bool:
     """Return whether a run counts as begun.
 
-    A worker that closes the connection of a start has received it. One that does not
-    respond may have ended before.
+    A worker that closes the connection of a start may have received it. One that does
+    not respond may have ended before.
     """
     return run.phase in _CONFIRMED_PHASES or not run.has_start_timed_out
 
 
 def _is_uncertain(run: TrackedRun) -> bool:
-    """Return whether only an earlier leader may have known that a run had begun.
+    """Return whether a run that counts as begun may not have begun.
 
-    It records confirmed runs, but may have ended before it did.
+    The network may have closed the connection of its start, too. What an earlier leader
+    knew of a run is recorded, but it may have ended before it did.
     """
-    return run.sent_at is None and not run.is_confirmed
+    if run.is_confirmed:
+        return False
+    return run.sent_at is None or run.phase not in _CONFIRMED_PHASES
 
 
 def _is_suspect(worker: TrackedWorker, run: TrackedRun) -> bool:
--- a/src/bluebellyoke/workflow/commands.py
+++ b/src/bluebellyoke/workflow/commands.py
@@ -118,7 +118,8 @@
         has_begun: Whether it is known to have begun. A start that was sent to a silent
             worker may never have arrived.
         is_settled: Whether it cannot be on the next incarnation of the worker.
-        is_uncertain: Whether only an earlier leader may have known that it had begun.
+        is_uncertain: Whether it may not have begun all the same: its start got no
+            response, or only an earlier leader may have known.
     """
 
     task: TaskName
--- a/src/bluebellyoke/workflow/crashes.py
+++ b/src/bluebellyoke/workflow/crashes.py
@@ -27,7 +27,7 @@
 SHARED_CRASHES = 2
 
 #: Proved crashes alone that show a task to be their cause: of runs that have certainly
-#: begun, and if an earlier leader may have known of some that they had not.
+#: begun, and if some of them may not have begun.
 CERTAIN_CRASHES = 2
 UNCERTAIN_CRASHES = 3
 
@@ -53,8 +53,8 @@
         has_begun: Whether the run is known to have begun.
         is_settled: Whether the run cannot be on the next incarnation of the worker. If
             it is there, the task was not in this crash.
-        is_uncertain: Whether only an earlier leader may have known that the run had
-            begun.
+        is_uncertain: Whether the run may not have begun all the same: its start got no
+            response, or only an earlier leader may have known.
         names_task: Whether the run was of this very task. Earlier builds kept the
             crashes of all tasks of a gang under its first one.
     """
@@ -188,7 +188,9 @@
     ) -> None:
         self._tasks = {item.task: item for item in tasks}
         self._is_gang = is_gang
-        self._workflows = {task.workflow for task in self._tasks}
+        self._workflows: dict[str, list[TaskCrashes]] = {}
+        for item in self._tasks.values():
+            self._workflows.setdefault(item.task.workflow, []).append(item)
         self._young: set[tuple[str, int]] = set()
         self._update_young()
 
@@ -219,7 +221,8 @@
     def _list_group(self, task: TaskName) -> list[TaskCrashes]:
         """Return the crashes of a task, or of each task of its gang."""
         group = self._get_group(task)
-        return [x for x in self._tasks.values() if self._get_group(x.task) == group]
+        found = self._workflows.get(task.workflow, ())
+        return [x for x in found if self._get_group(x.task) == group]
 
     def _merge_gang(self, task: TaskName) -> TaskCrashes:
         """Return the crashes of all tasks of a gang."""
@@ -390,8 +393,10 @@
             self._update_young()
 
     def _add(self, task: TaskName, shared: SharedCrash) -> TaskCrashes:
-        crashes = self._tasks.setdefault(task, TaskCrashes(task))
-        self._workflows.add(task.workflow)
+        crashes = self._tasks.get(task)
+        if crashes is None:
+            crashes = self._tasks[task] = TaskCrashes(task)
+            self._workflows.setdefault(task.workflow, []).append(crashes)
         crashes.add(shared)
         return crashes
 
@@ -431,7 +436,6 @@
 
     def forget_workflow(self, workflow: str) -> None:
         """Drop the tasks of a workflow that has ended."""
-        self._workflows.discard(workflow)
-        for task in [x for x in self._tasks if x.workflow == workflow]:
-            del self._tasks[task]
+        for item in self._workflows.pop(workflow, ()):
+            del self._tasks[item.task]
         self._update_young()
--- a/tests/dispatch/test_returned_crashes.py
+++ b/tests/dispatch/test_returned_crashes.py
@@ -194,6 +194,34 @@
     assert count_crashes(network) == 1
 
 
+# Guards against a job that is given up for a worker that crashed behind a cut: the
+# network had reset the connection of a start, which never arrived.
+@pytest.mark.parametrize("gang", [False, True])
+def test_start_whose_connection_was_reset_is_no_proof(gang):
+    network = ReturningNetwork()
+    network.submit_task(gang=gang)
+    network.run(0.1)
+    first = network.find_busy_worker().spec.id
+    network.restart(first)
+    reset = []
+
+    def reset_start(sent):
+        if sent.kind != "start" or reset:
+            return False
+        reset.append(sent)
+        network.finish_call(sent, error=NoAnswerError(sent.spec.address, "reset"))
+        return True
+
+    network.forward = reset_start
+    while not reset:
+        network.step()
+    network.restart(reset[0].spec.id)
+    network.run(5.0)
+    assert network.state == "running"
+    assert network.find_task().run >= 3
+    assert len(network.list_runs()) == 1
+
+
 # Guards against runs of two gangs at once, and against one that stays incomplete: one
 # member is unsettled, and the next incarnation of its worker has it or lacks it.
 @RETURNS
