Let workers that keep the place of a suspect take other tasks

Suspects also started again in their places ahead of those that wait for their turn.

Change: a run that is blocked is no suspect on its worker, and suspects start in their places only while none waits in their pool.

Tests: test_worker_gets_other_tasks_beside_the_place_of_a_suspect failed before; test_suspect_in_its_place_waits_while_others_wait_for_their_turn needs the change.

--- a/src/bluebellyoke/dispatch/missing_runs.py
+++ b/src/bluebellyoke/dispatch/missing_runs.py
@@ -91,6 +91,8 @@
         if run.is_restartable:
             return
         run.is_restartable = True
+        # It does not run, so the worker may get other tasks meanwhile.
+        worker.suspects.discard(key)
         # The other tasks of its gang would wait for it until they time out.
         self._stopper.stop_incomplete_gangs((key[0],), is_state_unknown=True)
         self._context.restartable_runs[key] = worker.spec.id
--- a/src/bluebellyoke/dispatch/planner.py
+++ b/src/bluebellyoke/dispatch/planner.py
@@ -84,13 +84,9 @@
     ) -> None:
         self._tickets = StepTickets(advice)
         self._reservations = Reservations()
-        recent_crashes = recent_crashes or RecentCrashes()
-        self._suspects = SuspectPlanner(
-            self._tickets, self._reservations, recent_crashes
-        )
-        self._restarts = RestartPlanner(
-            self._tickets, self._reservations, recent_crashes
-        )
+        crashes = recent_crashes or RecentCrashes()
+        self._suspects = SuspectPlanner(self._tickets, self._reservations, crashes)
+        self._restarts = RestartPlanner(self._tickets, self._reservations, crashes)
         self._costs = CostTables(tuple(costs))
         self._orders = tuple(orders)
         self._containment = containment
@@ -151,7 +147,9 @@
         self._refused_until = _keep_current(self._refused_until, now)
         if restartable:
             with self._contain("restarts"):
-                self._restarts.plan(store, restartable, planning, self._paused_until)
+                pools = self._list_suspect_pools(store)
+                paused = self._paused_until
+                self._restarts.plan(store, restartable, planning, paused, pools)
         with self._contain("suspects"):
             self._suspects.plan(
                 store, self._steps.list_suspects(), planning, self._paused_until
@@ -165,6 +163,9 @@
         self.wait_reasons = planning.wait_reasons
         return planning.starts
 
+    def _list_suspect_pools(self, store: WorkflowStore) -> set[str]:
+        return {store.find_pool(x.step.workflow) for x in self._steps.list_suspects()}
+
     def _plan_steps(
         self,
         store: WorkflowStore,
--- a/src/bluebellyoke/dispatch/restarts.py
+++ b/src/bluebellyoke/dispatch/restarts.py
@@ -53,15 +53,19 @@
         restartable: MutableMapping[RunKey, str],
         planning: PlanningRound,
         paused: Container[StepKey],
+        suspect_pools: Container[str] = (),
     ) -> None:
         """Start the tasks whose workers may run them now.
 
-        Suspects start apart from other young runs, on workers that the round isolates.
+        Suspects start apart from other young runs, on workers that the round isolates,
+        and only while none waits for its turn in their pool. Otherwise they wait for it
+        themselves, since each may crash the worker that has just come back.
 
         Args:
             restartable: Runs whose tasks keep their places, with the IDs of the
                 workers. Those that do no longer are removed.
             paused: Steps that are not planned now.
+            suspect_pools: Pools in which suspects wait for their turn.
         """
         isolation = Isolation(
             now=planning.now,
@@ -72,6 +76,9 @@
             step = _create_step(store, key)
             if step is None or key in paused:
                 continue
+            is_suspect = _is_suspect(store, TaskName(*key, next(iter(places))))
+            if is_suspect and store.find_pool(step.workflow) in suspect_pools:
+                continue
             usable = {
                 index: place
                 for index, place in places.items()
--- a/tests/dispatch/test_late_starts.py
+++ b/tests/dispatch/test_late_starts.py
@@ -4,12 +4,16 @@
 import pytest
 
 from bluebellyoke.cell.resources import Resources
+from bluebellyoke.dispatch.planning_round import MAX_WORKER_SILENCE_S
 from bluebellyoke.dispatch.workers import MAX_CALL_DELAY_S
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.snapshot import WorkflowSnapshot
 from bluebellyoke.workflow.store import WorkflowStore
 from tests.dispatch.forwarding import WORKFLOW, ForwardingNetwork
 
+#: Time after which no late start can arrive any more, with some polls, in seconds.
+WINDOW_S = MAX_CALL_DELAY_S + 3.0
+
 
 # Guards against a second run beside the first: a start without an answer is carried out
 # by the next incarnation of its worker, after the task was started elsewhere.
@@ -214,6 +218,35 @@
     late.check_only_run()
 
 
+# Guards against a worker that gets no other task while it keeps the place of a suspect,
+# which does not run there.
+def test_worker_gets_other_tasks_beside_the_place_of_a_suspect(network):
+    late = LateStart(network)
+    planner = network.dispatcher._starter._planner
+    planner.pause((WORKFLOW, 0, 0), network.now + WINDOW_S)
+    late.crash_worker()
+    network.run(2.0)
+    assert network.store.crashes.find_suspect(late.sent.request.task)
+    worker = network.dispatcher.workers[late.sent.spec.id]
+    assert [run.is_restartable for run in worker.runs.values()] == [True]
+    assert worker.can_accept_tasks(network.now, MAX_WORKER_SILENCE_S)
+
+
+# Guards against suspects that crash their worker as soon as it is back, ahead of those
+# that wait for their turn.
+def test_suspect_in_its_place_waits_while_others_wait_for_their_turn(
+    network, monkeypatch
+):
+    late = LateStart(network)
+    planner = network.dispatcher._starter._planner
+    monkeypatch.setattr(planner, "_list_suspect_pools", lambda store: {"p"})
+    late.crash_worker()
+    network.run(3.0)
+    assert network.find_task().run == 1
+    network.run(WINDOW_S)
+    assert network.find_task().run == 2
+
+
 # Guards against a place that the task of a cancelled job keeps.
 def test_cancelled_task_keeps_no_place(network):
     late = LateStart(network)
