Take a connection that the worker closed for proof of its crash again

Callers saw: a task that ends its worker's process before the response to its start took three workers with it, not two.

Cause: took every start that lost its connection for one that may not have begun, since the network can reset a connection. So no crash at a start was certain.

Change: the HTTP client says which of the two it was, and only a reset leaves the run uncertain. The network can reset a connection; the end of a process closes it in order.

Without the new condition test_two_connections_closed_by_crashing_workers_are_proof fails in 6 of 6 cases, with three crashes; both new mutation cases are noticed.

--- a/src/bluebellyoke/dispatch/crashes.py
+++ b/src/bluebellyoke/dispatch/crashes.py
@@ -122,12 +122,14 @@
 def _is_uncertain(run: TrackedRun) -> bool:
     """Return whether a run that counts as begun may not have begun.
 
-    The network may have closed the connection of its start, too. What an earlier leader
-    knew of a run is recorded, but it may have ended before it did.
+    The network may have reset the connection of its start. What an earlier leader knew
+    of a run is recorded, but it may have ended before it did.
     """
     if run.is_confirmed:
         return False
-    return run.sent_at is None or run.phase not in _CONFIRMED_PHASES
+    if run.sent_at is None:
+        return True
+    return run.phase not in _CONFIRMED_PHASES and not run.was_start_closed
 
 
 def _is_suspect(worker: TrackedWorker, run: TrackedRun) -> bool:
--- a/src/bluebellyoke/dispatch/ports.py
+++ b/src/bluebellyoke/dispatch/ports.py
@@ -53,14 +53,24 @@
 
     Attributes:
         timed_out: Whether the connection stayed open, but nothing arrived in time.
+        closed_by_peer: Whether the peer closed the connection in order, as the end of
+            its process does. The network can only reset it.
     """
 
-    def __init__(self, address: str, cause: str, *, timed_out: bool = False) -> None:
+    def __init__(
+        self,
+        address: str,
+        cause: str,
+        *,
+        timed_out: bool = False,
+        closed_by_peer: bool = False,
+    ) -> None:
         super().__init__(
             f"no answer from {address}: {cause}",
             remedy="check whether the call was carried out before using another worker",
         )
         self.timed_out = timed_out
+        self.closed_by_peer = closed_by_peer
 
 
 class OtherLifeError(BluebellyokeError):
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -357,6 +357,7 @@
         run = worker.runs[key]
         if event.error is not None:
             run.has_start_timed_out = getattr(event.error, "timed_out", False)
+            run.was_start_closed = getattr(event.error, "closed_by_peer", False)
             worker.unanswered_start_at = now
         run.was_refused = event.result is not None or isinstance(
             event.error, (NotReachedError, OtherLifeError)
--- a/src/bluebellyoke/dispatch/tracked_run.py
+++ b/src/bluebellyoke/dispatch/tracked_run.py
@@ -50,6 +50,8 @@
         sent_by: Time by which its start had been sent, by any leader.
         has_start_timed_out: Whether the start got no response, but its connection did
             not fail either.
+        was_start_closed: Whether the worker closed the connection of the start without
+            a response, as it does if the start ends its process.
         was_refused: Whether the start got a response that does not say that it was
             carried out, or never reached the worker. It is not carried out later.
         open_by: Time by which all earlier starts of the task on this worker have been
@@ -81,6 +83,7 @@
     unblocked_since: float | None = None
     sent_at: float | None = None
     has_start_timed_out: bool = False
+    was_start_closed: bool = False
     was_refused: bool = False
     open_by: float = 0.0
     open_until: float = 0.0
--- a/src/bluebellyoke/instance/http_calls.py
+++ b/src/bluebellyoke/instance/http_calls.py
@@ -94,7 +94,8 @@
         """Send a request and wait for its response.
 
         Raises:
-            ConnectionError: The connection failed before the response was complete.
+            EOFError: The peer closed the connection before the response was complete.
+            ConnectionError: The connection failed before that.
         """
         if not self.is_reusable:
             raise ConnectionResetError("the connection is closed")
@@ -111,14 +112,14 @@
 
     def fail(self, reason: str) -> None:
         """Fail the call in flight and close the connection."""
-        self._fail(reason)
+        self._fail(ConnectionResetError(reason))
         self.close()
 
-    def _fail(self, reason: str) -> None:
+    def _fail(self, error: Exception) -> None:
         self.is_reusable = False
         self._release()
         if self._response is not None and not self._response.done():
-            self._response.set_exception(ConnectionResetError(reason))
+            self._response.set_exception(error)
 
     def _release(self) -> None:
         self._chunks = []
@@ -150,7 +151,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the call in flight."""
-        self._fail(f"the connection was lost: {exc or 'closed by the peer'}")
+        if exc is None:
+            self._fail(EOFError("the connection was lost: closed by the peer"))
+        else:
+            self._fail(ConnectionResetError(f"the connection was lost: {exc}"))
 
     # Callbacks of the parser.
 
@@ -220,6 +224,8 @@
         connection = self._take_idle(address) or await self._connect(address)
         try:
             response = await connection.send(request)
+        except EOFError as error:
+            raise NoAnswerError(address, str(error), closed_by_peer=True) from error
         except OSError as error:
             raise NoAnswerError(address, str(error)) from error
         except BaseException:
--- a/src/bluebellyoke/workflow/crashes.py
+++ b/src/bluebellyoke/workflow/crashes.py
@@ -21,7 +21,7 @@
 
 from bluebellyoke.workflow.commands import CrashedRun, TaskName
 
-__all__ = ["MAX_CRASHES", "CrashHistory", "TaskCrashes"]
+__all__ = ["CERTAIN_CRASHES", "MAX_CRASHES", "CrashHistory", "TaskCrashes"]
 
 #: Crashes without a young suspect that make a task a suspect that was not young.
 SHARED_CRASHES = 2
--- a/tests/dispatch/test_crash_evidence.py
+++ b/tests/dispatch/test_crash_evidence.py
@@ -113,12 +113,16 @@
         timed_out=(RunPhase.UNKNOWN, 0.5),
         of_earlier_leader=(RunPhase.UNKNOWN, None),
         recorded_by_earlier_leader=(RunPhase.UNKNOWN, None),
+        closed_by_worker=(RunPhase.UNKNOWN, 0.5),
     )
     worker.runs[(name_task(index=2), 1)].has_start_timed_out = True
     worker.runs[(name_task(index=4), 1)].is_confirmed = True
+    worker.runs[(name_task(index=5), 1)].was_start_closed = True
     runs = list_crashed_runs(worker, NOW + 0.1)
-    assert [item.has_begun for item in runs] == [True, True, False, True, True]
-    assert [item.is_uncertain for item in runs] == [False, True, True, True, False]
+    has_begun = [item.has_begun for item in runs]
+    is_uncertain = [item.is_uncertain for item in runs]
+    assert has_begun == [True, True, False, True, True, True]
+    assert is_uncertain == [False, True, True, True, False, False]
 
 
 # Guards against runs that are blamed for a crash before they were sent: a worker that
--- a/tests/dispatch/test_returned_crashes.py
+++ b/tests/dispatch/test_returned_crashes.py
@@ -6,6 +6,7 @@
 
 from bluebellyoke.dispatch.ports import NoAnswerError, OtherLifeError
 from bluebellyoke.workflow import commands as workflow_commands
+from bluebellyoke.workflow.crashes import CERTAIN_CRASHES
 from bluebellyoke.workflow.crashes import MAX_CRASHES as MAX_UNPROVED_CRASHES
 from tests.dispatch.crashing import CrashSimulation
 from tests.dispatch.forwarding import STEP_S
@@ -27,13 +28,15 @@
 
     Args:
         is_renamed: Whether the next process at an address has another ID.
+        closed_by_peer: Whether its end closes the connection in order, not by a reset.
 
     Attributes:
         succeeded: IDs of the workers whose address another has taken over.
     """
 
-    def __init__(self, *, is_renamed=False, **options):
+    def __init__(self, *, is_renamed=False, closed_by_peer=False, **options):
         self.is_renamed = is_renamed
+        self.closed_by_peer = closed_by_peer
         self.succeeded = set()
         super().__init__(deadly=is_deadly, **options)
         self.run(0.1)
@@ -52,7 +55,10 @@
         worker = self.workers[sent.spec.id]
         if "result" in self.handle_start(worker, sent.request) and worker.runs:
             self.crash(worker.spec.id)
-        self.finish_call(sent, error=NoAnswerError(sent.spec.address, "closed"))
+        error = NoAnswerError(
+            sent.spec.address, "closed", closed_by_peer=self.closed_by_peer
+        )
+        self.finish_call(sent, error=error)
 
     def restart_workers(self):
         if not self.is_renamed:
@@ -83,6 +89,20 @@
     assert max(simulation.starts.values()) <= MAX_CRASHES
 
 
+# Guards against a third crash under such a task: each process closes the connection of
+# the start as it ends, which the network cannot do.
+@pytest.mark.parametrize("down_s", DOWN_S)
+@pytest.mark.parametrize("is_renamed", [False, True])
+def test_two_connections_closed_by_crashing_workers_are_proof(down_s, is_renamed):
+    simulation = CrashAtStart(
+        workers=8, down_s=down_s, is_renamed=is_renamed, closed_by_peer=True
+    )
+    simulation.submit(create_spec(number_id(1)))
+    simulation.run(120)
+    assert get_states(simulation)[number_id(1)] == "failed"
+    assert len(simulation.crashed_at) == CERTAIN_CRASHES
+
+
 # Guards against the same if no worker ever comes back: connections are refused.
 def test_task_under_which_workers_stay_away_is_given_up():
     simulation = CrashAtStart(workers=12, down_s=math.inf)
--- a/tests/instance/test_http_calls.py
+++ b/tests/instance/test_http_calls.py
@@ -14,6 +14,9 @@
 
 WAIT_S = 30.0
 
+#: Prepared response that resets the connection.
+RESET = object()
+
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 
 
@@ -21,7 +24,8 @@
     """Server that sends each request's prepared bytes.
 
     Attributes:
-        responses: Bytes by request; None closes the connection, b"" never responds.
+        responses: Bytes by request; None closes the connection, RESET resets it, b""
+            never responds.
         connections: Number of accepted connections.
         closed: Set once a peer has closed its connection.
     """
@@ -40,6 +44,11 @@
                     response = self.responses.pop(0)
                     if response is None:
                         return
+                    if response is RESET:
+                        linger = struct.pack("ii", 1, 0)
+                        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+                        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                        return
                     await stream.send(response)
             self.closed.set()
 
@@ -173,6 +182,20 @@
     run_against([OK + OK, OK], body)
 
 
+# Guards against a crash that the network only seems to prove: it can reset a
+# connection, but only the peer's process closes one in order.
+@pytest.mark.parametrize(("response", "closed"), [(None, True), (RESET, False)])
+def test_connection_that_its_peer_closes_is_told_apart(response, closed):
+    async def body(server, caller, address):
+        await caller.post(address, "/x", b"{}")
+        with pytest.raises(NoAnswerError) as caught:
+            await caller.post(address, "/x", b"{}")
+        assert caught.value.closed_by_peer == closed
+        assert not caught.value.timed_out
+
+    run_against([OK, response], body)
+
+
 def test_connection_that_its_peer_ends_is_not_used_again():
     closing = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -485,6 +485,20 @@
         "True",
         "tests/dispatch/test_crash_evidence.py",
     ),
+    Case(
+        "two crashes that closed the connections of their starts are proof",
+        "dispatch/crashes.py",
+        " and not run.was_start_closed",
+        "",
+        "tests/dispatch/test_returned_crashes.py",
+    ),
+    Case(
+        "a connection that the network resets is no proof of a crash",
+        "instance/http_calls.py",
+        "        if exc is None:\n",
+        "        if True:\n",
+        "tests/instance/test_http_calls.py",
+    ),
     Case(
         "runs of a worker that ends are started again soon",
         "dispatch/workers.py",
