Keep no place for a start with a ticket, which only one life accepts

Cause: since a task whose start got no response keeps its place on the worker, and its next run begins there. A worker that drains takes no run, and when it leaves within the 12 s, the task waits for the longest lease of a next incarnation, which may carry the start out.

Evidence: by the logs both tasks had their starts unanswered at 28.9 to 29.5 s on workers that drained; these were removed at 39.7 and 41.7 s, and the tasks stayed in their places to the end (51 s). All queues of the site have an advisor.

Change: PROTOCOL.md says that a ticket is valid "during this life of the runner", so no next incarnation carries such a start out. It keeps no place and is no unsettled run, if the incarnation has responded since the start: until then the ticket may be one of a next life that the leader does not know. The state keeps whether a start had a ticket.

Three mutation cases are noticed. tests/dispatch, workflow and leader pass but for the listed ones. Starts without a ticket wait as before.

--- a/src/bluebellyoke/dispatch/incarnations.py
+++ b/src/bluebellyoke/dispatch/incarnations.py
@@ -19,6 +19,7 @@
     "compute_longest_lease",
     "find_successor_lease_end",
     "find_successor_start",
+    "is_refused_by_successors",
     "is_clock_of",
     "is_clock_of_successor",
     "list_unsettled_runs",
@@ -85,11 +86,22 @@
 def _is_unsettled(worker: TrackedWorker, run: TrackedRun) -> bool:
     if run.is_confirmed or run.is_planned or run.has_ended:
         return False
+    if is_refused_by_successors(worker, run):
+        return False
     # An incarnation that runs once no call for the start can arrive any more is the
     # last one that may have begun the run.
     return worker.identified_at < run.sent_by + MAX_CALL_DELAY_S
 
 
+def is_refused_by_successors(worker: TrackedWorker, run: TrackedRun) -> bool:
+    """Return whether all later incarnations of a worker refuse the start of a run.
+
+    A ticket is valid for one incarnation. This one has responded since the ticket was
+    issued, so the ticket is not one for a later one.
+    """
+    return run.has_ticket and worker.identified_at >= run.sent_by
+
+
 def find_successor_start(clock_ms: int, now: float) -> float:
     """Return the latest time at which the next incarnation of a worker has started.
 
--- a/src/bluebellyoke/dispatch/missing_runs.py
+++ b/src/bluebellyoke/dispatch/missing_runs.py
@@ -60,7 +60,9 @@
             elif key[0] in busy:
                 # An earlier start of the task was carried out late; it is stopped.
                 run.is_restartable = False
-            elif self._keeps_place(key, sent_at < find_open_end(run, now, wall_time)):
+            elif self._keeps_place(
+                key, sent_at < find_open_end(worker, run, now, wall_time)
+            ):
                 self._allow_restart(worker, key, run)
             else:
                 ends.append(RunEnd(*key, RunOutcome.NEVER_STARTED))
--- a/src/bluebellyoke/dispatch/open_starts.py
+++ b/src/bluebellyoke/dispatch/open_starts.py
@@ -2,11 +2,13 @@
 
 A stop blocks such a start in one incarnation of the worker only. So until it can no
 longer arrive, the task keeps its place, and its next run goes to the same worker: while
-that incarnation lives, its block holds, and a crash ends the run.
+that incarnation lives, its block holds, and a crash ends the run. A start with a ticket
+needs none of this, since the next incarnation refuses it.
 """
 
+from bluebellyoke.dispatch.incarnations import is_refused_by_successors
 from bluebellyoke.dispatch.tracked_run import TrackedRun
-from bluebellyoke.dispatch.workers import MAX_CALL_DELAY_S
+from bluebellyoke.dispatch.workers import MAX_CALL_DELAY_S, TrackedWorker
 
 __all__ = [
     "MAX_WALL_CLOCK_ERROR_S",
@@ -21,7 +23,9 @@
 MAX_WALL_CLOCK_ERROR_S = 5.0
 
 
-def find_open_end(run: TrackedRun, now: float, wall_time: float) -> float:
+def find_open_end(
+    worker: TrackedWorker, run: TrackedRun, now: float, wall_time: float
+) -> float:
     """Return the monotonic time by which all starts of a run's task have arrived.
 
     Args:
@@ -29,13 +33,15 @@
         wall_time: Wall-clock time, in seconds.
     """
     inherited = now + run.open_until - wall_time if run.open_until else 0.0
-    return max(find_own_open_end(run), inherited)
+    return max(find_own_open_end(worker, run), inherited)
 
 
-def find_own_open_end(run: TrackedRun) -> float:
+def find_own_open_end(worker: TrackedWorker, run: TrackedRun) -> float:
     """Return the same for the starts that this leader has sent or may have found."""
     if run.is_confirmed or run.has_ended or run.was_refused:
         return run.open_by
+    if is_refused_by_successors(worker, run):
+        return run.open_by
     return max(run.open_by, run.sent_by + MAX_CALL_DELAY_S)
 
 
@@ -44,7 +50,9 @@
     return now < run.open_by or wall_time < run.open_until
 
 
-def compute_open_until(run: TrackedRun, now: float, wall_time: float) -> float:
+def compute_open_until(
+    worker: TrackedWorker, run: TrackedRun, now: float, wall_time: float
+) -> float:
     """Return until when later leaders keep a task in its place, by the wall clock."""
-    own = wall_time + find_own_open_end(run) - now + MAX_WALL_CLOCK_ERROR_S
+    own = wall_time + find_own_open_end(worker, run) - now + MAX_WALL_CLOCK_ERROR_S
     return max(run.open_until, own)
--- a/src/bluebellyoke/dispatch/planning_round.py
+++ b/src/bluebellyoke/dispatch/planning_round.py
@@ -228,7 +228,7 @@
         """Plan the start of a task on a worker, with its ticket if it needs one."""
         ticket = advice.find_ticket(worker_key, self.now) if advice is not None else ""
         name = TaskName(*step.key, index)
-        start = RunStart(name, run, worker_key[0], worker_key[1])
+        start = RunStart(name, run, *worker_key, has_ticket=bool(ticket))
         self.quotas.take(step)
         self.starts.append(PlannedStart(start, ticket))
 
@@ -244,8 +244,10 @@
         ticket = ""
         if advice is not None:
             ticket = advice.find_ticket(worker.spec.key, self.now)
-        open_until = compute_open_until(held.run, self.now, self.wall_time)
-        start = RunStart(name, run, *worker.spec.key, open_until)
+        open_until = compute_open_until(worker, held.run, self.now, self.wall_time)
+        start = RunStart(
+            name, run, *worker.spec.key, open_until, has_ticket=bool(ticket)
+        )
         self.starts.append(PlannedStart(start, ticket, held.number))
 
     def drop_reasons_of_started_steps(self) -> None:
--- a/src/bluebellyoke/dispatch/registry.py
+++ b/src/bluebellyoke/dispatch/registry.py
@@ -245,6 +245,7 @@
                     open_by=self._unsettled_runs.find_open_end(key),
                     open_until=self._context.store.run_states.find_open_until(key),
                     has_ended=self._context.store.run_states.has_ended(key),
+                    has_ticket=self._context.store.run_states.has_ticket(key),
                 )
 
     def _find_latest_call(self, spec: WorkerSpec) -> float:
--- a/src/bluebellyoke/dispatch/run_check.py
+++ b/src/bluebellyoke/dispatch/run_check.py
@@ -59,6 +59,7 @@
             is_confirmed=context.store.run_states.is_confirmed(key),
             open_until=context.store.run_states.find_open_until(key),
             has_ended=context.store.run_states.has_ended(key),
+            has_ticket=context.store.run_states.has_ticket(key),
         )
 
 
--- a/src/bluebellyoke/dispatch/run_replacement.py
+++ b/src/bluebellyoke/dispatch/run_replacement.py
@@ -39,6 +39,7 @@
         now,
         context.find_estimate(key),
         context.find_probation(key),
-        open_by=find_own_open_end(former),
+        open_by=find_own_open_end(worker, former),
         open_until=former.open_until,
+        has_ticket=start.has_ticket,
     )
--- a/src/bluebellyoke/dispatch/starts.py
+++ b/src/bluebellyoke/dispatch/starts.py
@@ -151,6 +151,7 @@
                 now,
                 self._context.find_estimate(key),
                 self._context.find_probation(key),
+                has_ticket=start.has_ticket,
             )
         self._context.proposals.add(
             workflow_commands.AssignRuns(time=wall_time, starts=starts),
@@ -227,7 +228,7 @@
         now = self._context.now
         worker.set_phase(key, RunPhase.UNKNOWN, now)
         worker.runs[key].was_refused = True
-        if now < find_open_end(worker.runs[key], now, wall_time):
+        if now < find_open_end(worker, worker.runs[key], now, wall_time):
             return
         end = workflow_commands.RunEnd(*key, workflow_commands.RunOutcome.NEVER_STARTED)
         self._recorder.commit(worker, [end], wall_time)
@@ -363,7 +364,7 @@
             event.error, (NotReachedError, OtherLifeError)
         )
         # An earlier start of the task may still be carried out.
-        is_open = now < find_open_end(run, now, wall_time)
+        is_open = now < find_open_end(worker, run, now, wall_time)
         never_ran = not is_open and (
             event.result in _NEVER_STARTED_RESULTS
             or isinstance(event.error, NotReachedError)
--- a/src/bluebellyoke/dispatch/tracked_run.py
+++ b/src/bluebellyoke/dispatch/tracked_run.py
@@ -52,6 +52,7 @@
             not fail either.
         was_start_closed: Whether the worker closed the connection of the start without
             a response, as it does if the start ends its process.
+        has_ticket: Whether the start carries a ticket of the queue's advisor.
         was_refused: Whether the start got a response that does not say that it was
             carried out, or never reached the worker. It is not carried out later.
         open_by: Time by which all earlier starts of the task on this worker have been
@@ -84,6 +85,7 @@
     sent_at: float | None = None
     has_start_timed_out: bool = False
     was_start_closed: bool = False
+    has_ticket: bool = False
     was_refused: bool = False
     open_by: float = 0.0
     open_until: float = 0.0
--- a/src/bluebellyoke/dispatch/workers.py
+++ b/src/bluebellyoke/dispatch/workers.py
@@ -177,6 +177,7 @@
         open_by: float = 0.0,
         open_until: float = 0.0,
         has_ended: bool = False,
+        has_ticket: bool = False,
     ) -> None:
         """Allocate resources to a run.
 
@@ -186,7 +187,7 @@
             probation_s: Time for which a suspect has to run, in seconds, or 0.
             is_confirmed: Whether the replicas know that the worker has begun it.
             sent_by: Time by which its start had been sent, if it is not sent later.
-            open_by, open_until, has_ended: As in `TrackedRun`.
+            open_by, open_until, has_ended, has_ticket: As in `TrackedRun`.
         """
         if key in self.runs:
             return
@@ -201,6 +202,7 @@
             open_by=open_by,
             open_until=open_until,
             has_ended=has_ended,
+            has_ticket=has_ticket,
         )
         self.allocated = self.allocated + need
         if probation_s:
--- a/src/bluebellyoke/workflow/commands.py
+++ b/src/bluebellyoke/workflow/commands.py
@@ -70,6 +70,7 @@
         open_until: Wall-clock time until which an earlier start of the task may still
             be carried out by that worker, in seconds, or 0. Such a run takes the place
             of the earlier one, which it ends.
+        has_ticket: Whether its start carries a ticket of the queue's advisor.
     """
 
     task: TaskName
@@ -77,6 +78,7 @@
     worker: str
     incarnation: int = msgspec.field(name="born")
     open_until: float = 0.0
+    has_ticket: bool = False
 
 
 class RunEnd(msgspec.Struct, frozen=True, array_like=True):
--- a/src/bluebellyoke/workflow/run_states.py
+++ b/src/bluebellyoke/workflow/run_states.py
@@ -45,6 +45,11 @@
         task = self._find_current_task(key)
         return task.kept_since if task is not None else 0.0
 
+    def has_ticket(self, key: RunKey) -> bool:
+        """Return whether the start of a run carries a ticket of the queue's advisor."""
+        task = self._find_current_task(key)
+        return task is not None and task.has_ticket
+
     def _find_current_task(self, key: RunKey) -> TaskProgress | None:
         """Return the task of a run if it is its latest one, else None."""
         name, run = key
--- a/src/bluebellyoke/workflow/workflow.py
+++ b/src/bluebellyoke/workflow/workflow.py
@@ -42,6 +42,7 @@
         has_ended: Whether the latest run has ended, but the task keeps its place.
         kept_since: Wall-clock time at which that incarnation was removed while the task
             kept its place, in seconds, or 0.
+        has_ticket: Whether the start of the latest run carries a ticket.
     """
 
     state: TaskState = TaskState.WAITING
@@ -55,6 +56,7 @@
     open_until: float = 0.0
     has_ended: bool = False
     kept_since: float = 0.0
+    has_ticket: bool = False
 
 
 class StepProgress(msgspec.Struct, array_like=True):
@@ -202,6 +204,7 @@
         task.incarnation = start.incarnation
         task.confirmed = False
         task.open_until = start.open_until
+        task.has_ticket = start.has_ticket
         task.has_ended = False
         task.kept_since = 0.0
         task.placed = True
--- a/tests/dispatch/reference_planner.py
+++ b/tests/dispatch/reference_planner.py
@@ -277,7 +277,7 @@
         ticket = (
             advice.find_ticket(worker_key, planning.now) if advice is not None else ""
         )
-        start = RunStart(name, run, worker_key[0], worker_key[1])
+        start = RunStart(name, run, *worker_key, has_ticket=bool(ticket))
         planning.starts.append(PlannedStart(start, ticket))
 
     def _reserve(
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -42,6 +42,27 @@
 
 
 CASES = [
+    Case(
+        "a task with a ticket keeps no place after its start was blocked",
+        "dispatch/open_starts.py",
+        "    if is_refused_by_successors(worker, run):\n        return run.open_by\n",
+        "",
+        "tests/dispatch/test_ticketed_starts.py",
+    ),
+    Case(
+        "a run with a ticket is lost with its worker's lease",
+        "dispatch/incarnations.py",
+        "    if is_refused_by_successors(worker, run):\n        return False\n",
+        "",
+        "tests/dispatch/test_ticketed_starts.py",
+    ),
+    Case(
+        "a ticket may be one of an incarnation that is not known yet",
+        "dispatch/incarnations.py",
+        "run.has_ticket and worker.identified_at >= run.sent_by",
+        "run.has_ticket",
+        "tests/dispatch/test_ticketed_starts.py",
+    ),
     Case(
         "a task keeps its place while a start of it may be carried out",
         "dispatch/missing_runs.py",
