--- a/src/bluebellyoke/dispatch/isolation.py
+++ b/src/bluebellyoke/dispatch/isolation.py
@@ -11,7 +11,7 @@
 
 from bluebellyoke.dispatch.crashes import SUSPECT_AGE_S
 from bluebellyoke.dispatch.workers import TrackedWorker
-from bluebellyoke.workflow.crashes import TaskCrashes
+from bluebellyoke.workflow.task_crashes import TaskCrashes
 
 __all__ = [
     "RecentCrashes",
--- a/src/bluebellyoke/workflow/crash_recorder.py
+++ b/src/bluebellyoke/workflow/crash_recorder.py
@@ -13,11 +13,12 @@
     RunOutcome,
     TaskName,
 )
-from bluebellyoke.workflow.crashes import CrashHistory, TaskCrashes
+from bluebellyoke.workflow.crashes import CrashHistory
 from bluebellyoke.workflow.gangs import is_gang
 from bluebellyoke.workflow.lost_workers import LostWorker, LostWorkers
 from bluebellyoke.workflow.snapshot import WorkflowSnapshot
 from bluebellyoke.workflow.specs import WorkerSpec
+from bluebellyoke.workflow.task_crashes import TaskCrashes
 from bluebellyoke.workflow.unsettled_runs import UnsettledRun, UnsettledRuns
 from bluebellyoke.workflow.workflow import TaskState, Workflow
 
--- a/src/bluebellyoke/workflow/snapshot.py
+++ b/src/bluebellyoke/workflow/snapshot.py
@@ -3,7 +3,6 @@
 import msgspec
 
 from bluebellyoke.cell.early_cancels import EarlyCancel
-from bluebellyoke.workflow.crashes import TaskCrashes
 from bluebellyoke.workflow.ended_incarnations import EndedIncarnation
 from bluebellyoke.workflow.lost_workers import LostWorker
 from bluebellyoke.workflow.specs import (
@@ -12,6 +11,7 @@
     QueueSpec,
     WorkerSpec,
 )
+from bluebellyoke.workflow.task_crashes import TaskCrashes
 from bluebellyoke.workflow.unsettled_runs import UnsettledRun
 from bluebellyoke.workflow.workflow import Workflow
 
--- a/tests/dispatch/test_isolation.py
+++ b/tests/dispatch/test_isolation.py
@@ -13,7 +13,7 @@
 )
 from bluebellyoke.dispatch.tracked_run import RunPhase
 from bluebellyoke.dispatch.workers import TrackedWorker
-from bluebellyoke.workflow.crashes import SharedCrash, TaskCrashes
+from bluebellyoke.workflow.task_crashes import SharedCrash, TaskCrashes
 from tests.workflow.factories import create_worker, name_task
 
 NOW = 100.0
--- a/tests/dispatch/test_suspect_waits.py
+++ b/tests/dispatch/test_suspect_waits.py
@@ -21,7 +21,7 @@
 from bluebellyoke.dispatch.suspects import RENEWED_SUSPECTS
 from bluebellyoke.dispatch.tracked_run import RunPhase
 from bluebellyoke.workflow import commands as workflow_commands
-from bluebellyoke.workflow.crashes import SharedCrash, TaskCrashes
+from bluebellyoke.workflow.task_crashes import SharedCrash, TaskCrashes
 from tests.dispatch.crashing import STEP_S, CrashSimulation
 from tests.dispatch.test_planner import NOW, Cell, list_jobs
 from tests.dispatch.test_suspects import blame, hold
--- a/tests/unprotected.py
+++ b/tests/unprotected.py
@@ -282,7 +282,7 @@
     ),
     Case(
         "a crash counts for an unsettled run once the next incarnation lacks it",
-        "workflow/crashes.py",
+        "workflow/task_crashes.py",
         "x.run for x in self.crashes if x.is_settled and (x.has_begun or x.is_proved)",
         "x.run for x in self.crashes if x.has_begun or x.is_proved",
         "tests/dispatch/test_returned_crashes.py",
