--- a/tests/dispatch/test_ticketed_starts.py
+++ b/tests/dispatch/test_ticketed_starts.py
@@ -7,7 +7,9 @@
 from bluebellyoke.workflow import commands as workflow_commands
 from bluebellyoke.workflow.specs import AdvisorSpec, Configuration, PoolSpec
 from tests.dispatch.forwarding import ForwardingNetwork
+from tests.dispatch.simulation import DispatcherSimulation
 from tests.dispatch.test_late_starts import LateStart, replace_leader
+from tests.dispatch.test_returned_random import UnacknowledgedScenario
 from tests.workflow.factories import create_queue
 
 ADVISOR = AdvisorSpec(decision_ms=20.0, per_worker_ms=0.5, validity_ms=1500.0)
@@ -17,14 +19,18 @@
 MAX_RESTART_S = 7.5
 
 
-class TicketedNetwork(ForwardingNetwork):
-    """A cell with an advisor that allows all workers and gives each life a ticket."""
+class Tickets:
+    """An advisor that allows all workers, and workers that take its tickets only.
 
-    def __init__(self, workers=3):
-        super().__init__(workers)
-        queue = create_queue(advisor=ADVISOR)
+    A ticket is that of the life that a worker has when it is issued.
+    """
+
+    def __init__(self, workers=3, features=None):
+        super().__init__(workers, features)
         configuration = Configuration(
-            version=2, queues=(queue,), pools=(PoolSpec(name="p"),)
+            version=2,
+            queues=(create_queue(advisor=ADVISOR),),
+            pools=(PoolSpec(name="p"),),
         )
         command = workflow_commands.ApplyConfiguration(configuration=configuration)
         self.dispatcher.change_configuration(command, self.now, lambda result: None)
@@ -35,19 +41,13 @@
         self.advice_calls = []
         self.dispatcher.advice.open_session(1, self.advice_calls.append)
 
-    def step(self):
+    def tick(self):
         for call in self.advice_calls:
             tickets = {name: self.create_ticket(name) for name in call.workers}
             reply = wire.AdviceReply(call.id, tickets)
             self.dispatcher.advice.receive(1, reply, self.now)
         self.advice_calls.clear()
-        super().step()
-
-    def lose_stop(self, sent):
-        if sent.kind != "stop":
-            return False
-        self.time_out(sent)
-        return True
+        super().tick()
 
     def create_ticket(self, name):
         return f"{name}-{self.workers[name].spec.incarnation}"
@@ -58,6 +58,28 @@
         return super().handle_start(worker, request)
 
 
+class TicketedNetwork(Tickets, ForwardingNetwork):
+    """The same behind a forwarder."""
+
+    def lose_stop(self, sent):
+        if sent.kind != "stop":
+            return False
+        self.time_out(sent)
+        return True
+
+
+class TicketedSimulation(Tickets, DispatcherSimulation):
+    """The same for random scenarios."""
+
+
+class TicketedScenario(UnacknowledgedScenario):
+    """Random returns of workers, late calls and leaders, with tickets."""
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.simulation = TicketedSimulation()
+
+
 @pytest.fixture
 def network():
     network = TicketedNetwork()
@@ -120,3 +142,10 @@
     network.run(MAX_RESTART_S)
     assert not any(x.runs for x in network.workers.values())
     assert network.find_task().placed
+
+
+# Guards against two runs at once, whichever returns, late calls and leaders come
+# together: the simulation checks each start.
+@pytest.mark.parametrize("seed", range(40))
+def test_random_returns_cause_no_second_run_of_a_task_with_a_ticket(seed):
+    TicketedScenario(seed).run()
