--- a/tests/dispatch/test_ticketed_starts.py
+++ b/tests/dispatch/test_ticketed_starts.py
@@ -1,4 +1,4 @@
-"""Starts with the ticket of an advisor, which is valid for one life of the worker."""
+"""Starts with the ticket of an advisor, valid for one incarnation of the worker."""
 
 import pytest
 
@@ -22,7 +22,7 @@
 class Tickets:
     """An advisor that allows all workers, and workers that take its tickets only.
 
-    A ticket is that of the life that a worker has when it is issued.
+    A ticket is valid for the incarnation that a worker has when it is issued.
     """
 
     def __init__(self, workers=3, features=None):
@@ -94,7 +94,7 @@
 
 
 # Guards against LOST on the day refusals-leader: a draining worker kept the place of a
-# task whose start no later life of the worker could carry out.
+# task whose start no later incarnation of the worker could carry out.
 @pytest.mark.parametrize("replacement", ["none", "leader", "restart"])
 def test_task_on_a_draining_worker_starts_elsewhere_once_its_start_is_blocked(
     network, replacement
@@ -111,7 +111,7 @@
     check_only_late_worker_is_unused(network, late)
 
 
-# Guards against a gang that waits for the longest lease of such a life: the worker of
+# Guards against a gang that waits for the lease of such an incarnation: the worker of
 # one of its tasks falls silent after the start was blocked, or before.
 @pytest.mark.parametrize("is_blocked", [False, True])
 @pytest.mark.parametrize("fields", [{}, {"count": 3, "cpu": 1400, "gang": True}])
@@ -134,7 +134,7 @@
 
 
 # Guards against two runs at once: a start got no response, and the ticket may be one of
-# a later life than the worker is known to have had when the ticket was issued.
+# a later incarnation than the one that is known.
 def test_ticket_of_a_worker_that_never_responded_since_is_no_proof(network):
     network.silent.update(network.workers)
     late = LateStart(network)
